--- /dev/null
+++ b/src/decide/control/mod.rs
@@ -0,0 +1,183 @@
+//! Sheets, membership and the audit trail: events and the time go in, actions come out.
+
+pub mod fold;
+pub mod member_control;
+pub mod members;
+pub mod record;
+pub mod sheet_control;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+use serde::{Deserialize, Serialize};
+
+use self::member_control::{MemberControl, MemberMessage};
+use self::record::{LogBatch, LogRecord, Stream};
+use self::sheet_control::{SheetControl, SheetMessage};
+use crate::model::{Announcement, Sheet, SheetVersion, TimeMs, Vm};
+
+/// A control message between two daemons. The receiver may answer with further ones.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ControlMessage {
+    /// About sheets.
+    Sheet(SheetMessage),
+    /// About membership.
+    Member(MemberMessage),
+}
+
+/// What happens to a [`Control`].
+#[derive(Debug, Clone)]
+pub enum ControlEvent {
+    /// The backend server beside this daemon has announced itself or has changed.
+    LocalAnnounced(Announcement),
+    /// Records were read from the log.
+    LogRead {
+        /// The stream.
+        stream: Stream,
+        /// The records.
+        batch: LogBatch,
+    },
+    /// The log could not be read.
+    LogFailed {
+        /// The stream.
+        stream: Stream,
+    },
+    /// An append took effect.
+    Appended {
+        /// The stream.
+        stream: Stream,
+        /// The offset of the record.
+        offset: u64,
+    },
+    /// It cannot be told whether an append took effect.
+    AppendFailed {
+        /// The stream.
+        stream: Stream,
+        /// The record.
+        record: LogRecord,
+    },
+    /// A message from another daemon.
+    PeerSaid {
+        /// The other daemon's control address.
+        from: SocketAddr,
+        /// The message.
+        message: ControlMessage,
+    },
+    /// A [`ControlAction::Send`] got no answer.
+    PeerSilent {
+        /// The other daemon's control address.
+        to: SocketAddr,
+    },
+    /// A call carried a newer version than the one in force here.
+    SheetWanted {
+        /// The version.
+        version: SheetVersion,
+    },
+    /// Time has passed.
+    Tick,
+}
+
+/// What a [`Control`] wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ControlAction {
+    /// Read a stream of the log.
+    ReadLog {
+        /// The stream.
+        stream: Stream,
+        /// The first offset wanted.
+        from_offset: u64,
+    },
+    /// Append a record to a stream of the log.
+    Append {
+        /// The stream.
+        stream: Stream,
+        /// The record.
+        record: LogRecord,
+    },
+    /// Send a message to another daemon, or answer one that it has sent.
+    Send {
+        /// The other daemon's control address.
+        to: SocketAddr,
+        /// The message.
+        message: ControlMessage,
+    },
+    /// A newer sheet is in force.
+    SheetLearned(Arc<Sheet>),
+    /// The workers known have changed.
+    WorkersLearned(Vec<Announcement>),
+}
+
+/// What the parts of [`Control`] share while they handle one event.
+pub struct ControlTurn<'a> {
+    /// The time.
+    pub now: TimeMs,
+    /// The random source.
+    pub rng: &'a mut Xoshiro256PlusPlus,
+    /// The actions found.
+    pub actions: &'a mut Vec<ControlAction>,
+}
+
+/// The decisions of one daemon about sheets and membership. One task owns it.
+#[derive(Debug)]
+pub struct Control {
+    sheets: SheetControl,
+    members: MemberControl,
+    rng: Xoshiro256PlusPlus,
+}
+
+impl Control {
+    /// A control for the daemon on `vm` that knows nothing yet.
+    pub fn new(vm: Vm, seed: u64) -> Control {
+        Control {
+            sheets: SheetControl::new(vm.clone()),
+            members: MemberControl::new(vm),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+        }
+    }
+
+    /// The part for sheets.
+    pub fn sheets(&self) -> &SheetControl {
+        &self.sheets
+    }
+
+    /// The part for membership.
+    pub fn members(&self) -> &MemberControl {
+        &self.members
+    }
+
+    /// Takes in an event and appends the actions that follow from it.
+    pub fn handle(&mut self, now: TimeMs, event: ControlEvent, actions: &mut Vec<ControlAction>) {
+        let turn = &mut ControlTurn {
+            now,
+            rng: &mut self.rng,
+            actions,
+        };
+        match event {
+            ControlEvent::LocalAnnounced(announcement) => {
+                self.members.local_announced(turn, announcement);
+            }
+            ControlEvent::LogRead { stream, batch } => match stream {
+                Stream::Sheets => self.sheets.log_read(turn, batch),
+                Stream::Members => self.members.log_read(turn, batch),
+            },
+            ControlEvent::LogFailed { stream } => match stream {
+                Stream::Sheets => self.sheets.log_failed(turn),
+                Stream::Members => self.members.log_failed(turn),
+            },
+            ControlEvent::Appended { .. } | ControlEvent::AppendFailed { .. } => {}
+            ControlEvent::PeerSaid { from, message } => match message {
+                ControlMessage::Sheet(message) => self.sheets.peer_said(turn, from, message),
+                ControlMessage::Member(message) => self.members.peer_said(turn, from, message),
+            },
+            ControlEvent::PeerSilent { to } => self.members.peer_silent(turn, to),
+            ControlEvent::SheetWanted { version } => self.sheets.sheet_wanted(turn, version),
+            ControlEvent::Tick => {
+                self.members.tick(turn);
+                self.sheets.tick(turn, &self.members);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/decide/node/arrive.rs
@@ -0,0 +1,295 @@
+//! Requests as they arrive: from callers, from the local backend server, at their home.
+
+use bytes::Bytes;
+use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Node, ReplyTo, Turn};
+use crate::decide::dispatch::{Dispatch, DispatchState};
+use crate::decide::evidence::{NotRunEvidence, Unsent};
+use crate::decide::home::{ChildOf, Opened};
+use crate::decide::message::{
+    CallId, CallerRequest, ExecuteRequest, ParentCall, PeerReply, Priority,
+};
+use crate::decide::sharded::lock;
+use crate::model::{
+    CallContext, CallKey, Contract, NotRun, NotRunReason, Outcome, RequestName, RootId,
+    ServiceName, TimeMs,
+};
+
+/// When to come back after the entry has shed a request, in milliseconds.
+const SHED_RETRY_AFTER_MS: u64 = 500;
+
+/// A request that has been classified.
+pub(super) struct Classified {
+    pub(super) service: ServiceName,
+    pub(super) request: RequestName,
+    pub(super) context: CallContext,
+    pub(super) parent: Option<CallId>,
+    pub(super) body: Bytes,
+}
+
+impl Node {
+    pub(super) fn call_arrived(&self, turn: &mut Turn<'_>, call: CallId, asked: CallerRequest) {
+        let rules = self.rules.load();
+        let key = asked.key.clone();
+        if let (Some(key), Some(below)) = (&key, asked.acknowledged_below) {
+            self.home.acknowledge(&key.ticket, below);
+        }
+        let Some(context) = self.context_for(turn.now, &asked) else {
+            return self.answer_not_run(turn, call, key, NotRunReason::Cancelled, 0);
+        };
+        let contract = rules.contract(&asked.service, &asked.request, &context.caller);
+        let parent = asked.parent;
+        let classified = Classified {
+            service: asked.service,
+            request: asked.request,
+            context,
+            parent: parent.map(|parent| parent.call),
+            body: asked.body,
+        };
+        if contract.idempotent {
+            return self.idempotent_arrived(turn, call, classified);
+        }
+        let key = match parent {
+            Some(parent) => self.child_key(call, parent, &classified.service),
+            None => key.ok_or(NotRunReason::KeyRequired),
+        };
+        match key {
+            Ok(key) if key.ticket.service != classified.service => {
+                self.answer_not_run(turn, call, Some(key), NotRunReason::KeyReused, 0);
+            }
+            Ok(key) => self.keyed_arrived(turn, call, classified, key),
+            Err(reason) => self.answer_not_run(turn, call, None, reason, 0),
+        }
+    }
+
+    /// A keyed call sent on by the daemon at which the caller made it.
+    pub(super) fn submit(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        request: ExecuteRequest,
+    ) {
+        let Some(key) = request.key.clone() else {
+            return;
+        };
+        if request.to != self.settings.vm.worker {
+            return self.refuse_foreign(turn, reply_to, Some(key), request.context.allowance);
+        }
+        self.home.acknowledge(&key.ticket, request.lowest_open);
+        let classified = Classified {
+            service: request.service,
+            request: request.request,
+            context: request.context,
+            parent: None,
+            body: request.body,
+        };
+        self.open_at_home(turn, call, reply_to, classified, key);
+    }
+
+    pub(super) fn answer_not_run(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        key: Option<CallKey>,
+        reason: NotRunReason,
+        retry_after_ms: u64,
+    ) {
+        let outcome = not_run(reason, retry_after_ms, Unsent::no_byte_left().into());
+        let reply = self.plain_reply(key, outcome);
+        self.deliver(turn, ReplyTo::Caller(call), reply);
+    }
+
+    /// A reply that hands nothing back.
+    pub(super) fn plain_reply(&self, key: Option<CallKey>, outcome: Outcome) -> PeerReply {
+        PeerReply {
+            from: self.settings.vm.worker,
+            key,
+            outcome,
+            allowance_left: 0,
+            level: Priority::LOWEST,
+            service_ms: 0,
+        }
+    }
+
+    fn context_for(&self, now: TimeMs, asked: &CallerRequest) -> Option<CallContext> {
+        match asked.parent {
+            Some(parent) => self.child_context(now, parent),
+            None => Some(self.root_context(asked)),
+        }
+    }
+
+    fn child_context(&self, now: TimeMs, parent: ParentCall) -> Option<CallContext> {
+        let mut shard = self.executions.lock(&parent.call);
+        let execution = shard.get_mut(&parent.call)?;
+        execution.started?;
+        Some(execution.child_context(now))
+    }
+
+    fn root_context(&self, asked: &CallerRequest) -> CallContext {
+        let rules = self.rules.load();
+        let contract: Contract = rules.contract(&asked.service, &asked.request, &asked.caller);
+        let mut rng = lock(&self.rng);
+        let asked_ms = asked.time_left_ms.unwrap_or(u64::MAX);
+        CallContext {
+            root: RootId(rng.random()),
+            caller: asked.caller.clone(),
+            importance: contract.importance,
+            rank: rng.random(),
+            time_left_ms: contract.deadline_ms.min(asked_ms),
+            allowance: contract.retry_allowance,
+            depth: 0,
+            sunk_ms: 0,
+            sheet_version: rules.version(),
+        }
+    }
+
+    fn child_key(
+        &self,
+        call: CallId,
+        parent: ParentCall,
+        service: &ServiceName,
+    ) -> Result<CallKey, NotRunReason> {
+        let parent_keyed = self
+            .executions
+            .lock(&parent.call)
+            .get(&parent.call)
+            .is_some_and(|execution| execution.key.is_some());
+        if !parent_keyed {
+            return Err(NotRunReason::IdempotentParent);
+        }
+        let child = ChildOf {
+            parent: parent.call,
+            service: service.clone(),
+            ordinal: parent.ordinal,
+        };
+        self.home
+            .child_key(child, call, || self.candidates(service))
+            .ok_or(NotRunReason::KeyTableFull)
+    }
+
+    fn idempotent_arrived(&self, turn: &mut Turn<'_>, call: CallId, classified: Classified) {
+        if !self.entry_admits(turn.now, &classified) {
+            let reason = NotRunReason::ShedAtEntry;
+            return self.answer_not_run(turn, call, None, reason, SHED_RETRY_AFTER_MS);
+        }
+        let reply_to = Some(ReplyTo::Caller(call));
+        self.start_dispatch(turn, call, classified, None, reply_to);
+    }
+
+    fn keyed_arrived(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        classified: Classified,
+        key: CallKey,
+    ) {
+        let me = self.settings.vm.worker;
+        let home = key.ticket.id.home;
+        if home == me {
+            return self.open_at_home(turn, call, ReplyTo::Caller(call), classified, key);
+        }
+        let mut dispatch = self.new_dispatch(turn.now, classified, Some(key));
+        dispatch.reply_to = Some(ReplyTo::Caller(call));
+        if home.address == me.address {
+            return self.settle_candidates(turn, call, dispatch);
+        }
+        self.send_to_home(turn, call, dispatch, home);
+    }
+
+    fn open_at_home(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        classified: Classified,
+        key: CallKey,
+    ) {
+        let fingerprint = fingerprint(&classified.request, &classified.body);
+        match self.home.open(&key, fingerprint, call, reply_to) {
+            Opened::New => {}
+            Opened::Joined => return,
+            Opened::Kept(outcome) => {
+                let reply = self.plain_reply(Some(key), outcome);
+                return self.deliver(turn, reply_to, reply);
+            }
+            Opened::Refused(reason) => {
+                let outcome = not_run(reason, 0, Unsent::no_byte_left().into());
+                let reply = self.plain_reply(Some(key), outcome);
+                return self.deliver(turn, reply_to, reply);
+            }
+        }
+        if !self.entry_admits(turn.now, &classified) {
+            let evidence = Unsent::no_byte_left().into();
+            let outcome = not_run(NotRunReason::ShedAtEntry, SHED_RETRY_AFTER_MS, evidence);
+            let waiters = self.home.end(&key, &outcome);
+            let reply = self.plain_reply(Some(key), outcome);
+            return self.deliver_all(turn, &waiters, &reply);
+        }
+        self.start_dispatch(turn, call, classified, Some(key), None);
+    }
+
+    /// Only root requests are shed here: beneath them work has been sunk already.
+    fn entry_admits(&self, now: TimeMs, classified: &Classified) -> bool {
+        if !self.settings.mechanisms.entry_shedding || classified.context.depth > 0 {
+            return true;
+        }
+        let context = &classified.context;
+        let priority = Priority::new(context.importance, context.rank);
+        self.levels
+            .admits(now, &classified.service, &classified.request, priority)
+    }
+
+    fn start_dispatch(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        classified: Classified,
+        key: Option<CallKey>,
+        reply_to: Option<ReplyTo>,
+    ) {
+        let mut dispatch = self.new_dispatch(turn.now, classified, key);
+        dispatch.reply_to = reply_to;
+        self.attempt(turn, call, dispatch);
+    }
+
+    fn new_dispatch(&self, now: TimeMs, classified: Classified, key: Option<CallKey>) -> Dispatch {
+        Dispatch {
+            service: classified.service,
+            request: classified.request,
+            idempotent: key.is_none(),
+            key,
+            reply_to: None,
+            parent: classified.parent,
+            body: classified.body,
+            deadline: now.plus_ms(classified.context.time_left_ms),
+            state: DispatchState::Waiting { until: now },
+            allowance: classified.context.allowance,
+            attempts: 0,
+            tried: Vec::new(),
+            next_number: 0,
+            level: Priority::LOWEST,
+            service_ms: 0,
+            context: classified.context,
+        }
+    }
+}
+
+pub(super) fn not_run(
+    reason: NotRunReason,
+    retry_after_ms: u64,
+    evidence: NotRunEvidence,
+) -> Outcome {
+    Outcome::NotRun(NotRun {
+        reason,
+        retry_after_ms,
+        evidence,
+    })
+}
+
+/// Tells whether two requests under one key are the same request.
+pub(super) fn fingerprint(request: &RequestName, body: &Bytes) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64_with_seed(request.as_str().as_bytes(), 0))
+}
--- /dev/null
+++ b/src/decide/node/executing.rs
@@ -0,0 +1,286 @@
+//! Calls at the backend server beside this daemon: admission, hand-over, answer.
+
+use super::arrive::{fingerprint, not_run};
+use super::{Node, ReplyTo, Turn};
+use crate::decide::admission::{Offer, Verdict};
+use crate::decide::counters::Counter;
+use crate::decide::evidence::{Refusal, Unsent};
+use crate::decide::execution::Execution;
+use crate::decide::executor::Received;
+use crate::decide::message::{
+    Action, CallId, ExchangeId, ExecuteRequest, PeerReply, PeerRequest, Priority, SendFailure,
+};
+use crate::decide::sharded::lock;
+use crate::decide::timers::Wakeup;
+use crate::model::{Answer, NotRunReason, Outcome, TicketId, UnknownReason, WorkerId};
+
+/// Longest wait for the reply to an acknowledgement, in milliseconds.
+const ACKNOWLEDGE_TIMEOUT_MS: u64 = 1_000;
+/// When to come back if the backend server cannot be reached, in milliseconds.
+const UNREACHABLE_RETRY_AFTER_MS: u64 = 200;
+
+impl Node {
+    pub(super) fn execute(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        request: ExecuteRequest,
+    ) {
+        let granted = request.context.allowance;
+        if request.to != self.settings.vm.worker {
+            return self.refuse_foreign(turn, reply_to, request.key, granted);
+        }
+        let rules = self.rules.load();
+        let contract = rules.contract(&request.service, &request.request, &request.context.caller);
+        let newer = rules.version() > request.context.sheet_version;
+        let stricter = newer && request.idempotent && !contract.idempotent;
+        if stricter && request.key.is_none() {
+            return self.refuse_unkeyed(turn, reply_to, NotRunReason::KeyRequired, 0, granted);
+        }
+        if let Some(key) = &request.key {
+            self.executor
+                .acknowledge(key.ticket.id, request.lowest_open);
+            let fingerprint = fingerprint(&request.request, &request.body);
+            match self.executor.receive(key, fingerprint, call, reply_to) {
+                Received::New => {}
+                Received::Joined => return,
+                Received::Ended(outcome) => {
+                    let mut reply = self.plain_reply(request.key, outcome);
+                    reply.allowance_left = granted;
+                    return self.deliver(turn, reply_to, reply);
+                }
+            }
+        }
+        self.admit(turn, call, reply_to, request);
+    }
+
+    pub(super) fn backend_replied(&self, turn: &mut Turn<'_>, call: CallId, answer: Answer) {
+        self.run_ended(turn, call, Outcome::Done(answer));
+    }
+
+    pub(super) fn backend_failed(&self, turn: &mut Turn<'_>, call: CallId, failure: SendFailure) {
+        let outcome = match failure {
+            SendFailure::NoByteSent => {
+                let evidence = Unsent::no_byte_left().into();
+                not_run(
+                    NotRunReason::BackendUnreachable,
+                    UNREACHABLE_RETRY_AFTER_MS,
+                    evidence,
+                )
+            }
+            SendFailure::Broken | SendFailure::Silent => {
+                Outcome::Unknown(UnknownReason::BackendBroke)
+            }
+        };
+        self.run_ended(turn, call, outcome);
+    }
+
+    /// The backend server says itself that it did not run the request.
+    pub(super) fn backend_refused(&self, turn: &mut Turn<'_>, call: CallId, retry_after_ms: u64) {
+        let evidence = Refusal::before_hand_over().into();
+        let outcome = not_run(NotRunReason::Overloaded, retry_after_ms, evidence);
+        self.run_ended(turn, call, outcome);
+    }
+
+    pub(super) fn execution_due(&self, turn: &mut Turn<'_>, call: CallId) {
+        if !self.settings.mechanisms.deadlines {
+            return;
+        }
+        let waiting = {
+            let shard = self.executions.lock(&call);
+            shard
+                .get(&call)
+                .is_some_and(|execution| execution.started.is_none())
+        };
+        if waiting && lock(&self.admission).withdraw(call) {
+            self.refuse_execution(turn, call, NotRunReason::DeadlineTooShort, 0);
+        }
+    }
+
+    pub(super) fn release_queue(&self, turn: &mut Turn<'_>) {
+        let released = lock(&self.admission).release(turn.now);
+        for released in released {
+            match released.verdict {
+                Verdict::Start => self.hand_over(turn, released.call),
+                Verdict::Queued => {}
+                Verdict::Refused {
+                    reason,
+                    retry_after_ms,
+                } => self.refuse_execution(turn, released.call, reason, retry_after_ms),
+            }
+        }
+    }
+
+    pub(super) fn local_server(&self, turn: &mut Turn<'_>, slots: u32, leaving: bool) {
+        lock(&self.admission).set_server(slots, leaving);
+        self.release_queue(turn);
+    }
+
+    /// Drops a call without a key for which nobody waits; false if it is not here.
+    pub(super) fn withdraw_execution(&self, turn: &mut Turn<'_>, call: CallId) -> bool {
+        let mut shard = self.executions.lock(&call);
+        let Some(execution) = shard.get(&call) else {
+            return false;
+        };
+        if execution.key.is_some() || !self.settings.mechanisms.deadlines {
+            return true;
+        }
+        if execution.started.is_some() {
+            turn.actions.push(Action::CancelLocal { call });
+            return true;
+        }
+        if lock(&self.admission).withdraw(call) {
+            shard.remove(&call);
+        }
+        true
+    }
+
+    fn admit(&self, turn: &mut Turn<'_>, call: CallId, reply_to: ReplyTo, request: ExecuteRequest) {
+        let context = &request.context;
+        let offer = Offer {
+            call,
+            caller: context.caller.clone(),
+            share_percent: self.rules.load().share_percent(&context.caller),
+            priority: Priority::new(context.importance, context.rank),
+            sunk_ms: context.sunk_ms,
+            deadline: turn.now.plus_ms(context.time_left_ms),
+        };
+        let deadline = offer.deadline;
+        let execution = Execution {
+            service: request.service,
+            request: request.request,
+            allowance: request.context.allowance,
+            context: request.context,
+            idempotent: request.idempotent,
+            reply_to: request.key.is_none().then_some(reply_to),
+            key: request.key,
+            body: request.body,
+            deadline,
+            started: None,
+            level_beneath: Priority::LOWEST,
+            service_beneath_ms: 0,
+        };
+        self.executions.insert(call, execution);
+        let verdict = lock(&self.admission).offer(turn.now, offer);
+        match verdict {
+            Verdict::Start => self.hand_over(turn, call),
+            Verdict::Queued => {
+                self.timers.set(deadline, Wakeup::Execution(call));
+                self.release_queue(turn);
+            }
+            Verdict::Refused {
+                reason,
+                retry_after_ms,
+            } => self.refuse_execution(turn, call, reason, retry_after_ms),
+        }
+    }
+
+    fn hand_over(&self, turn: &mut Turn<'_>, call: CallId) {
+        let mut shard = self.executions.lock(&call);
+        let Some(execution) = shard.get_mut(&call) else {
+            return;
+        };
+        if let Some(key) = &execution.key
+            && !self.executor.hand_over(key)
+        {
+            // Its record was dropped by an acknowledgement, so nobody waits for it.
+            lock(&self.admission).start_undone(&execution.context.caller);
+            shard.remove(&call);
+            return;
+        }
+        execution.started = Some(turn.now);
+        self.counters.add(Counter::HandedOver);
+        let run = execution.local_run(turn.now, call);
+        turn.actions.push(Action::RunLocal(run));
+    }
+
+    fn run_ended(&self, turn: &mut Turn<'_>, call: CallId, outcome: Outcome) {
+        let Some(execution) = self.executions.remove(&call) else {
+            return;
+        };
+        let started = execution.started.unwrap_or(turn.now);
+        let service_ms = turn.now.since_ms(started);
+        let caller = &execution.context.caller;
+        lock(&self.admission).finished(turn.now, caller, service_ms);
+        let mut reply = self.plain_reply(execution.key.clone(), outcome);
+        reply.allowance_left = execution.allowance;
+        reply.level = execution.level_beneath.max(lock(&self.admission).level());
+        reply.service_ms = service_ms + execution.service_beneath_ms;
+        self.reply_for(turn, &execution, &reply);
+        self.forget_children(turn, call);
+        self.release_queue(turn);
+    }
+
+    fn reply_for(&self, turn: &mut Turn<'_>, execution: &Execution, reply: &PeerReply) {
+        let waiters = match &execution.key {
+            Some(key) => self.executor.end(key, &reply.outcome),
+            None => execution.reply_to.into_iter().collect(),
+        };
+        self.deliver_all(turn, &waiters, reply);
+    }
+
+    fn refuse_execution(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reason: NotRunReason,
+        retry_after_ms: u64,
+    ) {
+        let Some(execution) = self.executions.remove(&call) else {
+            return;
+        };
+        let granted = execution.allowance;
+        let Some(key) = &execution.key else {
+            let reply_to = execution.reply_to;
+            if let Some(reply_to) = reply_to {
+                self.refuse_unkeyed(turn, reply_to, reason, retry_after_ms, granted);
+            }
+            return;
+        };
+        let Some((outcome, waiters)) = self.executor.refuse(key, reason, retry_after_ms) else {
+            return;
+        };
+        let mut reply = self.plain_reply(Some(key.clone()), outcome);
+        reply.allowance_left = granted;
+        reply.level = lock(&self.admission).level();
+        self.deliver_all(turn, &waiters, &reply);
+    }
+
+    fn refuse_unkeyed(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        reason: NotRunReason,
+        retry_after_ms: u64,
+        granted: u32,
+    ) {
+        let evidence = Refusal::before_hand_over().into();
+        let mut reply = self.plain_reply(None, not_run(reason, retry_after_ms, evidence));
+        reply.allowance_left = granted;
+        reply.level = lock(&self.admission).level();
+        self.deliver(turn, reply_to, reply);
+    }
+
+    /// The run has ended, so its child calls cannot be repeated: their records go.
+    fn forget_children(&self, turn: &mut Turn<'_>, call: CallId) {
+        for (ticket, candidates) in self.home.forget_children(call) {
+            for to in candidates {
+                self.acknowledge(turn, to, ticket);
+            }
+        }
+    }
+
+    fn acknowledge(&self, turn: &mut Turn<'_>, to: WorkerId, ticket: TicketId) {
+        let exchange = ExchangeId {
+            call: self.next_call(),
+            number: 0,
+        };
+        let message = PeerRequest::Acknowledge {
+            to,
+            ticket,
+            lowest_open: u64::MAX,
+        };
+        self.send(turn, exchange, message, false, ACKNOWLEDGE_TIMEOUT_MS);
+    }
+}
--- /dev/null
+++ b/src/decide/node/mod.rs
@@ -0,0 +1,344 @@
+//! The façade for calls: events and the time go in, actions come out.
+
+mod arrive;
+mod dispatching;
+mod executing;
+mod parking;
+mod settling;
+
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use arc_swap::ArcSwap;
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use self::parking::Parked;
+use super::admission::Admission;
+use super::budget::RetryBudgets;
+use super::counters::{Counter, Counters};
+use super::dispatch::Dispatch;
+use super::entry::EntryLevels;
+use super::execution::Execution;
+use super::executor::ExecutorTable;
+use super::home::{HomeBounds, HomeTable};
+use super::mechanisms::Mechanisms;
+use super::message::{Action, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
+use super::route::Router;
+use super::rules::RuleTable;
+use super::sharded::{Sharded, lock};
+use super::timers::{Timers, Wakeup};
+use crate::model::key::MAX_CANDIDATES;
+use crate::model::{Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs, Vm};
+
+/// What a [`Node`] is made from.
+#[derive(Debug, Clone)]
+pub struct NodeSettings {
+    /// The VM and this process start.
+    pub vm: Vm,
+    /// The service of the backend server beside this daemon, if there is one.
+    pub service: Option<ServiceName>,
+    /// Bounds of the home's table.
+    pub home: HomeBounds,
+    /// Most records at the executor.
+    pub executor_records: usize,
+    /// Longest wait for an executor's or home's reply beyond the deadline, in milliseconds.
+    pub reply_grace_ms: u64,
+    /// Which mechanisms are on.
+    pub mechanisms: Mechanisms,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// Who waits for the outcome of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplyTo {
+    /// A caller or the local backend server.
+    Caller(CallId),
+    /// Another daemon.
+    Peer(CallId),
+    /// This daemon's own dispatch.
+    Local(ExchangeId),
+}
+
+/// Counts that operators watch.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct NodeGauges {
+    /// The concurrency limit of the local backend server.
+    pub limit: u32,
+    /// Requests at the local backend server.
+    pub in_flight: u32,
+    /// Requests that wait for the local backend server.
+    pub queued: usize,
+    /// The lowest priority admitted by the local backend server.
+    pub level: u32,
+    /// Calls that this daemon moves.
+    pub dispatches: usize,
+    /// Keys open at this home.
+    pub open_keys: usize,
+    /// Records at this executor.
+    pub records: usize,
+}
+
+/// The decisions of one daemon about calls. Any number of threads may share it.
+#[derive(Debug)]
+pub struct Node {
+    settings: NodeSettings,
+    next_call: AtomicU64,
+    rules: ArcSwap<RuleTable>,
+    router: Router,
+    levels: EntryLevels,
+    budgets: RetryBudgets,
+    dispatches: Sharded<CallId, Dispatch>,
+    executions: Sharded<CallId, Execution>,
+    admission: Mutex<Admission>,
+    home: HomeTable,
+    executor: ExecutorTable,
+    timers: Timers,
+    rng: Mutex<Xoshiro256PlusPlus>,
+    noted_limit: Mutex<u32>,
+    parked: Mutex<Vec<Parked>>,
+    counters: Counters,
+}
+
+/// One call of [`Node::handle`]: the time, the work left and the actions found.
+struct Turn<'a> {
+    now: TimeMs,
+    work: VecDeque<Work>,
+    actions: &'a mut Vec<Action>,
+}
+
+enum Work {
+    Event(Event),
+    Arrived {
+        call: CallId,
+        reply_to: ReplyTo,
+        message: PeerRequest,
+    },
+}
+
+impl Node {
+    /// A node that knows no sheet and no worker yet.
+    pub fn new(settings: NodeSettings) -> Node {
+        let mechanisms = settings.mechanisms;
+        Node {
+            next_call: AtomicU64::new(1),
+            rules: ArcSwap::default(),
+            router: Router::new(settings.vm.place.clone(), mechanisms.balanced_routing),
+            levels: EntryLevels::default(),
+            budgets: RetryBudgets::default(),
+            dispatches: Sharded::default(),
+            executions: Sharded::default(),
+            admission: Mutex::new(Admission::new(mechanisms)),
+            home: HomeTable::new(settings.vm.worker, settings.home),
+            executor: ExecutorTable::new(settings.executor_records),
+            timers: Timers::default(),
+            rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
+            noted_limit: Mutex::new(0),
+            parked: Mutex::default(),
+            counters: Counters::default(),
+            settings,
+        }
+    }
+
+    /// The VM and process start that this node decides for.
+    pub fn vm(&self) -> &Vm {
+        &self.settings.vm
+    }
+
+    /// A number for a call that is about to arrive.
+    pub fn next_call(&self) -> CallId {
+        CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// A ticket for keys of a service; `None` if the table of tickets is full.
+    pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        let candidates = self.candidates(service);
+        self.home.issue(service, candidates)
+    }
+
+    /// Takes in an event and appends the actions that follow from it.
+    pub fn handle(&self, now: TimeMs, event: Event, actions: &mut Vec<Action>) {
+        let mut turn = Turn {
+            now,
+            work: VecDeque::from([Work::Event(event)]),
+            actions,
+        };
+        while let Some(work) = turn.work.pop_front() {
+            self.step(&mut turn, work);
+        }
+    }
+
+    /// When [`Event::Tick`] should be handled next, if anything waits for it.
+    pub fn next_wakeup(&self) -> Option<TimeMs> {
+        self.timers.next()
+    }
+
+    /// The version of the sheet in use.
+    pub fn sheet_version(&self) -> SheetVersion {
+        self.rules.load().version()
+    }
+
+    /// Calls that somebody still waits for or that run on the local backend server.
+    pub fn unfinished(&self) -> usize {
+        self.dispatches.len() + self.executions.len()
+    }
+
+    /// What this node has counted since it started.
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// Counts for the metrics.
+    pub fn gauges(&self) -> NodeGauges {
+        let admission = lock(&self.admission);
+        NodeGauges {
+            limit: admission.limit(),
+            in_flight: admission.in_flight(),
+            queued: admission.queued(),
+            level: admission.level().0,
+            dispatches: self.dispatches.len(),
+            open_keys: self.home.open_keys(),
+            records: self.executor.len(),
+        }
+    }
+
+    fn step(&self, turn: &mut Turn<'_>, work: Work) {
+        let event = match work {
+            Work::Event(event) => event,
+            Work::Arrived {
+                call,
+                reply_to,
+                message,
+            } => return self.message_arrived(turn, call, reply_to, message),
+        };
+        match event {
+            Event::CallArrived { call, request } => self.call_arrived(turn, call, request),
+            Event::KeyQueried { call, key } => self.key_queried(turn, call, key),
+            Event::CallAbandoned { call } => self.call_abandoned(turn, call),
+            Event::PeerArrived { call, message } => {
+                self.message_arrived(turn, call, ReplyTo::Peer(call), message);
+            }
+            Event::PeerReplied { exchange, reply } => self.peer_replied(turn, exchange, reply),
+            Event::PeerFailed { exchange, failure } => self.peer_failed(turn, exchange, failure),
+            Event::BackendReplied { call, answer } => self.backend_replied(turn, call, answer),
+            Event::BackendFailed { call, failure } => self.backend_failed(turn, call, failure),
+            Event::BackendRefused {
+                call,
+                retry_after_ms,
+            } => self.backend_refused(turn, call, retry_after_ms),
+            Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
+            Event::WorkersLearned(workers) => self.router.learn(&workers),
+            Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
+            Event::Tick => self.tick(turn),
+        }
+    }
+
+    fn message_arrived(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        message: PeerRequest,
+    ) {
+        if self.park_if_behind(turn, call, reply_to, &message) {
+            return;
+        }
+        self.message_ready(turn, call, reply_to, message);
+    }
+
+    fn message_ready(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        message: PeerRequest,
+    ) {
+        match message {
+            PeerRequest::Execute(request) => self.execute(turn, call, reply_to, request),
+            PeerRequest::Submit(request) => self.submit(turn, call, reply_to, request),
+            PeerRequest::Settle { to, key } => self.settle(turn, reply_to, to, key),
+            PeerRequest::Acknowledge {
+                to,
+                ticket,
+                lowest_open,
+            } => self.acknowledged(turn, reply_to, to, ticket, lowest_open),
+        }
+    }
+
+    /// A sheet only ever replaces an older one. Messages that waited for it go on.
+    fn sheet_learned(&self, turn: &mut Turn<'_>, sheet: &Sheet) {
+        let compiled = Arc::new(RuleTable::compile(sheet));
+        self.rules.rcu(|current| {
+            if current.version() < compiled.version() {
+                Arc::clone(&compiled)
+            } else {
+                Arc::clone(current)
+            }
+        });
+        self.unpark(turn);
+    }
+
+    fn tick(&self, turn: &mut Turn<'_>) {
+        for wakeup in self.timers.due(turn.now) {
+            match wakeup {
+                Wakeup::Dispatch(call) => self.dispatch_due(turn, call),
+                Wakeup::Execution(call) => self.execution_due(turn, call),
+            }
+        }
+        self.expire_parked(turn);
+        self.release_queue(turn);
+        self.note_limit(turn);
+    }
+
+    fn note_limit(&self, turn: &mut Turn<'_>) {
+        let limit = lock(&self.admission).limit();
+        let mut noted = lock(&self.noted_limit);
+        if *noted != limit {
+            turn.actions.push(Action::Note(Note::LimitChanged {
+                from: *noted,
+                to: limit,
+            }));
+            *noted = limit;
+        }
+    }
+
+    fn deliver(&self, turn: &mut Turn<'_>, reply_to: ReplyTo, reply: PeerReply) {
+        match reply_to {
+            ReplyTo::Caller(call) => {
+                self.counters.add(match &reply.outcome {
+                    Outcome::Done(_) => Counter::Done,
+                    Outcome::NotRun(_) => Counter::NotRun,
+                    Outcome::Unknown(_) => Counter::Unknown,
+                });
+                turn.actions.push(Action::Answer {
+                    call,
+                    outcome: reply.outcome,
+                    key: reply.key,
+                });
+            }
+            ReplyTo::Peer(call) => turn.actions.push(Action::ReplyPeer { call, reply }),
+            ReplyTo::Local(exchange) => {
+                let event = Event::PeerReplied { exchange, reply };
+                turn.work.push_back(Work::Event(event));
+            }
+        }
+    }
+
+    /// Delivers one outcome to all who wait; only the first gets the allowance back.
+    fn deliver_all(&self, turn: &mut Turn<'_>, waiters: &[ReplyTo], reply: &PeerReply) {
+        for (index, waiter) in waiters.iter().enumerate() {
+            let mut reply = reply.clone();
+            if index > 0 {
+                reply.allowance_left = 0;
+            }
+            self.deliver(turn, *waiter, reply);
+        }
+    }
+
+    fn candidates(&self, service: &ServiceName) -> Vec<crate::model::WorkerId> {
+        let mut rng = lock(&self.rng);
+        self.router.candidates(service, MAX_CANDIDATES, &mut *rng)
+    }
+}
--- /dev/null
+++ b/src/decide/node/parking.rs
@@ -0,0 +1,115 @@
+//! Messages that were classified by a newer sheet than the one in force here.
+
+use super::arrive::not_run;
+use super::{Node, ReplyTo, Turn};
+use crate::decide::evidence::Refusal;
+use crate::decide::message::{Action, CallId, ExecuteRequest, PeerRequest};
+use crate::decide::sharded::lock;
+use crate::model::{NotRunReason, TimeMs};
+
+/// Longest wait for a newer sheet, in milliseconds.
+const SHEET_WAIT_MS: u64 = 500;
+/// Messages that may wait; further ones are handled as if the wait were over.
+const MAX_PARKED: usize = 1_000;
+
+/// A message that waits for a newer sheet.
+#[derive(Debug)]
+pub(super) struct Parked {
+    until: TimeMs,
+    call: CallId,
+    reply_to: ReplyTo,
+    message: PeerRequest,
+}
+
+impl Node {
+    /// Parks a message whose sheet is newer than ours; false if it can be handled now.
+    pub(super) fn park_if_behind(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        message: &PeerRequest,
+    ) -> bool {
+        let (PeerRequest::Execute(request) | PeerRequest::Submit(request)) = message else {
+            return false;
+        };
+        let version = request.context.sheet_version;
+        if version <= self.sheet_version() || request.to != self.settings.vm.worker {
+            return false;
+        }
+        turn.actions.push(Action::WantSheet { version });
+        let mut parked = lock(&self.parked);
+        if parked.len() >= MAX_PARKED {
+            drop(parked);
+            self.wait_over(turn, call, reply_to, message.clone());
+            return true;
+        }
+        parked.push(Parked {
+            until: turn.now.plus_ms(SHEET_WAIT_MS),
+            call,
+            reply_to,
+            message: message.clone(),
+        });
+        true
+    }
+
+    /// Hands on the messages whose sheet is now in force.
+    pub(super) fn unpark(&self, turn: &mut Turn<'_>) {
+        let version = self.sheet_version();
+        let ready = self.take_parked(|parked| parked.version() <= version);
+        for parked in ready {
+            self.message_ready(turn, parked.call, parked.reply_to, parked.message);
+        }
+    }
+
+    /// Decides on the messages that have waited for the longest that is allowed.
+    pub(super) fn expire_parked(&self, turn: &mut Turn<'_>) {
+        let now = turn.now;
+        let expired = self.take_parked(|parked| parked.until <= now);
+        for parked in expired {
+            self.wait_over(turn, parked.call, parked.reply_to, parked.message);
+        }
+    }
+
+    /// Without the newer sheet only idempotent work goes on.
+    fn wait_over(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        reply_to: ReplyTo,
+        message: PeerRequest,
+    ) {
+        let (PeerRequest::Execute(request) | PeerRequest::Submit(request)) = &message else {
+            return;
+        };
+        if request.idempotent {
+            return self.message_ready(turn, call, reply_to, message);
+        }
+        let (key, allowance) = (request.key.clone(), request.context.allowance);
+        let evidence = Refusal::before_hand_over().into();
+        let mut reply = self.plain_reply(key, not_run(NotRunReason::SheetBehind, 0, evidence));
+        reply.allowance_left = allowance;
+        self.deliver(turn, reply_to, reply);
+    }
+
+    fn take_parked(&self, ready: impl Fn(&Parked) -> bool) -> Vec<Parked> {
+        let mut parked = lock(&self.parked);
+        let (taken, kept) = std::mem::take(&mut *parked)
+            .into_iter()
+            .partition(|parked| ready(parked));
+        *parked = kept;
+        taken
+    }
+}
+
+impl Parked {
+    fn version(&self) -> crate::model::SheetVersion {
+        let request: &ExecuteRequest = match &self.message {
+            PeerRequest::Execute(request) | PeerRequest::Submit(request) => request,
+            PeerRequest::Settle { .. } | PeerRequest::Acknowledge { .. } => {
+                return crate::model::SheetVersion(0);
+            }
+        };
+        request.context.sheet_version
+    }
+}
--- /dev/null
+++ b/src/decide/node/settling.rs
@@ -0,0 +1,298 @@
+//! Keys in doubt: the loss of a home, questions about a key, acknowledgements.
+
+use super::arrive::not_run;
+use super::{Node, ReplyTo, Turn};
+use crate::decide::dispatch::{Dispatch, DispatchState, Settling};
+use crate::decide::evidence::{NotRunEvidence, Refusal};
+use crate::decide::executor::Received;
+use crate::decide::home::Opened;
+use crate::decide::message::{CallId, ExchangeId, PeerReply, PeerRequest, Priority};
+use crate::decide::timers::Wakeup;
+use crate::model::{
+    CallContext, CallKey, Importance, NotRunReason, Outcome, RootId, TicketId, UnknownReason,
+    WorkerId,
+};
+
+/// Longest that a caller who asks for a key waits for a run to end, in milliseconds.
+const QUERY_WAIT_MS: u64 = 5_000;
+
+impl Node {
+    /// A caller asks what became of a key.
+    pub(super) fn key_queried(&self, turn: &mut Turn<'_>, call: CallId, key: CallKey) {
+        let me = self.settings.vm.worker;
+        let home = key.ticket.id.home;
+        let reply_to = ReplyTo::Caller(call);
+        if home == me {
+            return self.settle_at_home(turn, reply_to, key);
+        }
+        let mut dispatch = self.question(turn, key.clone());
+        dispatch.reply_to = Some(reply_to);
+        if home.address == me.address {
+            return self.settle_candidates(turn, call, dispatch);
+        }
+        let exchange = dispatch.next_exchange(call);
+        dispatch.state = DispatchState::AtHome {
+            number: exchange.number,
+        };
+        self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
+        self.dispatches.insert(call, dispatch);
+        let message = PeerRequest::Settle { to: home, key };
+        self.send(turn, exchange, message, false, QUERY_WAIT_MS);
+    }
+
+    /// Sends a keyed call on to its home.
+    pub(super) fn send_to_home(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        mut dispatch: Dispatch,
+        home: WorkerId,
+    ) {
+        let exchange = dispatch.next_exchange(call);
+        let granted = std::mem::take(&mut dispatch.allowance);
+        let mut request = dispatch.execute_request(turn.now, home, 0);
+        request.context.allowance = granted;
+        dispatch.state = DispatchState::AtHome {
+            number: exchange.number,
+        };
+        let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
+        self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
+        self.dispatches.insert(call, dispatch);
+        let message = PeerRequest::Submit(request);
+        self.send(turn, exchange, message, false, timeout_ms);
+    }
+
+    pub(super) fn home_replied(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        mut dispatch: Dispatch,
+        reply: PeerReply,
+    ) {
+        dispatch.allowance += reply.allowance_left;
+        dispatch.service_ms += reply.service_ms;
+        dispatch.level = dispatch.level.max(reply.level);
+        match reply.outcome {
+            Outcome::NotRun(refusal) if refusal.reason == NotRunReason::WrongIncarnation => {
+                self.settle_candidates(turn, call, dispatch);
+            }
+            outcome => self.end(turn, call, dispatch, outcome),
+        }
+    }
+
+    /// Asks every candidate of the key what became of it, over new connections.
+    pub(super) fn settle_candidates(
+        &self,
+        turn: &mut Turn<'_>,
+        call: CallId,
+        mut dispatch: Dispatch,
+    ) {
+        let Some(key) = dispatch.key.clone() else {
+            return;
+        };
+        let mut settling = Settling::default();
+        let mut exchanges = Vec::new();
+        for candidate in &key.ticket.candidates {
+            let exchange = dispatch.next_exchange(call);
+            settling.pending.push((exchange.number, *candidate));
+            exchanges.push((exchange, *candidate));
+        }
+        dispatch.state = DispatchState::Settling(settling);
+        self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
+        if exchanges.is_empty() {
+            let outcome = Outcome::Unknown(UnknownReason::IncarnationGone);
+            return self.end(turn, call, dispatch, outcome);
+        }
+        let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
+        self.dispatches.insert(call, dispatch);
+        for (exchange, to) in exchanges {
+            let key = key.clone();
+            self.send(
+                turn,
+                exchange,
+                PeerRequest::Settle { to, key },
+                true,
+                timeout_ms,
+            );
+        }
+    }
+
+    pub(super) fn candidate_replied(
+        &self,
+        turn: &mut Turn<'_>,
+        exchange: ExchangeId,
+        reply: PeerReply,
+    ) {
+        let finding = match reply.outcome {
+            Outcome::Done(_) => Finding::Done(reply.outcome),
+            Outcome::NotRun(refusal) if refusal.reason != NotRunReason::WrongIncarnation => {
+                Finding::Fence(refusal.evidence)
+            }
+            Outcome::NotRun(_) | Outcome::Unknown(_) => Finding::Missing,
+        };
+        self.candidate_found(turn, exchange, finding);
+    }
+
+    pub(super) fn candidate_failed(&self, turn: &mut Turn<'_>, exchange: ExchangeId) {
+        self.candidate_found(turn, exchange, Finding::Missing);
+    }
+
+    /// Another daemon asks what became of a key.
+    pub(super) fn settle(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        to: WorkerId,
+        key: CallKey,
+    ) {
+        let me = self.settings.vm.worker;
+        if to != me {
+            return self.refuse_foreign(turn, reply_to, Some(key), 0);
+        }
+        let own_question = matches!(reply_to, ReplyTo::Local(_));
+        if key.ticket.id.home == me && !own_question {
+            return self.settle_at_home(turn, reply_to, key);
+        }
+        match self.executor.settle(&key, reply_to) {
+            Received::New | Received::Joined => {}
+            Received::Ended(outcome) => {
+                let reply = self.plain_reply(Some(key), outcome);
+                self.deliver(turn, reply_to, reply);
+            }
+        }
+    }
+
+    /// A home closes all keys of a ticket below a counter.
+    pub(super) fn acknowledged(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        to: WorkerId,
+        ticket: TicketId,
+        lowest_open: u64,
+    ) {
+        if to == self.settings.vm.worker {
+            self.executor.acknowledge(ticket, lowest_open);
+        }
+        let outcome = Outcome::Unknown(UnknownReason::KeyAcknowledged);
+        let reply = self.plain_reply(None, outcome);
+        self.deliver(turn, reply_to, reply);
+    }
+
+    /// Refuses a message that is meant for another process start at this address.
+    pub(super) fn refuse_foreign(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: Option<CallKey>,
+        allowance: u32,
+    ) {
+        let evidence = Refusal::before_hand_over().into();
+        let outcome = not_run(NotRunReason::WrongIncarnation, 0, evidence);
+        let mut reply = self.plain_reply(key, outcome);
+        reply.allowance_left = allowance;
+        self.deliver(turn, reply_to, reply);
+    }
+
+    fn settle_at_home(&self, turn: &mut Turn<'_>, reply_to: ReplyTo, key: CallKey) {
+        let outcome = match self.home.settle(&key, reply_to) {
+            Opened::New | Opened::Joined => return,
+            Opened::Kept(outcome) => outcome,
+            Opened::Refused(reason) => not_run(reason, 0, Refusal::before_hand_over().into()),
+        };
+        let reply = self.plain_reply(Some(key), outcome);
+        self.deliver(turn, reply_to, reply);
+    }
+
+    /// Takes in what one candidate says, and ends the call after the last one.
+    fn candidate_found(&self, turn: &mut Turn<'_>, exchange: ExchangeId, finding: Finding) {
+        let mut shard = self.dispatches.lock(&exchange.call);
+        let Some(dispatch) = shard.get_mut(&exchange.call) else {
+            return;
+        };
+        let DispatchState::Settling(settling) = &mut dispatch.state else {
+            return;
+        };
+        if !settling.answered(exchange.number) {
+            return;
+        }
+        let outcome = match finding {
+            Finding::Done(outcome) => Some(outcome),
+            Finding::Fence(evidence) => {
+                settling.fences.push(evidence);
+                settling.verdict()
+            }
+            Finding::Missing => {
+                settling.missing += 1;
+                settling.verdict()
+            }
+        };
+        let Some(outcome) = outcome else {
+            return;
+        };
+        let Some(dispatch) = shard.remove(&exchange.call) else {
+            return;
+        };
+        drop(shard);
+        self.end(turn, exchange.call, dispatch, outcome);
+    }
+
+    fn question(&self, turn: &Turn<'_>, key: CallKey) -> Dispatch {
+        Dispatch {
+            service: key.ticket.service.clone(),
+            request: "".into(),
+            context: CallContext {
+                root: RootId(0),
+                caller: "".into(),
+                importance: Importance::Normal,
+                rank: 0,
+                time_left_ms: QUERY_WAIT_MS,
+                allowance: 0,
+                depth: 0,
+                sunk_ms: 0,
+                sheet_version: self.sheet_version(),
+            },
+            idempotent: false,
+            key: Some(key),
+            reply_to: None,
+            parent: None,
+            body: bytes::Bytes::new(),
+            deadline: turn.now.plus_ms(QUERY_WAIT_MS),
+            state: DispatchState::Settling(Settling::default()),
+            allowance: 0,
+            attempts: 0,
+            tried: Vec::new(),
+            next_number: 0,
+            level: Priority::LOWEST,
+            service_ms: 0,
+        }
+    }
+}
+
+/// What one candidate says of a key.
+enum Finding {
+    Done(Outcome),
+    Fence(NotRunEvidence),
+    Missing,
+}
+
+impl Settling {
+    /// Marks a message as answered; false if it was answered before.
+    fn answered(&mut self, number: u32) -> bool {
+        let before = self.pending.len();
+        self.pending.retain(|(pending, _)| *pending != number);
+        self.pending.len() < before
+    }
+
+    /// The outcome, once all candidates have answered.
+    fn verdict(&self) -> Option<Outcome> {
+        if !self.pending.is_empty() {
+            return None;
+        }
+        let every_fence = NotRunEvidence::of_every_candidate(&self.fences);
+        match every_fence {
+            Some(evidence) if self.missing == 0 => Some(not_run(NotRunReason::Fenced, 0, evidence)),
+            _ => Some(Outcome::Unknown(UnknownReason::IncarnationGone)),
+        }
+    }
+}
--- /dev/null
+++ b/src/model/mod.rs
@@ -0,0 +1,28 @@
+//! The world as burdockhall sees it: VMs, availability zones, links, callers,
+//! backend servers, contracts, planning sheets and requests.
+//!
+//! Types in this module carry no behaviour that depends on sockets or on a
+//! runtime. They are shared by the decisions, the network layer, the stand-ins
+//! and the commands.
+
+pub mod announcement;
+pub mod clock;
+pub mod contract;
+pub mod key;
+pub mod link;
+pub mod names;
+pub mod outcome;
+pub mod request;
+pub mod sheet;
+pub mod vm;
+
+pub use announcement::{Announcement, ServerState};
+pub use clock::{Clock, TimeMs};
+pub use contract::{Contract, Importance};
+pub use key::{CallKey, Ticket, TicketId};
+pub use link::{Distance, Link};
+pub use names::{AuthorName, CallerName, RegionName, RequestName, ServiceName, ZoneName};
+pub use outcome::{Answer, NotRun, NotRunReason, Outcome, UnknownReason};
+pub use request::{CallContext, RootId, SheetVersion};
+pub use sheet::{CallerShare, Rule, Sheet};
+pub use vm::{Incarnation, Place, Vm, WorkerId};
--- /dev/null
+++ b/src/net/callers.rs
@@ -0,0 +1,215 @@
+//! The listener for callers: calls, tickets, and questions about keys.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde::Serialize;
+
+use super::backend::{CALLER_HEADER, KEY_HEADER, OUTCOME_HEADER, TIME_LEFT_HEADER};
+use super::http::{self, FullResponse};
+use super::pump::{Ended, Pump};
+use crate::decide::message::ParentCall;
+use crate::decide::{CallerRequest, Event};
+use crate::model::{CallKey, NotRunReason, Outcome, UnknownReason};
+
+/// All answers of the key's ticket below this counter are acknowledged.
+const ACKNOWLEDGED_HEADER: &str = "burdockhall-acknowledged-below";
+
+#[derive(Debug, Serialize)]
+struct TicketBody {
+    ticket: String,
+}
+
+#[derive(Debug, Serialize)]
+struct OutcomeBody {
+    outcome: &'static str,
+    reason: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    remedy: &'static str,
+}
+
+/// Answers one request of a caller.
+pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> FullResponse {
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (parts.method, segments.as_slice()) {
+        (Method::POST, ["ticket", service]) => issue_ticket(&pump, service),
+        (Method::GET, ["key", key]) => query_key(&pump, key).await,
+        (_, ["call", service, name]) => {
+            let body = match http::read_body(body).await {
+                Ok(body) => body,
+                Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
+            };
+            match caller_request(&parts.headers, service, name, None, body) {
+                Ok(request) => call(&pump, request).await,
+                Err(message) => http::error(StatusCode::BAD_REQUEST, &message),
+            }
+        }
+        _ => http::error(
+            StatusCode::NOT_FOUND,
+            "no such route; there are /call/{service}/{request}, /ticket/{service}, /key/{key}",
+        ),
+    }
+}
+
+/// Makes a call and turns its outcome into a response.
+pub async fn call(pump: &Arc<Pump>, request: CallerRequest) -> FullResponse {
+    let ended = pump
+        .wait_for_caller(|call| Event::CallArrived { call, request })
+        .await;
+    respond(ended)
+}
+
+/// Reads a call from its headers.
+pub fn caller_request(
+    headers: &HeaderMap,
+    service: &str,
+    name: &str,
+    parent: Option<ParentCall>,
+    body: Bytes,
+) -> Result<CallerRequest, String> {
+    let key = match http::header(headers, KEY_HEADER) {
+        Some(text) => Some(text.parse::<CallKey>().map_err(|error| error.to_string())?),
+        None => None,
+    };
+    Ok(CallerRequest {
+        service: service.into(),
+        request: name.into(),
+        caller: http::header(headers, CALLER_HEADER)
+            .unwrap_or_default()
+            .into(),
+        key,
+        acknowledged_below: number_header(headers, ACKNOWLEDGED_HEADER)?,
+        time_left_ms: number_header(headers, TIME_LEFT_HEADER)?,
+        parent,
+        body,
+    })
+}
+
+fn issue_ticket(pump: &Arc<Pump>, service: &str) -> FullResponse {
+    match pump.node.issue_ticket(&service.into()) {
+        Some(ticket) => {
+            let body = TicketBody {
+                ticket: ticket.to_string(),
+            };
+            http::json(StatusCode::OK, &body)
+        }
+        None => http::error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the table of tickets is full; acknowledge answers or ask another daemon",
+        ),
+    }
+}
+
+async fn query_key(pump: &Arc<Pump>, text: &str) -> FullResponse {
+    let text = text
+        .replace("%23", "#")
+        .replace("%7E", "~")
+        .replace("%3A", ":");
+    let key = match text.parse::<CallKey>() {
+        Ok(key) => key,
+        Err(error) => return http::error(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let ended = pump
+        .wait_for_caller(|call| Event::KeyQueried { call, key })
+        .await;
+    respond(ended)
+}
+
+fn number_header(headers: &HeaderMap, name: &str) -> Result<Option<u64>, String> {
+    let Some(text) = http::header(headers, name) else {
+        return Ok(None);
+    };
+    let number = text
+        .parse()
+        .map_err(|_| format!("the header {name} is {text:?}, not a whole number"))?;
+    Ok(Some(number))
+}
+
+fn respond(ended: Option<Ended>) -> FullResponse {
+    let Some(ended) = ended else {
+        return http::error(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping");
+    };
+    match ended.outcome {
+        Outcome::Done(answer) => {
+            let mut response = Response::new(Full::new(answer.body));
+            *response.status_mut() =
+                StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+            if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+                response.headers_mut().insert(CONTENT_TYPE, value);
+            }
+            with_outcome(response, "done")
+        }
+        Outcome::NotRun(refusal) => {
+            let body = OutcomeBody {
+                outcome: "not-run",
+                reason: refusal.reason.to_string(),
+                retry_after_ms: Some(refusal.retry_after_ms),
+                remedy: not_run_remedy(refusal.reason),
+            };
+            let mut response = http::json(not_run_status(refusal.reason), &body);
+            let seconds = refusal.retry_after_ms.div_ceil(1_000).max(1);
+            response
+                .headers_mut()
+                .insert(RETRY_AFTER, HeaderValue::from(seconds));
+            with_outcome(response, "not-run")
+        }
+        Outcome::Unknown(reason) => {
+            let body = OutcomeBody {
+                outcome: "unknown",
+                reason: reason.to_string(),
+                retry_after_ms: None,
+                remedy: "ask GET /key/{key} for the outcome; do not send the request with a new key",
+            };
+            let response = http::json(unknown_status(reason), &body);
+            with_outcome(response, "unknown")
+        }
+    }
+}
+
+fn with_outcome(mut response: FullResponse, outcome: &'static str) -> FullResponse {
+    response
+        .headers_mut()
+        .insert(OUTCOME_HEADER, HeaderValue::from_static(outcome));
+    response
+}
+
+fn not_run_status(reason: NotRunReason) -> StatusCode {
+    match reason {
+        NotRunReason::KeyRequired | NotRunReason::IdempotentParent => {
+            StatusCode::PRECONDITION_REQUIRED
+        }
+        NotRunReason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        NotRunReason::ShedAtEntry | NotRunReason::ShareExhausted => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
+fn not_run_remedy(reason: NotRunReason) -> &'static str {
+    match reason {
+        NotRunReason::KeyRequired => {
+            "the request is not idempotent: get a ticket with POST /ticket/{service} and send the \
+             header burdockhall-key: N:TICKET, counting N up from 0"
+        }
+        NotRunReason::IdempotentParent => {
+            "a non-idempotent call was made beneath an idempotent one: mark the outer request \
+             as non-idempotent in the sheet"
+        }
+        NotRunReason::KeyReused => "the key belongs to another request: count it up",
+        _ => "come back after the time given, with a new key if the request has one",
+    }
+}
+
+fn unknown_status(reason: UnknownReason) -> StatusCode {
+    match reason {
+        UnknownReason::KeyAcknowledged => StatusCode::GONE,
+        UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
--- /dev/null
+++ b/src/net/control.rs
@@ -0,0 +1,167 @@
+//! Drives the control decisions: the log service, peers, announcements, ticks.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::{Mutex, mpsc};
+
+use super::local::BackendAnnouncement;
+use super::peer_control::{self, Arrived};
+use super::pump::Pump;
+use crate::decide::control::record::{LogRecord, Stream};
+use crate::decide::{Control, ControlAction, ControlEvent, Event};
+use crate::model::{Announcement, ServerState, Sheet, SheetVersion};
+use crate::platform::log::LogClient;
+
+/// Time between two ticks, in milliseconds.
+const TICK_MS: u64 = 50;
+
+/// What reaches the control loop from the daemon's other tasks.
+#[derive(Debug)]
+pub struct ControlInputs {
+    /// Announcements of the backend server.
+    pub announcements: mpsc::Receiver<BackendAnnouncement>,
+    /// Messages from other daemons.
+    pub arrived: mpsc::Receiver<Arrived>,
+    /// Versions that calls carried.
+    pub wanted: mpsc::UnboundedReceiver<SheetVersion>,
+}
+
+/// The control decisions of one daemon with what they act upon.
+#[derive(Debug)]
+pub struct ControlLoop {
+    control: Mutex<Control>,
+    pump: Arc<Pump>,
+    log: LogClient,
+    started_ms: u64,
+}
+
+impl ControlLoop {
+    /// A loop for the daemon of `pump`, which started at `started_ms` since the Unix epoch.
+    pub fn new(pump: Arc<Pump>, log: LogClient, started_ms: u64) -> Arc<ControlLoop> {
+        let vm = pump.node.vm().clone();
+        let seed = vm.worker.incarnation.0;
+        Arc::new(ControlLoop {
+            control: Mutex::new(Control::new(vm, seed)),
+            pump,
+            log,
+            started_ms,
+        })
+    }
+
+    /// The sheet in force here.
+    pub async fn sheet(&self) -> Arc<Sheet> {
+        Arc::clone(self.control.lock().await.sheets().sheet())
+    }
+
+    /// The workers known here.
+    pub async fn workers(&self) -> Vec<Announcement> {
+        self.control.lock().await.members().workers()
+    }
+
+    /// Runs until the task is aborted.
+    pub async fn run(self: Arc<Self>, mut inputs: ControlInputs) {
+        let mut ticks = tokio::time::interval(Duration::from_millis(TICK_MS));
+        let mut sequence = 0;
+        let mut last = None;
+        loop {
+            let event = tokio::select! {
+                _ = ticks.tick() => ControlEvent::Tick,
+                Some(Arrived { from, message }) = inputs.arrived.recv() => {
+                    ControlEvent::PeerSaid { from, message }
+                }
+                Some(version) = inputs.wanted.recv() => ControlEvent::SheetWanted { version },
+                Some(announced) = inputs.announcements.recv() => {
+                    if last.as_ref() == Some(&announced) {
+                        continue;
+                    }
+                    sequence += 1;
+                    let event = self.local_event(&announced, sequence);
+                    last = Some(announced);
+                    event
+                }
+            };
+            self.feed(event).await;
+        }
+    }
+
+    async fn feed(self: &Arc<Self>, event: ControlEvent) {
+        let now = self.pump.clock().now();
+        let mut actions = Vec::new();
+        self.control.lock().await.handle(now, event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, action: ControlAction) {
+        match action {
+            ControlAction::SheetLearned(sheet) => {
+                spdlog::info!(
+                    "sheet version {} by {} is in force",
+                    sheet.version,
+                    sheet.author
+                );
+                self.pump.feed(Event::SheetLearned(sheet));
+            }
+            ControlAction::WorkersLearned(workers) => {
+                self.pump.feed(Event::WorkersLearned(workers));
+            }
+            ControlAction::ReadLog {
+                stream,
+                from_offset,
+            } => {
+                let this = Arc::clone(self);
+                tokio::spawn(async move {
+                    let event = match this.log.read(stream, from_offset).await {
+                        Ok(batch) => ControlEvent::LogRead { stream, batch },
+                        Err(_) => ControlEvent::LogFailed { stream },
+                    };
+                    this.feed(event).await;
+                });
+            }
+            ControlAction::Append { stream, record } => {
+                let this = Arc::clone(self);
+                tokio::spawn(async move {
+                    let event = this.append(stream, record).await;
+                    this.feed(event).await;
+                });
+            }
+            ControlAction::Send { to, message } => {
+                let this = Arc::clone(self);
+                tokio::spawn(async move {
+                    let from = this.pump.node.vm().control_address;
+                    if peer_control::send(from, to, &message).await.is_err() {
+                        this.feed(ControlEvent::PeerSilent { to }).await;
+                    }
+                });
+            }
+        }
+    }
+
+    async fn append(&self, stream: Stream, record: LogRecord) -> ControlEvent {
+        match self.log.append(stream, &record).await {
+            Ok(offset) => ControlEvent::Appended { stream, offset },
+            Err(error) => {
+                spdlog::warn!("cannot append to the log: {}", error);
+                ControlEvent::AppendFailed { stream, record }
+            }
+        }
+    }
+
+    fn local_event(&self, announced: &BackendAnnouncement, sequence: u64) -> ControlEvent {
+        self.pump.feed(Event::LocalServer {
+            slots: announced.slots,
+            leaving: announced.state != ServerState::Serving,
+        });
+        ControlEvent::LocalAnnounced(Announcement {
+            vm: self.pump.node.vm().clone(),
+            service: announced.service.clone(),
+            slots: announced.slots,
+            connections: announced.connections,
+            state: announced.state,
+            started_ms: self.started_ms,
+            sequence,
+        })
+    }
+}
--- /dev/null
+++ b/src/net/http.rs
@@ -0,0 +1,152 @@
+//! Small pieces around hyper that the listeners and clients share.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::service::service_fn;
+use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
+use serde::Serialize;
+use tokio::net::TcpListener;
+
+use super::error::NetError;
+
+/// A response whose body is whole.
+pub type FullResponse = Response<Full<Bytes>>;
+/// A client for requests whose body is whole.
+pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// Longest time for a connection to be made, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Longest time for the head of a request to arrive, in milliseconds.
+const HEADER_TIMEOUT_MS: u64 = 10_000;
+/// Largest body accepted, in bytes.
+pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// Opens a listener.
+pub async fn listen(address: SocketAddr) -> Result<TcpListener, NetError> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| NetError::Listen { address, source })
+}
+
+/// Serves a listener until the task is aborted, one task a connection.
+pub async fn serve<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
+{
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let handler = handler.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let response = handler(request);
+                async move { Ok::<_, Infallible>(response.await) }
+            });
+            let _ = hyper::server::conn::http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(Duration::from_millis(HEADER_TIMEOUT_MS))
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// A client that keeps up to `idle_connections` open to each address.
+pub fn client(idle_connections: usize) -> HttpClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
+    Client::builder(TokioExecutor::new())
+        .pool_max_idle_per_host(idle_connections)
+        .build(connector)
+}
+
+/// Sends a request and reads the whole response.
+pub async fn exchange(
+    client: &HttpClient,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    timeout_ms: u64,
+) -> Result<(StatusCode, HeaderMap, Bytes), NetError> {
+    let whole = async {
+        let response = client
+            .request(request)
+            .await
+            .map_err(|error| client_error(address, &error))?;
+        let (parts, body) = response.into_parts();
+        let body = read_body(body)
+            .await
+            .map_err(|message| NetError::Broken { address, message })?;
+        Ok((parts.status, parts.headers, body))
+    };
+    tokio::time::timeout(Duration::from_millis(timeout_ms), whole)
+        .await
+        .unwrap_or(Err(NetError::Silent {
+            address,
+            timeout_ms,
+        }))
+}
+
+/// Reads a body up to [`MAX_BODY_BYTES`].
+pub async fn read_body<B>(body: B) -> Result<Bytes, String>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let collected = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    collected
+        .map(|collected| collected.to_bytes())
+        .map_err(|error| error.to_string())
+}
+
+/// A response with a JSON body.
+pub fn json<T: Serialize>(status: StatusCode, value: &T) -> FullResponse {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    let content_type = hyper::header::HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// An error as callers and operators see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct ErrorBody {
+    /// What is wrong, and what to do about it.
+    pub error: String,
+}
+
+/// A response that says what is wrong.
+pub fn error(status: StatusCode, message: &str) -> FullResponse {
+    let body = ErrorBody {
+        error: message.to_owned(),
+    };
+    json(status, &body)
+}
+
+/// A header as text, if it is there and is text.
+pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn client_error(address: SocketAddr, error: &hyper_util::client::legacy::Error) -> NetError {
+    let message = format!("{error:?}");
+    if error.is_connect() {
+        return NetError::Connect { address, message };
+    }
+    NetError::Broken { address, message }
+}
--- /dev/null
+++ b/src/net/pump.rs
@@ -0,0 +1,224 @@
+//! Between the sockets and the decisions: feeds events to the node and carries out its actions.
+
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+use super::backend::{BackendClient, BackendError};
+use super::error::NetError;
+use super::hop::HopClient;
+use crate::decide::sharded::Sharded;
+use crate::decide::{
+    Action, CallId, Event, ExchangeId, LocalRun, Node, PeerReply, PeerRequest, SendFailure,
+};
+use crate::model::{CallKey, Clock, Outcome, SheetVersion};
+
+/// How a call that somebody waits for has ended.
+#[derive(Debug)]
+pub struct Ended {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// The key.
+    pub key: Option<CallKey>,
+}
+
+/// A node with its clients and with those who wait for it.
+#[derive(Debug)]
+pub struct Pump {
+    /// The decisions.
+    pub node: Node,
+    clock: Clock,
+    hop: HopClient,
+    backend: BackendClient,
+    callers: Sharded<CallId, oneshot::Sender<Ended>>,
+    peers: Sharded<CallId, oneshot::Sender<PeerReply>>,
+    sent: Sharded<ExchangeId, AbortHandle>,
+    wanted: mpsc::UnboundedSender<SheetVersion>,
+}
+
+impl Pump {
+    /// A pump around a node.
+    pub fn new(
+        node: Node,
+        clock: Clock,
+        backend: BackendClient,
+        wanted: mpsc::UnboundedSender<SheetVersion>,
+    ) -> Arc<Pump> {
+        Arc::new(Pump {
+            node,
+            clock,
+            hop: HopClient::default(),
+            backend,
+            callers: Sharded::default(),
+            peers: Sharded::default(),
+            sent: Sharded::default(),
+            wanted,
+        })
+    }
+
+    /// The clock that the node is driven by.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Handles an event and starts what follows from it.
+    pub fn feed(self: &Arc<Self>, event: Event) {
+        let mut actions = Vec::new();
+        self.node.handle(self.clock.now(), event, &mut actions);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    /// Feeds an event for a new call and waits for its outcome. If the future is
+    /// dropped, the call is abandoned.
+    pub async fn wait_for_caller(
+        self: &Arc<Self>,
+        event: impl FnOnce(CallId) -> Event,
+    ) -> Option<Ended> {
+        let call = self.node.next_call();
+        let (sender, receiver) = oneshot::channel();
+        self.callers.insert(call, sender);
+        let mut guard = AbandonGuard::new(self, call);
+        self.feed(event(call));
+        let ended = receiver.await.ok();
+        guard.disarm();
+        ended
+    }
+
+    /// Feeds an event for a message from another daemon and waits for the reply.
+    pub async fn wait_for_peer(
+        self: &Arc<Self>,
+        event: impl FnOnce(CallId) -> Event,
+    ) -> Option<PeerReply> {
+        let call = self.node.next_call();
+        let (sender, receiver) = oneshot::channel();
+        self.peers.insert(call, sender);
+        let mut guard = AbandonGuard::new(self, call);
+        self.feed(event(call));
+        let reply = receiver.await.ok();
+        guard.disarm();
+        reply
+    }
+
+    fn carry_out(self: &Arc<Self>, action: Action) {
+        match action {
+            Action::Answer { call, outcome, key } => {
+                if let Some(sender) = self.callers.remove(&call) {
+                    let _ = sender.send(Ended { outcome, key });
+                }
+            }
+            Action::ReplyPeer { call, reply } => {
+                if let Some(sender) = self.peers.remove(&call) {
+                    let _ = sender.send(reply);
+                }
+            }
+            Action::SendPeer {
+                exchange,
+                message,
+                fresh_connection,
+                timeout_ms,
+            } => self.send_peer(exchange, message, fresh_connection, timeout_ms),
+            Action::CancelPeer { exchange } => {
+                if let Some(handle) = self.sent.remove(&exchange) {
+                    handle.abort();
+                }
+            }
+            Action::RunLocal(run) => self.run_local(run),
+            Action::CancelLocal { call } => self.cancel_local(call),
+            Action::WantSheet { version } => {
+                let _ = self.wanted.send(version);
+            }
+            Action::Note(note) => spdlog::info!("decision changed: {:?}", note),
+        }
+    }
+
+    fn send_peer(
+        self: &Arc<Self>,
+        exchange: ExchangeId,
+        message: PeerRequest,
+        fresh_connection: bool,
+        timeout_ms: u64,
+    ) {
+        let pump = Arc::clone(self);
+        let mut shard = self.sent.lock(&exchange);
+        let task = tokio::spawn(async move {
+            let result = pump.hop.send(message, fresh_connection, timeout_ms).await;
+            pump.sent.remove(&exchange);
+            let event = match result {
+                Ok(reply) => Event::PeerReplied { exchange, reply },
+                Err(error) => Event::PeerFailed {
+                    exchange,
+                    failure: send_failure(&error),
+                },
+            };
+            pump.feed(event);
+        });
+        shard.insert(exchange, task.abort_handle());
+    }
+
+    fn run_local(self: &Arc<Self>, run: LocalRun) {
+        let pump = Arc::clone(self);
+        tokio::spawn(async move {
+            let call = run.call;
+            let event = match pump.backend.run(run).await {
+                Ok(answer) => Event::BackendReplied { call, answer },
+                Err(BackendError::Refused { retry_after_ms }) => Event::BackendRefused {
+                    call,
+                    retry_after_ms,
+                },
+                Err(BackendError::Net(error)) => Event::BackendFailed {
+                    call,
+                    failure: send_failure(&error),
+                },
+            };
+            pump.feed(event);
+        });
+    }
+
+    fn cancel_local(self: &Arc<Self>, call: CallId) {
+        let pump = Arc::clone(self);
+        tokio::spawn(async move { pump.backend.cancel(call).await });
+    }
+}
+
+fn send_failure(error: &NetError) -> SendFailure {
+    match error {
+        NetError::Connect { .. } | NetError::Listen { .. } | NetError::Malformed(_) => {
+            SendFailure::NoByteSent
+        }
+        NetError::Broken { .. } => SendFailure::Broken,
+        NetError::Silent { .. } => SendFailure::Silent,
+    }
+}
+
+/// Tells the node that nobody waits any more if the waiting future is dropped.
+struct AbandonGuard<'a> {
+    pump: &'a Arc<Pump>,
+    call: Option<CallId>,
+}
+
+impl<'a> AbandonGuard<'a> {
+    fn new(pump: &'a Arc<Pump>, call: CallId) -> Self {
+        AbandonGuard {
+            pump,
+            call: Some(call),
+        }
+    }
+
+    fn disarm(&mut self) {
+        self.call = None;
+    }
+}
+
+impl Drop for AbandonGuard<'_> {
+    fn drop(&mut self) {
+        let Some(call) = self.call else {
+            return;
+        };
+        self.pump.callers.remove(&call);
+        self.pump.peers.remove(&call);
+        self.pump.feed(Event::CallAbandoned { call });
+    }
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,3 @@
+//! Clients of what the platform gives.
+
+pub mod log;
--- /dev/null
+++ b/src/prelude.rs
@@ -0,0 +1,8 @@
+//! The types that most modules need.
+
+pub use crate::model::{
+    Announcement, Answer, CallContext, CallKey, CallerName, Clock, Contract, Distance, Importance,
+    Incarnation, NotRun, NotRunReason, Outcome, Place, RegionName, RequestName, RootId,
+    ServerState, ServiceName, Sheet, SheetVersion, Ticket, TicketId, TimeMs, UnknownReason, Vm,
+    WorkerId, ZoneName,
+};
--- /dev/null
+++ b/src/standin/log.rs
@@ -0,0 +1,155 @@
+//! A stand-in of the log service: append, read from an offset, limited retention, faults.
+
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::{Method, Request, StatusCode};
+use tokio::task::JoinHandle;
+
+use crate::decide::sharded::lock;
+use crate::net::NetError;
+use crate::net::http::{self, FullResponse};
+use crate::platform::log::{Appended, RecordPage, StoredRecord};
+
+/// Most records in one page.
+const PAGE_RECORDS: usize = 1_000;
+
+/// Switches by which a test makes the log service fail.
+#[derive(Debug, Default)]
+pub struct LogFaults {
+    /// Refuse everything.
+    pub down: AtomicBool,
+    /// Answer this much later, in milliseconds.
+    pub slow_ms: AtomicU64,
+    /// Lose the answers to this many appends after they took effect.
+    pub lose_answers: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    first_offset: u64,
+    records: VecDeque<String>,
+}
+
+/// A running stand-in. Dropping it closes its listener.
+#[derive(Debug)]
+pub struct StandInLog {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its switches.
+    pub faults: Arc<LogFaults>,
+    streams: Arc<Mutex<HashMap<String, Records>>>,
+    task: JoinHandle<()>,
+}
+
+impl StandInLog {
+    /// Starts a log service; port zero takes any free one.
+    pub async fn start(address: SocketAddr) -> Result<StandInLog, NetError> {
+        let listener = http::listen(address).await?;
+        let address = listener.local_addr().unwrap_or(address);
+        let faults = Arc::new(LogFaults::default());
+        let streams = Arc::new(Mutex::new(HashMap::new()));
+        let shared = (Arc::clone(&faults), Arc::clone(&streams));
+        let task = tokio::spawn(http::serve(listener, move |request| {
+            let (faults, streams) = shared.clone();
+            handle(faults, streams, request)
+        }));
+        Ok(StandInLog {
+            address,
+            faults,
+            streams,
+            task,
+        })
+    }
+
+    /// Drops the oldest records of a stream so that at most `keep` are left.
+    pub fn truncate(&self, stream: &str, keep: usize) {
+        let mut streams = lock(&self.streams);
+        if let Some(records) = streams.get_mut(stream) {
+            while records.records.len() > keep {
+                records.records.pop_front();
+                records.first_offset += 1;
+            }
+        }
+    }
+}
+
+impl Drop for StandInLog {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn handle(
+    faults: Arc<LogFaults>,
+    streams: Arc<Mutex<HashMap<String, Records>>>,
+    request: Request<Incoming>,
+) -> FullResponse {
+    let slow_ms = faults.slow_ms.load(Ordering::Relaxed);
+    if slow_ms > 0 {
+        tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    }
+    if faults.down.load(Ordering::Relaxed) {
+        return http::error(StatusCode::SERVICE_UNAVAILABLE, "down");
+    }
+    let (parts, body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let ["streams", stream, "records"] = segments.as_slice() else {
+        return http::error(StatusCode::NOT_FOUND, "no such route");
+    };
+    if parts.method == Method::GET {
+        let query = parts.uri.query().unwrap_or_default();
+        let from = query
+            .strip_prefix("from=")
+            .and_then(|text| text.parse().ok());
+        return http::json(StatusCode::OK, &read(&streams, stream, from.unwrap_or(0)));
+    }
+    let data = match http::read_body(body).await {
+        Ok(body) => String::from_utf8_lossy(&body).into_owned(),
+        Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
+    };
+    let offset = append(&streams, stream, data);
+    let decrease = |count: u64| count.checked_sub(1);
+    let lost = faults
+        .lose_answers
+        .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrease);
+    if lost.is_ok() {
+        std::future::pending::<()>().await;
+    }
+    http::json(StatusCode::OK, &Appended { offset })
+}
+
+fn append(streams: &Mutex<HashMap<String, Records>>, stream: &str, data: String) -> u64 {
+    let mut streams = lock(streams);
+    let records = streams.entry(stream.to_owned()).or_default();
+    records.records.push_back(data);
+    records.first_offset + records.records.len() as u64 - 1
+}
+
+fn read(streams: &Mutex<HashMap<String, Records>>, stream: &str, from: u64) -> RecordPage {
+    let mut streams = lock(streams);
+    let held = streams.entry(stream.to_owned()).or_default();
+    let skip = from.saturating_sub(held.first_offset) as usize;
+    let start = held.first_offset + skip as u64;
+    let records: Vec<StoredRecord> = held
+        .records
+        .iter()
+        .skip(skip)
+        .take(PAGE_RECORDS)
+        .zip(start..)
+        .map(|(data, offset)| StoredRecord {
+            offset,
+            data: data.clone(),
+        })
+        .collect();
+    RecordPage {
+        first_offset: held.first_offset,
+        next_offset: records.last().map_or(from, |last| last.offset + 1),
+        records,
+    }
+}
--- /dev/null
+++ b/tests/support/backend.rs
@@ -0,0 +1,172 @@
+//! A fake backend server under the virtual clock.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use burdockhall::decide::message::ParentCall;
+use burdockhall::decide::{CallId, CallerRequest, LocalRun};
+use burdockhall::model::{Answer, Outcome, ServiceName, TimeMs};
+
+/// What happens next at a backend server.
+pub enum BackendStep {
+    /// The own work of a run is over.
+    Worked(CallId),
+    /// A run makes a further call.
+    Call(CallId, CallerRequest),
+    /// A run has ended.
+    Answer(CallId, Answer),
+}
+
+struct Run {
+    run: LocalRun,
+    children: VecDeque<(ServiceName, String)>,
+    ordinal: u32,
+    started: bool,
+}
+
+/// Slots, a service time, an inner queue in order of arrival, and further calls one by one.
+pub struct Backend {
+    pub slots: u32,
+    pub service_ms: u64,
+    /// The service time is multiplied by this.
+    pub slowdown: u64,
+    pub leaving: bool,
+    /// Runs that ended well, and milliseconds of work spent in all.
+    pub finished: u64,
+    pub worked_ms: u64,
+    busy: u32,
+    waiting: VecDeque<CallId>,
+    runs: HashMap<CallId, Run>,
+    cancelled: HashSet<CallId>,
+}
+
+impl Backend {
+    pub fn new(slots: u32, service_ms: u64) -> Backend {
+        Backend {
+            slots,
+            service_ms,
+            slowdown: 1,
+            leaving: false,
+            finished: 0,
+            worked_ms: 0,
+            busy: 0,
+            waiting: VecDeque::new(),
+            runs: HashMap::new(),
+            cancelled: HashSet::new(),
+        }
+    }
+
+    pub fn arrive(
+        &mut self,
+        _now: TimeMs,
+        run: LocalRun,
+        children: Vec<(ServiceName, String)>,
+    ) -> Vec<(u64, BackendStep)> {
+        let call = run.call;
+        let state = Run {
+            run,
+            children: children.into(),
+            ordinal: 0,
+            started: false,
+        };
+        self.runs.insert(call, state);
+        self.waiting.push_back(call);
+        self.start_waiting()
+    }
+
+    pub fn worked(&mut self, _now: TimeMs, call: CallId) -> Vec<(u64, BackendStep)> {
+        self.next_child(call)
+    }
+
+    pub fn child_answered(
+        &mut self,
+        _now: TimeMs,
+        call: CallId,
+        outcome: Outcome,
+    ) -> Vec<(u64, BackendStep)> {
+        match outcome {
+            Outcome::Done(answer) if answer.status == 200 => self.next_child(call),
+            _ => self.end(call, 502),
+        }
+    }
+
+    /// A run that still waits inside ends at once; one that works ends at its next step.
+    pub fn cancel(&mut self, _now: TimeMs, call: CallId) -> Vec<(u64, BackendStep)> {
+        let Some(run) = self.runs.get(&call) else {
+            return Vec::new();
+        };
+        if run.started {
+            self.cancelled.insert(call);
+            return Vec::new();
+        }
+        self.waiting.retain(|waiting| *waiting != call);
+        self.runs.remove(&call);
+        vec![(
+            0,
+            BackendStep::Answer(call, answer(499, bytes::Bytes::new())),
+        )]
+    }
+
+    fn start_waiting(&mut self) -> Vec<(u64, BackendStep)> {
+        let mut steps = Vec::new();
+        while self.busy < self.slots {
+            let Some(call) = self.waiting.pop_front() else {
+                break;
+            };
+            if let Some(run) = self.runs.get_mut(&call) {
+                run.started = true;
+            }
+            self.busy += 1;
+            let work_ms = self.service_ms * self.slowdown;
+            self.worked_ms += work_ms;
+            steps.push((work_ms, BackendStep::Worked(call)));
+        }
+        steps
+    }
+
+    fn next_child(&mut self, call: CallId) -> Vec<(u64, BackendStep)> {
+        if self.cancelled.remove(&call) {
+            return self.end(call, 499);
+        }
+        let Some(run) = self.runs.get_mut(&call) else {
+            return Vec::new();
+        };
+        let Some((service, request)) = run.children.pop_front() else {
+            return self.end(call, 200);
+        };
+        let ordinal = run.ordinal;
+        run.ordinal += 1;
+        let request = CallerRequest {
+            service,
+            request: request.as_str().into(),
+            caller: run.run.caller.clone(),
+            key: None,
+            acknowledged_below: None,
+            time_left_ms: None,
+            parent: Some(ParentCall { call, ordinal }),
+            body: run.run.body.clone(),
+        };
+        vec![(0, BackendStep::Call(call, request))]
+    }
+
+    fn end(&mut self, call: CallId, status: u16) -> Vec<(u64, BackendStep)> {
+        let Some(run) = self.runs.remove(&call) else {
+            return Vec::new();
+        };
+        self.busy -= 1;
+        if status == 200 {
+            self.finished += 1;
+        }
+        let mut steps = self.start_waiting();
+        let answer = answer(status, run.run.body);
+        steps.push((0, BackendStep::Answer(call, answer)));
+        steps
+    }
+}
+
+fn answer(status: u16, body: bytes::Bytes) -> Answer {
+    Answer {
+        status,
+        content_type: String::new(),
+        body,
+    }
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,658 @@
+//! Drives the decisions of many daemons from one thread under a virtual clock.
+//!
+//! Small fakes stand at the interfaces: a network that delays, loses and doubles
+//! messages, and a backend server beside each daemon with slots, a service time
+//! and further calls. All randomness comes from one seed.
+#![allow(dead_code)]
+
+pub mod backend;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use burdockhall::decide::home::HomeBounds;
+use burdockhall::decide::{
+    Action, CallId, CallerRequest, Event, ExchangeId, Mechanisms, Node, NodeSettings, Note,
+    PeerReply, PeerRequest, SendFailure,
+};
+use burdockhall::model::{
+    Announcement, CallKey, Distance, Incarnation, Outcome, Place, ServerState, ServiceName, Sheet,
+    TimeMs, Vm, WorkerId,
+};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use backend::{Backend, BackendStep};
+
+/// Time between two ticks of every node, in milliseconds.
+const TICK_MS: u64 = 5;
+
+/// Index of a daemon with its backend server.
+pub type Host = usize;
+
+/// How the network treats messages; probabilities are from zero to one.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct NetworkFaults {
+    /// A request is lost: its sender hears nothing until its timeout.
+    pub lose_request: f64,
+    /// A reply is lost: its sender sees a broken connection.
+    pub lose_reply: f64,
+    /// A request arrives a second time, later.
+    pub double_request: f64,
+    /// Extra delay of a message, drawn from zero up to this, in milliseconds.
+    pub extra_delay_ms: u64,
+}
+
+/// What one daemon is started with.
+#[derive(Debug, Clone)]
+pub struct HostPlan {
+    pub place: Place,
+    pub service: ServiceName,
+    pub slots: u32,
+    pub service_ms: u64,
+}
+
+/// A daemon with its backend server.
+pub struct HostState {
+    pub plan: HostPlan,
+    pub node: Node,
+    pub backend: Backend,
+    pub started: u64,
+    pub alive: bool,
+    pub paused_until: TimeMs,
+    sequence: u64,
+}
+
+enum Delivery {
+    Tick,
+    ToNode {
+        host: Host,
+        incarnation: Incarnation,
+        event: Event,
+    },
+    Request {
+        from: Host,
+        exchange: Option<ExchangeId>,
+        from_incarnation: Incarnation,
+        message: PeerRequest,
+    },
+    ToBackend {
+        host: Host,
+        incarnation: Incarnation,
+        step: BackendStep,
+    },
+}
+
+struct Scheduled {
+    at: TimeMs,
+    order: u64,
+    delivery: Delivery,
+}
+
+/// A call that a client made, and how it ended.
+#[derive(Debug, Clone)]
+pub struct ClientCall {
+    pub host: Host,
+    pub incarnation: Incarnation,
+    pub key: Option<CallKey>,
+    pub body: bytes::Bytes,
+    pub made: TimeMs,
+    pub ended: Option<(TimeMs, Outcome)>,
+}
+
+/// All daemons, the network between them and the clients.
+pub struct World {
+    pub now: TimeMs,
+    pub hosts: Vec<HostState>,
+    pub faults: NetworkFaults,
+    pub cut: HashSet<(Host, Host)>,
+    pub calls: Vec<ClientCall>,
+    /// Runs of each key, wherever they were made.
+    pub executions: HashMap<String, u32>,
+    /// Extra attempts made for each root request, over the whole tree.
+    pub attempts: HashMap<u64, u32>,
+    pub notes: Vec<(TimeMs, Host, Note)>,
+    pub rng: Xoshiro256PlusPlus,
+    pub children: BTreeMap<(ServiceName, String), Vec<(ServiceName, String)>>,
+    mechanisms: Mechanisms,
+    sheet: Arc<Sheet>,
+    queue: BinaryHeap<Reverse<Scheduled>>,
+    order: u64,
+    waiting_clients: HashMap<(Host, Incarnation, CallId), usize>,
+    waiting_peers: HashMap<(Host, Incarnation, CallId), (Host, Incarnation, ExchangeId)>,
+    arrived_as: HashMap<(Host, Incarnation, ExchangeId), (Host, Incarnation, CallId)>,
+    waiting_runs: HashMap<(Host, Incarnation, CallId), CallId>,
+}
+
+impl World {
+    /// Starts all hosts; every one knows every other.
+    pub fn new(seed: u64, mechanisms: Mechanisms, sheet: Sheet, plans: Vec<HostPlan>) -> World {
+        let mut world = World {
+            now: TimeMs(1),
+            hosts: Vec::new(),
+            faults: NetworkFaults::default(),
+            cut: HashSet::new(),
+            calls: Vec::new(),
+            executions: HashMap::new(),
+            attempts: HashMap::new(),
+            notes: Vec::new(),
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            children: BTreeMap::new(),
+            mechanisms,
+            sheet: Arc::new(sheet),
+            queue: BinaryHeap::new(),
+            order: 0,
+            waiting_clients: HashMap::new(),
+            waiting_peers: HashMap::new(),
+            arrived_as: HashMap::new(),
+            waiting_runs: HashMap::new(),
+        };
+        for (host, plan) in plans.into_iter().enumerate() {
+            let state = world.start_host(host, plan, 1);
+            world.hosts.push(state);
+        }
+        world.spread();
+        world.schedule(TICK_MS, Delivery::Tick);
+        world
+    }
+
+    /// Makes a call at a host and returns its index in [`World::calls`].
+    pub fn call(&mut self, host: Host, request: CallerRequest) -> usize {
+        let node = &self.hosts[host].node;
+        let incarnation = node.vm().worker.incarnation;
+        let call = node.next_call();
+        let index = self.calls.len();
+        self.calls.push(ClientCall {
+            host,
+            incarnation,
+            key: request.key.clone(),
+            body: request.body.clone(),
+            made: self.now,
+            ended: None,
+        });
+        self.waiting_clients
+            .insert((host, incarnation, call), index);
+        self.deliver_later(host, incarnation, 0, Event::CallArrived { call, request });
+        index
+    }
+
+    /// Asks a host what became of a key.
+    pub fn query(&mut self, host: Host, key: CallKey) -> usize {
+        let node = &self.hosts[host].node;
+        let incarnation = node.vm().worker.incarnation;
+        let call = node.next_call();
+        let index = self.calls.len();
+        self.calls.push(ClientCall {
+            host,
+            incarnation,
+            key: Some(key.clone()),
+            body: bytes::Bytes::new(),
+            made: self.now,
+            ended: None,
+        });
+        self.waiting_clients
+            .insert((host, incarnation, call), index);
+        self.deliver_later(host, incarnation, 0, Event::KeyQueried { call, key });
+        index
+    }
+
+    /// Runs until the virtual time `until`.
+    pub fn run_until(&mut self, until: TimeMs) {
+        while let Some(Reverse(next)) = self.queue.peek() {
+            if next.at > until {
+                break;
+            }
+            let Some(Reverse(next)) = self.queue.pop() else {
+                break;
+            };
+            self.now = next.at;
+            self.deliver(next.delivery);
+        }
+        self.now = until;
+    }
+
+    /// Runs for a span.
+    pub fn run_for(&mut self, span_ms: u64) {
+        self.run_until(self.now.plus_ms(span_ms));
+    }
+
+    /// Stops a daemon and its backend server without warning.
+    pub fn kill(&mut self, host: Host) {
+        self.hosts[host].alive = false;
+    }
+
+    /// Starts a new process at the address of a host.
+    pub fn replace(&mut self, host: Host) {
+        let plan = self.hosts[host].plan.clone();
+        let started = self.hosts[host].started + 1;
+        self.hosts[host] = self.start_host(host, plan, started);
+        self.spread();
+    }
+
+    /// Stops a daemon from doing anything for a span; what arrives waits.
+    pub fn pause(&mut self, host: Host, span_ms: u64) {
+        self.hosts[host].paused_until = self.now.plus_ms(span_ms);
+    }
+
+    /// Announces that a backend server leaves, to its own daemon now, to others after `delay_ms`.
+    pub fn leave(&mut self, host: Host, delay_ms: u64) {
+        let incarnation = self.hosts[host].node.vm().worker.incarnation;
+        self.hosts[host].backend.leaving = true;
+        let slots = self.hosts[host].plan.slots;
+        let event = Event::LocalServer {
+            slots,
+            leaving: true,
+        };
+        self.deliver_later(host, incarnation, 0, event);
+        let workers = self.announcements();
+        for other in 0..self.hosts.len() {
+            let incarnation = self.hosts[other].node.vm().worker.incarnation;
+            let event = Event::WorkersLearned(workers.clone());
+            self.deliver_later(other, incarnation, delay_ms, event);
+        }
+    }
+
+    /// Cuts the link between two hosts, both ways.
+    pub fn cut_link(&mut self, one: Host, other: Host) {
+        self.cut.insert((one, other));
+        self.cut.insert((other, one));
+    }
+
+    /// Mends all links.
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Tells every host of every other.
+    pub fn spread(&mut self) {
+        let workers = self.announcements();
+        for host in 0..self.hosts.len() {
+            let incarnation = self.hosts[host].node.vm().worker.incarnation;
+            let event = Event::WorkersLearned(workers.clone());
+            self.handle(host, incarnation, event);
+        }
+    }
+
+    fn announcements(&mut self) -> Vec<Announcement> {
+        let mut announcements = Vec::new();
+        for host in self.hosts.iter_mut().filter(|host| host.alive) {
+            host.sequence += 1;
+            announcements.push(Announcement {
+                vm: host.node.vm().clone(),
+                service: host.plan.service.clone(),
+                slots: host.plan.slots,
+                connections: 100,
+                state: if host.backend.leaving {
+                    ServerState::Leaving
+                } else {
+                    ServerState::Serving
+                },
+                started_ms: host.started,
+                sequence: host.sequence,
+            });
+        }
+        announcements
+    }
+
+    fn start_host(&mut self, host: Host, plan: HostPlan, started: u64) -> HostState {
+        let seed: u64 = self.rng.random();
+        let node = Node::new(NodeSettings {
+            vm: Vm {
+                worker: WorkerId {
+                    address: address(host),
+                    incarnation: Incarnation(seed),
+                },
+                control_address: address(host),
+                place: plan.place.clone(),
+            },
+            service: Some(plan.service.clone()),
+            home: HomeBounds {
+                open_keys: 10_000,
+                tickets: 10_000,
+            },
+            executor_records: 10_000,
+            reply_grace_ms: 500,
+            mechanisms: self.mechanisms,
+            seed,
+        });
+        let mut actions = Vec::new();
+        node.handle(
+            self.now,
+            Event::SheetLearned(Arc::clone(&self.sheet)),
+            &mut actions,
+        );
+        let event = Event::LocalServer {
+            slots: plan.slots,
+            leaving: false,
+        };
+        node.handle(self.now, event, &mut actions);
+        HostState {
+            backend: Backend::new(plan.slots, plan.service_ms),
+            plan,
+            node,
+            started,
+            alive: true,
+            paused_until: TimeMs(0),
+            sequence: 0,
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Tick => {
+                for host in 0..self.hosts.len() {
+                    let incarnation = self.hosts[host].node.vm().worker.incarnation;
+                    if self.hosts[host].alive && self.hosts[host].paused_until <= self.now {
+                        self.handle(host, incarnation, Event::Tick);
+                    }
+                }
+                self.schedule(TICK_MS, Delivery::Tick);
+            }
+            Delivery::ToNode {
+                host,
+                incarnation,
+                event,
+            } => self.handle(host, incarnation, event),
+            Delivery::Request {
+                from,
+                from_incarnation,
+                exchange,
+                message,
+            } => self.request_arrives(from, from_incarnation, exchange, message),
+            Delivery::ToBackend {
+                host,
+                incarnation,
+                step,
+            } => self.backend_step(host, incarnation, step),
+        }
+    }
+
+    /// Feeds an event to a node unless that process is gone; a paused one gets it later.
+    fn handle(&mut self, host: Host, incarnation: Incarnation, event: Event) {
+        let state = &self.hosts[host];
+        if !state.alive || state.node.vm().worker.incarnation != incarnation {
+            return;
+        }
+        if state.paused_until > self.now {
+            let wait_ms = state.paused_until.since_ms(self.now);
+            return self.deliver_later(host, incarnation, wait_ms, event);
+        }
+        let mut actions = Vec::new();
+        state.node.handle(self.now, event, &mut actions);
+        for action in actions {
+            self.carry_out(host, incarnation, action);
+        }
+    }
+
+    fn carry_out(&mut self, host: Host, incarnation: Incarnation, action: Action) {
+        match action {
+            Action::Answer { call, outcome, .. } => self.answered(host, incarnation, call, outcome),
+            Action::ReplyPeer { call, reply } => self.reply(host, incarnation, call, reply),
+            Action::SendPeer {
+                exchange,
+                message,
+                timeout_ms,
+                ..
+            } => self.send(host, incarnation, exchange, message, timeout_ms),
+            Action::CancelPeer { exchange } => {
+                let arrived = self.arrived_as.remove(&(host, incarnation, exchange));
+                if let Some((to, to_incarnation, call)) = arrived {
+                    let delay_ms = self.delay_ms(host, to);
+                    let event = Event::CallAbandoned { call };
+                    self.deliver_later(to, to_incarnation, delay_ms, event);
+                }
+            }
+            Action::RunLocal(run) => {
+                if let Some(key) = &run.key {
+                    *self.executions.entry(key.to_string()).or_default() += 1;
+                }
+                let children = self
+                    .children
+                    .get(&(run.service.clone(), run.request.to_string()))
+                    .cloned()
+                    .unwrap_or_default();
+                let now = self.now;
+                let steps = self.hosts[host].backend.arrive(now, run, children);
+                self.schedule_steps(host, incarnation, steps);
+            }
+            Action::CancelLocal { call } => {
+                let now = self.now;
+                let steps = self.hosts[host].backend.cancel(now, call);
+                self.schedule_steps(host, incarnation, steps);
+            }
+            Action::Note(note) => self.notes.push((self.now, host, note)),
+            Action::WantSheet { .. } => {}
+        }
+    }
+
+    fn send(
+        &mut self,
+        from: Host,
+        incarnation: Incarnation,
+        exchange: ExchangeId,
+        message: PeerRequest,
+        timeout_ms: u64,
+    ) {
+        self.count_attempt(&message, exchange);
+        let to = host_of(message.to().address);
+        let silent = Event::PeerFailed {
+            exchange,
+            failure: SendFailure::Silent,
+        };
+        self.deliver_later(from, incarnation, timeout_ms, silent);
+        if self.cut.contains(&(from, to)) || self.chance(self.faults.lose_request) {
+            return;
+        }
+        let delay_ms = self.delay_ms(from, to);
+        if !self.hosts[to].alive {
+            let refused = Event::PeerFailed {
+                exchange,
+                failure: SendFailure::NoByteSent,
+            };
+            return self.deliver_later(from, incarnation, 2 * delay_ms, refused);
+        }
+        if self.chance(self.faults.double_request) {
+            let late_ms = delay_ms + self.rng.random_range(0..=2_000);
+            let copy = Delivery::Request {
+                from,
+                from_incarnation: incarnation,
+                exchange: None,
+                message: message.clone(),
+            };
+            self.schedule(late_ms, copy);
+        }
+        let request = Delivery::Request {
+            from,
+            from_incarnation: incarnation,
+            exchange: Some(exchange),
+            message,
+        };
+        self.schedule(delay_ms, request);
+    }
+
+    fn count_attempt(&mut self, message: &PeerRequest, _exchange: ExchangeId) {
+        if let PeerRequest::Execute(request) = message {
+            *self.attempts.entry(request.context.root.0).or_default() += 1;
+        }
+    }
+
+    fn request_arrives(
+        &mut self,
+        from: Host,
+        from_incarnation: Incarnation,
+        exchange: Option<ExchangeId>,
+        message: PeerRequest,
+    ) {
+        let to = host_of(message.to().address);
+        if !self.hosts[to].alive {
+            if let Some(exchange) = exchange {
+                let broken = Event::PeerFailed {
+                    exchange,
+                    failure: SendFailure::Broken,
+                };
+                self.deliver_later(from, from_incarnation, 1, broken);
+            }
+            return;
+        }
+        let node = &self.hosts[to].node;
+        let incarnation = node.vm().worker.incarnation;
+        let call = node.next_call();
+        if let Some(exchange) = exchange {
+            let waiting = (from, from_incarnation, exchange);
+            self.waiting_peers.insert((to, incarnation, call), waiting);
+            self.arrived_as.insert(waiting, (to, incarnation, call));
+        }
+        self.handle(to, incarnation, Event::PeerArrived { call, message });
+    }
+
+    fn reply(&mut self, host: Host, incarnation: Incarnation, call: CallId, reply: PeerReply) {
+        let waiting = self.waiting_peers.remove(&(host, incarnation, call));
+        let Some((to, to_incarnation, exchange)) = waiting else {
+            return;
+        };
+        self.arrived_as.remove(&(to, to_incarnation, exchange));
+        if self.cut.contains(&(host, to)) {
+            return;
+        }
+        let delay_ms = self.delay_ms(host, to);
+        let event = if self.chance(self.faults.lose_reply) {
+            Event::PeerFailed {
+                exchange,
+                failure: SendFailure::Broken,
+            }
+        } else {
+            Event::PeerReplied { exchange, reply }
+        };
+        self.deliver_later(to, to_incarnation, delay_ms, event);
+    }
+
+    fn answered(&mut self, host: Host, incarnation: Incarnation, call: CallId, outcome: Outcome) {
+        if let Some(index) = self.waiting_clients.remove(&(host, incarnation, call)) {
+            self.calls[index].ended = Some((self.now, outcome));
+            return;
+        }
+        if let Some(run) = self.waiting_runs.remove(&(host, incarnation, call)) {
+            let now = self.now;
+            let steps = self.hosts[host].backend.child_answered(now, run, outcome);
+            self.schedule_steps(host, incarnation, steps);
+        }
+    }
+
+    fn backend_step(&mut self, host: Host, incarnation: Incarnation, step: BackendStep) {
+        let state = &self.hosts[host];
+        if !state.alive || state.node.vm().worker.incarnation != incarnation {
+            return;
+        }
+        if state.paused_until > self.now {
+            let wait_ms = state.paused_until.since_ms(self.now);
+            let delivery = Delivery::ToBackend {
+                host,
+                incarnation,
+                step,
+            };
+            return self.schedule(wait_ms, delivery);
+        }
+        match step {
+            BackendStep::Worked(run) => {
+                let now = self.now;
+                let steps = self.hosts[host].backend.worked(now, run);
+                self.schedule_steps(host, incarnation, steps);
+            }
+            BackendStep::Call(run, request) => {
+                let call = self.hosts[host].node.next_call();
+                self.waiting_runs.insert((host, incarnation, call), run);
+                self.handle(host, incarnation, Event::CallArrived { call, request });
+            }
+            BackendStep::Answer(call, answer) => {
+                self.handle(host, incarnation, Event::BackendReplied { call, answer });
+            }
+        }
+    }
+
+    fn schedule_steps(
+        &mut self,
+        host: Host,
+        incarnation: Incarnation,
+        steps: Vec<(u64, BackendStep)>,
+    ) {
+        for (delay_ms, step) in steps {
+            let delivery = Delivery::ToBackend {
+                host,
+                incarnation,
+                step,
+            };
+            self.schedule(delay_ms, delivery);
+        }
+    }
+
+    fn deliver_later(&mut self, host: Host, incarnation: Incarnation, delay_ms: u64, event: Event) {
+        let delivery = Delivery::ToNode {
+            host,
+            incarnation,
+            event,
+        };
+        self.schedule(delay_ms, delivery);
+    }
+
+    fn schedule(&mut self, delay_ms: u64, delivery: Delivery) {
+        self.order += 1;
+        self.queue.push(Reverse(Scheduled {
+            at: self.now.plus_ms(delay_ms),
+            order: self.order,
+            delivery,
+        }));
+    }
+
+    fn delay_ms(&mut self, from: Host, to: Host) -> u64 {
+        let base_ms =
+            match Distance::between(&self.hosts[from].plan.place, &self.hosts[to].plan.place) {
+                Distance::SameZone => 0,
+                Distance::SameRegion => 1,
+                Distance::OtherRegion => 8,
+            };
+        let extra_ms = self.faults.extra_delay_ms;
+        base_ms + self.rng.random_range(0..=extra_ms)
+    }
+
+    fn chance(&mut self, probability: f64) -> bool {
+        probability > 0.0 && self.rng.random_bool(probability)
+    }
+}
+
+/// Address of a host's daemon.
+pub fn address(host: Host) -> SocketAddr {
+    let [high, low] = (host as u16).to_be_bytes();
+    SocketAddr::from(([10, 0, high, low], 7000))
+}
+
+fn host_of(address: SocketAddr) -> Host {
+    match address {
+        SocketAddr::V4(v4) => {
+            let [_, _, high, low] = v4.ip().octets();
+            usize::from(u16::from_be_bytes([high, low]))
+        }
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
+
+impl PartialEq for Scheduled {
+    fn eq(&self, other: &Self) -> bool {
+        (self.at, self.order) == (other.at, other.order)
+    }
+}
+
+impl Eq for Scheduled {}
+
+impl PartialOrd for Scheduled {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Scheduled {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
