--- /dev/null
+++ b/src/decide/control/gateways.rs
@@ -0,0 +1,31 @@
+//! Which daemons of a zone keep the workers of all zones: by rendezvous hashing.
+
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::members::{Members, address_hash};
+use crate::model::{ServerState, ZoneName};
+
+/// Gateways of each zone.
+pub const GATEWAYS: usize = 3;
+
+/// Control addresses of a zone's gateways, as far as its members are known here.
+///
+/// Two daemons with different views may find different gateways, which costs
+/// a message and harms nothing.
+pub fn gateways(members: &Members, zone: &ZoneName) -> Vec<SocketAddr> {
+    let seed = xxh3_64_with_seed(zone.as_str().as_bytes(), 0);
+    let mut ranked: Vec<(u64, SocketAddr)> = members
+        .alive_in_zone(zone)
+        .filter(|known| known.state == ServerState::Serving)
+        .map(|known| {
+            let address = address_hash(known.vm.worker.address);
+            let weight = xxh3_64_with_seed(&address.to_le_bytes(), seed);
+            (weight, known.vm.control_address)
+        })
+        .collect();
+    ranked.sort_unstable();
+    ranked.truncate(GATEWAYS);
+    ranked.into_iter().map(|(_, address)| address).collect()
+}
--- a/src/decide/control/member_control.rs
+++ b/src/decide/control/member_control.rs
@@ -1,37 +1,130 @@
-//! How workers are learned: from announcements on the log and from peers.
+//! How workers are learned: from peers, from gateways, and from the log where no peer is known.
+//!
+//! Every daemon keeps the workers of its own zone, and those of other zones
+//! whose services it calls. A few daemons of each zone, the gateways, keep all.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
+use rand::RngExt;
+use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 
-use super::members::Members;
+use super::gateways::gateways;
+use super::interests::Interests;
+use super::members::{BUCKETS, BucketDigests, Members, rank};
 use super::record::{LogBatch, LogRecord, Stream};
-use super::{ControlAction, ControlTurn};
-use crate::model::{Announcement, TimeMs, Vm};
+use super::verdict::{AnnouncementVersion, QUORUM, Verdicts};
+use super::{ControlAction, ControlMessage, ControlTurn};
+use crate::model::{Announcement, ServerState, ServiceName, TimeMs, Vm, ZoneName};
 
+/// Mean time between two probes of a zone peer, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 1_000;
+/// Time between two comparisons of a gateway with one of another zone, in milliseconds.
+const GATEWAY_INTERVAL_MS: u64 = 2_000;
+/// Time for which the hashing must name a daemon before it becomes a gateway, in milliseconds.
+const GATEWAY_SETTLE_MS: u64 = 3_000;
+/// Time between two comparisons with an own gateway, in milliseconds.
+const INTEREST_INTERVAL_MS: u64 = 5_000;
+/// Time that news are gathered before they are pushed, in milliseconds.
+const PUSH_INTERVAL_MS: u64 = 200;
+/// Zone peers that news are pushed to.
+const PUSH_FANOUT: usize = 3;
 /// Time between two reads of the log, in milliseconds.
-const READ_INTERVAL_MS: u64 = 500;
-/// Time between two announcements of an unchanged backend server on the log, in milliseconds.
-const RENEW_INTERVAL_MS: u64 = 30_000;
+const LOG_INTERVAL_MS: u64 = 5_000;
+/// Time between two reads of the log while no peer is known, in milliseconds.
+const SEARCH_INTERVAL_MS: u64 = 500;
+/// Records read from the end of the log to find a peer.
+const TAIL_RECORDS: u32 = 400;
+/// Mean time between two renewals of an announcement, in milliseconds.
+const RENEW_INTERVAL_MS: u64 = 1_800_000;
+/// A first announcement is put on the log within this time, in milliseconds.
+const JOIN_SPREAD_MS: u64 = 5_000;
+/// An announcement that was not renewed for this long is dropped, in milliseconds.
+const ANNOUNCEMENT_LIFE_MS: u64 = 4 * RENEW_INTERVAL_MS;
+/// That a worker is gone is remembered for this long, in milliseconds.
+const GONE_LIFE_MS: u64 = 86_400_000;
+/// Time between two searches for what is too old, in milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 60_000;
 
 /// A message about membership.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum MemberMessage {
-    /// Announcements that the sender knows.
-    Known(Vec<Announcement>),
+    /// Are you there? This is my digest of our zone.
+    Probe {
+        /// Digest of the sender's zone; `None` asks for nothing.
+        digest: Option<u64>,
+    },
+    /// Digests of zones that the sender keeps.
+    ZoneDigests(Vec<(ZoneName, u64)>),
+    /// Digests of one zone by bucket.
+    Buckets {
+        /// The zone.
+        zone: ZoneName,
+        /// One digest for each bucket.
+        digests: Vec<u64>,
+    },
+    /// What the sender knows in the buckets that differ; the receiver answers what it knows better.
+    Differing {
+        /// The zone.
+        zone: ZoneName,
+        /// Numbers of the buckets.
+        buckets: Vec<u8>,
+        /// What the sender knows in them.
+        known: Vec<Arc<Announcement>>,
+    },
+    /// Announcements that are news to the receiver, as the sender believes.
+    Known(Vec<Arc<Announcement>>),
+    /// Services that the sender calls, with its digest of each.
+    Interest(Vec<(ServiceName, u64)>),
+    /// The sender cannot reach a worker: try it.
+    Doubt {
+        /// The worker's control address.
+        worker: SocketAddr,
+        /// The version of its announcement.
+        version: AnnouncementVersion,
+    },
+    /// The sender cannot reach the worker either.
+    Vote {
+        /// The worker's control address.
+        worker: SocketAddr,
+        /// The version of its announcement.
+        version: AnnouncementVersion,
+    },
 }
 
 /// What one daemon knows of the others.
 #[derive(Debug)]
 pub struct MemberControl {
-    #[allow(dead_code)]
     vm: Vm,
     members: Members,
+    interests: Interests,
+    verdicts: Verdicts,
     local: Option<Announcement>,
+    hints: Vec<SocketAddr>,
+    ring: Vec<SocketAddr>,
+    news: Vec<Arc<Announcement>>,
+    refreshed: BTreeMap<SocketAddr, TimeMs>,
+    gateway: bool,
+    named_since: Option<TimeMs>,
+    changed: bool,
     next_offset: u64,
-    next_read: TimeMs,
-    next_renewal: TimeMs,
+    due: Due,
+}
+
+/// When each periodic task is due.
+#[derive(Debug, Default)]
+struct Due {
+    probe: TimeMs,
+    gateway: TimeMs,
+    interest: TimeMs,
+    push: TimeMs,
+    log: TimeMs,
+    join: Option<TimeMs>,
+    renew: TimeMs,
+    expiry: TimeMs,
 }
 
 impl MemberControl {
@@ -40,93 +133,644 @@
         MemberControl {
             vm,
             members: Members::default(),
+            interests: Interests::default(),
+            verdicts: Verdicts::default(),
             local: None,
+            hints: Vec::new(),
+            ring: Vec::new(),
+            news: Vec::new(),
+            refreshed: BTreeMap::new(),
+            gateway: false,
+            named_since: None,
+            changed: false,
             next_offset: 0,
-            next_read: TimeMs::default(),
-            next_renewal: TimeMs::default(),
+            due: Due::default(),
         }
     }
 
+    /// Control addresses to try while no peer is known, such as neighbours named in the settings.
+    pub fn set_hints(&mut self, hints: Vec<SocketAddr>) {
+        self.hints = hints;
+    }
+
     /// The workers known here.
     pub fn workers(&self) -> Vec<Announcement> {
         self.members.snapshot()
     }
 
+    /// All that is known here.
+    pub fn members(&self) -> &Members {
+        &self.members
+    }
+
+    /// Whether this daemon keeps the workers of all zones.
+    pub fn is_gateway(&self) -> bool {
+        self.gateway
+    }
+
+    /// Control addresses of the other daemons in this zone that are not gone.
+    pub fn zone_peers(&self) -> Vec<SocketAddr> {
+        self.members
+            .alive_in_zone(&self.vm.place.zone)
+            .map(|known| known.vm.control_address)
+            .filter(|address| *address != self.vm.control_address)
+            .collect()
+    }
+
     /// Takes in what the backend server beside this daemon says.
     pub fn local_announced(&mut self, turn: &mut ControlTurn<'_>, announcement: Announcement) {
-        self.local = Some(announcement.clone());
-        if self.members.merge(&announcement) {
-            self.learned(turn);
+        let before = self.local.take();
+        let mut local = announcement;
+        if let Some(before) = &before {
+            local.started_ms = local.started_ms.max(before.started_ms);
+            local.sequence = local.sequence.max(before.sequence + 1);
+        }
+        if before.is_none() {
+            let wait_ms = turn.rng.random_range(0..=JOIN_SPREAD_MS);
+            self.due.join = Some(turn.now.plus_ms(wait_ms));
+            self.due.renew = next_renewal(turn);
+        }
+        self.local = Some(local);
+        self.announce_local(turn);
+    }
+
+    /// Takes in that the local backend server calls a service.
+    pub fn service_called(&mut self, turn: &mut ControlTurn<'_>, service: &ServiceName) {
+        if self.interests.called(turn.now, service) {
+            self.due.interest = turn.now;
+            self.changed = true;
         }
-        self.renew(turn);
     }
 
     /// Takes in records of the member stream.
     pub fn log_read(&mut self, turn: &mut ControlTurn<'_>, batch: LogBatch) {
-        self.next_offset = batch.next_offset;
-        let mut changed = false;
+        let more = batch.next_offset > self.next_offset && !batch.entries.is_empty();
+        self.next_offset = self.next_offset.max(batch.next_offset);
         for entry in batch.entries {
             if let LogRecord::Member(announcement) = entry.record {
-                changed |= self.members.merge(&announcement);
+                self.learn(turn, &Arc::new(announcement));
             }
         }
-        if changed {
-            self.learned(turn);
+        if more && self.gateway {
+            self.due.log = turn.now;
         }
     }
 
-    /// The log could not be read; the next tick tries again.
+    /// The log could not be read; a later tick tries again.
     pub fn log_failed(&mut self, _turn: &mut ControlTurn<'_>) {}
 
+    /// An announcement could not be put on the log: try again later.
+    pub fn append_failed(&mut self, turn: &mut ControlTurn<'_>) {
+        let wait_ms = turn.rng.random_range(0..=2 * JOIN_SPREAD_MS);
+        self.due.join = Some(turn.now.plus_ms(wait_ms));
+    }
+
     /// Takes in a message.
     pub fn peer_said(
         &mut self,
         turn: &mut ControlTurn<'_>,
-        _from: SocketAddr,
+        from: SocketAddr,
         message: MemberMessage,
     ) {
         match message {
-            MemberMessage::Known(announcements) => {
-                let mut changed = false;
-                for announcement in &announcements {
-                    changed |= self.members.merge(announcement);
-                }
-                if changed {
-                    self.learned(turn);
-                }
+            MemberMessage::Probe { digest } => self.probed(turn, from, digest),
+            MemberMessage::ZoneDigests(digests) => self.compare_zones(turn, from, &digests),
+            MemberMessage::Buckets { zone, digests } => {
+                self.compare_buckets(turn, from, zone, &digests);
+            }
+            MemberMessage::Differing {
+                zone,
+                buckets,
+                known,
+            } => self.settle_difference(turn, from, &zone, &buckets, &known),
+            MemberMessage::Known(known) => self.learn_all(turn, &known),
+            MemberMessage::Interest(services) => self.answer_interest(turn, from, &services),
+            MemberMessage::Doubt { worker, version } => {
+                self.verdicts.take_errand(turn.now, worker, version, from);
+                send(turn, worker, MemberMessage::Probe { digest: None });
+            }
+            MemberMessage::Vote { worker, version } => {
+                self.voted(turn, from, worker, version);
             }
         }
     }
 
-    /// A message to `to` got no answer.
-    pub fn peer_silent(&mut self, _turn: &mut ControlTurn<'_>, _to: SocketAddr) {}
+    /// A message to `to` got no answer: vote where others have asked, or ask others.
+    pub fn peer_silent(&mut self, turn: &mut ControlTurn<'_>, to: SocketAddr) {
+        let errands = self.verdicts.errands_done(turn.now, to);
+        if !errands.is_empty() {
+            return vote_on(turn, to, &errands);
+        }
+        let Some(known) = self.members.get_by_control(to) else {
+            return;
+        };
+        let in_zone = known.vm.place.zone == self.vm.place.zone;
+        if !in_zone || known.state == ServerState::Gone {
+            return;
+        }
+        let version = known.version();
+        let me = self.vm.control_address;
+        if self.verdicts.ask(turn.now, to, version, me) {
+            self.ask_others(turn, to, version);
+        }
+    }
 
-    /// Renews the announcement and reads the log when it is time to.
+    /// Does what is due.
     pub fn tick(&mut self, turn: &mut ControlTurn<'_>) {
-        if turn.now >= self.next_renewal {
-            self.renew(turn);
+        let now = turn.now;
+        if now >= self.due.probe {
+            let wait_ms = turn
+                .rng
+                .random_range(PROBE_INTERVAL_MS / 2..=3 * PROBE_INTERVAL_MS / 2);
+            self.due.probe = now.plus_ms(wait_ms);
+            self.consider_gateway(now);
+            self.probe(turn);
+        }
+        if now >= self.due.gateway {
+            self.due.gateway = now.plus_ms(GATEWAY_INTERVAL_MS);
+            self.compare_with_another_zone(turn);
+        }
+        if now >= self.due.interest {
+            self.due.interest = now.plus_ms(INTEREST_INTERVAL_MS);
+            self.ask_gateway(turn);
+        }
+        if now >= self.due.push {
+            self.due.push = now.plus_ms(PUSH_INTERVAL_MS);
+            self.push_news(turn);
+        }
+        if now >= self.due.log {
+            self.read_log(turn);
+        }
+        self.renew_if_due(turn);
+        if now >= self.due.expiry {
+            self.due.expiry = now.plus_ms(EXPIRY_INTERVAL_MS);
+            self.expire(now);
+        }
+        if std::mem::take(&mut self.changed) {
+            let workers = self.members.snapshot();
+            turn.actions.push(ControlAction::WorkersLearned(workers));
+        }
+    }
+
+    /// Becomes a gateway once the hashing has named this daemon for a while, since
+    /// a daemon that knows few others names itself too easily.
+    fn consider_gateway(&mut self, now: TimeMs) {
+        let named = gateways(&self.members, &self.vm.place.zone).contains(&self.vm.control_address);
+        if !named {
+            self.named_since = None;
+            if std::mem::take(&mut self.gateway) {
+                self.forget_unneeded();
+            }
+            return;
+        }
+        let since = *self.named_since.get_or_insert(now);
+        self.gateway = now.since_ms(since) >= GATEWAY_SETTLE_MS;
+    }
+
+    fn forget_unneeded(&mut self) {
+        let unneeded: Vec<SocketAddr> = self
+            .members
+            .all()
+            .filter(|known| !self.keeps(known))
+            .map(|known| known.vm.worker.address)
+            .collect();
+        for address in unneeded {
+            self.members.forget(address);
+            self.refreshed.remove(&address);
+        }
+        self.changed = true;
+    }
+
+    fn announce_local(&mut self, turn: &mut ControlTurn<'_>) {
+        if let Some(local) = self.local.clone() {
+            self.learn(turn, &Arc::new(local));
+        }
+    }
+
+    /// Takes in one announcement if this daemon keeps such ones.
+    fn learn(&mut self, turn: &mut ControlTurn<'_>, announcement: &Arc<Announcement>) {
+        if self.contradicts_me(announcement) {
+            return self.announce_local(turn);
+        }
+        if !self.keeps(announcement) || !self.members.merge(announcement) {
+            return;
+        }
+        let address = announcement.vm.worker.address;
+        self.refreshed.insert(address, turn.now);
+        self.news.push(Arc::clone(announcement));
+        self.changed = true;
+    }
+
+    fn learn_all(&mut self, turn: &mut ControlTurn<'_>, announcements: &[Arc<Announcement>]) {
+        for announcement in announcements {
+            self.learn(turn, announcement);
+        }
+    }
+
+    fn keeps(&self, announcement: &Announcement) -> bool {
+        self.gateway
+            || announcement.vm.place.zone == self.vm.place.zone
+            || self.interests.wants(&announcement.service)
+    }
+
+    /// Whether an announcement about this very address would hide this daemon. If
+    /// so, this daemon's own announcement is made newer than it.
+    fn contradicts_me(&mut self, announcement: &Announcement) -> bool {
+        let Some(local) = &mut self.local else {
+            return false;
+        };
+        if announcement.vm.worker.address != local.vm.worker.address {
+            return false;
+        }
+        if rank(announcement) <= rank(local) {
+            return false;
+        }
+        if announcement.vm.worker.incarnation == local.vm.worker.incarnation {
+            local.sequence = announcement.sequence + 1;
+        } else {
+            local.started_ms = announcement.started_ms + 1;
+        }
+        true
+    }
+
+    fn probe(&mut self, turn: &mut ControlTurn<'_>) {
+        self.verdicts.expire(turn.now);
+        let digest = Some(self.members.zone_digest(&self.vm.place.zone));
+        match self.next_in_ring(turn) {
+            Some(peer) => send(turn, peer, MemberMessage::Probe { digest }),
+            None => {
+                for hint in self.hints.clone() {
+                    send(turn, hint, MemberMessage::Probe { digest });
+                }
+            }
+        }
+    }
+
+    /// The next zone peer; every one comes once before any comes twice.
+    fn next_in_ring(&mut self, turn: &mut ControlTurn<'_>) -> Option<SocketAddr> {
+        loop {
+            if self.ring.is_empty() {
+                self.ring = self.zone_peers();
+                self.ring.shuffle(turn.rng);
+            }
+            let peer = self.ring.pop()?;
+            let known = self.members.get_by_control(peer);
+            if known.is_some_and(|known| known.state != ServerState::Gone) {
+                return Some(peer);
+            }
+        }
+    }
+
+    fn probed(&mut self, turn: &mut ControlTurn<'_>, from: SocketAddr, digest: Option<u64>) {
+        let zone = self.vm.place.zone.clone();
+        if digest.is_some_and(|digest| digest != self.members.zone_digest(&zone)) {
+            self.send_buckets(turn, from, zone);
+        }
+    }
+
+    fn compare_zones(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        digests: &[(ZoneName, u64)],
+    ) {
+        if !self.gateway {
+            return;
+        }
+        for (zone, digest) in digests {
+            if self.members.zone_digest(zone) != *digest {
+                self.send_buckets(turn, from, zone.clone());
+            }
+        }
+    }
+
+    fn send_buckets(&self, turn: &mut ControlTurn<'_>, to: SocketAddr, zone: ZoneName) {
+        let digests = self.members.zone_buckets(&zone).to_vec();
+        send(turn, to, MemberMessage::Buckets { zone, digests });
+    }
+
+    fn compare_buckets(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        zone: ZoneName,
+        theirs: &[u64],
+    ) {
+        if !self.gateway && zone != self.vm.place.zone {
+            return;
+        }
+        let ours = self.members.zone_buckets(&zone);
+        let Some(differs) = differing(&ours, theirs) else {
+            return;
+        };
+        let buckets = (0..BUCKETS as u8)
+            .filter(|bucket| differs[usize::from(*bucket)])
+            .collect();
+        let known = self.members.in_buckets(&zone, &differs);
+        let message = MemberMessage::Differing {
+            zone,
+            buckets,
+            known,
+        };
+        send(turn, from, message);
+    }
+
+    fn settle_difference(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        zone: &ZoneName,
+        buckets: &[u8],
+        theirs: &[Arc<Announcement>],
+    ) {
+        let mut differs = [false; BUCKETS];
+        for bucket in buckets {
+            if let Some(flag) = differs.get_mut(usize::from(*bucket)) {
+                *flag = true;
+            }
+        }
+        self.learn_all(turn, theirs);
+        let sent: BTreeMap<SocketAddr, &Arc<Announcement>> = theirs
+            .iter()
+            .map(|known| (known.vm.worker.address, known))
+            .collect();
+        let mut better = self.members.in_buckets(zone, &differs);
+        better.retain(|ours| match sent.get(&ours.vm.worker.address) {
+            Some(theirs) => rank(ours) > rank(theirs),
+            None => true,
+        });
+        if !better.is_empty() {
+            send(turn, from, MemberMessage::Known(better));
+        }
+    }
+
+    /// A gateway compares all zones with a gateway of another zone.
+    fn compare_with_another_zone(&mut self, turn: &mut ControlTurn<'_>) {
+        if !self.gateway {
+            return;
+        }
+        let zones: Vec<&ZoneName> = self.members.zones().collect();
+        let others: Vec<&ZoneName> = zones
+            .iter()
+            .copied()
+            .filter(|zone| **zone != self.vm.place.zone)
+            .collect();
+        let Some(other) = others.choose(turn.rng) else {
+            return;
+        };
+        let Some(to) = gateways(&self.members, other).choose(turn.rng).copied() else {
+            return;
+        };
+        let digests = zones
+            .iter()
+            .map(|zone| ((*zone).clone(), self.members.zone_digest(zone)))
+            .collect();
+        send(turn, to, MemberMessage::ZoneDigests(digests));
+    }
+
+    /// Compares what is known of the called services with an own gateway.
+    fn ask_gateway(&mut self, turn: &mut ControlTurn<'_>) {
+        if self.gateway {
+            return;
+        }
+        let zone = &self.vm.place.zone;
+        let services: Vec<(ServiceName, u64)> = self
+            .interests
+            .services()
+            .map(|service| (service.clone(), self.members.service_digest(service, zone)))
+            .collect();
+        if services.is_empty() {
+            return;
+        }
+        if let Some(to) = gateways(&self.members, zone).choose(turn.rng).copied() {
+            send(turn, to, MemberMessage::Interest(services));
+        }
+    }
+
+    fn answer_interest(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        services: &[(ServiceName, u64)],
+    ) {
+        let zone = self.vm.place.zone.clone();
+        let mut known = Vec::new();
+        for (service, digest) in services {
+            self.interests.subscribe(turn.now, service, from);
+            if self.members.service_digest(service, &zone) != *digest {
+                known.extend(self.members.of_service_outside(service, &zone).cloned());
+            }
+        }
+        if !known.is_empty() {
+            send(turn, from, MemberMessage::Known(known));
+        }
+    }
+
+    fn ask_others(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        worker: SocketAddr,
+        version: AnnouncementVersion,
+    ) {
+        let mut others = self.zone_peers();
+        others.retain(|other| *other != worker);
+        if others.len() < QUORUM {
+            others = self.other_zone_peers(worker);
+        }
+        for other in others.sample(turn.rng, QUORUM + 1) {
+            send(turn, *other, MemberMessage::Doubt { worker, version });
+        }
+    }
+
+    /// All daemons known; a zone with fewer than a quorum needs others to vote.
+    fn other_zone_peers(&self, worker: SocketAddr) -> Vec<SocketAddr> {
+        self.members
+            .all()
+            .filter(|known| known.state != ServerState::Gone)
+            .map(|known| known.vm.control_address)
+            .filter(|address| *address != worker && *address != self.vm.control_address)
+            .collect()
+    }
+
+    fn voted(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        worker: SocketAddr,
+        version: AnnouncementVersion,
+    ) {
+        let Some(voters) = self.verdicts.vote(turn.now, worker, version, from) else {
+            return;
+        };
+        let Some(known) = self.members.get_by_control(worker).cloned() else {
+            return;
+        };
+        if known.version() != version {
+            return;
+        }
+        let gone = Announcement {
+            state: ServerState::Gone,
+            ..Announcement::clone(&known)
+        };
+        turn.actions.push(ControlAction::WorkerGone {
+            worker: known.vm.worker,
+            voters: voters.into_iter().collect(),
+        });
+        self.learn(turn, &Arc::new(gone));
+    }
+
+    /// Pushes what is new to zone peers, gateways and subscribers.
+    fn push_news(&mut self, turn: &mut ControlTurn<'_>) {
+        if self.news.is_empty() {
+            return;
+        }
+        let news = std::mem::take(&mut self.news);
+        let (own_zone, elsewhere): (Vec<_>, Vec<_>) = news
+            .into_iter()
+            .partition(|known| known.vm.place.zone == self.vm.place.zone);
+        if !own_zone.is_empty() {
+            self.push_own_zone(turn, &own_zone);
+        }
+        if self.gateway && !elsewhere.is_empty() {
+            self.push_to_subscribers(turn, &elsewhere);
+        }
+    }
+
+    fn push_own_zone(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
+        let zone = self.vm.place.zone.clone();
+        let mut targets: Vec<SocketAddr> = self
+            .zone_peers()
+            .sample(turn.rng, PUSH_FANOUT)
+            .copied()
+            .collect();
+        let me = self.vm.worker.address;
+        if news.iter().any(|known| known.vm.worker.address == me) {
+            targets.extend(gateways(&self.members, &zone));
         }
-        if turn.now >= self.next_read {
-            self.next_read = turn.now.plus_ms(READ_INTERVAL_MS);
+        if self.gateway {
+            let others: Vec<ZoneName> = self.members.zones().cloned().collect();
+            for other in others.iter().filter(|other| **other != zone) {
+                targets.extend(gateways(&self.members, other).choose(turn.rng));
+            }
+        }
+        targets.sort_unstable();
+        targets.dedup();
+        targets.retain(|target| *target != self.vm.control_address);
+        for target in targets {
+            send(turn, target, MemberMessage::Known(news.to_vec()));
+        }
+    }
+
+    fn push_to_subscribers(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
+        let mut by_subscriber: BTreeMap<SocketAddr, Vec<Arc<Announcement>>> = BTreeMap::new();
+        for known in news {
+            for subscriber in self.interests.subscribers(&known.service) {
+                let wanted = by_subscriber.entry(subscriber).or_default();
+                wanted.push(Arc::clone(known));
+            }
+        }
+        for (subscriber, wanted) in by_subscriber {
+            send(turn, subscriber, MemberMessage::Known(wanted));
+        }
+    }
+
+    /// Gateways follow the log; others look for a peer at its end while they know none.
+    fn read_log(&mut self, turn: &mut ControlTurn<'_>) {
+        self.due.log = turn.now.plus_ms(LOG_INTERVAL_MS);
+        if self.gateway {
             turn.actions.push(ControlAction::ReadLog {
                 stream: Stream::Members,
                 from_offset: self.next_offset,
             });
         }
+        if self.zone_peers().is_empty() {
+            self.due.log = turn.now.plus_ms(SEARCH_INTERVAL_MS);
+            turn.actions.push(ControlAction::ReadLogTail {
+                stream: Stream::Members,
+                records: TAIL_RECORDS,
+            });
+        }
     }
 
-    fn learned(&self, turn: &mut ControlTurn<'_>) {
-        let workers = self.members.snapshot();
-        turn.actions.push(ControlAction::WorkersLearned(workers));
+    fn renew_if_due(&mut self, turn: &mut ControlTurn<'_>) {
+        let joining = self.due.join.is_some_and(|join| turn.now >= join);
+        if joining {
+            self.due.join = None;
+        } else if self.local.is_some() && turn.now >= self.due.renew {
+            self.due.renew = next_renewal(turn);
+            if let Some(local) = &mut self.local {
+                local.sequence += 1;
+            }
+            self.announce_local(turn);
+        } else {
+            return;
+        }
+        let Some(local) = self.local.clone() else {
+            return;
+        };
+        turn.actions.push(ControlAction::Append {
+            stream: Stream::Members,
+            record: LogRecord::Member(local),
+        });
     }
 
-    fn renew(&mut self, turn: &mut ControlTurn<'_>) {
-        self.next_renewal = turn.now.plus_ms(RENEW_INTERVAL_MS);
-        if let Some(announcement) = self.local.clone() {
-            turn.actions.push(ControlAction::Append {
-                stream: Stream::Members,
-                record: LogRecord::Member(announcement),
-            });
-        }
+    fn expire(&mut self, now: TimeMs) {
+        self.interests.expire(now);
+        let me = self.vm.worker.address;
+        let members = &mut self.members;
+        let changed = &mut self.changed;
+        self.refreshed.retain(|address, refreshed| {
+            let gone = members
+                .get(*address)
+                .is_some_and(|known| known.state == ServerState::Gone);
+            let life_ms = if gone {
+                GONE_LIFE_MS
+            } else {
+                ANNOUNCEMENT_LIFE_MS
+            };
+            let keep = *address == me || now.since_ms(*refreshed) < life_ms;
+            if !keep {
+                members.forget(*address);
+                *changed = true;
+            }
+            keep
+        });
+    }
+}
+
+fn vote_on(
+    turn: &mut ControlTurn<'_>,
+    worker: SocketAddr,
+    errands: &[(SocketAddr, AnnouncementVersion)],
+) {
+    for (asker, version) in errands {
+        let version = *version;
+        send(turn, *asker, MemberMessage::Vote { worker, version });
+    }
+}
+
+fn send(turn: &mut ControlTurn<'_>, to: SocketAddr, message: MemberMessage) {
+    turn.actions.push(ControlAction::Send {
+        to,
+        message: ControlMessage::Member(message),
+    });
+}
+
+fn next_renewal(turn: &mut ControlTurn<'_>) -> TimeMs {
+    let wait_ms = turn
+        .rng
+        .random_range(RENEW_INTERVAL_MS * 4 / 5..=RENEW_INTERVAL_MS * 6 / 5);
+    turn.now.plus_ms(wait_ms)
+}
+
+/// Which buckets differ; `None` if the other side's digests have another shape.
+fn differing(ours: &BucketDigests, theirs: &[u64]) -> Option<[bool; BUCKETS]> {
+    if theirs.len() != BUCKETS {
+        return None;
+    }
+    let mut differs = [false; BUCKETS];
+    for (flag, (ours, theirs)) in differs.iter_mut().zip(ours.iter().zip(theirs)) {
+        *flag = ours != theirs;
     }
+    Some(differs)
 }
--- a/src/decide/control/members.rs
+++ b/src/decide/control/members.rs
@@ -1,30 +1,192 @@
-//! The workers known, by the newest announcement of each address.
+//! The workers known: the newest announcement of each address, with digests for comparison.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
-use crate::model::Announcement;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64_with_seed};
 
-/// Newest announcement by address.
+use crate::model::{Announcement, ServerState, ServiceName, ZoneName};
+
+/// Buckets that a scope is split into for comparison.
+pub const BUCKETS: usize = 64;
+
+/// One digest for each bucket of a scope; equal digests mean equal announcements.
+pub type BucketDigests = [u64; BUCKETS];
+
+/// Newest announcement by the address at which a daemon takes calls.
 #[derive(Debug, Default)]
 pub struct Members {
-    by_address: BTreeMap<SocketAddr, Announcement>,
+    by_address: BTreeMap<SocketAddr, Arc<Announcement>>,
+    by_control: HashMap<SocketAddr, SocketAddr>,
+    by_service: HashMap<ServiceName, BTreeSet<SocketAddr>>,
+    zones: BTreeMap<ZoneName, BucketDigests>,
 }
 
 impl Members {
     /// Takes in an announcement; false if a newer or the same one is known.
-    pub fn merge(&mut self, announcement: &Announcement) -> bool {
+    ///
+    /// Of two announcements of one version, the one that says that the worker is gone wins.
+    pub fn merge(&mut self, announcement: &Arc<Announcement>) -> bool {
         let address = announcement.vm.worker.address;
-        let known = self.by_address.get(&address);
-        if known.is_some_and(|known| known.version() >= announcement.version()) {
-            return false;
+        if let Some(known) = self.by_address.get(&address) {
+            if rank(known) >= rank(announcement) {
+                return false;
+            }
+            let known = Arc::clone(known);
+            self.unindex(&known);
         }
-        self.by_address.insert(address, announcement.clone());
+        self.index(announcement);
+        self.by_address.insert(address, Arc::clone(announcement));
         true
     }
 
+    /// Drops what is known of an address.
+    pub fn forget(&mut self, address: SocketAddr) {
+        if let Some(known) = self.by_address.remove(&address) {
+            self.unindex(&known);
+        }
+    }
+
+    /// What is known of an address.
+    pub fn get(&self, address: SocketAddr) -> Option<&Arc<Announcement>> {
+        self.by_address.get(&address)
+    }
+
+    /// What is known of the daemon with a control address.
+    pub fn get_by_control(&self, control_address: SocketAddr) -> Option<&Arc<Announcement>> {
+        self.get(*self.by_control.get(&control_address)?)
+    }
+
+    /// Number of announcements.
+    pub fn len(&self) -> usize {
+        self.by_address.len()
+    }
+
+    /// Whether nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_address.is_empty()
+    }
+
     /// All announcements, by address.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<Announcement>> {
+        self.by_address.values()
+    }
+
+    /// Announcements of workers in a zone that are not gone.
+    pub fn alive_in_zone(&self, zone: &ZoneName) -> impl Iterator<Item = &Arc<Announcement>> {
+        self.all()
+            .filter(move |known| known.vm.place.zone == *zone && known.state != ServerState::Gone)
+    }
+
+    /// Announcements of a service outside a zone.
+    pub fn of_service_outside<'a>(
+        &'a self,
+        service: &ServiceName,
+        zone: &'a ZoneName,
+    ) -> impl Iterator<Item = &'a Arc<Announcement>> {
+        let addresses = self.by_service.get(service).into_iter().flatten();
+        addresses
+            .filter_map(|address| self.by_address.get(address))
+            .filter(move |known| known.vm.place.zone != *zone)
+    }
+
+    /// Digest of [`Members::of_service_outside`].
+    pub fn service_digest(&self, service: &ServiceName, zone: &ZoneName) -> u64 {
+        self.of_service_outside(service, zone)
+            .fold(0, |digest, known| digest ^ entry_digest(known))
+    }
+
+    /// The zones of which anything is known.
+    pub fn zones(&self) -> impl Iterator<Item = &ZoneName> {
+        self.zones.keys()
+    }
+
+    /// Digests of a zone by bucket.
+    pub fn zone_buckets(&self, zone: &ZoneName) -> BucketDigests {
+        self.zones.get(zone).copied().unwrap_or([0; BUCKETS])
+    }
+
+    /// One digest of a zone.
+    pub fn zone_digest(&self, zone: &ZoneName) -> u64 {
+        digest_of(&self.zone_buckets(zone))
+    }
+
+    /// Announcements in some buckets of a zone.
+    pub fn in_buckets(&self, zone: &ZoneName, differs: &[bool; BUCKETS]) -> Vec<Arc<Announcement>> {
+        self.all()
+            .filter(|known| known.vm.place.zone == *zone)
+            .filter(|known| differs[bucket(known.vm.worker.address)])
+            .cloned()
+            .collect()
+    }
+
+    /// All announcements, for the router.
     pub fn snapshot(&self) -> Vec<Announcement> {
-        self.by_address.values().cloned().collect()
+        self.all().map(|known| Announcement::clone(known)).collect()
+    }
+
+    fn index(&mut self, announcement: &Announcement) {
+        let address = announcement.vm.worker.address;
+        self.toggle_digest(announcement);
+        self.by_control
+            .insert(announcement.vm.control_address, address);
+        let addresses = self.by_service.entry(announcement.service.clone());
+        addresses.or_default().insert(address);
+    }
+
+    fn unindex(&mut self, announcement: &Announcement) {
+        let address = announcement.vm.worker.address;
+        self.toggle_digest(announcement);
+        self.by_control.remove(&announcement.vm.control_address);
+        if let Some(addresses) = self.by_service.get_mut(&announcement.service) {
+            addresses.remove(&address);
+        }
+    }
+
+    /// Adds an announcement to its bucket's digest, or takes it out again.
+    fn toggle_digest(&mut self, announcement: &Announcement) {
+        let zone = announcement.vm.place.zone.clone();
+        let digests = self.zones.entry(zone).or_insert([0; BUCKETS]);
+        digests[bucket(announcement.vm.worker.address)] ^= entry_digest(announcement);
+    }
+}
+
+/// One digest of all buckets.
+pub fn digest_of(digests: &[u64]) -> u64 {
+    let mut hasher = Xxh3::new();
+    for digest in digests {
+        hasher.update(&digest.to_le_bytes());
+    }
+    hasher.digest()
+}
+
+/// The order of announcements with one address.
+pub fn rank(announcement: &Announcement) -> ((u64, u64, u64), bool) {
+    let gone = announcement.state == ServerState::Gone;
+    (announcement.version(), gone)
+}
+
+fn entry_digest(announcement: &Announcement) -> u64 {
+    let (version, gone) = rank(announcement);
+    let mut hasher = Xxh3::new();
+    hasher.update(&address_hash(announcement.vm.worker.address).to_le_bytes());
+    hasher.update(&version.0.to_le_bytes());
+    hasher.update(&version.1.to_le_bytes());
+    hasher.update(&version.2.to_le_bytes());
+    hasher.update(&[u8::from(gone)]);
+    hasher.digest()
+}
+
+fn bucket(address: SocketAddr) -> usize {
+    address_hash(address) as usize % BUCKETS
+}
+
+/// Hash of an address, the same in every process.
+pub fn address_hash(address: SocketAddr) -> u64 {
+    let seed = u64::from(address.port());
+    match address {
+        SocketAddr::V4(v4) => xxh3_64_with_seed(&v4.ip().octets(), seed),
+        SocketAddr::V6(v6) => xxh3_64_with_seed(&v6.ip().octets(), seed),
     }
 }
--- a/src/decide/control/mod.rs
+++ b/src/decide/control/mod.rs
@@ -1,10 +1,13 @@
 //! Sheets, membership and the audit trail: events and the time go in, actions come out.
 
 pub mod fold;
+pub mod gateways;
+pub mod interests;
 pub mod member_control;
 pub mod members;
 pub mod record;
 pub mod sheet_control;
+pub mod verdict;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,7 +19,7 @@
 use self::member_control::{MemberControl, MemberMessage};
 use self::record::{LogBatch, LogRecord, Stream};
 use self::sheet_control::{SheetControl, SheetMessage};
-use crate::model::{Announcement, Sheet, SheetVersion, TimeMs, Vm};
+use crate::model::{Announcement, ServiceName, Sheet, SheetVersion, TimeMs, Vm, WorkerId};
 
 /// A control message between two daemons. The receiver may answer with further ones.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -71,6 +74,11 @@
         /// The other daemon's control address.
         to: SocketAddr,
     },
+    /// The local backend server, or a caller at this entry, calls a service.
+    ServiceCalled {
+        /// The service.
+        service: ServiceName,
+    },
     /// A call carried a newer version than the one in force here.
     SheetWanted {
         /// The version.
@@ -90,6 +98,13 @@
         /// The first offset wanted.
         from_offset: u64,
     },
+    /// Read the newest records of a stream of the log.
+    ReadLogTail {
+        /// The stream.
+        stream: Stream,
+        /// Most records wanted.
+        records: u32,
+    },
     /// Append a record to a stream of the log.
     Append {
         /// The stream.
@@ -108,6 +123,13 @@
     SheetLearned(Arc<Sheet>),
     /// The workers known have changed.
     WorkersLearned(Vec<Announcement>),
+    /// Several daemons together have found that a worker is gone.
+    WorkerGone {
+        /// The worker.
+        worker: WorkerId,
+        /// Control addresses of the daemons that could not reach it.
+        voters: Vec<SocketAddr>,
+    },
 }
 
 /// What the parts of [`Control`] share while they handle one event.
@@ -138,6 +160,11 @@
         }
     }
 
+    /// Control addresses to try while no peer is known.
+    pub fn set_hints(&mut self, hints: Vec<SocketAddr>) {
+        self.members.set_hints(hints);
+    }
+
     /// The part for sheets.
     pub fn sheets(&self) -> &SheetControl {
         &self.sheets
@@ -167,12 +194,19 @@
                 Stream::Sheets => self.sheets.log_failed(turn),
                 Stream::Members => self.members.log_failed(turn),
             },
-            ControlEvent::Appended { .. } | ControlEvent::AppendFailed { .. } => {}
+            ControlEvent::Appended { .. } => {}
+            ControlEvent::AppendFailed { stream, .. } => match stream {
+                Stream::Sheets => {}
+                Stream::Members => self.members.append_failed(turn),
+            },
             ControlEvent::PeerSaid { from, message } => match message {
                 ControlMessage::Sheet(message) => self.sheets.peer_said(turn, from, message),
                 ControlMessage::Member(message) => self.members.peer_said(turn, from, message),
             },
             ControlEvent::PeerSilent { to } => self.members.peer_silent(turn, to),
+            ControlEvent::ServiceCalled { service } => {
+                self.members.service_called(turn, &service);
+            }
             ControlEvent::SheetWanted { version } => self.sheets.sheet_wanted(turn, version),
             ControlEvent::Tick => {
                 self.members.tick(turn);
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -385,6 +385,11 @@
         /// The version.
         version: SheetVersion,
     },
+    /// A service is called of which all workers should be known.
+    WantWorkers {
+        /// The service.
+        service: ServiceName,
+    },
     /// A decision changed in a way that operators want to see.
     Note(Note),
 }
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -14,6 +14,10 @@
 
 /// Mean wait before another attempt, in milliseconds; the wait is drawn from zero to twice this.
 const RETRY_WAIT_MS: u64 = 5;
+/// Longest wait for the workers of a service that was not called before, in milliseconds.
+const WORKER_WAIT_MS: u64 = 500;
+/// Time between two looks whether they are known, in milliseconds.
+const WORKER_POLL_MS: u64 = 20;
 /// Times that an executor is asked for a record before it counts as silent.
 const RESOLVE_TRIES: u32 = 3;
 /// Wait between two such questions, in milliseconds.
@@ -29,7 +33,11 @@
 impl Node {
     /// Sends a call to a worker that has not refused it.
     pub(super) fn attempt(&self, turn: &mut Turn<'_>, call: CallId, mut dispatch: Dispatch) {
+        self.called.called(turn.now, &dispatch.service);
         let Some(worker) = self.choose_worker(&dispatch) else {
+            if self.may_learn_workers(turn.now, &dispatch) {
+                return self.wait_for_workers(turn, call, dispatch);
+            }
             let evidence = Unsent::no_byte_left().into();
             return self.end_not_run(turn, call, dispatch, NotRunReason::NoWorker, 0, evidence);
         };
@@ -61,6 +69,19 @@
         }
     }
 
+    /// Whether the workers of a service that is called for the first time may still be learned.
+    fn may_learn_workers(&self, now: TimeMs, dispatch: &Dispatch) -> bool {
+        let waited_ms = dispatch.context.time_left_ms - dispatch.deadline.since_ms(now);
+        !self.router.knows(&dispatch.service) && waited_ms < WORKER_WAIT_MS
+    }
+
+    fn wait_for_workers(&self, turn: &mut Turn<'_>, call: CallId, mut dispatch: Dispatch) {
+        let until = turn.now.plus_ms(WORKER_POLL_MS);
+        dispatch.state = DispatchState::Waiting { until };
+        self.timers.set(until, Wakeup::Dispatch(call));
+        self.dispatches.insert(call, dispatch);
+    }
+
     /// Longest wait for a reply to a message about this call, in milliseconds.
     pub(super) fn reply_timeout_ms(&self, now: TimeMs, dispatch: &Dispatch) -> u64 {
         dispatch.deadline.since_ms(now) + self.settings.reply_grace_ms
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -5,6 +5,7 @@
 mod executing;
 mod parking;
 mod settling;
+mod wanting;
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +16,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
+use self::wanting::CalledServices;
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -100,6 +102,7 @@
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
     counters: Counters,
+    called: CalledServices,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -138,6 +141,7 @@
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
             counters: Counters::default(),
+            called: CalledServices::default(),
             settings,
         }
     }
@@ -152,9 +156,14 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if the table of tickets is full.
+    /// A ticket for keys of a service; `None` if no worker of it is known yet or
+    /// the table of tickets is full.
     pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        self.called.note(service);
         let candidates = self.candidates(service);
+        if candidates.is_empty() {
+            return None;
+        }
         self.home.issue(service, candidates)
     }
 
@@ -168,6 +177,9 @@
         while let Some(work) = turn.work.pop_front() {
             self.step(&mut turn, work);
         }
+        for service in self.called.take_new() {
+            turn.actions.push(Action::WantWorkers { service });
+        }
     }
 
     /// When [`Event::Tick`] should be handled next, if anything waits for it.
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -102,7 +102,8 @@
         }
         None => http::error(
             StatusCode::SERVICE_UNAVAILABLE,
-            "the table of tickets is full; acknowledge answers or ask another daemon",
+            "no worker of the service is known yet, or the table of tickets is full; \
+             try again in a second, or ask another daemon",
         ),
     }
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -7,10 +7,10 @@
 
 use super::local::BackendAnnouncement;
 use super::peer_control::{self, Arrived};
-use super::pump::Pump;
+use super::pump::{Pump, Wanted};
 use crate::decide::control::record::{LogRecord, Stream};
 use crate::decide::{Control, ControlAction, ControlEvent, Event};
-use crate::model::{Announcement, ServerState, Sheet, SheetVersion};
+use crate::model::{Announcement, ServerState, Sheet};
 use crate::platform::log::LogClient;
 
 /// Time between two ticks, in milliseconds.
@@ -23,8 +23,8 @@
     pub announcements: mpsc::Receiver<BackendAnnouncement>,
     /// Messages from other daemons.
     pub arrived: mpsc::Receiver<Arrived>,
-    /// Versions that calls carried.
-    pub wanted: mpsc::UnboundedReceiver<SheetVersion>,
+    /// What the decisions about calls want to know.
+    pub wanted: mpsc::UnboundedReceiver<Wanted>,
 }
 
 /// The control decisions of one daemon with what they act upon.
@@ -70,7 +70,10 @@
                 Some(Arrived { from, message }) = inputs.arrived.recv() => {
                     ControlEvent::PeerSaid { from, message }
                 }
-                Some(version) = inputs.wanted.recv() => ControlEvent::SheetWanted { version },
+                Some(wanted) = inputs.wanted.recv() => match wanted {
+                    Wanted::Sheet(version) => ControlEvent::SheetWanted { version },
+                    Wanted::Workers(service) => ControlEvent::ServiceCalled { service },
+                },
                 Some(announced) = inputs.announcements.recv() => {
                     if last.as_ref() == Some(&announced) {
                         continue;
@@ -120,6 +123,19 @@
                     this.feed(event).await;
                 });
             }
+            ControlAction::ReadLogTail { stream, records } => {
+                let this = Arc::clone(self);
+                tokio::spawn(async move {
+                    let event = match this.log.read_tail(stream, records).await {
+                        Ok(batch) => ControlEvent::LogRead { stream, batch },
+                        Err(_) => ControlEvent::LogFailed { stream },
+                    };
+                    this.feed(event).await;
+                });
+            }
+            ControlAction::WorkerGone { worker, voters } => {
+                spdlog::warn!("worker {} is gone, found by {:?}", worker, voters);
+            }
             ControlAction::Append { stream, record } => {
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -10,12 +10,12 @@
 use super::backend::BackendClient;
 use super::control::{ControlInputs, ControlLoop};
 use super::error::NetError;
-use super::pump::Pump;
+use super::pump::{Pump, Wanted};
 use super::{callers, hop, http, local, peer_control};
 use crate::config::Settings;
 use crate::decide::home::HomeBounds;
 use crate::decide::{Event, Mechanisms, Node, NodeSettings};
-use crate::model::{Clock, Incarnation, SheetVersion, Vm, WorkerId};
+use crate::model::{Clock, Incarnation, Vm, WorkerId};
 use crate::platform::log::LogClient;
 
 /// Time between two ticks of the decisions, in milliseconds.
@@ -89,7 +89,7 @@
     async fn open_listeners(
         &mut self,
         settings: &Settings,
-        wanted: mpsc::UnboundedReceiver<SheetVersion>,
+        wanted: mpsc::UnboundedReceiver<Wanted>,
     ) -> Result<(), NetError> {
         let callers_listener = http::listen(settings.callers_address).await?;
         let hop_listener = http::listen(settings.hop_address).await?;
--- a/src/net/pump.rs
+++ b/src/net/pump.rs
@@ -12,7 +12,7 @@
 use crate::decide::{
     Action, CallId, Event, ExchangeId, LocalRun, Node, PeerReply, PeerRequest, SendFailure,
 };
-use crate::model::{CallKey, Clock, Outcome, SheetVersion};
+use crate::model::{CallKey, Clock, Outcome, ServiceName, SheetVersion};
 
 /// How a call that somebody waits for has ended.
 #[derive(Debug)]
@@ -23,6 +23,15 @@
     pub key: Option<CallKey>,
 }
 
+/// What the decisions about calls want to know from those about sheets and membership.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Wanted {
+    /// A sheet of this version or a newer one.
+    Sheet(SheetVersion),
+    /// The workers of a service.
+    Workers(ServiceName),
+}
+
 /// A node with its clients and with those who wait for it.
 #[derive(Debug)]
 pub struct Pump {
@@ -34,7 +43,7 @@
     callers: Sharded<CallId, oneshot::Sender<Ended>>,
     peers: Sharded<CallId, oneshot::Sender<PeerReply>>,
     sent: Sharded<ExchangeId, AbortHandle>,
-    wanted: mpsc::UnboundedSender<SheetVersion>,
+    wanted: mpsc::UnboundedSender<Wanted>,
 }
 
 impl Pump {
@@ -43,7 +52,7 @@
         node: Node,
         clock: Clock,
         backend: BackendClient,
-        wanted: mpsc::UnboundedSender<SheetVersion>,
+        wanted: mpsc::UnboundedSender<Wanted>,
     ) -> Arc<Pump> {
         Arc::new(Pump {
             node,
@@ -128,7 +137,10 @@
             Action::RunLocal(run) => self.run_local(run),
             Action::CancelLocal { call } => self.cancel_local(call),
             Action::WantSheet { version } => {
-                let _ = self.wanted.send(version);
+                let _ = self.wanted.send(Wanted::Sheet(version));
+            }
+            Action::WantWorkers { service } => {
+                let _ = self.wanted.send(Wanted::Workers(service));
             }
             Action::Note(note) => spdlog::info!("decision changed: {:?}", note),
         }
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -93,10 +93,16 @@
 
     /// Reads records from an offset. Records that are not ours are passed over.
     pub async fn read(&self, stream: Stream, from_offset: u64) -> Result<LogBatch, LogError> {
-        let uri = format!(
-            "http://{}/streams/{stream}/records?from={from_offset}",
-            self.address
-        );
+        self.read_page(stream, &format!("from={from_offset}")).await
+    }
+
+    /// Reads the newest records, at most `records`.
+    pub async fn read_tail(&self, stream: Stream, records: u32) -> Result<LogBatch, LogError> {
+        self.read_page(stream, &format!("tail={records}")).await
+    }
+
+    async fn read_page(&self, stream: Stream, query: &str) -> Result<LogBatch, LogError> {
+        let uri = format!("http://{}/streams/{stream}/records?{query}", self.address);
         let request = Request::get(uri)
             .body(Full::new(Bytes::new()))
             .map_err(malformed)?;
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -104,10 +104,7 @@
     };
     if parts.method == Method::GET {
         let query = parts.uri.query().unwrap_or_default();
-        let from = query
-            .strip_prefix("from=")
-            .and_then(|text| text.parse().ok());
-        return http::json(StatusCode::OK, &read(&streams, stream, from.unwrap_or(0)));
+        return http::json(StatusCode::OK, &read_query(&streams, stream, query));
     }
     let data = match http::read_body(body).await {
         Ok(body) => String::from_utf8_lossy(&body).into_owned(),
@@ -131,6 +128,20 @@
     records.first_offset + records.records.len() as u64 - 1
 }
 
+/// Reads a page from an offset (`from=N`), or the last records (`tail=N`).
+fn read_query(streams: &Mutex<HashMap<String, Records>>, stream: &str, query: &str) -> RecordPage {
+    let number = |name: &str| query.strip_prefix(name)?.parse::<u64>().ok();
+    if let Some(tail) = number("tail=") {
+        let end = {
+            let mut streams = lock(streams);
+            let held = streams.entry(stream.to_owned()).or_default();
+            held.first_offset + held.records.len() as u64
+        };
+        return read(streams, stream, end.saturating_sub(tail));
+    }
+    read(streams, stream, number("from=").unwrap_or(0))
+}
+
 fn read(streams: &Mutex<HashMap<String, Records>>, stream: &str, from: u64) -> RecordPage {
     let mut streams = lock(streams);
     let held = streams.entry(stream.to_owned()).or_default();
--- /dev/null
+++ b/tests/members.rs
@@ -0,0 +1,244 @@
+//! Membership under failure: who is known where, and when.
+
+#[path = "support/control.rs"]
+mod control;
+
+use burdockhall::model::{Place, ServerState, ServiceName};
+
+use control::{ControlPlan, ControlWorld, Host};
+
+const ZONES: [(&str, &str); 4] = [
+    ("dublin", "dublin-a"),
+    ("dublin", "dublin-b"),
+    ("cork", "cork-a"),
+    ("galway", "galway-a"),
+];
+/// Workers of each zone.
+const PER_ZONE: usize = 12;
+/// Time within which others give a leaving worker no new work, in milliseconds.
+const LEAVE_BOUND_MS: u64 = 3_000;
+
+/// Workers of one zone stand next to each other; each calls the next service.
+fn plans() -> Vec<ControlPlan> {
+    let mut plans = Vec::new();
+    for (region, zone) in ZONES {
+        for worker in 0..PER_ZONE {
+            plans.push(ControlPlan {
+                place: Place {
+                    region: region.into(),
+                    zone: zone.into(),
+                },
+                service: service(worker % 4),
+                calls: vec![service((worker + 1) % 4)],
+            });
+        }
+    }
+    plans
+}
+
+fn service(index: usize) -> ServiceName {
+    format!("service-{index}").as_str().into()
+}
+
+fn zone_of(host: Host) -> usize {
+    host / PER_ZONE
+}
+
+/// Whether a daemon has to know another: a zone peer, or one of a service it calls.
+fn must_know(world: &ControlWorld, host: Host, of: Host) -> bool {
+    let calls = &world.hosts[host].plan.calls;
+    zone_of(host) == zone_of(of) || calls.contains(&world.hosts[of].plan.service)
+}
+
+fn hosts(world: &ControlWorld) -> Vec<Host> {
+    (0..world.hosts.len())
+        .filter(|host| world.hosts[*host].alive)
+        .collect()
+}
+
+#[track_caller]
+fn assert_known(world: &ControlWorld, hosts: &[Host], of: Host, state: ServerState) {
+    for host in hosts.iter().filter(|host| must_know(world, **host, of)) {
+        let known = world.known(*host, of);
+        let known = known.map(|known| (known.vm.worker, known.state));
+        let expected = (world.hosts[of].vm.worker, state);
+        assert_eq!(known, Some(expected), "host {host} about {of}");
+    }
+}
+
+#[derive(Debug)]
+struct JoinCase {
+    name: &'static str,
+    start_spread_ms: u64,
+    log_down_ms: u64,
+    within_ms: u64,
+}
+
+const JOIN_CASES: [JoinCase; 3] = [
+    JoinCase {
+        name: "one after the other",
+        start_spread_ms: 20_000,
+        log_down_ms: 0,
+        within_ms: 12_000,
+    },
+    JoinCase {
+        name: "all at once",
+        start_spread_ms: 0,
+        log_down_ms: 0,
+        within_ms: 12_000,
+    },
+    JoinCase {
+        name: "the log is down at the start",
+        start_spread_ms: 0,
+        log_down_ms: 10_000,
+        within_ms: 30_000,
+    },
+];
+
+#[test]
+fn everyone_who_must_know_learns_of_everyone() {
+    for case in &JOIN_CASES {
+        let mut world = ControlWorld::new(5, plans(), case.start_spread_ms);
+        world.log.down = case.log_down_ms > 0;
+        world.run_for(case.log_down_ms);
+        world.log.down = false;
+        world.run_for(case.start_spread_ms + case.within_ms);
+        let hosts = hosts(&world);
+        for of in &hosts {
+            assert_known(&world, &hosts, *of, ServerState::Serving);
+        }
+        assert!(world.verdicts.is_empty(), "{}", case.name);
+    }
+}
+
+#[test]
+fn only_what_is_needed_is_kept() {
+    let mut world = ControlWorld::new(6, plans(), 0);
+    world.run_for(20_000);
+    for host in hosts(&world) {
+        let control = &world.hosts[host].control;
+        if control.members().is_gateway() {
+            continue;
+        }
+        for of in hosts(&world) {
+            let known = world.known(host, of).is_some();
+            assert_eq!(known, must_know(&world, host, of), "host {host} about {of}");
+        }
+    }
+}
+
+#[test]
+fn a_leaving_worker_is_known_as_such_within_the_bound() {
+    let mut world = ControlWorld::new(7, plans(), 0);
+    world.run_for(20_000);
+    let leaving = 17;
+    world.announce(leaving, ServerState::Leaving);
+    world.run_for(LEAVE_BOUND_MS);
+    assert_known(&world, &hosts(&world), leaving, ServerState::Leaving);
+}
+
+#[test]
+fn a_dead_worker_is_removed_by_several_and_not_revived() {
+    let mut world = ControlWorld::new(8, plans(), 0);
+    world.run_for(20_000);
+    let dead = 3;
+    world.kill(dead);
+    world.run_for(20_000);
+    let alive = hosts(&world);
+    assert_known(&world, &alive, dead, ServerState::Gone);
+    world.run_for(120_000);
+    assert_known(&world, &alive, dead, ServerState::Gone);
+    assert!(
+        world
+            .verdicts
+            .iter()
+            .all(|(_, worker)| *worker == world.hosts[dead].vm.worker)
+    );
+}
+
+#[test]
+fn no_single_observer_removes_a_worker() {
+    let mut plans = plans();
+    plans.truncate(3);
+    let mut world = ControlWorld::new(9, plans, 0);
+    world.run_for(20_000);
+    world.kill(2);
+    world.run_for(60_000);
+    assert!(world.verdicts.is_empty());
+}
+
+#[derive(Debug)]
+struct ReplaceCase {
+    name: &'static str,
+    skew_ms: i64,
+}
+
+const REPLACE_CASES: [ReplaceCase; 3] = [
+    ReplaceCase {
+        name: "clock right",
+        skew_ms: 0,
+    },
+    ReplaceCase {
+        name: "clock an hour behind",
+        skew_ms: -3_600_000,
+    },
+    ReplaceCase {
+        name: "clock an hour ahead",
+        skew_ms: 3_600_000,
+    },
+];
+
+#[test]
+fn a_worker_replaced_at_its_address_is_a_new_incarnation() {
+    for case in &REPLACE_CASES {
+        println!("{}", case.name);
+        let mut world = ControlWorld::new(10, plans(), 0);
+        world.run_for(20_000);
+        world.kill(5);
+        world.run_for(500);
+        world.replace(5, case.skew_ms);
+        world.run_for(20_000);
+        assert_known(&world, &hosts(&world), 5, ServerState::Serving);
+        world.run_for(20_000);
+        assert_known(&world, &hosts(&world), 5, ServerState::Serving);
+    }
+}
+
+#[test]
+fn a_zone_cut_off_removes_nobody_and_heals() {
+    let mut world = ControlWorld::new(11, plans(), 0);
+    world.run_for(20_000);
+    let zone = ZONES[2].1;
+    for (_, other) in ZONES.iter().filter(|(_, other)| *other != zone) {
+        world.cut(zone, other);
+    }
+    world.cut_from_log.insert(zone.to_owned());
+    let (dead, replaced) = (2 * PER_ZONE + 1, 2 * PER_ZONE + 2);
+    let stopped = [dead, replaced].map(|host| world.hosts[host].vm.worker);
+    world.kill(dead);
+    world.kill(replaced);
+    world.run_for(1_000);
+    world.replace(replaced, 0);
+    world.run_for(60_000);
+    let wrong = world.verdicts.iter();
+    let wrong = wrong.filter(|(_, worker)| !stopped.contains(worker));
+    assert_eq!(wrong.count(), 0, "{:?}", world.verdicts);
+    world.heal();
+    world.run_for(12_000);
+    let alive = hosts(&world);
+    for of in &alive {
+        assert_known(&world, &alive, *of, ServerState::Serving);
+    }
+    assert_known(&world, &alive, dead, ServerState::Gone);
+}
+
+#[test]
+fn a_paused_worker_that_was_declared_gone_comes_back() {
+    let mut world = ControlWorld::new(12, plans(), 0);
+    world.run_for(20_000);
+    world.pause(4, 40_000);
+    world.run_for(35_000);
+    assert!(!world.verdicts.is_empty());
+    world.run_for(20_000);
+    assert_known(&world, &hosts(&world), 4, ServerState::Serving);
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -423,7 +423,7 @@
                 self.schedule_steps(host, incarnation, steps);
             }
             Action::Note(note) => self.notes.push((self.now, host, note)),
-            Action::WantSheet { .. } => {}
+            Action::WantSheet { .. } | Action::WantWorkers { .. } => {}
         }
     }
 
