--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -31,6 +31,14 @@
 
 impl Node {
     pub(super) fn call_arrived(&self, turn: &mut Turn<'_>, call: CallId, asked: CallerRequest) {
+        if self.waits_for_workers(turn.now, call, &asked) {
+            return;
+        }
+        self.call_ready(turn, call, asked);
+    }
+
+    /// Handles a call whose service's workers are known, or that has waited for them.
+    pub(super) fn call_ready(&self, turn: &mut Turn<'_>, call: CallId, asked: CallerRequest) {
         let rules = self.rules.load();
         let key = asked.key.clone();
         if let (Some(key), Some(below)) = (&key, asked.acknowledged_below) {
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -16,7 +16,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
-use self::wanting::CalledServices;
+use self::wanting::{CalledServices, WaitingCall};
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -103,6 +103,7 @@
     parked: Mutex<Vec<Parked>>,
     counters: Counters,
     called: CalledServices,
+    waiting_calls: Mutex<Vec<WaitingCall>>,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -142,6 +143,7 @@
             parked: Mutex::default(),
             counters: Counters::default(),
             called: CalledServices::default(),
+            waiting_calls: Mutex::default(),
             settings,
         }
     }
@@ -241,7 +243,10 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.router.learn(&workers),
+            Event::WorkersLearned(workers) => {
+                self.router.learn(&workers);
+                self.resume_waiting(turn);
+            }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
             Event::Tick => self.tick(turn),
         }
@@ -300,6 +305,7 @@
             }
         }
         self.expire_parked(turn);
+        self.resume_waiting(turn);
         self.release_queue(turn);
         self.note_limit(turn);
     }
--- a/src/decide/node/wanting.rs
+++ b/src/decide/node/wanting.rs
@@ -3,12 +3,64 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
 
+use super::{Node, Turn};
+use crate::decide::message::{CallId, CallerRequest};
 use crate::decide::sharded::{Sharded, lock};
 use crate::model::{ServiceName, TimeMs};
 
 /// A service that goes on being called is reported again after this time, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 600_000;
 
+/// Longest wait of a child call for the first workers of its service, in milliseconds.
+const WORKER_WAIT_MS: u64 = 500;
+
+/// A child call that waits until candidates for its key are known.
+#[derive(Debug)]
+pub(super) struct WaitingCall {
+    until: TimeMs,
+    call: CallId,
+    asked: CallerRequest,
+}
+
+impl Node {
+    /// Holds a child call back while no worker of its service is known; false if it can go on.
+    pub(super) fn waits_for_workers(
+        &self,
+        now: TimeMs,
+        call: CallId,
+        asked: &CallerRequest,
+    ) -> bool {
+        if asked.parent.is_none() || self.router.knows(&asked.service) {
+            return false;
+        }
+        self.called.note(&asked.service);
+        lock(&self.waiting_calls).push(WaitingCall {
+            until: now.plus_ms(WORKER_WAIT_MS),
+            call,
+            asked: asked.clone(),
+        });
+        true
+    }
+
+    /// Goes on with the calls whose workers are now known or that have waited for too long.
+    pub(super) fn resume_waiting(&self, turn: &mut Turn<'_>) {
+        let ready: Vec<WaitingCall> = {
+            let mut waiting = lock(&self.waiting_calls);
+            let is_ready = |waiting: &WaitingCall| {
+                waiting.until <= turn.now || self.router.knows(&waiting.asked.service)
+            };
+            let (ready, kept) = std::mem::take(&mut *waiting)
+                .into_iter()
+                .partition(is_ready);
+            *waiting = kept;
+            ready
+        };
+        for waiting in ready {
+            self.call_ready(turn, waiting.call, waiting.asked);
+        }
+    }
+}
+
 /// Services called, and those not yet reported.
 #[derive(Debug, Default)]
 pub(super) struct CalledServices {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -265,6 +265,12 @@
         self.cut.clear();
     }
 
+    /// Tells one host which workers there are.
+    pub fn tell(&mut self, host: Host, workers: Vec<Announcement>) {
+        let incarnation = self.hosts[host].node.vm().worker.incarnation;
+        self.handle(host, incarnation, Event::WorkersLearned(workers));
+    }
+
     /// Tells every host of every other.
     pub fn spread(&mut self) {
         let workers = self.announcements();
@@ -275,7 +281,8 @@
         }
     }
 
-    fn announcements(&mut self) -> Vec<Announcement> {
+    /// What every host that is alive announces now.
+    pub fn announcements(&mut self) -> Vec<Announcement> {
         let mut announcements = Vec::new();
         for host in self.hosts.iter_mut().filter(|host| host.alive) {
             host.sequence += 1;
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -117,3 +117,27 @@
         body: "voucher 7".into(),
     }
 }
+
+#[test]
+fn a_first_child_call_waits_until_workers_of_its_service_are_known() {
+    let mut world = chain(false);
+    let known = world.announcements();
+    let nearest: Vec<_> = known.iter().take(2).cloned().collect();
+    for host in 0..world.hosts.len() {
+        world.tell(host, nearest.clone());
+    }
+    let ticket = world.hosts[0].node.issue_ticket(&CHAIN[0].into()).unwrap();
+    let key = burdockhall::model::CallKey {
+        ticket,
+        sequence: 0,
+    };
+    let call = world.call(0, request(Some(key)));
+    world.run_for(100);
+    world.spread();
+    world.run_for(300);
+    let outcome = &world.calls[call].ended;
+    assert!(
+        matches!(outcome, Some((_, Outcome::Done(_)))),
+        "{outcome:?}"
+    );
+}
