Work out the cost of membership from slopes and bring it under the budget

Ruled out: asking every 15 s alone. A leaving worker then reached other zones after more than 3 s, and a new daemon missed workers after 12 s (tests/members.rs).

--- /dev/null
+++ b/benches/capacity.rs
@@ -0,0 +1,328 @@
+//! Works out what a daemon's control costs at the size aimed at, from slopes over several sizes.
+//!
+//! Prints one table for each slope, with a least-squares fit and its largest error.
+//! `cargo bench --bench capacity` runs the sizes up to 1,600 workers;
+//! `cargo bench --bench capacity -- --full` goes to 6,100.
+
+#[path = "../tests/support/control.rs"]
+mod control;
+
+use std::time::Instant;
+
+use burdockhall::decide::control::members::Members;
+use burdockhall::model::{Announcement, Place, ServerState, ServiceName};
+
+use control::{ControlPlan, ControlWorld};
+
+/// Availability zones and regions of the size aimed at.
+const ZONES: usize = 13;
+const REGIONS: usize = 5;
+/// Workers of the size aimed at.
+const TARGET_WORKERS: f64 = 6_100.0;
+/// Workers for each service, as in the size aimed at.
+const WORKERS_PER_SERVICE: f64 = 6_100.0 / 800.0;
+/// Services that a backend server calls.
+const CALLED_SERVICES: usize = 8;
+/// Virtual time in which the daemons find each other, in milliseconds.
+const SETTLE_MS: u64 = 30_000;
+/// Virtual time over which the steady state is observed, in milliseconds.
+const STEADY_MS: u64 = 30_000;
+/// Restarts that are observed one after the other.
+const RESTARTS: usize = 10;
+/// Virtual time after each restart, in milliseconds.
+const RESTART_MS: u64 = 3_000;
+
+fn main() {
+    let full = std::env::args().any(|argument| argument == "--full");
+    let mut sizes = vec![104, 208, 416, 832, 1_664];
+    if full {
+        sizes.push(6_100);
+    }
+    print_memory();
+    let rows: Vec<Row> = sizes.iter().map(|workers| observe(*workers)).collect();
+    print_rows(&rows);
+    print_fits(&rows);
+}
+
+/// What was observed with one number of workers.
+struct Row {
+    workers: f64,
+    known_mean: f64,
+    known_gateway: f64,
+    messages_per_s: f64,
+    bytes_per_s: f64,
+    gateway_bytes_per_s: f64,
+    log_bytes_per_s: f64,
+    cpu_us_per_s: f64,
+    bytes_per_restart: f64,
+    appends_per_worker: f64,
+    zone_restart_bytes: f64,
+    zone_restart_appends_per_s: f64,
+}
+
+fn observe(workers: usize) -> Row {
+    let mut world = ControlWorld::new(17, plans(workers), 5_000);
+    world.run_for(SETTLE_MS);
+    let appends_per_worker = world.log.appends as f64 / workers as f64;
+    let gateways: Vec<usize> = (0..workers)
+        .filter(|host| world.hosts[*host].control.members().is_gateway())
+        .collect();
+    let known = |host: usize| world.hosts[host].control.members().members().len() as f64;
+    let known_mean = (0..workers).map(known).sum::<f64>() / workers as f64;
+    let known_gateway = gateways.iter().map(|host| known(*host)).fold(0.0, f64::max);
+    reset(&mut world);
+    let cpu = CpuTime::now();
+    world.run_for(STEADY_MS);
+    let cpu_us = cpu.elapsed_us();
+    let seconds = STEADY_MS as f64 / 1_000.0;
+    let per_daemon_s = seconds * workers as f64;
+    let traffic = |host: usize| {
+        let host = &world.hosts[host];
+        (host.sent_bytes + host.received_bytes) as f64
+    };
+    let bytes: f64 = (0..workers).map(traffic).sum();
+    let messages: u64 = world.hosts.iter().map(|host| host.messages).sum();
+    let log_bytes: u64 = world.hosts.iter().map(|host| host.log_bytes).sum();
+    let gateway_bytes = gateways
+        .iter()
+        .map(|host| traffic(*host))
+        .fold(0.0, f64::max);
+    let bytes_per_restart = restarts(&mut world, bytes / per_daemon_s);
+    let (zone_restart_bytes, zone_restart_appends_per_s) = zone_restart(&mut world);
+    Row {
+        workers: workers as f64,
+        known_mean,
+        known_gateway,
+        messages_per_s: messages as f64 / per_daemon_s,
+        bytes_per_s: bytes / per_daemon_s,
+        gateway_bytes_per_s: gateway_bytes / seconds,
+        log_bytes_per_s: log_bytes as f64 / per_daemon_s,
+        cpu_us_per_s: cpu_us / per_daemon_s,
+        bytes_per_restart,
+        appends_per_worker,
+        zone_restart_bytes,
+        zone_restart_appends_per_s,
+    }
+}
+
+/// Bytes that one restart costs each daemon beyond the steady state.
+fn restarts(world: &mut ControlWorld, steady_bytes_per_s: f64) -> f64 {
+    reset(world);
+    let workers = world.hosts.len();
+    for restart in 0..RESTARTS {
+        let host = restart * (workers / RESTARTS);
+        world.announce(host, ServerState::Leaving);
+        world.run_for(500);
+        world.kill(host);
+        world.replace(host, 0);
+        world.run_for(RESTART_MS);
+    }
+    let seconds = RESTARTS as f64 * (RESTART_MS + 500) as f64 / 1_000.0;
+    let bytes: u64 = world
+        .hosts
+        .iter()
+        .map(|host| host.sent_bytes + host.received_bytes)
+        .sum();
+    let mean = bytes as f64 / workers as f64;
+    ((mean - steady_bytes_per_s * seconds) / RESTARTS as f64).max(0.0)
+}
+
+/// All workers of one zone restart at once: bytes for each of them in the first
+/// 20 s, and the busiest second of appends to the log.
+fn zone_restart(world: &mut ControlWorld) -> (f64, f64) {
+    reset(world);
+    let zone: Vec<usize> = (0..world.hosts.len())
+        .filter(|host| host % ZONES == 1)
+        .collect();
+    for host in &zone {
+        world.kill(*host);
+        world.replace(*host, 0);
+    }
+    let mut busiest = 0;
+    for _ in 0..20 {
+        let before = world.log.appends;
+        world.run_for(1_000);
+        busiest = busiest.max(world.log.appends - before);
+    }
+    let bytes: u64 = zone
+        .iter()
+        .map(|host| &world.hosts[*host])
+        .map(|host| host.sent_bytes + host.received_bytes + host.log_bytes)
+        .sum();
+    (bytes as f64 / zone.len() as f64, busiest as f64)
+}
+
+fn reset(world: &mut ControlWorld) {
+    for host in &mut world.hosts {
+        host.sent_bytes = 0;
+        host.received_bytes = 0;
+        host.messages = 0;
+        host.log_bytes = 0;
+    }
+}
+
+fn plans(workers: usize) -> Vec<ControlPlan> {
+    let services = ((workers as f64 / WORKERS_PER_SERVICE) as usize).max(1);
+    let service =
+        |index: usize| -> ServiceName { format!("service-{}", index % services).as_str().into() };
+    (0..workers)
+        .map(|worker| {
+            let zone = worker % ZONES;
+            ControlPlan {
+                place: Place {
+                    region: format!("region-{}", zone % REGIONS).as_str().into(),
+                    zone: format!("zone-{zone}").as_str().into(),
+                },
+                service: service(worker),
+                calls: (1..=CALLED_SERVICES)
+                    .map(|step| service(worker + step * 31))
+                    .collect(),
+            }
+        })
+        .collect()
+}
+
+fn print_rows(rows: &[Row]) {
+    println!();
+    println!(
+        "workers  known  known by a gateway  messages/s  bytes/s  bytes/s at the busiest gateway  log bytes/s  processor us/s  bytes a restart  appends a worker  bytes a zone restart  appends/s at a zone restart"
+    );
+    for row in rows {
+        println!(
+            "{:>7} {:>6.0} {:>19.0} {:>11.2} {:>8.0} {:>31.0} {:>12.0} {:>15.0} {:>16.0} {:>17.2} {:>21.0} {:>27.0}",
+            row.workers,
+            row.known_mean,
+            row.known_gateway,
+            row.messages_per_s,
+            row.bytes_per_s,
+            row.gateway_bytes_per_s,
+            row.log_bytes_per_s,
+            row.cpu_us_per_s,
+            row.bytes_per_restart,
+            row.appends_per_worker,
+            row.zone_restart_bytes,
+            row.zone_restart_appends_per_s,
+        );
+    }
+}
+
+type Column = (&'static str, fn(&Row) -> f64);
+
+const COLUMNS: [Column; 8] = [
+    ("announcements known", |row| row.known_mean),
+    ("announcements known by a gateway", |row| row.known_gateway),
+    ("bytes/s", |row| row.bytes_per_s),
+    ("bytes/s at the busiest gateway", |row| {
+        row.gateway_bytes_per_s
+    }),
+    ("log bytes/s", |row| row.log_bytes_per_s),
+    ("processor us/s", |row| row.cpu_us_per_s),
+    ("bytes a restart", |row| row.bytes_per_restart),
+    ("bytes a zone restart", |row| row.zone_restart_bytes),
+];
+
+fn print_fits(rows: &[Row]) {
+    println!();
+    println!("fit over the workers: value = base + slope * workers");
+    for (name, value) in COLUMNS {
+        let points: Vec<(f64, f64)> = rows.iter().map(|row| (row.workers, value(row))).collect();
+        let (base, slope) = fit(&points);
+        let at = |workers: f64| base + slope * workers;
+        let error = points
+            .iter()
+            .map(|(workers, value)| (at(*workers) - value).abs() / value.abs().max(1.0))
+            .fold(0.0, f64::max);
+        println!(
+            "{name:<34} base {base:>10.1}  slope {slope:>9.4}  largest error {:>5.1}%  at 6,100: {:>10.0}",
+            error * 100.0,
+            at(TARGET_WORKERS)
+        );
+    }
+}
+
+/// Least squares through the points.
+fn fit(points: &[(f64, f64)]) -> (f64, f64) {
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let covariance: f64 = points
+        .iter()
+        .map(|(x, y)| (x - mean_x) * (y - mean_y))
+        .sum();
+    let variance: f64 = points.iter().map(|(x, _)| (x - mean_x).powi(2)).sum();
+    let slope = covariance / variance;
+    (mean_y - slope * mean_x, slope)
+}
+
+/// Resident memory for each announcement, each decoded on its own as from the network.
+fn print_memory() {
+    println!("announcements  resident bytes each");
+    let world = ControlWorld::new(3, plans(1), 0);
+    let announcement = Announcement {
+        vm: world.hosts[0].vm.clone(),
+        service: "service-0".into(),
+        slots: 110,
+        connections: 750,
+        state: ServerState::Serving,
+        started_ms: 1,
+        sequence: 1,
+    };
+    let mut kept = Vec::new();
+    for count in [1_000_usize, 2_000, 4_000, 6_100] {
+        let before = resident_bytes();
+        let mut tables = Vec::new();
+        for _ in 0..20 {
+            let mut members = Members::default();
+            for host in 0..count {
+                let mut one = announcement.clone();
+                one.vm.worker.address = control::address(host, 0);
+                one.vm.control_address = control::address(host, 1);
+                let encoded = serde_json::to_vec(&one).unwrap_or_default();
+                if let Ok(decoded) = serde_json::from_slice::<Announcement>(&encoded) {
+                    members.merge(&std::sync::Arc::new(decoded));
+                }
+            }
+            tables.push(members);
+        }
+        let bytes = (resident_bytes() - before) / (20.0 * count as f64);
+        println!("{count:>13} {bytes:>20.0}");
+        kept.push(tables);
+    }
+}
+
+fn resident_bytes() -> f64 {
+    let statm = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1);
+    pages
+        .and_then(|pages| pages.parse::<f64>().ok())
+        .unwrap_or(0.0)
+        * 4_096.0
+}
+
+/// Processor time of this thread; wall time where the system does not tell.
+struct CpuTime {
+    busy_us: Option<f64>,
+    started: Instant,
+}
+
+impl CpuTime {
+    fn now() -> CpuTime {
+        CpuTime {
+            busy_us: busy_us(),
+            started: Instant::now(),
+        }
+    }
+
+    fn elapsed_us(&self) -> f64 {
+        match (self.busy_us, busy_us()) {
+            (Some(before), Some(now)) => now - before,
+            _ => self.started.elapsed().as_micros() as f64,
+        }
+    }
+}
+
+fn busy_us() -> Option<f64> {
+    let schedstat = std::fs::read_to_string("/proc/thread-self/schedstat").ok()?;
+    let busy_ns: f64 = schedstat.split_whitespace().next()?.parse().ok()?;
+    Some(busy_ns / 1_000.0)
+}
--- a/src/decide/control/interests.rs
+++ b/src/decide/control/interests.rs
@@ -8,7 +8,7 @@
 /// A service that has not been called for this long is dropped, in milliseconds.
 const INTEREST_LIFE_MS: u64 = 3_600_000;
 /// A subscriber that has not asked for this long is dropped, in milliseconds.
-const SUBSCRIPTION_LIFE_MS: u64 = 30_000;
+const SUBSCRIPTION_LIFE_MS: u64 = 60_000;
 
 /// Services whose workers outside the zone this daemon wants to know.
 #[derive(Debug, Default)]
--- a/src/decide/control/member_control.rs
+++ b/src/decide/control/member_control.rs
@@ -13,7 +13,7 @@
 
 use super::gateways::gateways;
 use super::interests::Interests;
-use super::members::{BUCKETS, BucketDigests, Members, rank};
+use super::members::{BUCKETS, BucketDigests, Members, Rank, rank};
 use super::record::{LogBatch, LogRecord, Stream};
 use super::verdict::{AnnouncementVersion, QUORUM, Verdicts};
 use super::{ControlAction, ControlMessage, ControlTurn};
@@ -26,17 +26,25 @@
 /// Time for which the hashing must name a daemon before it becomes a gateway, in milliseconds.
 const GATEWAY_SETTLE_MS: u64 = 3_000;
 /// Time between two comparisons with an own gateway, in milliseconds.
-const INTEREST_INTERVAL_MS: u64 = 5_000;
+const INTEREST_INTERVAL_MS: u64 = 15_000;
+/// The same for a while after a service was called first, in milliseconds.
+const NEW_INTEREST_INTERVAL_MS: u64 = 2_000;
+/// How long that while is, in milliseconds: gateways find each other within it.
+const NEW_INTEREST_MS: u64 = 20_000;
 /// Time that news are gathered before they are pushed, in milliseconds.
 const PUSH_INTERVAL_MS: u64 = 200;
 /// Zone peers that news are pushed to.
 const PUSH_FANOUT: usize = 3;
+/// From this many on, news are pushed to one zone peer only: the digests do the rest.
+const BULK_NEWS: usize = 16;
+/// Time between two comparisons by bucket that this daemon begins, in milliseconds.
+const BUCKETS_INTERVAL_MS: u64 = 500;
 /// Time between two reads of the log, in milliseconds.
 const LOG_INTERVAL_MS: u64 = 5_000;
 /// Time between two reads of the log while no peer is known, in milliseconds.
 const SEARCH_INTERVAL_MS: u64 = 500;
 /// Records read from the end of the log to find a peer.
-const TAIL_RECORDS: u32 = 400;
+const TAIL_RECORDS: u32 = 200;
 /// Mean time between two renewals of an announcement, in milliseconds.
 const RENEW_INTERVAL_MS: u64 = 1_800_000;
 /// A first announcement is put on the log within this time, in milliseconds.
@@ -66,15 +74,18 @@
         /// One digest for each bucket.
         digests: Vec<u64>,
     },
-    /// What the sender knows in the buckets that differ; the receiver answers what it knows better.
+    /// Versions that the sender knows in the buckets that differ. The receiver
+    /// answers what it knows better, and asks for what it knows worse.
     Differing {
         /// The zone.
         zone: ZoneName,
         /// Numbers of the buckets.
         buckets: Vec<u8>,
         /// What the sender knows in them.
-        known: Vec<Arc<Announcement>>,
+        versions: Vec<(SocketAddr, Rank)>,
     },
+    /// Asks for announcements by address.
+    Want(Vec<SocketAddr>),
     /// Announcements that are news to the receiver, as the sender believes.
     Known(Vec<Arc<Announcement>>),
     /// Services that the sender calls, with its digest of each.
@@ -107,10 +118,12 @@
     ring: Vec<SocketAddr>,
     news: Vec<Arc<Announcement>>,
     refreshed: BTreeMap<SocketAddr, TimeMs>,
+    compared: BTreeMap<ZoneName, TimeMs>,
     gateway: bool,
     named_since: Option<TimeMs>,
     changed: bool,
     next_offset: u64,
+    interest_is_new_until: TimeMs,
     due: Due,
 }
 
@@ -140,10 +153,12 @@
             ring: Vec::new(),
             news: Vec::new(),
             refreshed: BTreeMap::new(),
+            compared: BTreeMap::new(),
             gateway: false,
             named_since: None,
             changed: false,
             next_offset: 0,
+            interest_is_new_until: TimeMs::default(),
             due: Due::default(),
         }
     }
@@ -153,9 +168,13 @@
         self.hints = hints;
     }
 
-    /// The workers known here.
+    /// The workers that calls from here may go to.
     pub fn workers(&self) -> Vec<Announcement> {
-        self.members.snapshot()
+        self.members
+            .all()
+            .filter(|known| self.needs(known))
+            .map(|known| Announcement::clone(known))
+            .collect()
     }
 
     /// All that is known here.
@@ -198,6 +217,7 @@
     pub fn service_called(&mut self, turn: &mut ControlTurn<'_>, service: &ServiceName) {
         if self.interests.called(turn.now, service) {
             self.due.interest = turn.now;
+            self.interest_is_new_until = turn.now.plus_ms(NEW_INTEREST_MS);
             self.changed = true;
         }
     }
@@ -241,8 +261,15 @@
             MemberMessage::Differing {
                 zone,
                 buckets,
-                known,
-            } => self.settle_difference(turn, from, &zone, &buckets, &known),
+                versions,
+            } => self.settle_difference(turn, from, &zone, &buckets, &versions),
+            MemberMessage::Want(addresses) => {
+                let known: Vec<Arc<Announcement>> = addresses
+                    .iter()
+                    .filter_map(|address| self.members.get(*address).cloned())
+                    .collect();
+                send(turn, from, MemberMessage::Known(known));
+            }
             MemberMessage::Known(known) => self.learn_all(turn, &known),
             MemberMessage::Interest(services) => self.answer_interest(turn, from, &services),
             MemberMessage::Doubt { worker, version } => {
@@ -291,7 +318,12 @@
             self.compare_with_another_zone(turn);
         }
         if now >= self.due.interest {
-            self.due.interest = now.plus_ms(INTEREST_INTERVAL_MS);
+            let is_new = now < self.interest_is_new_until;
+            self.due.interest = now.plus_ms(if is_new {
+                NEW_INTEREST_INTERVAL_MS
+            } else {
+                INTEREST_INTERVAL_MS
+            });
             self.ask_gateway(turn);
         }
         if now >= self.due.push {
@@ -307,7 +339,7 @@
             self.expire(now);
         }
         if std::mem::take(&mut self.changed) {
-            let workers = self.members.snapshot();
+            let workers = self.workers();
             turn.actions.push(ControlAction::WorkersLearned(workers));
         }
     }
@@ -352,13 +384,18 @@
         if self.contradicts_me(announcement) {
             return self.announce_local(turn);
         }
-        if !self.keeps(announcement) || !self.members.merge(announcement) {
+        if !self.keeps(announcement) {
             return;
         }
         let address = announcement.vm.worker.address;
+        let before = self.members.get(address).cloned();
+        if !self.members.merge(announcement) {
+            return;
+        }
         self.refreshed.insert(address, turn.now);
         self.news.push(Arc::clone(announcement));
-        self.changed = true;
+        let renewed_only = before.is_some_and(|before| is_renewal(&before, announcement));
+        self.changed |= !renewed_only && self.needs(announcement);
     }
 
     fn learn_all(&mut self, turn: &mut ControlTurn<'_>, announcements: &[Arc<Announcement>]) {
@@ -368,8 +405,12 @@
     }
 
     fn keeps(&self, announcement: &Announcement) -> bool {
-        self.gateway
-            || announcement.vm.place.zone == self.vm.place.zone
+        self.gateway || self.needs(announcement)
+    }
+
+    /// Whether calls from here may go to this worker.
+    fn needs(&self, announcement: &Announcement) -> bool {
+        announcement.vm.place.zone == self.vm.place.zone
             || self.interests.wants(&announcement.service)
     }
 
@@ -444,7 +485,12 @@
         }
     }
 
-    fn send_buckets(&self, turn: &mut ControlTurn<'_>, to: SocketAddr, zone: ZoneName) {
+    fn send_buckets(&mut self, turn: &mut ControlTurn<'_>, to: SocketAddr, zone: ZoneName) {
+        let last = self.compared.get(&zone).copied();
+        if last.is_some_and(|last| turn.now.since_ms(last) < BUCKETS_INTERVAL_MS) {
+            return;
+        }
+        self.compared.insert(zone.clone(), turn.now);
         let digests = self.members.zone_buckets(&zone).to_vec();
         send(turn, to, MemberMessage::Buckets { zone, digests });
     }
@@ -466,11 +512,16 @@
         let buckets = (0..BUCKETS as u8)
             .filter(|bucket| differs[usize::from(*bucket)])
             .collect();
-        let known = self.members.in_buckets(&zone, &differs);
+        let versions = self
+            .members
+            .in_buckets(&zone, &differs)
+            .iter()
+            .map(|known| (known.vm.worker.address, rank(known)))
+            .collect();
         let message = MemberMessage::Differing {
             zone,
             buckets,
-            known,
+            versions,
         };
         send(turn, from, message);
     }
@@ -481,7 +532,7 @@
         from: SocketAddr,
         zone: &ZoneName,
         buckets: &[u8],
-        theirs: &[Arc<Announcement>],
+        theirs: &[(SocketAddr, Rank)],
     ) {
         let mut differs = [false; BUCKETS];
         for bucket in buckets {
@@ -489,19 +540,26 @@
                 *flag = true;
             }
         }
-        self.learn_all(turn, theirs);
-        let sent: BTreeMap<SocketAddr, &Arc<Announcement>> = theirs
-            .iter()
-            .map(|known| (known.vm.worker.address, known))
-            .collect();
+        let sent: BTreeMap<SocketAddr, Rank> = theirs.iter().copied().collect();
         let mut better = self.members.in_buckets(zone, &differs);
-        better.retain(|ours| match sent.get(&ours.vm.worker.address) {
-            Some(theirs) => rank(ours) > rank(theirs),
-            None => true,
+        better.retain(|ours| {
+            let theirs = sent.get(&ours.vm.worker.address);
+            theirs.is_none_or(|theirs| rank(ours) > *theirs)
         });
         if !better.is_empty() {
             send(turn, from, MemberMessage::Known(better));
         }
+        let worse: Vec<SocketAddr> = theirs
+            .iter()
+            .filter(|(address, theirs)| {
+                let ours = self.members.get(*address);
+                ours.is_none_or(|ours| rank(ours) < *theirs)
+            })
+            .map(|(address, _)| *address)
+            .collect();
+        if !worse.is_empty() {
+            send(turn, from, MemberMessage::Want(worse));
+        }
     }
 
     /// A gateway compares all zones with a gateway of another zone.
@@ -632,15 +690,21 @@
             self.push_own_zone(turn, &own_zone);
         }
         if self.gateway && !elsewhere.is_empty() {
+            self.push_to_gateways(turn, &elsewhere);
             self.push_to_subscribers(turn, &elsewhere);
         }
     }
 
     fn push_own_zone(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
         let zone = self.vm.place.zone.clone();
+        let fanout = if news.len() < BULK_NEWS {
+            PUSH_FANOUT
+        } else {
+            1
+        };
         let mut targets: Vec<SocketAddr> = self
             .zone_peers()
-            .sample(turn.rng, PUSH_FANOUT)
+            .sample(turn.rng, fanout)
             .copied()
             .collect();
         let me = self.vm.worker.address;
@@ -661,6 +725,15 @@
         }
     }
 
+    /// News of another zone reach one gateway of this zone, which tells the others.
+    fn push_to_gateways(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
+        let mut others = gateways(&self.members, &self.vm.place.zone);
+        others.retain(|other| *other != self.vm.control_address);
+        for other in others {
+            send(turn, other, MemberMessage::Known(news.to_vec()));
+        }
+    }
+
     fn push_to_subscribers(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
         let mut by_subscriber: BTreeMap<SocketAddr, Vec<Arc<Announcement>>> = BTreeMap::new();
         for known in news {
@@ -756,6 +829,15 @@
     });
 }
 
+/// Whether two announcements differ in nothing that calls depend on.
+fn is_renewal(before: &Announcement, after: &Announcement) -> bool {
+    before.vm == after.vm
+        && before.service == after.service
+        && before.slots == after.slots
+        && before.connections == after.connections
+        && before.state == after.state
+}
+
 fn next_renewal(turn: &mut ControlTurn<'_>) -> TimeMs {
     let wait_ms = turn
         .rng
--- a/src/decide/control/members.rs
+++ b/src/decide/control/members.rs
@@ -20,7 +20,23 @@
     by_address: BTreeMap<SocketAddr, Arc<Announcement>>,
     by_control: HashMap<SocketAddr, SocketAddr>,
     by_service: HashMap<ServiceName, BTreeSet<SocketAddr>>,
-    zones: BTreeMap<ZoneName, BucketDigests>,
+    zones: BTreeMap<ZoneName, ZoneTable>,
+}
+
+/// The announcements of one zone.
+#[derive(Debug)]
+struct ZoneTable {
+    addresses: BTreeSet<SocketAddr>,
+    digests: BucketDigests,
+}
+
+impl Default for ZoneTable {
+    fn default() -> Self {
+        ZoneTable {
+            addresses: BTreeSet::new(),
+            digests: [0; BUCKETS],
+        }
+    }
 }
 
 impl Members {
@@ -75,8 +91,8 @@
 
     /// Announcements of workers in a zone that are not gone.
     pub fn alive_in_zone(&self, zone: &ZoneName) -> impl Iterator<Item = &Arc<Announcement>> {
-        self.all()
-            .filter(move |known| known.vm.place.zone == *zone && known.state != ServerState::Gone)
+        self.in_zone(zone)
+            .filter(|known| known.state != ServerState::Gone)
     }
 
     /// Announcements of a service outside a zone.
@@ -104,7 +120,8 @@
 
     /// Digests of a zone by bucket.
     pub fn zone_buckets(&self, zone: &ZoneName) -> BucketDigests {
-        self.zones.get(zone).copied().unwrap_or([0; BUCKETS])
+        let table = self.zones.get(zone);
+        table.map_or([0; BUCKETS], |table| table.digests)
     }
 
     /// One digest of a zone.
@@ -114,21 +131,17 @@
 
     /// Announcements in some buckets of a zone.
     pub fn in_buckets(&self, zone: &ZoneName, differs: &[bool; BUCKETS]) -> Vec<Arc<Announcement>> {
-        self.all()
-            .filter(|known| known.vm.place.zone == *zone)
+        self.in_zone(zone)
             .filter(|known| differs[bucket(known.vm.worker.address)])
             .cloned()
             .collect()
     }
 
-    /// All announcements, for the router.
-    pub fn snapshot(&self) -> Vec<Announcement> {
-        self.all().map(|known| Announcement::clone(known)).collect()
-    }
-
     fn index(&mut self, announcement: &Announcement) {
         let address = announcement.vm.worker.address;
         self.toggle_digest(announcement);
+        let zone = self.zones.entry(announcement.vm.place.zone.clone());
+        zone.or_default().addresses.insert(address);
         self.by_control
             .insert(announcement.vm.control_address, address);
         let addresses = self.by_service.entry(announcement.service.clone());
@@ -138,6 +151,9 @@
     fn unindex(&mut self, announcement: &Announcement) {
         let address = announcement.vm.worker.address;
         self.toggle_digest(announcement);
+        if let Some(zone) = self.zones.get_mut(&announcement.vm.place.zone) {
+            zone.addresses.remove(&address);
+        }
         self.by_control.remove(&announcement.vm.control_address);
         if let Some(addresses) = self.by_service.get_mut(&announcement.service) {
             addresses.remove(&address);
@@ -147,11 +163,21 @@
     /// Adds an announcement to its bucket's digest, or takes it out again.
     fn toggle_digest(&mut self, announcement: &Announcement) {
         let zone = announcement.vm.place.zone.clone();
-        let digests = self.zones.entry(zone).or_insert([0; BUCKETS]);
-        digests[bucket(announcement.vm.worker.address)] ^= entry_digest(announcement);
+        let table = self.zones.entry(zone).or_default();
+        table.digests[bucket(announcement.vm.worker.address)] ^= entry_digest(announcement);
+    }
+
+    fn in_zone(&self, zone: &ZoneName) -> impl Iterator<Item = &Arc<Announcement>> {
+        let addresses = self.zones.get(zone).into_iter();
+        addresses
+            .flat_map(|table| &table.addresses)
+            .filter_map(|address| self.by_address.get(address))
     }
 }
 
+/// Orders announcements with one address: the version, and whether the worker is gone.
+pub type Rank = ((u64, u64, u64), bool);
+
 /// One digest of all buckets.
 pub fn digest_of(digests: &[u64]) -> u64 {
     let mut hasher = Xxh3::new();
@@ -162,7 +188,7 @@
 }
 
 /// The order of announcements with one address.
-pub fn rank(announcement: &Announcement) -> ((u64, u64, u64), bool) {
+pub fn rank(announcement: &Announcement) -> Rank {
     let gone = announcement.state == ServerState::Gone;
     (announcement.version(), gone)
 }
