--- /dev/null
+++ b/src/cmd/drain.rs
@@ -0,0 +1,79 @@
+//! `burdockhall drain`
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::{Arg, ArgAction, ArgMatches, Command};
+
+use super::CmdError;
+use crate::config::client::{AdminClient, ClientError, Config};
+use crate::decide::life::Phase;
+use crate::net::admin::Health;
+use crate::net::admin_status::Status;
+use crate::util;
+
+/// Time between two looks at a draining daemon, in milliseconds.
+const LOOK_MS: u64 = 100;
+
+/// Usage.
+pub fn command() -> Command {
+    let command = Command::new("drain")
+        .about("Stops a daemon gracefully: no new work, everything in flight is finished")
+        .arg(
+            Arg::new("wait")
+                .long("wait")
+                .action(ArgAction::SetTrue)
+                .help("Return only when the daemon has stopped"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Print one JSON object"),
+        );
+    Config::args(command)
+}
+
+#[derive(Debug)]
+struct Args {
+    config: Config,
+    wait: bool,
+    json: bool,
+}
+
+/// Runs the command.
+pub fn run(matches: &ArgMatches) -> Result<(), CmdError> {
+    let args = Args {
+        config: Config::from_args(matches)?,
+        wait: matches.get_flag("wait"),
+        json: matches.get_flag("json"),
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(args.drain())
+}
+
+impl Args {
+    async fn drain(&self) -> Result<(), CmdError> {
+        let client = self.config.client()?;
+        let mut health: Health = client.post("/v1/drain", Bytes::new()).await?;
+        if self.wait {
+            until_stopped(&client).await?;
+            health.phase = Phase::Stopped;
+        }
+        if self.json {
+            return Ok(util::print_json(&health)?);
+        }
+        println!("the daemon is {}", health.phase);
+        Ok(())
+    }
+}
+
+async fn until_stopped(client: &AdminClient) -> Result<(), ClientError> {
+    loop {
+        match client.get::<Status>("/v1/status").await {
+            Ok(_) => tokio::time::sleep(Duration::from_millis(LOOK_MS)).await,
+            Err(ClientError::Net(_)) => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -1,34 +1,83 @@
 //! The one error type of the commands.
 
+use error_stack::{FrameKind, Report};
 use thiserror::Error;
 
 use crate::config::SettingsError;
+use crate::config::client::ClientError;
+use crate::decide::life::CutReason;
 use crate::net::NetError;
+use crate::net::drain::Unfinished;
 use crate::platform::log::LogError;
 
+/// Exit code for everything that has no code of its own.
+pub const EXIT_FAILURE: u8 = 1;
+/// Exit code for wrong input, such as settings or a sheet with errors.
+pub const EXIT_INPUT: u8 = 2;
+/// Exit code for a daemon that could not be asked, or that refused.
+pub const EXIT_REFUSED: u8 = 3;
+/// Exit code for a graceful shutdown that was cut short.
+pub const EXIT_CUT_SHORT: u8 = 4;
+
 /// What goes wrong in a command.
 #[derive(Debug, Error)]
 pub enum CmdError {
     /// Settings.
-    #[error(transparent)]
+    #[error("the settings cannot be used")]
     Settings(#[from] SettingsError),
+    /// Settings with errors that have been printed already.
+    #[error("the settings have {count} errors")]
+    SettingsChecked {
+        /// How many.
+        count: usize,
+    },
+    /// A daemon's administration API.
+    #[error("the daemon has not done what was asked")]
+    Client(#[from] ClientError),
     /// Network.
-    #[error(transparent)]
+    #[error("the network failed")]
     Net(#[from] NetError),
     /// Log service.
-    #[error(transparent)]
+    #[error("the log service failed")]
     Log(#[from] LogError),
     /// Input and output.
-    #[error(transparent)]
+    #[error("input or output failed")]
     Io(#[from] std::io::Error),
     /// Output as JSON.
-    #[error(transparent)]
+    #[error("the output cannot be written as JSON")]
     Json(#[from] serde_json::Error),
+    /// The daemon's own log lines.
+    #[error("the daemon's log lines cannot be written")]
+    Logs(#[from] spdlog::Error),
+    /// A shutdown that did not finish everything.
+    #[error("the shutdown was cut short ({reason}): {unfinished}")]
+    CutShort {
+        /// Why.
+        reason: CutReason,
+        /// What was unfinished.
+        unfinished: Unfinished,
+    },
 }
 
 impl CmdError {
-    /// Whether the user's input is at fault.
-    pub fn is_input(&self) -> bool {
-        matches!(self, CmdError::Settings(_))
+    /// The exit code that stands for the error.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CmdError::Settings(_) | CmdError::SettingsChecked { .. } => EXIT_INPUT,
+            CmdError::Client(error) if error.is_input() => EXIT_INPUT,
+            CmdError::Client(_) => EXIT_REFUSED,
+            CmdError::CutShort { .. } => EXIT_CUT_SHORT,
+            _ => EXIT_FAILURE,
+        }
+    }
+
+    /// The error with everything that led to it, for a person.
+    pub fn chain(self) -> String {
+        let report = Report::new(self);
+        let contexts = report.frames().filter_map(|frame| match frame.kind() {
+            FrameKind::Context(context) => Some(context.to_string()),
+            FrameKind::Attachment(_) => None,
+        });
+        contexts.collect::<Vec<_>>().join("\n  because: ")
     }
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,10 +1,13 @@
 //! The commands, one file each.
 
 pub mod daemon;
+pub mod drain;
 pub mod error;
 pub mod settings;
+pub mod status;
 pub mod trial;
 pub mod version;
+pub mod workers;
 
 use std::process::ExitCode;
 
@@ -12,10 +15,13 @@
 
 pub use error::CmdError;
 
-/// Exit code for wrong input, such as settings or a sheet with errors.
-const EXIT_INPUT: u8 = 2;
-/// Exit code for everything else that goes wrong.
-const EXIT_FAILURE: u8 = 1;
+const EXIT_CODES: &str = "\
+Exit codes:
+  0  done
+  1  failed
+  2  wrong input: the command line, settings or a sheet with errors, no token
+  3  the daemon could not be asked, or it refused
+  4  a graceful shutdown was cut short";
 
 /// Parses the command line and runs the command named there.
 pub fn main() -> ExitCode {
@@ -23,12 +29,9 @@
     match run(&matches) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("burdockhall: {error}");
-            ExitCode::from(if error.is_input() {
-                EXIT_INPUT
-            } else {
-                EXIT_FAILURE
-            })
+            let code = error.exit_code();
+            eprintln!("burdockhall: {}", error.chain());
+            ExitCode::from(code)
         }
     }
 }
@@ -37,12 +40,21 @@
 pub fn command() -> Command {
     Command::new("burdockhall")
         .about("Overload control for service call graphs")
+        .long_about(
+            "Overload control for service call graphs. One daemon runs beside each backend \
+             server; it admits, sheds, routes and retries requests by the planning sheet in \
+             force. Start with `burdockhall trial`, which needs nothing else, or with \
+             `burdockhall settings example`.",
+        )
         .version(clap::crate_version!())
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .after_help("Exit codes: 0 done, 1 failed, 2 wrong input.")
+        .after_help(EXIT_CODES)
         .subcommand(daemon::command())
         .subcommand(settings::command())
+        .subcommand(status::command())
+        .subcommand(workers::command())
+        .subcommand(drain::command())
         .subcommand(trial::command())
         .subcommand(version::command())
 }
@@ -51,6 +63,9 @@
     match matches.subcommand() {
         Some(("daemon", matches)) => daemon::run(matches),
         Some(("settings", matches)) => settings::run(matches),
+        Some(("status", matches)) => status::run(matches),
+        Some(("workers", matches)) => workers::run(matches),
+        Some(("drain", matches)) => drain::run(matches),
         Some(("trial", matches)) => trial::run(matches),
         Some(("version", matches)) => version::run(matches),
         _ => Ok(()),
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -2,10 +2,11 @@
 
 use std::path::PathBuf;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use serde::Serialize;
 
 use super::CmdError;
-use crate::config::Settings;
+use crate::config::{Finding, Settings, SettingsError, document};
 use crate::util;
 
 /// First port of the example.
@@ -14,47 +15,91 @@
 /// Usage.
 pub fn command() -> Command {
     Command::new("settings")
-        .about("Checks settings or prints an example")
+        .about("Checks, explains or prints settings")
         .subcommand_required(true)
         .subcommand(
-            Command::new("check").about("Checks a settings file").arg(
-                Arg::new("file")
-                    .required(true)
-                    .value_parser(value_parser!(PathBuf))
-                    .help("The settings file"),
-            ),
+            Command::new("check")
+                .about("Checks a settings file and prints every error with its remedy")
+                .arg(
+                    Arg::new("file")
+                        .required(true)
+                        .value_name("FILE")
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The settings file"),
+                )
+                .arg(
+                    Arg::new("json")
+                        .long("json")
+                        .action(ArgAction::SetTrue)
+                        .help("Print one JSON object"),
+                ),
+        )
+        .subcommand(Command::new("example").about("Prints complete settings that pass the check"))
+        .subcommand(
+            Command::new("describe").about("Prints each field with its bounds and its meaning"),
         )
-        .subcommand(Command::new("example").about("Prints complete settings"))
 }
 
 #[derive(Debug)]
 struct Args {
-    file: Option<PathBuf>,
+    file: PathBuf,
+    json: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Checked<'a> {
+    file: String,
+    errors: &'a [Finding],
 }
 
 /// Runs the command.
 pub fn run(matches: &ArgMatches) -> Result<(), CmdError> {
-    let args = Args {
-        file: matches
-            .subcommand_matches("check")
-            .and_then(|matches| matches.get_one("file").cloned()),
-    };
-    match &args.file {
-        Some(_) => args.check(),
-        None => args.example(),
+    match matches.subcommand() {
+        Some(("check", matches)) => {
+            let args = Args {
+                file: matches.get_one("file").cloned().unwrap_or_default(),
+                json: matches.get_flag("json"),
+            };
+            args.check()
+        }
+        Some(("describe", _)) => describe(),
+        _ => Ok(util::print_json(&Settings::example(EXAMPLE_PORT))?),
     }
 }
 
 impl Args {
     fn check(&self) -> Result<(), CmdError> {
-        if let Some(file) = &self.file {
-            Settings::read(file)?;
-            println!("{}: no errors", file.display());
+        let findings = match Settings::read(&self.file) {
+            Ok(_) => Vec::new(),
+            Err(SettingsError::Invalid { findings, .. }) => findings,
+            Err(error) => return Err(error.into()),
+        };
+        self.print(&findings)?;
+        if findings.is_empty() {
+            return Ok(());
         }
-        Ok(())
+        let count = findings.len();
+        Err(CmdError::SettingsChecked { count })
     }
 
-    fn example(&self) -> Result<(), CmdError> {
-        Ok(util::print_json(&Settings::example(EXAMPLE_PORT))?)
+    fn print(&self, findings: &[Finding]) -> Result<(), CmdError> {
+        if self.json {
+            let checked = Checked {
+                file: self.file.display().to_string(),
+                errors: findings,
+            };
+            return Ok(util::print_json(&checked)?);
+        }
+        for finding in findings {
+            println!("{finding}");
+        }
+        println!("{}: {} errors", self.file.display(), findings.len());
+        Ok(())
     }
 }
+
+fn describe() -> Result<(), CmdError> {
+    let example = serde_json::to_value(Settings::example(EXAMPLE_PORT))?;
+    print!("{}", document::reference(&example));
+    Ok(())
+}
--- /dev/null
+++ b/src/config/check.rs
@@ -0,0 +1,258 @@
+//! Checks a settings file against the schema and finds every error at once.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::schema::{Field, Kind, SETTINGS};
+use super::{Settings, rules};
+use crate::util;
+
+/// Port of the example that stands in for wrong or missing values during the check.
+const DEFAULTS_PORT: u16 = 7100;
+/// Longest value quoted in an error, in characters.
+const MAX_QUOTED_CHARS: usize = 60;
+
+/// One error in a settings file.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Finding {
+    /// Where, such as `admin.tokens[2].role`.
+    pub path: String,
+    /// What stands there, if anything does. Tokens are not quoted.
+    pub found: Option<String>,
+    /// What is wrong.
+    pub problem: String,
+    /// What to do about it.
+    pub remedy: String,
+}
+
+impl std::fmt::Display for Finding {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}", self.path)?;
+        if let Some(found) = &self.found {
+            write!(f, " is {found}")?;
+        }
+        write!(f, ": {}; {}", self.problem, self.remedy)
+    }
+}
+
+/// All findings as text, one a line after a line with their number.
+pub fn summary(findings: &[Finding]) -> String {
+    let plural = if findings.len() == 1 { "" } else { "s" };
+    let mut text = format!("{} error{plural}", findings.len());
+    for finding in findings {
+        text.push_str(&format!("\n  {finding}"));
+    }
+    text
+}
+
+/// Turns the JSON of a settings file into settings, or into every error in it.
+///
+/// A wrong value is replaced by the example's for the rest of the check, so that one
+/// error does not hide another.
+pub fn settings(value: Value) -> Result<Settings, Vec<Finding>> {
+    let mut checker = Checker::default();
+    let defaults = serde_json::to_value(Settings::example(DEFAULTS_PORT)).unwrap_or_default();
+    let repaired = checker.group("", SETTINGS, value, &defaults);
+    let parsed: Settings = match serde_json::from_value(repaired) {
+        Ok(parsed) => parsed,
+        Err(error) => {
+            checker.add("", None, &error.to_string(), "correct the value");
+            return Err(checker.findings);
+        }
+    };
+    for broken in rules::broken(&parsed) {
+        let path = &broken.finding.path;
+        if !checker.has_error_at(path) && !checker.has_error_at(&broken.other) {
+            checker.findings.push(broken.finding);
+        }
+    }
+    if checker.findings.is_empty() {
+        return Ok(parsed);
+    }
+    Err(checker.findings)
+}
+
+#[derive(Debug, Default)]
+struct Checker {
+    findings: Vec<Finding>,
+}
+
+impl Checker {
+    fn add(&mut self, path: &str, found: Option<String>, problem: &str, remedy: &str) {
+        self.findings.push(Finding {
+            path: if path.is_empty() { "the file" } else { path }.to_owned(),
+            found,
+            problem: problem.to_owned(),
+            remedy: remedy.to_owned(),
+        });
+    }
+
+    fn has_error_at(&self, path: &str) -> bool {
+        self.findings.iter().any(|known| {
+            let inner = path.strip_prefix(known.path.as_str());
+            inner.is_some_and(|rest| rest.is_empty() || rest.starts_with(['.', '[']))
+        })
+    }
+
+    fn group(&mut self, path: &str, fields: &[Field], value: Value, defaults: &Value) -> Value {
+        let Value::Object(mut given) = value else {
+            self.add(
+                path,
+                Some(quoted(&value)),
+                "this must be an object",
+                "write it in braces, as `burdockhall settings example` does",
+            );
+            return defaults.clone();
+        };
+        let mut checked = Map::new();
+        for field in fields {
+            let inner = join(path, field.name);
+            let default = &defaults[field.name];
+            let value = match given.remove(field.name) {
+                Some(value) => self.field(&inner, &field.kind, value, default),
+                None => {
+                    if field.required {
+                        let remedy = format!("add it: {}", field.help);
+                        self.add(&inner, None, "this field is missing", &remedy);
+                    }
+                    default.clone()
+                }
+            };
+            checked.insert(field.name.to_owned(), value);
+        }
+        for (name, value) in &given {
+            self.unknown(path, fields, name, value);
+        }
+        Value::Object(checked)
+    }
+
+    fn unknown(&mut self, path: &str, fields: &[Field], name: &str, value: &Value) {
+        let names = fields.iter().map(|field| field.name);
+        let remedy = match util::closest(name, names.clone()) {
+            Some(meant) => format!("did you mean `{meant}`?"),
+            None => format!("known fields: {}", names.collect::<Vec<_>>().join(", ")),
+        };
+        let inner = join(path, name);
+        self.add(&inner, Some(quoted(value)), "no such field", &remedy);
+    }
+
+    fn field(&mut self, path: &str, kind: &Kind, value: Value, default: &Value) -> Value {
+        match kind {
+            Kind::Group(fields) => return self.group(path, fields, value, default),
+            Kind::List(inner) => return self.list(path, inner, value, default),
+            _ => {}
+        }
+        let Err((problem, remedy)) = scalar(kind, &value) else {
+            return value;
+        };
+        let secret = path.ends_with(".token");
+        let found = if secret {
+            "not shown".to_owned()
+        } else {
+            quoted(&value)
+        };
+        self.add(path, Some(found), &problem, &remedy);
+        default.clone()
+    }
+
+    fn list(&mut self, path: &str, kind: &Kind, value: Value, default: &Value) -> Value {
+        let Value::Array(items) = value else {
+            let remedy = "write it in brackets, `[]` for none";
+            self.add(path, Some(quoted(&value)), "this must be an array", remedy);
+            return default.clone();
+        };
+        let stand_in = match kind {
+            Kind::Group(_) => default[0].clone(),
+            _ => Value::from("stand-in"),
+        };
+        let checked = items.into_iter().enumerate().map(|(index, item)| {
+            let inner = format!("{path}[{index}]");
+            self.field(&inner, kind, item, &stand_in)
+        });
+        Value::Array(checked.collect())
+    }
+}
+
+fn scalar(kind: &Kind, value: &Value) -> Result<(), (String, String)> {
+    let wrong = |problem: &str, remedy: String| Err((problem.to_owned(), remedy));
+    match kind {
+        Kind::Text { min_chars } => match value.as_str() {
+            Some(text) if text.trim().chars().count() >= *min_chars => Ok(()),
+            Some(_) if *min_chars == 1 => wrong("this is empty", "give it a name".to_owned()),
+            Some(_) => wrong(
+                "this is too short",
+                format!("use at least {min_chars} characters"),
+            ),
+            None => wrong("this must be text", "write it in quotes".to_owned()),
+        },
+        Kind::Address { loopback } => address(*loopback, value),
+        Kind::Flag => match value {
+            Value::Bool(_) => Ok(()),
+            _ => wrong(
+                "this must be true or false",
+                "write `true` or `false` without quotes".to_owned(),
+            ),
+        },
+        Kind::Number { min, max } => match value.as_u64() {
+            Some(number) if (*min..=*max).contains(&number) => Ok(()),
+            Some(_) => wrong(
+                "this is out of bounds",
+                format!("use a number from {min} to {max}"),
+            ),
+            None => wrong(
+                "this must be a whole number",
+                format!("write a number from {min} to {max} without quotes"),
+            ),
+        },
+        Kind::Choice(names) => match value.as_str() {
+            Some(name) if names.contains(&name) => Ok(()),
+            _ => wrong(
+                "this is not one of the names known",
+                format!("use one of {}", names.join(", ")),
+            ),
+        },
+        Kind::Group(_) | Kind::List(_) => Ok(()),
+    }
+}
+
+fn address(loopback: bool, value: &Value) -> Result<(), (String, String)> {
+    let parsed = value.as_str().and_then(|text| text.parse().ok());
+    let Some(address): Option<SocketAddr> = parsed else {
+        return Err((
+            "this is not an address".to_owned(),
+            "write IP:PORT in quotes, such as \"127.0.0.1:7100\"; names are not looked up"
+                .to_owned(),
+        ));
+    };
+    if address.port() == 0 {
+        return Err((
+            "port 0 is no port".to_owned(),
+            "use a port from 1 to 65535".to_owned(),
+        ));
+    }
+    if loopback && !address.ip().is_loopback() {
+        return Err((
+            "this must be a loopback address, since it is reached from this VM alone".to_owned(),
+            format!("use 127.0.0.1:{}", address.port()),
+        ));
+    }
+    Ok(())
+}
+
+fn join(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        return name.to_owned();
+    }
+    format!("{path}.{name}")
+}
+
+fn quoted(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= MAX_QUOTED_CHARS {
+        return text;
+    }
+    let head: String = text.chars().take(MAX_QUOTED_CHARS).collect();
+    format!("{head}...")
+}
--- /dev/null
+++ b/src/config/client.rs
@@ -0,0 +1,217 @@
+//! How the commands reach a daemon's administration API: address and token, given once for all.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use bytes::Bytes;
+use clap::{Arg, ArgMatches, Command, value_parser};
+use http_body_util::Full;
+use hyper::header::AUTHORIZATION;
+use hyper::{Method, Request, StatusCode};
+use serde::de::DeserializeOwned;
+use thiserror::Error;
+
+use super::{Settings, SettingsError};
+use crate::net::NetError;
+use crate::net::http::{self, ErrorBody, HttpClient};
+
+/// The environment variable that holds a token.
+pub const TOKEN_VARIABLE: &str = "BURDOCKHALL_TOKEN";
+/// First port of the example settings, whose administration API is asked by default.
+const EXAMPLE_PORT: u16 = 7100;
+/// Longest wait for an answer, in milliseconds.
+const TIMEOUT_MS: u64 = 30_000;
+
+/// What goes wrong between a command and a daemon.
+#[derive(Debug, Error)]
+pub enum ClientError {
+    /// No token was given.
+    #[error("no token: give --token-file FILE or set the environment variable {TOKEN_VARIABLE}")]
+    NoToken,
+    /// The file with the token cannot be read.
+    #[error("cannot read the token from {path}")]
+    TokenFile {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// The settings that were to give the address are wrong.
+    #[error("the daemon's address cannot be read from its settings")]
+    Settings(#[from] SettingsError),
+    /// The daemon refused.
+    #[error("the daemon at {address} refused with status {status}: {message}")]
+    Refused {
+        /// The daemon.
+        address: SocketAddr,
+        /// HTTP status.
+        status: u16,
+        /// What it says.
+        message: String,
+    },
+    /// The daemon cannot be reached.
+    #[error("the daemon cannot be asked; is it running, and is --admin its `admin_address`?")]
+    Net(#[from] NetError),
+    /// The daemon's answer is not what was expected.
+    #[error("the answer of the daemon at {address} makes no sense")]
+    Answer {
+        /// The daemon.
+        address: SocketAddr,
+        /// The cause.
+        source: serde_json::Error,
+    },
+}
+
+impl ClientError {
+    /// Whether the user's input is at fault.
+    pub fn is_input(&self) -> bool {
+        matches!(
+            self,
+            ClientError::NoToken | ClientError::TokenFile { .. } | ClientError::Settings(_)
+        )
+    }
+}
+
+/// Builds the [`AdminClient`] of a command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Config {
+    admin: SocketAddr,
+    token_file: Option<PathBuf>,
+}
+
+impl Config {
+    /// Adds the arguments that all commands which talk to a daemon share.
+    pub fn args(command: Command) -> Command {
+        command
+            .arg(
+                Arg::new("admin")
+                    .long("admin")
+                    .value_name("IP:PORT")
+                    .value_parser(value_parser!(SocketAddr))
+                    .conflicts_with("settings")
+                    .help("The daemon's `admin_address` [default: 127.0.0.1:7104]"),
+            )
+            .arg(
+                Arg::new("settings")
+                    .long("settings")
+                    .value_name("FILE")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("Take the address from the daemon's settings file"),
+            )
+            .arg(
+                Arg::new("token-file")
+                    .long("token-file")
+                    .value_name("FILE")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("A file that holds the token; else the variable BURDOCKHALL_TOKEN does"),
+            )
+    }
+
+    /// Takes over what [`Config::args`] has parsed.
+    pub fn from_args(matches: &ArgMatches) -> Result<Config, ClientError> {
+        let settings = matches.get_one::<PathBuf>("settings");
+        let admin = match (matches.get_one::<SocketAddr>("admin"), settings) {
+            (Some(admin), _) => *admin,
+            (None, Some(file)) => Settings::read(file)?.admin_address,
+            (None, None) => Settings::example(EXAMPLE_PORT).admin_address,
+        };
+        Ok(Config::new(admin).token_file(matches.get_one::<PathBuf>("token-file").cloned()))
+    }
+
+    /// A client of the API at `admin` with the token from the environment.
+    pub fn new(admin: SocketAddr) -> Config {
+        Config {
+            admin,
+            token_file: None,
+        }
+    }
+
+    /// Takes the token from a file instead, if one is given.
+    pub fn token_file(mut self, file: Option<PathBuf>) -> Config {
+        self.token_file = file;
+        self
+    }
+
+    /// Reads the token and makes the client.
+    pub fn client(&self) -> Result<AdminClient, ClientError> {
+        let token = match &self.token_file {
+            Some(file) => read_token(file)?,
+            None => std::env::var(TOKEN_VARIABLE).map_err(|_| ClientError::NoToken)?,
+        };
+        Ok(AdminClient {
+            address: self.admin,
+            token: token.trim().to_owned(),
+            client: http::client(1),
+        })
+    }
+}
+
+/// Asks one daemon's administration API.
+pub struct AdminClient {
+    address: SocketAddr,
+    token: String,
+    client: HttpClient,
+}
+
+impl AdminClient {
+    /// Reads from a path.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, ClientError> {
+        let (status, body) = self.exchange(Method::GET, path, Bytes::new()).await?;
+        self.success(status, &body)
+    }
+
+    /// Posts a body to a path.
+    pub async fn post<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        body: Bytes,
+    ) -> Result<T, ClientError> {
+        let (status, body) = self.exchange(Method::POST, path, body).await?;
+        self.success(status, &body)
+    }
+
+    /// Sends a request and gives back whatever status and body came.
+    pub async fn exchange(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+    ) -> Result<(StatusCode, Bytes), ClientError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(AUTHORIZATION, format!("Bearer {}", self.token))
+            .body(Full::new(body))
+            .map_err(|error| NetError::Malformed(error.to_string()))?;
+        let (status, _, body) =
+            http::exchange(&self.client, self.address, request, TIMEOUT_MS).await?;
+        Ok((status, body))
+    }
+
+    fn success<T: DeserializeOwned>(
+        &self,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<T, ClientError> {
+        if !status.is_success() {
+            let said = serde_json::from_slice::<ErrorBody>(body);
+            let raw = String::from_utf8_lossy(body).into_owned();
+            return Err(ClientError::Refused {
+                address: self.address,
+                status: status.as_u16(),
+                message: said.map_or(raw, |said| said.error),
+            });
+        }
+        serde_json::from_slice(body).map_err(|source| ClientError::Answer {
+            address: self.address,
+            source,
+        })
+    }
+}
+
+fn read_token(file: &Path) -> Result<String, ClientError> {
+    std::fs::read_to_string(file).map_err(|source| ClientError::TokenFile {
+        path: file.display().to_string(),
+        source,
+    })
+}
--- /dev/null
+++ b/src/config/schema.rs
@@ -0,0 +1,327 @@
+//! The shape of the settings file: every field with its kind, its bounds and its meaning.
+
+use strum::VariantNames;
+
+use super::{LogFormat, LogLevel, Role};
+
+/// One field of a group.
+#[derive(Debug, Clone, Copy)]
+pub struct Field {
+    /// Name in the file.
+    pub name: &'static str,
+    /// Whether the file must have it; otherwise the value of the example is the default.
+    pub required: bool,
+    /// What it may hold.
+    pub kind: Kind,
+    /// Meaning, for the documentation.
+    pub help: &'static str,
+}
+
+/// What a field may hold.
+#[derive(Debug, Clone, Copy)]
+pub enum Kind {
+    /// Text of at least so many characters.
+    Text {
+        /// Fewest characters.
+        min_chars: usize,
+    },
+    /// `IP:PORT`.
+    Address {
+        /// Only a loopback IP.
+        loopback: bool,
+    },
+    /// `true` or `false`.
+    Flag,
+    /// A whole number.
+    Number {
+        /// Smallest value.
+        min: u64,
+        /// Largest value.
+        max: u64,
+    },
+    /// One of some names.
+    Choice(&'static [&'static str]),
+    /// An object.
+    Group(&'static [Field]),
+    /// An array.
+    List(&'static Kind),
+}
+
+const HOUR_MS: u64 = 3_600_000;
+const MEBIBYTE: u64 = 1024 * 1024;
+/// Largest body that may be allowed, in bytes.
+const MAX_BODY_BYTES: u64 = 64 * MEBIBYTE;
+/// Most entries that a table may be allowed.
+const MAX_ENTRIES: u64 = 10_000_000;
+/// Most connections that may be allowed.
+const MAX_CONNECTIONS: u64 = 100_000;
+/// The HTTP library cannot read a head in less, in bytes.
+const MIN_HEADER_BYTES: u64 = 8 * 1024;
+/// Shortest time after which another daemon's connection may be closed, in milliseconds:
+/// longer than a daemon keeps an unused connection.
+const MIN_HOP_HEADER_MS: u64 = 5_000;
+
+const TEXT: Kind = Kind::Text { min_chars: 1 };
+const ADDRESS: Kind = Kind::Address { loopback: false };
+const LOOPBACK: Kind = Kind::Address { loopback: true };
+const TIME_MS: Kind = Kind::Number {
+    min: 1,
+    max: HOUR_MS,
+};
+const ENTRIES: Kind = Kind::Number {
+    min: 1,
+    max: MAX_ENTRIES,
+};
+const CONNECTIONS: Kind = Kind::Number {
+    min: 1,
+    max: MAX_CONNECTIONS,
+};
+const BODY_BYTES: Kind = Kind::Number {
+    min: 1,
+    max: MAX_BODY_BYTES,
+};
+const HEADER_BYTES: Kind = Kind::Number {
+    min: MIN_HEADER_BYTES,
+    max: MEBIBYTE,
+};
+
+const fn required(name: &'static str, kind: Kind, help: &'static str) -> Field {
+    Field {
+        name,
+        required: true,
+        kind,
+        help,
+    }
+}
+
+const fn optional(name: &'static str, kind: Kind, help: &'static str) -> Field {
+    Field {
+        name,
+        required: false,
+        kind,
+        help,
+    }
+}
+
+const PLACE: &[Field] = &[
+    required("region", TEXT, "The region."),
+    required("zone", TEXT, "The availability zone inside the region."),
+];
+
+const LOGGING: &[Field] = &[
+    optional(
+        "level",
+        Kind::Choice(LogLevel::VARIANTS),
+        "The least severe level that is written to standard error.",
+    ),
+    optional(
+        "format",
+        Kind::Choice(LogFormat::VARIANTS),
+        "One JSON object a line, or text.",
+    ),
+];
+
+const HEADER_BYTES_FIELD: Field = optional(
+    "header_bytes",
+    HEADER_BYTES,
+    "Largest head of a request in bytes; a larger one gets status 431.",
+);
+const BODY_BYTES_FIELD: Field = optional(
+    "body_bytes",
+    BODY_BYTES,
+    "Largest body of a request in bytes; a larger one gets status 413.",
+);
+const CONNECTIONS_FIELD: Field = optional(
+    "connections",
+    CONNECTIONS,
+    "Most connections at once; a further one gets status 503 and is closed.",
+);
+const BODY_TIMEOUT_FIELD: Field = optional(
+    "body_timeout_ms",
+    TIME_MS,
+    "Longest time for a body to arrive; a slower one gets status 408.",
+);
+const HEADER_TIMEOUT_HELP: &str = "Longest time for a head to arrive; a slower one gets status 408, an unused connection is closed.";
+
+const LISTENER: &[Field] = &[
+    HEADER_BYTES_FIELD,
+    BODY_BYTES_FIELD,
+    CONNECTIONS_FIELD,
+    optional("header_timeout_ms", TIME_MS, HEADER_TIMEOUT_HELP),
+    BODY_TIMEOUT_FIELD,
+];
+
+const HOP_LISTENER: &[Field] = &[
+    HEADER_BYTES_FIELD,
+    BODY_BYTES_FIELD,
+    CONNECTIONS_FIELD,
+    optional(
+        "header_timeout_ms",
+        Kind::Number {
+            min: MIN_HOP_HEADER_MS,
+            max: HOUR_MS,
+        },
+        HEADER_TIMEOUT_HELP,
+    ),
+    BODY_TIMEOUT_FIELD,
+];
+
+const CONTROL_LISTENER: &[Field] = &[
+    optional(
+        "body_bytes",
+        BODY_BYTES,
+        "Largest control message in bytes; a larger one is refused.",
+    ),
+    optional(
+        "connections",
+        CONNECTIONS,
+        "Most connections at once; a further one is refused.",
+    ),
+];
+
+const ANSWER: &[Field] = &[
+    optional(
+        "header_bytes",
+        HEADER_BYTES,
+        "Largest head of an answer in bytes; a larger one is not an answer.",
+    ),
+    optional(
+        "body_bytes",
+        BODY_BYTES,
+        "Largest body of an answer in bytes; a larger one is not an answer.",
+    ),
+];
+
+const BOUNDS: &[Field] = &[
+    optional("callers", Kind::Group(LISTENER), "Callers."),
+    optional(
+        "local",
+        Kind::Group(LISTENER),
+        "The backend server on this VM, as a client.",
+    ),
+    optional(
+        "hop",
+        Kind::Group(HOP_LISTENER),
+        "Calls from other daemons.",
+    ),
+    optional(
+        "control",
+        Kind::Group(CONTROL_LISTENER),
+        "Control messages from other daemons.",
+    ),
+    optional("admin", Kind::Group(LISTENER), "Operators."),
+    optional(
+        "backend",
+        Kind::Group(ANSWER),
+        "Answers of the backend server.",
+    ),
+    optional("log", Kind::Group(ANSWER), "Answers of the log service."),
+];
+
+const TOKEN: &[Field] = &[
+    required(
+        "token",
+        Kind::Text { min_chars: 16 },
+        "The secret, sent as `Authorization: Bearer SECRET`.",
+    ),
+    required("team", TEXT, "The team, as the audit trail names it."),
+    required(
+        "role",
+        Kind::Choice(Role::VARIANTS),
+        "`viewer` reads; `team` also changes the rules of its services; `operator` changes everything and drains.",
+    ),
+    required(
+        "services",
+        Kind::List(&TEXT),
+        "The services of a token with the role `team`; empty for the other roles.",
+    ),
+];
+
+const ADMIN: &[Field] = &[
+    optional(
+        "metrics_need_token",
+        Kind::Flag,
+        "Whether `GET /metrics` needs a token.",
+    ),
+    required(
+        "tokens",
+        Kind::List(&Kind::Group(TOKEN)),
+        "The tokens. With none, only the health routes and open metrics answer.",
+    ),
+];
+
+const DRAIN: &[Field] = &[optional(
+    "limit_ms",
+    TIME_MS,
+    "Longest time for requests in flight to finish after SIGTERM.",
+)];
+
+/// The whole file.
+pub const SETTINGS: &[Field] = &[
+    required("place", Kind::Group(PLACE), "Where the VM stands."),
+    required("callers_address", ADDRESS, "Listener for callers."),
+    required(
+        "local_address",
+        LOOPBACK,
+        "Listener for the backend server on this VM.",
+    ),
+    required(
+        "hop_address",
+        ADDRESS,
+        "Listener for calls from other daemons.",
+    ),
+    required(
+        "control_address",
+        ADDRESS,
+        "Listener for control messages from other daemons.",
+    ),
+    required("admin_address", ADDRESS, "Listener for operators."),
+    required(
+        "backend_address",
+        LOOPBACK,
+        "The backend server on this VM.",
+    ),
+    optional(
+        "backend_connections",
+        CONNECTIONS,
+        "Most connections to the backend server.",
+    ),
+    required("log_address", ADDRESS, "The platform's log service."),
+    optional(
+        "log_timeout_ms",
+        TIME_MS,
+        "Longest wait for the log service.",
+    ),
+    optional(
+        "home_open_keys",
+        ENTRIES,
+        "Most keys open at this home; beyond it non-idempotent work is refused.",
+    ),
+    optional(
+        "home_tickets",
+        ENTRIES,
+        "Most tickets issued by this home; beyond it no ticket is issued.",
+    ),
+    optional(
+        "executor_records",
+        ENTRIES,
+        "Most records at this executor; beyond it non-idempotent work is refused.",
+    ),
+    optional(
+        "reply_grace_ms",
+        TIME_MS,
+        "Longest wait for another daemon's reply beyond the deadline; then its connection counts as silent.",
+    ),
+    optional(
+        "logging",
+        Kind::Group(LOGGING),
+        "What the daemon writes about itself.",
+    ),
+    optional(
+        "bounds",
+        Kind::Group(BOUNDS),
+        "Bounds towards each outside party.",
+    ),
+    required("admin", Kind::Group(ADMIN), "The administration API."),
+    optional("drain", Kind::Group(DRAIN), "The graceful shutdown."),
+];
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -100,6 +100,11 @@
         self.leaving = leaving;
     }
 
+    /// Refuses new work from now on.
+    pub fn set_leaving(&mut self) {
+        self.leaving = true;
+    }
+
     /// Requests handed over and not finished.
     pub fn in_flight(&self) -> u32 {
         self.in_flight
--- /dev/null
+++ b/src/decide/life.rs
@@ -0,0 +1,177 @@
+//! The life of a daemon, from its start to its end.
+//!
+//! ```text
+//! starting -> joining -> serving -> draining -> stopped
+//!                 \___________________^
+//! ```
+
+use strum::{Display, EnumIter, IntoStaticStr};
+
+pub use machine::Life;
+
+/// Where a daemon is in its life.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    Hash,
+    serde::Serialize,
+    serde::Deserialize,
+    Display,
+    EnumIter,
+    IntoStaticStr,
+)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum Phase {
+    /// The listeners are not open yet.
+    Starting,
+    /// Calls are served by the built-in rules until the newest sheet is learned.
+    Joining,
+    /// Calls are served.
+    Serving,
+    /// New work is refused, what is in flight is finished.
+    Draining,
+    /// Nothing is served any more.
+    Stopped,
+}
+
+/// What happens in the life of a daemon.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeEvent {
+    /// All listeners are open.
+    ListenersOpened,
+    /// The log service or another daemon has been heard.
+    Heard,
+    /// Neither has been heard for the longest that is allowed.
+    JoinTimedOut,
+    /// A stop is asked for, by a signal or an operator.
+    StopAsked,
+    /// Everything in flight is finished and handed over.
+    Finished,
+    /// The longest time for that has passed.
+    LimitPassed,
+}
+
+/// Why a graceful shutdown was cut short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum CutReason {
+    /// A second stop was asked for.
+    StopAskedAgain,
+    /// The limit of the settings has passed.
+    LimitPassed,
+}
+
+/// The machine itself; its states are named by [`Phase`] outside.
+#[allow(missing_docs)]
+mod machine {
+    use statig::blocking::StateMachine;
+    use statig::prelude::*;
+
+    use super::{CutReason, LifeEvent, Phase};
+
+    /// A daemon's life.
+    pub struct Life {
+        machine: StateMachine<Course>,
+    }
+
+    #[derive(Debug, Default)]
+    pub struct Course {
+        cut: Option<CutReason>,
+    }
+
+    impl Life {
+        /// A life at its start.
+        pub fn new() -> Life {
+            Life {
+                machine: Course::default().state_machine(),
+            }
+        }
+
+        /// Takes in an event and returns the phase after it.
+        pub fn handle(&mut self, event: LifeEvent) -> Phase {
+            self.machine.handle(&event);
+            self.phase()
+        }
+
+        /// The present phase.
+        pub fn phase(&self) -> Phase {
+            match self.machine.state() {
+                State::Starting {} => Phase::Starting,
+                State::Joining {} => Phase::Joining,
+                State::Serving {} => Phase::Serving,
+                State::Draining {} => Phase::Draining,
+                State::Stopped {} => Phase::Stopped,
+            }
+        }
+
+        /// Why the shutdown was cut short, if it was.
+        pub fn cut(&self) -> Option<CutReason> {
+            self.machine.inner().cut
+        }
+    }
+
+    impl Default for Life {
+        fn default() -> Self {
+            Life::new()
+        }
+    }
+
+    impl std::fmt::Debug for Life {
+        fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            f.debug_tuple("Life").field(&self.phase()).finish()
+        }
+    }
+
+    #[state_machine(initial = "State::starting()", state(derive(Debug, Clone)))]
+    impl Course {
+        #[state]
+        fn starting(event: &LifeEvent) -> Outcome<State> {
+            match event {
+                LifeEvent::ListenersOpened => Transition(State::joining()),
+                LifeEvent::StopAsked => Transition(State::stopped()),
+                _ => Handled,
+            }
+        }
+
+        #[state(superstate = "running")]
+        fn joining(event: &LifeEvent) -> Outcome<State> {
+            match event {
+                LifeEvent::Heard | LifeEvent::JoinTimedOut => Transition(State::serving()),
+                _ => Super,
+            }
+        }
+
+        #[state(superstate = "running")]
+        fn serving() -> Outcome<State> {
+            Super
+        }
+
+        #[superstate]
+        fn running(event: &LifeEvent) -> Outcome<State> {
+            match event {
+                LifeEvent::StopAsked => Transition(State::draining()),
+                _ => Handled,
+            }
+        }
+
+        #[state]
+        fn draining(&mut self, event: &LifeEvent) -> Outcome<State> {
+            self.cut = match event {
+                LifeEvent::Finished => None,
+                LifeEvent::StopAsked => Some(CutReason::StopAskedAgain),
+                LifeEvent::LimitPassed => Some(CutReason::LimitPassed),
+                _ => return Handled,
+            };
+            Transition(State::stopped())
+        }
+
+        #[state]
+        fn stopped() -> Outcome<State> {
+            Handled
+        }
+    }
+}
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -334,6 +334,8 @@
         /// Whether it takes no new work.
         leaving: bool,
     },
+    /// This daemon is stopping: refuse new root requests and finish the rest.
+    Draining,
     /// Time has passed.
     Tick,
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod execution;
 pub mod executor;
 pub mod home;
+pub mod life;
 pub mod limit;
 pub mod mechanisms;
 pub mod message;
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -179,8 +179,7 @@
     }
 
     fn idempotent_arrived(&self, turn: &mut Turn<'_>, call: CallId, classified: Classified) {
-        if !self.entry_admits(turn.now, &classified) {
-            let reason = NotRunReason::ShedAtEntry;
+        if let Some(reason) = self.entry_refuses(turn.now, &classified) {
             return self.answer_not_run(turn, call, None, reason, SHED_RETRY_AFTER_MS);
         }
         let reply_to = Some(ReplyTo::Caller(call));
@@ -229,9 +228,9 @@
                 return self.deliver(turn, reply_to, reply);
             }
         }
-        if !self.entry_admits(turn.now, &classified) {
+        if let Some(reason) = self.entry_refuses(turn.now, &classified) {
             let evidence = Unsent::no_byte_left().into();
-            let outcome = not_run(NotRunReason::ShedAtEntry, SHED_RETRY_AFTER_MS, evidence);
+            let outcome = not_run(reason, SHED_RETRY_AFTER_MS, evidence);
             let waiters = self.home.end(&key, &outcome);
             let reply = self.plain_reply(Some(key), outcome);
             return self.deliver_all(turn, &waiters, &reply);
@@ -239,15 +238,23 @@
         self.start_dispatch(turn, call, classified, Some(key), None);
     }
 
-    /// Only root requests are shed here: beneath them work has been sunk already.
-    fn entry_admits(&self, now: TimeMs, classified: &Classified) -> bool {
-        if !self.settings.mechanisms.entry_shedding || classified.context.depth > 0 {
-            return true;
-        }
+    /// Only root requests are refused here: beneath them work has been sunk already.
+    fn entry_refuses(&self, now: TimeMs, classified: &Classified) -> Option<NotRunReason> {
         let context = &classified.context;
+        if context.depth > 0 {
+            return None;
+        }
+        if self.is_draining() {
+            return Some(NotRunReason::Leaving);
+        }
+        if !self.settings.mechanisms.entry_shedding {
+            return None;
+        }
         let priority = Priority::new(context.importance, context.rank);
-        self.levels
-            .admits(now, &classified.service, &classified.request, priority)
+        let admitted = self
+            .levels
+            .admits(now, &classified.service, &classified.request, priority);
+        (!admitted).then_some(NotRunReason::ShedAtEntry)
     }
 
     fn start_dispatch(
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -1,5 +1,7 @@
 //! Calls at the backend server beside this daemon: admission, hand-over, answer.
 
+use std::sync::atomic::Ordering;
+
 use super::arrive::{fingerprint, not_run};
 use super::{Node, ReplyTo, Turn};
 use crate::decide::admission::{Offer, Verdict};
@@ -113,10 +115,17 @@
     }
 
     pub(super) fn local_server(&self, turn: &mut Turn<'_>, slots: u32, leaving: bool) {
+        let leaving = leaving || self.is_draining();
         lock(&self.admission).set_server(slots, leaving);
         self.release_queue(turn);
     }
 
+    pub(super) fn drain(&self, turn: &mut Turn<'_>) {
+        self.draining.store(true, Ordering::Release);
+        lock(&self.admission).set_leaving();
+        self.release_queue(turn);
+    }
+
     /// Drops a call without a key for which nobody waits; false if it is not here.
     pub(super) fn withdraw_execution(&self, turn: &mut Turn<'_>, call: CallId) -> bool {
         let mut shard = self.executions.lock(&call);
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -8,7 +8,7 @@
 mod wanting;
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -101,6 +101,7 @@
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
+    draining: AtomicBool,
     counters: Counters,
     called: CalledServices,
     waiting_calls: Mutex<Vec<WaitingCall>>,
@@ -141,6 +142,7 @@
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
+            draining: AtomicBool::new(false),
             counters: Counters::default(),
             called: CalledServices::default(),
             waiting_calls: Mutex::default(),
@@ -158,9 +160,12 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if no worker of it is known yet or
-    /// the table of tickets is full.
+    /// A ticket for keys of a service; `None` if no worker of it is known yet, the
+    /// table of tickets is full or this daemon is stopping.
     pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        if self.is_draining() {
+            return None;
+        }
         self.called.note(service);
         let candidates = self.candidates(service);
         if candidates.is_empty() {
@@ -196,7 +201,12 @@
 
     /// Calls that somebody still waits for or that run on the local backend server.
     pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len()
+        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
+    }
+
+    /// Whether this daemon is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
     }
 
     /// What this node has counted since it started.
@@ -248,6 +258,7 @@
                 self.resume_waiting(turn);
             }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
+            Event::Draining => self.drain(turn),
             Event::Tick => self.tick(turn),
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod cmd;
 pub mod config;
 pub mod decide;
+pub mod logs;
 pub mod model;
 pub mod net;
 pub mod platform;
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,174 @@
+//! The administration API: one listener for the teams that share the platform.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderValue, WWW_AUTHENTICATE};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::admin_audit::{self, Refusal};
+use super::admin_auth::{AuthError, Team, Tokens, Wish};
+use super::admin_status::{self, Status};
+use super::control::ControlLoop;
+use super::http::{self, FullResponse};
+use super::lifecycle::Lifecycle;
+use super::listener::Listeners;
+use super::local::LocalServer;
+use super::metrics;
+use super::pump::Pump;
+use crate::config::Settings;
+use crate::decide::life::Phase;
+
+const ROUTES: &str = "no such route; there are GET /v1/status, GET /v1/workers, POST /v1/drain, \
+                      GET /metrics, GET /health/live and GET /health/ready";
+
+/// What the administration API looks into.
+#[derive(Debug)]
+pub struct AdminParts {
+    /// The decisions.
+    pub pump: Arc<Pump>,
+    /// Sheets and membership.
+    pub control: Arc<ControlLoop>,
+    /// The daemon's life.
+    pub lifecycle: Arc<Lifecycle>,
+    /// The backend server.
+    pub local_server: Arc<LocalServer>,
+    /// Counts of the listeners.
+    pub listeners: Arc<Listeners>,
+}
+
+/// The administration API of one daemon.
+#[derive(Debug)]
+pub struct Admin {
+    parts: AdminParts,
+    tokens: Tokens,
+    metrics_need_token: bool,
+}
+
+/// The answer of the health routes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Health {
+    /// The daemon's phase.
+    pub phase: Phase,
+}
+
+impl Admin {
+    /// The API for a daemon.
+    pub fn new(settings: &Settings, parts: AdminParts) -> Admin {
+        Admin {
+            parts,
+            tokens: Tokens::new(&settings.admin.tokens),
+            metrics_need_token: settings.admin.metrics_need_token,
+        }
+    }
+
+    /// What the API looks into.
+    pub fn parts(&self) -> &AdminParts {
+        &self.parts
+    }
+
+    /// The team behind a request if it may do what it wants; a refusal is recorded.
+    pub fn authorise(
+        &self,
+        headers: &HeaderMap,
+        request: &str,
+        wish: &Wish,
+    ) -> Result<&Team, AuthError> {
+        let team = self.tokens.team(headers);
+        let name = team.as_ref().ok().map(|team| team.name.clone());
+        let checked = team.and_then(|team| team.check(wish).map(|()| team));
+        checked.inspect_err(|error| {
+            admin_audit::refused(Refusal {
+                team: name.as_deref(),
+                request,
+                error,
+            });
+        })
+    }
+}
+
+/// Answers one request of an operator.
+pub async fn handle(admin: Arc<Admin>, request: Request<Bytes>) -> FullResponse {
+    let (parts, _body) = request.into_parts();
+    let path = parts.uri.path().to_owned();
+    let line = format!("{} {path}", parts.method);
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match (parts.method, segments.as_slice()) {
+        (Method::GET, ["health", "live"]) => health(&admin, true),
+        (Method::GET, ["health", "ready"]) => health(&admin, false),
+        (Method::GET, ["metrics"]) => scrape(&admin, &parts.headers, &line).await,
+        (Method::GET, ["v1", "status"]) => {
+            match admin.authorise(&parts.headers, &line, &Wish::Read) {
+                Ok(_) => http::json(StatusCode::OK, &status(&admin).await),
+                Err(error) => refusal(&error),
+            }
+        }
+        (Method::GET, ["v1", "workers"]) => {
+            match admin.authorise(&parts.headers, &line, &Wish::Read) {
+                Ok(_) => http::json(StatusCode::OK, &admin.parts.control.workers().await),
+                Err(error) => refusal(&error),
+            }
+        }
+        (Method::POST, ["v1", "drain"]) => drain(&admin, &parts.headers, &line),
+        _ => http::error(StatusCode::NOT_FOUND, ROUTES),
+    }
+}
+
+async fn status(admin: &Admin) -> Status {
+    admin_status::collect(&admin.parts).await
+}
+
+fn health(admin: &Admin, alive: bool) -> FullResponse {
+    let phase = admin.parts.lifecycle.phase();
+    let code = match alive || phase == Phase::Serving {
+        true => StatusCode::OK,
+        false => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    http::json(code, &Health { phase })
+}
+
+async fn scrape(admin: &Admin, headers: &HeaderMap, line: &str) -> FullResponse {
+    if admin.metrics_need_token
+        && let Err(error) = admin.authorise(headers, line, &Wish::Read)
+    {
+        return refusal(&error);
+    }
+    match metrics::render(&status(admin).await) {
+        Ok(text) => {
+            let mut response = Response::new(Full::new(Bytes::from(text)));
+            let content_type = HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert(CONTENT_TYPE, content_type);
+            response
+        }
+        Err(error) => http::error(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+fn drain(admin: &Admin, headers: &HeaderMap, line: &str) -> FullResponse {
+    match admin.authorise(headers, line, &Wish::Drain) {
+        Ok(team) => {
+            let team = team.name.as_str();
+            spdlog::info!("an operator has asked for the drain", kv: { team });
+            admin.parts.lifecycle.ask_stop();
+            let phase = Phase::Draining;
+            http::json(StatusCode::ACCEPTED, &Health { phase })
+        }
+        Err(error) => refusal(&error),
+    }
+}
+
+fn refusal(error: &AuthError) -> FullResponse {
+    let status = match error {
+        AuthError::Missing | AuthError::Unknown => StatusCode::UNAUTHORIZED,
+        AuthError::Forbidden { .. } => StatusCode::FORBIDDEN,
+    };
+    let mut response = http::error(status, &error.to_string());
+    if status == StatusCode::UNAUTHORIZED {
+        let scheme = HeaderValue::from_static("Bearer");
+        response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    }
+    response
+}
--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -1,15 +1,18 @@
 //! The client of the backend server beside this daemon.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::CONTENT_TYPE;
 use thiserror::Error;
+use tokio::sync::Semaphore;
 
 use super::error::NetError;
 use super::http::{self, HttpClient};
+use crate::config::AnswerBounds;
 use crate::decide::{CallId, LocalRun};
 use crate::model::Answer;
 
@@ -28,6 +31,8 @@
 
 /// Longest time after the deadline that a backend server may take to answer, in milliseconds.
 const ANSWER_GRACE_MS: u64 = 30_000;
+/// When to come back if all connections are in use, in milliseconds.
+const CONNECTIONS_RETRY_AFTER_MS: u64 = 100;
 /// Longest time for a cancellation to be taken in, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 1_000;
 
@@ -50,19 +55,26 @@
 pub struct BackendClient {
     address: SocketAddr,
     client: HttpClient,
+    connections: Arc<Semaphore>,
 }
 
 impl BackendClient {
-    /// A client that keeps at most `connections` idle connections.
-    pub fn new(address: SocketAddr, connections: usize) -> BackendClient {
+    /// A client that opens at most `connections` connections for requests.
+    pub fn new(address: SocketAddr, connections: usize, bounds: AnswerBounds) -> BackendClient {
         BackendClient {
             address,
-            client: http::client(connections),
+            client: http::bounded_client(connections, bounds),
+            connections: Arc::new(Semaphore::new(connections)),
         }
     }
 
     /// Hands a request over and waits for the whole answer.
     pub async fn run(&self, run: LocalRun) -> Result<Answer, BackendError> {
+        let Ok(_connection) = self.connections.try_acquire() else {
+            return Err(BackendError::Refused {
+                retry_after_ms: CONNECTIONS_RETRY_AFTER_MS,
+            });
+        };
         let timeout_ms = run.time_left_ms + ANSWER_GRACE_MS;
         let request = self.run_request(run)?;
         let (status, headers, body) =
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -4,7 +4,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode};
 use serde::Serialize;
@@ -34,7 +33,7 @@
 }
 
 /// Answers one request of a caller.
-pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> FullResponse {
+pub async fn handle(pump: Arc<Pump>, request: Request<Bytes>) -> FullResponse {
     let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -42,10 +41,6 @@
         (Method::POST, ["ticket", service]) => issue_ticket(&pump, service),
         (Method::GET, ["key", key]) => query_key(&pump, key).await,
         (_, ["call", service, name]) => {
-            let body = match http::read_body(body).await {
-                Ok(body) => body,
-                Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
-            };
             match caller_request(&parts.headers, service, name, None, body) {
                 Ok(request) => call(&pump, request).await,
                 Err(message) => http::error(StatusCode::BAD_REQUEST, &message),
@@ -100,6 +95,10 @@
             };
             http::json(StatusCode::OK, &body)
         }
+        None if pump.node.is_draining() => http::error(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the daemon is leaving and issues no more tickets; ask another daemon",
+        ),
         None => http::error(
             StatusCode::SERVICE_UNAVAILABLE,
             "no worker of the service is known yet, or the table of tickets is full; \
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! Drives the control decisions: the log service, peers, announcements, ticks.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Mutex, mpsc};
@@ -34,6 +35,7 @@
     pump: Arc<Pump>,
     log: LogClient,
     started_ms: u64,
+    heard: AtomicBool,
 }
 
 impl ControlLoop {
@@ -46,9 +48,15 @@
             pump,
             log,
             started_ms,
+            heard: AtomicBool::new(false),
         })
     }
 
+    /// Whether the log service or another daemon has been heard since the start.
+    pub fn has_heard(&self) -> bool {
+        self.heard.load(Ordering::Relaxed)
+    }
+
     /// The sheet in force here.
     pub async fn sheet(&self) -> Arc<Sheet> {
         Arc::clone(self.control.lock().await.sheets().sheet())
@@ -68,6 +76,7 @@
             let event = tokio::select! {
                 _ = ticks.tick() => ControlEvent::Tick,
                 Some(Arrived { from, message }) = inputs.arrived.recv() => {
+                    self.heard.store(true, Ordering::Relaxed);
                     ControlEvent::PeerSaid { from, message }
                 }
                 Some(wanted) = inputs.wanted.recv() => match wanted {
@@ -117,7 +126,10 @@
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
                     let event = match this.log.read(stream, from_offset).await {
-                        Ok(batch) => ControlEvent::LogRead { stream, batch },
+                        Ok(batch) => {
+                            this.heard.store(true, Ordering::Relaxed);
+                            ControlEvent::LogRead { stream, batch }
+                        }
                         Err(_) => ControlEvent::LogFailed { stream },
                     };
                     this.feed(event).await;
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -4,22 +4,32 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use rand::RngExt;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 
+use super::admin::{Admin, AdminParts};
 use super::backend::BackendClient;
 use super::control::{ControlInputs, ControlLoop};
 use super::error::NetError;
+use super::lifecycle::Lifecycle;
+use super::listener::{ListenerPlan, Listeners};
+use super::local::LocalServer;
 use super::pump::{Pump, Wanted};
-use super::{callers, hop, http, local, peer_control};
-use crate::config::Settings;
+use super::{callers, hop, http, listener, local, peer_control};
+use crate::config::{ListenerBounds, Settings};
 use crate::decide::home::HomeBounds;
+use crate::decide::life::{LifeEvent, Phase};
 use crate::decide::{Event, Mechanisms, Node, NodeSettings};
 use crate::model::{Clock, Incarnation, Vm, WorkerId};
 use crate::platform::log::LogClient;
 
 /// Time between two ticks of the decisions, in milliseconds.
 const TICK_MS: u64 = 5;
+/// Longest time to hear the log service or another daemon before serving by the built-in
+/// rules, in milliseconds.
+const JOIN_LIMIT_MS: u64 = 3_000;
+/// Time between two looks at whether one has been heard, in milliseconds.
+const JOIN_LOOK_MS: u64 = 20;
 /// Announcements of the backend server that may wait to be taken in.
 const ANNOUNCEMENT_BUFFER: usize = 16;
 /// Control messages of other daemons that may wait to be taken in.
@@ -28,8 +38,13 @@
 /// A running daemon. Dropping it stops its tasks.
 #[derive(Debug)]
 pub struct Daemon {
+    settings: Settings,
     pump: Arc<Pump>,
     control: Arc<ControlLoop>,
+    lifecycle: Arc<Lifecycle>,
+    local_server: Arc<LocalServer>,
+    listeners: Arc<Listeners>,
+    closing: watch::Sender<bool>,
     tasks: JoinSet<()>,
 }
 
@@ -37,45 +52,40 @@
     /// Opens the listeners and starts the tasks.
     pub async fn start(settings: &Settings, mechanisms: Mechanisms) -> Result<Daemon, NetError> {
         let started_ms = unix_ms();
-        let seed: u64 = rand::rng().random();
-        let vm = Vm {
-            worker: WorkerId {
-                address: settings.hop_address,
-                incarnation: Incarnation(seed),
-            },
-            control_address: settings.control_address,
-            place: settings.place.clone(),
-        };
-        let node = Node::new(NodeSettings {
-            vm,
-            service: None,
-            home: HomeBounds {
-                open_keys: settings.home_open_keys,
-                tickets: settings.home_tickets,
-            },
-            executor_records: settings.executor_records,
-            reply_grace_ms: settings.reply_grace_ms,
-            mechanisms,
-            seed,
-        });
+        let node = Node::new(node_settings(settings, mechanisms));
         let backend = BackendClient::new(
             settings.backend_address,
             settings.backend_connections as usize,
+            settings.bounds.backend,
         );
         let (wanted_sender, wanted) = mpsc::unbounded_channel();
         let pump = Pump::new(node, Clock::system(), backend, wanted_sender);
-        let log = LogClient::new(settings.log_address, settings.log_timeout_ms);
+        let log = LogClient::new(settings.log_address, settings.log_timeout_ms)
+            .with_bounds(settings.bounds.log);
         let control = ControlLoop::new(Arc::clone(&pump), log, started_ms);
+        let (announcement_sender, announcements) = mpsc::channel(ANNOUNCEMENT_BUFFER);
         let mut daemon = Daemon {
+            settings: settings.clone(),
             pump,
             control,
+            lifecycle: Arc::default(),
+            local_server: Arc::new(LocalServer::new(announcement_sender)),
+            listeners: Arc::default(),
+            closing: watch::Sender::new(false),
             tasks: JoinSet::new(),
         };
-        daemon.open_listeners(settings, wanted).await?;
+        daemon.open_listeners(announcements, wanted).await?;
         daemon.start_ticks();
+        daemon.lifecycle.handle(LifeEvent::ListenersOpened);
+        daemon.start_joining();
         Ok(daemon)
     }
 
+    /// The settings that the daemon was started with.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// The daemon's pump, by which tests and the trial look inside.
     pub fn pump(&self) -> &Arc<Pump> {
         &self.pump
@@ -86,41 +96,115 @@
         &self.control
     }
 
+    /// The daemon's phase and the requests to stop it.
+    pub fn lifecycle(&self) -> &Arc<Lifecycle> {
+        &self.lifecycle
+    }
+
+    /// What the backend server has announced.
+    pub fn local_server(&self) -> &LocalServer {
+        &self.local_server
+    }
+
+    /// Counts of the listeners.
+    pub fn listeners(&self) -> &Listeners {
+        &self.listeners
+    }
+
+    /// Answers that are due to callers, the backend server and other daemons.
+    pub fn answers_due(&self) -> u64 {
+        let listeners = &self.listeners;
+        let serving = [&listeners.callers, &listeners.local, &listeners.hop];
+        serving.iter().map(|counts| counts.answering()).sum()
+    }
+
+    /// Connections open to callers, the backend server and other daemons.
+    pub fn connections_open(&self) -> u64 {
+        let listeners = &self.listeners;
+        let serving = [&listeners.callers, &listeners.local, &listeners.hop];
+        serving.iter().map(|counts| counts.open()).sum()
+    }
+
+    /// Accepts no further connection; the open ones end after the answers due on them.
+    pub fn close_listeners(&self) {
+        self.closing.send_replace(true);
+    }
+
     async fn open_listeners(
         &mut self,
-        settings: &Settings,
+        announcements: mpsc::Receiver<super::local::BackendAnnouncement>,
         wanted: mpsc::UnboundedReceiver<Wanted>,
     ) -> Result<(), NetError> {
+        let settings = self.settings.clone();
+        let bounds = settings.bounds;
         let callers_listener = http::listen(settings.callers_address).await?;
         let hop_listener = http::listen(settings.hop_address).await?;
         let local_listener = http::listen(settings.local_address).await?;
-        let (sender, announcements) = mpsc::channel(ANNOUNCEMENT_BUFFER);
+        let admin_listener = http::listen(settings.admin_address).await?;
         let (arrived_sender, arrived) = mpsc::channel(ARRIVED_BUFFER);
-        let peer_control = peer_control::serve(settings.control_address, arrived_sender).await?;
+        let control_address = settings.control_address;
+        let peer_control =
+            peer_control::serve(control_address, bounds.control, arrived_sender).await?;
         self.tasks.spawn(peer_control.stopped());
         let inputs = ControlInputs {
             announcements,
             arrived,
             wanted,
         };
+        self.tasks.spawn(Arc::clone(&self.control).run(inputs));
+
+        let plan = self.plan(bounds.callers, &self.listeners.callers);
         let pump = Arc::clone(&self.pump);
-        self.tasks
-            .spawn(http::serve(callers_listener, move |request| {
-                callers::handle(Arc::clone(&pump), request)
-            }));
+        let serving = listener::serve(callers_listener, plan, move |request| {
+            callers::handle(Arc::clone(&pump), request)
+        });
+        self.tasks.spawn(serving);
+
+        let plan = self.plan(bounds.hop, &self.listeners.hop);
         let pump = Arc::clone(&self.pump);
-        self.tasks.spawn(http::serve(hop_listener, move |request| {
+        let serving = listener::serve(hop_listener, plan, move |request| {
             hop::handle(Arc::clone(&pump), request)
-        }));
+        });
+        self.tasks.spawn(serving);
+
+        let plan = self.plan(bounds.local, &self.listeners.local);
         let pump = Arc::clone(&self.pump);
-        self.tasks
-            .spawn(http::serve(local_listener, move |request| {
-                local::handle(Arc::clone(&pump), sender.clone(), request)
-            }));
-        self.tasks.spawn(Arc::clone(&self.control).run(inputs));
+        let server = Arc::clone(&self.local_server);
+        let serving = listener::serve(local_listener, plan, move |request| {
+            local::handle(Arc::clone(&pump), Arc::clone(&server), request)
+        });
+        self.tasks.spawn(serving);
+
+        let plan = self.plan(bounds.admin, &self.listeners.admin);
+        let admin = Arc::new(self.admin());
+        let serving = listener::serve(admin_listener, plan, move |request| {
+            super::admin::handle(Arc::clone(&admin), request)
+        });
+        self.tasks.spawn(serving);
         Ok(())
     }
 
+    fn admin(&self) -> Admin {
+        Admin::new(
+            &self.settings,
+            AdminParts {
+                pump: Arc::clone(&self.pump),
+                control: Arc::clone(&self.control),
+                lifecycle: Arc::clone(&self.lifecycle),
+                local_server: Arc::clone(&self.local_server),
+                listeners: Arc::clone(&self.listeners),
+            },
+        )
+    }
+
+    fn plan(&self, bounds: ListenerBounds, counts: &Arc<listener::ListenerCounts>) -> ListenerPlan {
+        ListenerPlan {
+            bounds,
+            counts: Arc::clone(counts),
+            closing: self.closing.subscribe(),
+        }
+    }
+
     fn start_ticks(&mut self) {
         let pump = Arc::clone(&self.pump);
         self.tasks.spawn(async move {
@@ -131,6 +215,51 @@
             }
         });
     }
+
+    fn start_joining(&mut self) {
+        let control = Arc::clone(&self.control);
+        let lifecycle = Arc::clone(&self.lifecycle);
+        self.tasks.spawn(async move {
+            let mut looks = tokio::time::interval(Duration::from_millis(JOIN_LOOK_MS));
+            let limit = tokio::time::Instant::now() + Duration::from_millis(JOIN_LIMIT_MS);
+            while lifecycle.phase() == Phase::Joining {
+                let at = looks.tick().await;
+                if control.has_heard() {
+                    lifecycle.handle(LifeEvent::Heard);
+                } else if at >= limit {
+                    spdlog::warn!(
+                        "neither the log service nor another daemon answers: serving by the \
+                         built-in rules until one does"
+                    );
+                    lifecycle.handle(LifeEvent::JoinTimedOut);
+                }
+            }
+        });
+    }
+}
+
+fn node_settings(settings: &Settings, mechanisms: Mechanisms) -> NodeSettings {
+    let seed: u64 = rand::rng().random();
+    let vm = Vm {
+        worker: WorkerId {
+            address: settings.hop_address,
+            incarnation: Incarnation(seed),
+        },
+        control_address: settings.control_address,
+        place: settings.place.clone(),
+    };
+    NodeSettings {
+        vm,
+        service: None,
+        home: HomeBounds {
+            open_keys: settings.home_open_keys,
+            tickets: settings.home_tickets,
+        },
+        executor_records: settings.executor_records,
+        reply_grace_ms: settings.reply_grace_ms,
+        mechanisms,
+        seed,
+    }
 }
 
 /// Milliseconds since the Unix epoch.
--- a/src/net/error.rs
+++ b/src/net/error.rs
@@ -8,7 +8,7 @@
 #[derive(Debug, Error)]
 pub enum NetError {
     /// A listener could not be opened.
-    #[error("cannot listen on {address}: {source}; is another process using it?")]
+    #[error("cannot listen on {address}; is another process using it?")]
     Listen {
         /// The address.
         address: SocketAddr,
@@ -39,6 +39,16 @@
         /// The time waited.
         timeout_ms: u64,
     },
+    /// The answer was larger than the settings allow.
+    #[error(
+        "the answer of {address} is larger than {limit_bytes} bytes; raise the bound in the settings"
+    )]
+    AnswerTooLarge {
+        /// The address.
+        address: SocketAddr,
+        /// The bound.
+        limit_bytes: usize,
+    },
     /// What the other side sent is not a message.
     #[error("malformed message: {0}")]
     Malformed(String),
--- a/src/net/hop.rs
+++ b/src/net/hop.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -78,12 +77,8 @@
 }
 
 /// Answers one message from another daemon.
-pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> FullResponse {
+pub async fn handle(pump: Arc<Pump>, request: Request<Bytes>) -> FullResponse {
     let (parts, body) = request.into_parts();
-    let body = match http::read_body(body).await {
-        Ok(body) => body,
-        Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
-    };
     let message = match decode_request(&parts.headers, body) {
         Ok(message) => message,
         Err(error) => return http::error(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -5,27 +5,36 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
 use super::error::NetError;
+use crate::config::AnswerBounds;
 
 /// A response whose body is whole.
 pub type FullResponse = Response<Full<Bytes>>;
-/// A client for requests whose body is whole.
-pub type HttpClient = Client<HttpConnector, Full<Bytes>>;
+
+/// A client for requests whose body is whole, with a bound on what is answered.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+    body_bytes: usize,
+}
 
 /// Longest time for a connection to be made, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 /// Longest time for the head of a request to arrive, in milliseconds.
 const HEADER_TIMEOUT_MS: u64 = 10_000;
+/// Longest time that a connection is kept unused, in milliseconds; shorter than the
+/// shortest time after which another daemon closes it.
+const IDLE_MS: u64 = 4_000;
 /// Largest body accepted, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -65,12 +74,24 @@
 
 /// A client that keeps up to `idle_connections` open to each address.
 pub fn client(idle_connections: usize) -> HttpClient {
+    bounded_client(idle_connections, AnswerBounds::default())
+}
+
+/// A client with bounds on what is answered.
+pub fn bounded_client(idle_connections: usize, bounds: AnswerBounds) -> HttpClient {
     let mut connector = HttpConnector::new();
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
-    Client::builder(TokioExecutor::new())
+    let client = Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(Duration::from_millis(IDLE_MS))
         .pool_max_idle_per_host(idle_connections)
-        .build(connector)
+        .http1_max_buf_size(bounds.header_bytes)
+        .build(connector);
+    HttpClient {
+        client,
+        body_bytes: bounds.body_bytes,
+    }
 }
 
 /// Sends a request and reads the whole response.
@@ -82,14 +103,14 @@
 ) -> Result<(StatusCode, HeaderMap, Bytes), NetError> {
     let whole = async {
         let response = client
+            .client
             .request(request)
             .await
             .map_err(|error| client_error(address, &error))?;
         let (parts, body) = response.into_parts();
-        let body = read_body(body)
-            .await
-            .map_err(|message| NetError::Broken { address, message })?;
-        Ok((parts.status, parts.headers, body))
+        let collected = Limited::new(body, client.body_bytes).collect().await;
+        let body = collected.map_err(|error| answer_error(address, client, error.as_ref()))?;
+        Ok((parts.status, parts.headers, body.to_bytes()))
     };
     tokio::time::timeout(Duration::from_millis(timeout_ms), whole)
         .await
@@ -124,7 +145,7 @@
 }
 
 /// An error as callers and operators see it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ErrorBody {
     /// What is wrong, and what to do about it.
     pub error: String,
@@ -138,15 +159,48 @@
     json(status, &body)
 }
 
+/// The body of [`error`] as text.
+pub fn error_text(message: &str) -> String {
+    let body = ErrorBody {
+        error: message.to_owned(),
+    };
+    serde_json::to_string(&body).unwrap_or_default()
+}
+
 /// A header as text, if it is there and is text.
 pub fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
 
+fn answer_error(
+    address: SocketAddr,
+    client: &HttpClient,
+    error: &(dyn std::error::Error + 'static),
+) -> NetError {
+    if error.is::<LengthLimitError>() {
+        return NetError::AnswerTooLarge {
+            address,
+            limit_bytes: client.body_bytes,
+        };
+    }
+    NetError::Broken {
+        address,
+        message: error.to_string(),
+    }
+}
+
 fn client_error(address: SocketAddr, error: &hyper_util::client::legacy::Error) -> NetError {
-    let message = format!("{error:?}");
+    let message = root_cause(error);
     if error.is_connect() {
         return NetError::Connect { address, message };
     }
     NetError::Broken { address, message }
 }
+
+fn root_cause(error: &dyn std::error::Error) -> String {
+    let mut cause = error;
+    while let Some(source) = cause.source() {
+        cause = source;
+    }
+    cause.to_string()
+}
--- /dev/null
+++ b/src/net/listener.rs
@@ -0,0 +1,397 @@
+//! A bounded HTTP listener: every bound towards a client has its own error.
+//!
+//! A head that is too large gets status 431, a malformed one 400, a slow one 408; a body
+//! that is too large gets 413, a slow one 408, one that breaks off 400; a connection
+//! beyond the bound gets 503. A client that closes its sending side before its answer has
+//! come counts as gone, since TCP does not tell it from one that has died; what can still
+//! be told to it is told with status 400.
+
+use std::convert::Infallible;
+use std::error::Error;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
+use hyper::service::service_fn;
+use hyper::{Request, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use strum::{EnumCount, EnumIter, IntoStaticStr};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
+
+use super::http::{self, FullResponse};
+use crate::config::ListenerBounds;
+
+/// Pause after a connection could not be accepted, in milliseconds.
+const ACCEPT_PAUSE_MS: u64 = 10;
+/// Refused connections that may be told so at once; further ones are closed without a word.
+const MAX_REFUSALS: usize = 64;
+/// Longest time for a refused client to read why, in milliseconds.
+const REFUSAL_MS: u64 = 1_000;
+/// Most bytes read from a refused client before its connection is closed.
+const MAX_REFUSED_BYTES: u64 = 1024 * 1024;
+/// Bytes around the name and the value of a header: a colon, a space and the line's end.
+const HEADER_EXTRA_BYTES: usize = 4;
+/// When a refused client should come back, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// What a listener has refused by a bound.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+#[repr(usize)]
+pub enum Bound {
+    /// Too many connections.
+    Connections,
+    /// A head too large or malformed.
+    Header,
+    /// A head that took too long.
+    HeaderTimeout,
+    /// A body too large.
+    Body,
+    /// A body that took too long.
+    BodyTimeout,
+    /// A body that broke off, or a client gone before its answer.
+    Gone,
+}
+
+/// What one listener counts.
+#[derive(Debug, Default)]
+pub struct ListenerCounts {
+    refused: [AtomicU64; Bound::COUNT],
+    open: AtomicU64,
+    answering: AtomicU64,
+}
+
+impl ListenerCounts {
+    /// How often a bound was reached.
+    pub fn refused(&self, bound: Bound) -> u64 {
+        self.refused[bound as usize].load(Ordering::Relaxed)
+    }
+
+    /// Connections open now.
+    pub fn open(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Requests whose answer is due.
+    pub fn answering(&self) -> u64 {
+        self.answering.load(Ordering::Relaxed)
+    }
+
+    fn add(&self, bound: Bound) {
+        self.refused[bound as usize].fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// The counts of a daemon's HTTP listeners.
+#[derive(Debug, Default)]
+pub struct Listeners {
+    /// The listener for callers.
+    pub callers: Arc<ListenerCounts>,
+    /// The listener for the backend server.
+    pub local: Arc<ListenerCounts>,
+    /// The listener for calls from other daemons.
+    pub hop: Arc<ListenerCounts>,
+    /// The listener for operators.
+    pub admin: Arc<ListenerCounts>,
+}
+
+impl Listeners {
+    /// The counts by the listener's name in the settings.
+    pub fn by_name(&self) -> [(&'static str, &ListenerCounts); 4] {
+        [
+            ("callers", &self.callers),
+            ("local", &self.local),
+            ("hop", &self.hop),
+            ("admin", &self.admin),
+        ]
+    }
+}
+
+/// What the connections of one listener share.
+#[derive(Debug, Clone)]
+pub struct ListenerPlan {
+    /// The bounds.
+    pub bounds: ListenerBounds,
+    /// Where refusals are counted.
+    pub counts: Arc<ListenerCounts>,
+    /// Turns true when the listener is to close: no connection is accepted any more, and
+    /// each one open ends after the answers that are due on it.
+    pub closing: watch::Receiver<bool>,
+}
+
+/// Serves a listener until it is closed, one task a connection.
+pub async fn serve<H, F>(listener: TcpListener, plan: ListenerPlan, handler: H)
+where
+    H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
+    F: Future<Output = FullResponse> + Send + 'static,
+{
+    let ListenerPlan {
+        bounds,
+        counts,
+        closing,
+    } = plan;
+    let handler = Arc::new(handler);
+    let connections = Arc::new(Semaphore::new(bounds.connections));
+    let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
+    let mut closing_here = closing.clone();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = closed(&mut closing_here) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let Ok(permit) = Arc::clone(&connections).try_acquire_owned() else {
+            counts.add(Bound::Connections);
+            if let Ok(refusal) = Arc::clone(&refusals).try_acquire_owned() {
+                tokio::spawn(refuse_connection(stream, bounds.connections, refusal));
+            }
+            continue;
+        };
+        let connection = Connection {
+            bounds,
+            open: OpenGuard::new(Arc::clone(&counts)),
+            waiting: AtomicBool::new(false),
+        };
+        let handler = Arc::clone(&handler);
+        let closing = closing.clone();
+        tokio::spawn(async move {
+            connection.serve(stream, closing, handler).await;
+            drop(permit);
+        });
+    }
+}
+
+/// Counts a request as being answered until it is dropped.
+struct AnsweringGuard<'a>(&'a ListenerCounts);
+
+impl<'a> AnsweringGuard<'a> {
+    fn new(counts: &'a ListenerCounts) -> AnsweringGuard<'a> {
+        counts.answering.fetch_add(1, Ordering::Relaxed);
+        AnsweringGuard(counts)
+    }
+}
+
+impl Drop for AnsweringGuard<'_> {
+    fn drop(&mut self) {
+        self.0.answering.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenGuard {
+    counts: Arc<ListenerCounts>,
+}
+
+impl OpenGuard {
+    fn new(counts: Arc<ListenerCounts>) -> OpenGuard {
+        counts.open.fetch_add(1, Ordering::Relaxed);
+        OpenGuard { counts }
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.counts.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+struct Connection {
+    bounds: ListenerBounds,
+    open: OpenGuard,
+    /// Whether a request has come that no answer was made for yet.
+    waiting: AtomicBool,
+}
+
+impl Connection {
+    async fn serve<H, F>(
+        self,
+        stream: TcpStream,
+        mut closing: watch::Receiver<bool>,
+        handler: Arc<H>,
+    ) where
+        H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
+        F: Future<Output = FullResponse> + Send + 'static,
+    {
+        let this = &self;
+        let service = service_fn(move |request| {
+            let handler = Arc::clone(&handler);
+            Box::pin(async move {
+                let _answering = AnsweringGuard::new(&this.open.counts);
+                this.waiting.store(true, Ordering::Relaxed);
+                let response = this.answer(request, &*handler).await;
+                this.waiting.store(false, Ordering::Relaxed);
+                Ok::<_, Infallible>(response)
+            })
+        });
+        let mut connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(Duration::from_millis(self.bounds.header_timeout_ms))
+            .max_buf_size(self.bounds.header_bytes)
+            .serve_connection(TokioIo::new(stream), service);
+        let ended = tokio::select! {
+            ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(ended),
+            () = closed(&mut closing) => None,
+        };
+        let ended = match ended {
+            Some(ended) => ended,
+            None => {
+                Pin::new(&mut connection).graceful_shutdown();
+                poll_fn(|context| connection.poll_without_shutdown(context)).await
+            }
+        };
+        let parts = connection.into_parts();
+        let stream = parts.io.into_inner();
+        match ended {
+            Err(error) if error.is_timeout() && !parts.read_buf.is_empty() => {
+                self.count(Bound::HeaderTimeout);
+                let message = format!(
+                    "the head of the request did not arrive within {} ms; send it at once",
+                    self.bounds.header_timeout_ms
+                );
+                last_word(stream, StatusCode::REQUEST_TIMEOUT, &message).await;
+            }
+            Err(error) if error.is_parse() => {
+                self.count(Bound::Header);
+                close(stream).await;
+            }
+            _ if self.waiting.load(Ordering::Relaxed) => {
+                self.count(Bound::Gone);
+                let message = "the client closed its sending side before the answer had come and \
+                               counts as gone; keep it open, and for a request with a key ask \
+                               GET /key/{key} for the outcome";
+                last_word(stream, StatusCode::BAD_REQUEST, message).await;
+            }
+            _ => close(stream).await,
+        }
+    }
+
+    async fn answer<H, F>(&self, request: Request<Incoming>, handler: &H) -> FullResponse
+    where
+        H: Fn(Request<Bytes>) -> F,
+        F: Future<Output = FullResponse>,
+    {
+        let (parts, body) = request.into_parts();
+        if head_bytes(&parts) > self.bounds.header_bytes {
+            return self.head_too_large();
+        }
+        let limit = self.bounds.body_bytes;
+        if body.size_hint().lower() > limit as u64 {
+            return self.body_too_large();
+        }
+        let reading = Limited::new(body, limit).collect();
+        let timeout = Duration::from_millis(self.bounds.body_timeout_ms);
+        let body = match tokio::time::timeout(timeout, reading).await {
+            Ok(Ok(collected)) => collected.to_bytes(),
+            Ok(Err(error)) if is_length_error(error.as_ref()) => return self.body_too_large(),
+            Ok(Err(_)) => {
+                self.count(Bound::Gone);
+                let message = "the body of the request broke off; send as many bytes as its \
+                               content-length says";
+                return http::error(StatusCode::BAD_REQUEST, message);
+            }
+            Err(_) => {
+                self.count(Bound::BodyTimeout);
+                let message = format!(
+                    "the body of the request did not arrive within {} ms; send it at once",
+                    self.bounds.body_timeout_ms
+                );
+                return http::error(StatusCode::REQUEST_TIMEOUT, &message);
+            }
+        };
+        handler(Request::from_parts(parts, body)).await
+    }
+
+    fn count(&self, bound: Bound) {
+        self.open.counts.add(bound);
+    }
+
+    fn head_too_large(&self) -> FullResponse {
+        self.count(Bound::Header);
+        let message = format!(
+            "the head of the request is larger than {} bytes; send fewer headers, or raise \
+             `header_bytes` of this listener in the settings",
+            self.bounds.header_bytes
+        );
+        http::error(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE, &message)
+    }
+
+    fn body_too_large(&self) -> FullResponse {
+        self.count(Bound::Body);
+        let message = format!(
+            "the body of the request is larger than {} bytes; send less, or raise `body_bytes` \
+             of this listener in the settings",
+            self.bounds.body_bytes
+        );
+        http::error(StatusCode::PAYLOAD_TOO_LARGE, &message)
+    }
+}
+
+/// Size of a head that the HTTP library has read. It gives up on a head that is not whole
+/// when its buffer is full, but takes a larger one that has come in one piece.
+fn head_bytes(parts: &Parts) -> usize {
+    let path = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |path| path.as_str().len());
+    let headers = parts.headers.iter();
+    let headers =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_EXTRA_BYTES);
+    path + headers.sum::<usize>()
+}
+
+async fn closed(closing: &mut watch::Receiver<bool>) {
+    let _ = closing.wait_for(|closing| *closing).await;
+}
+
+fn is_length_error(error: &(dyn Error + 'static)) -> bool {
+    error.is::<LengthLimitError>()
+}
+
+async fn refuse_connection(stream: TcpStream, connections: usize, permit: OwnedSemaphorePermit) {
+    let message = format!(
+        "{connections} connections are open already; come back later, or raise `connections` \
+         of this listener in the settings"
+    );
+    last_word(stream, StatusCode::SERVICE_UNAVAILABLE, &message).await;
+    drop(permit);
+}
+
+/// Writes a response by hand where the HTTP library has nothing more to say, then closes.
+async fn last_word(mut stream: TcpStream, status: StatusCode, message: &str) {
+    let body = http::error_text(message);
+    let retry_after = match status {
+        StatusCode::SERVICE_UNAVAILABLE => format!("retry-after: {RETRY_AFTER_S}\r\n"),
+        _ => String::new(),
+    };
+    let response = format!(
+        "HTTP/1.1 {status}\r\ncontent-type: application/json\r\n{retry_after}\
+         content-length: {}\r\nconnection: close\r\n\r\n{body}",
+        body.len()
+    );
+    let writing = stream.write_all(response.as_bytes());
+    let written = tokio::time::timeout(Duration::from_millis(REFUSAL_MS), writing).await;
+    if matches!(written, Ok(Ok(()))) {
+        close(stream).await;
+    }
+}
+
+/// Closes a connection so that what was written reaches a client that is still sending.
+async fn close(mut stream: TcpStream) {
+    let _ = stream.shutdown().await;
+    let mut rest = stream.take(MAX_REFUSED_BYTES);
+    let mut sink = tokio::io::sink();
+    let draining = tokio::io::copy(&mut rest, &mut sink);
+    let _ = tokio::time::timeout(Duration::from_millis(REFUSAL_MS), draining).await;
+}
--- a/src/net/local.rs
+++ b/src/net/local.rs
@@ -1,8 +1,9 @@
 //! The listener for the backend server beside this daemon: announcements and its own calls.
 
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 
-use hyper::body::Incoming;
+use bytes::Bytes;
 use hyper::{Method, Request, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -13,6 +14,7 @@
 use super::pump::Pump;
 use crate::decide::CallId;
 use crate::decide::message::ParentCall;
+use crate::decide::sharded::lock;
 use crate::model::{ServerState, ServiceName};
 
 /// The backend server's counter of its calls beneath one run.
@@ -32,23 +34,67 @@
     pub state: ServerState,
 }
 
+/// What the backend server has last said, on its way to the control loop.
+#[derive(Debug)]
+pub struct LocalServer {
+    last: Mutex<Option<BackendAnnouncement>>,
+    leaving: AtomicBool,
+    announcements: mpsc::Sender<BackendAnnouncement>,
+}
+
+impl LocalServer {
+    /// A server that has not announced itself yet.
+    pub fn new(announcements: mpsc::Sender<BackendAnnouncement>) -> LocalServer {
+        LocalServer {
+            last: Mutex::default(),
+            leaving: AtomicBool::new(false),
+            announcements,
+        }
+    }
+
+    /// What the backend server has last said.
+    pub fn last(&self) -> Option<BackendAnnouncement> {
+        lock(&self.last).clone()
+    }
+
+    /// Announces from now on that the server is leaving, whatever it says itself.
+    pub async fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+        if let Some(last) = self.last() {
+            self.announce(last).await;
+        }
+    }
+
+    /// Announces that the daemon has stopped.
+    pub async fn gone(&self) {
+        if let Some(mut last) = self.last() {
+            last.state = ServerState::Gone;
+            let _ = self.announcements.send(last).await;
+        }
+    }
+
+    async fn announce(&self, mut announcement: BackendAnnouncement) {
+        *lock(&self.last) = Some(announcement.clone());
+        if self.leaving.load(Ordering::Acquire) && announcement.state == ServerState::Serving {
+            announcement.state = ServerState::Leaving;
+        }
+        let _ = self.announcements.send(announcement).await;
+    }
+}
+
 /// Answers one request of the backend server.
 pub async fn handle(
     pump: Arc<Pump>,
-    announcements: mpsc::Sender<BackendAnnouncement>,
-    request: Request<Incoming>,
+    server: Arc<LocalServer>,
+    request: Request<Bytes>,
 ) -> FullResponse {
     let (parts, body) = request.into_parts();
-    let body = match http::read_body(body).await {
-        Ok(body) => body,
-        Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
-    };
     let path = parts.uri.path().to_owned();
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
     match (parts.method, segments.as_slice()) {
         (Method::POST, ["announce"]) => match serde_json::from_slice(&body) {
             Ok(announcement) => {
-                let _ = announcements.send(announcement).await;
+                server.announce(announcement).await;
                 http::json(StatusCode::OK, &())
             }
             Err(error) => http::error(StatusCode::BAD_REQUEST, &error.to_string()),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,14 +1,23 @@
 //! The network: turns sockets into events for the decisions, and their actions into bytes.
 
+pub mod admin;
+pub mod admin_audit;
+pub mod admin_auth;
+pub mod admin_status;
 pub mod backend;
 pub mod callers;
 pub mod control;
 pub mod daemon;
+pub mod drain;
 pub mod error;
 pub mod hop;
 pub mod http;
+pub mod lifecycle;
+pub mod listener;
 pub mod local;
+pub mod metrics;
 pub mod peer_control;
+pub mod process;
 pub mod pump;
 
 pub use daemon::Daemon;
--- a/src/net/peer_control.rs
+++ b/src/net/peer_control.rs
@@ -6,10 +6,11 @@
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
-use jsonrpsee::server::{RpcModule, Server, ServerHandle};
+use jsonrpsee::server::{RpcModule, Server, ServerConfig, ServerHandle};
 use tokio::sync::mpsc;
 
 use super::error::NetError;
+use crate::config::ControlBounds;
 use crate::decide::control::ControlMessage;
 
 const METHOD: &str = "control";
@@ -28,9 +29,15 @@
 /// Opens the listener for control messages; they are put into `arrived`.
 pub async fn serve(
     address: SocketAddr,
+    bounds: ControlBounds,
     arrived: mpsc::Sender<Arrived>,
 ) -> Result<ServerHandle, NetError> {
-    let server = Server::builder().build(address).await;
+    let config = ServerConfig::builder()
+        .max_request_body_size(bounds.body_bytes)
+        .max_connections(bounds.connections)
+        .http_only()
+        .build();
+    let server = Server::builder().set_config(config).build(address).await;
     let server = server.map_err(|source| NetError::Listen { address, source })?;
     let mut module = RpcModule::new(arrived);
     module
--- a/src/net/pump.rs
+++ b/src/net/pump.rs
@@ -12,6 +12,7 @@
 use crate::decide::{
     Action, CallId, Event, ExchangeId, LocalRun, Node, PeerReply, PeerRequest, SendFailure,
 };
+use crate::logs;
 use crate::model::{CallKey, Clock, Outcome, ServiceName, SheetVersion};
 
 /// How a call that somebody waits for has ended.
@@ -142,7 +143,7 @@
             Action::WantWorkers { service } => {
                 let _ = self.wanted.send(Wanted::Workers(service));
             }
-            Action::Note(note) => spdlog::info!("decision changed: {:?}", note),
+            Action::Note(note) => logs::decision(&note),
         }
     }
 
@@ -200,7 +201,7 @@
         NetError::Connect { .. } | NetError::Listen { .. } | NetError::Malformed(_) => {
             SendFailure::NoByteSent
         }
-        NetError::Broken { .. } => SendFailure::Broken,
+        NetError::Broken { .. } | NetError::AnswerTooLarge { .. } => SendFailure::Broken,
         NetError::Silent { .. } => SendFailure::Silent,
     }
 }
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::config::AnswerBounds;
 use crate::decide::control::record::{LogBatch, LogEntry, LogRecord, Stream};
 use crate::net::NetError;
 use crate::net::http::{self, HttpClient};
@@ -79,6 +80,12 @@
         }
     }
 
+    /// The same client with bounds on what the log service answers.
+    pub fn with_bounds(mut self, bounds: AnswerBounds) -> LogClient {
+        self.client = http::bounded_client(IDLE_CONNECTIONS, bounds);
+        self
+    }
+
     /// Appends a record and returns its offset.
     pub async fn append(&self, stream: Stream, record: &LogRecord) -> Result<u64, LogError> {
         let data = serde_json::to_vec(record).map_err(malformed)?;
--- /dev/null
+++ b/tests/listeners_bounds.rs
@@ -0,0 +1,300 @@
+//! Each bound towards a client has its own error, and other clients go on undisturbed.
+
+mod workdir;
+
+use std::io::Write;
+use std::net::Shutdown;
+
+use burdockhall::net::listener::Bound;
+use workdir::running::{Running, call_bytes, ticket};
+use workdir::{RawAnswer, connect, raw, read_answer, request, wait_for};
+
+const BODY_BYTES: usize = 1_000;
+const TIMEOUT_MS: u64 = 300;
+
+struct Case {
+    name: &'static str,
+    bytes: Vec<u8>,
+    close_sending: bool,
+    status: u16,
+    says: &'static str,
+}
+
+fn cases(keyed: Vec<u8>) -> Vec<Case> {
+    let case = |name, bytes: Vec<u8>, close_sending, status, says| Case {
+        name,
+        bytes,
+        close_sending,
+        status,
+        says,
+    };
+    let call = "POST /call/redemptions/redeem HTTP/1.1\r\nhost: test\r\n";
+    let head = |rest: &str| format!("{call}{rest}").into_bytes();
+    vec![
+        case(
+            "not HTTP",
+            b"\x16\x03\x01 hello\r\n\r\n".to_vec(),
+            false,
+            400,
+            "",
+        ),
+        case(
+            "no such route",
+            request("GET", "/", &[], ""),
+            false,
+            404,
+            "/call/{service}",
+        ),
+        case(
+            "head too large",
+            head(&format!("x: {}\r\n\r\n", "y".repeat(40_000))),
+            false,
+            431,
+            "larger than 32768 bytes",
+        ),
+        case(
+            "head without an end",
+            head(&format!("x: {}", "y".repeat(100_000))),
+            false,
+            431,
+            "",
+        ),
+        case(
+            "body too large by its length",
+            head("content-length: 1001\r\n\r\n"),
+            false,
+            413,
+            "larger than 1000 bytes",
+        ),
+        case(
+            "body too large in chunks",
+            head(&format!(
+                "transfer-encoding: chunked\r\n\r\n3e9\r\n{}\r\n0\r\n\r\n",
+                "y".repeat(1_001)
+            )),
+            false,
+            413,
+            "larger than 1000 bytes",
+        ),
+        case(
+            "slow head",
+            head("x: "),
+            false,
+            408,
+            "head of the request did not arrive within 300 ms",
+        ),
+        case(
+            "slow body",
+            head("content-length: 10\r\n\r\nfour"),
+            false,
+            408,
+            "body of the request did not arrive within 300 ms",
+        ),
+        case(
+            "body that breaks off",
+            head("content-length: 10\r\n\r\nfour"),
+            true,
+            400,
+            "",
+        ),
+        case(
+            "half-closed before the answer",
+            keyed,
+            true,
+            400,
+            "counts as gone",
+        ),
+        case(
+            "key that is none",
+            request(
+                "POST",
+                "/call/redemptions/redeem",
+                &[("burdockhall-key", "seven")],
+                "",
+            ),
+            false,
+            400,
+            "",
+        ),
+        case(
+            "header that is no number",
+            request(
+                "POST",
+                "/call/redemptions/redeem",
+                &[("burdockhall-time-left-ms", "soon")],
+                "",
+            ),
+            false,
+            400,
+            "burdockhall-time-left-ms",
+        ),
+    ]
+}
+
+#[test]
+fn bad_requests_get_a_clear_error_and_disturb_nobody() {
+    let running = Running::start(200, |settings| {
+        settings.bounds.callers.body_bytes = BODY_BYTES;
+        settings.bounds.callers.header_timeout_ms = TIMEOUT_MS;
+        settings.bounds.callers.body_timeout_ms = TIMEOUT_MS;
+    });
+    let keyed = call_bytes(&ticket(&running.settings).unwrap(), 0, "voucher");
+    for case in cases(keyed) {
+        let mut stream = connect(running.settings.callers_address);
+        stream.write_all(&case.bytes).unwrap();
+        if case.close_sending {
+            stream.shutdown(Shutdown::Write).unwrap();
+        }
+        let other = running.call("voucher 7").unwrap();
+        assert_eq!(
+            (other.status, other.body.as_str()),
+            (200, "voucher 7"),
+            "{}",
+            case.name
+        );
+        let answer = read_answer(&mut stream);
+        let answer = answer.unwrap_or_else(|| panic!("{}: no answer", case.name));
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert!(answer.body.contains(case.says), "{}: {answer:?}", case.name);
+    }
+}
+
+#[test]
+fn slow_connections_are_told_and_closed_while_others_are_served() {
+    const SLOW: usize = 50;
+    let running = Running::start(1, |settings| {
+        settings.bounds.callers.header_timeout_ms = TIMEOUT_MS;
+    });
+    let mut slow: Vec<_> = (0..SLOW)
+        .map(|_| {
+            let mut stream = connect(running.settings.callers_address);
+            stream.write_all(b"POST /call/").unwrap();
+            stream
+        })
+        .collect();
+    for _ in 0..20 {
+        assert_eq!(running.call("voucher").unwrap().status, 200);
+    }
+    for stream in &mut slow {
+        assert_eq!(read_answer(stream).unwrap().status, 408);
+    }
+    let daemon = running.daemon.as_ref().unwrap();
+    let counts = &daemon.listeners().callers;
+    assert_eq!(counts.refused(Bound::HeaderTimeout), SLOW as u64);
+}
+
+#[test]
+fn a_connection_beyond_the_bound_is_refused_and_those_open_go_on() {
+    let running = Running::start(1, |settings| settings.bounds.callers.connections = 2);
+    let address = running.settings.callers_address;
+    let open = || {
+        let mut stream = connect(address);
+        let bytes = request("POST", "/ticket/redemptions", &[], "");
+        stream.write_all(&bytes).unwrap();
+        let answer = read_answer(&mut stream)?;
+        (answer.status == 200).then_some(stream)
+    };
+    let mut first = wait_for("a connection", open);
+    let _second = wait_for("a connection", open);
+    let refused = raw(address, &request("GET", "/", &[], "")).unwrap();
+    assert_eq!(refused.status, 503);
+    assert!(refused.head.contains("retry-after: 1"), "{refused:?}");
+    assert!(refused.body.contains("2 connections are open already"));
+    first
+        .write_all(&request("POST", "/ticket/redemptions", &[], ""))
+        .unwrap();
+    assert_eq!(read_answer(&mut first).unwrap().status, 200);
+}
+
+struct Foreign {
+    name: &'static str,
+    listener: &'static str,
+    bytes: Vec<u8>,
+    status: u16,
+    says: &'static str,
+}
+
+#[test]
+fn other_listeners_answer_bad_input_clearly() {
+    let running = Running::start(1, |settings| settings.bounds.hop.body_bytes = BODY_BYTES);
+    let settings = &running.settings;
+    let long = "y".repeat(BODY_BYTES + 1);
+    let cases = [
+        (
+            "truncated JSON",
+            "local",
+            request("POST", "/announce", &[], "{\"service\":"),
+            400,
+            "line 1 column 11",
+        ),
+        (
+            "unknown field",
+            "local",
+            request("POST", "/announce", &[], "{\"colour\":1}"),
+            400,
+            "colour",
+        ),
+        (
+            "call without its run",
+            "local",
+            request("POST", "/call/a/b", &[], ""),
+            400,
+            "burdockhall-call is missing",
+        ),
+        (
+            "hop without a message",
+            "hop",
+            request("POST", "/hop", &[], ""),
+            400,
+            "burdockhall-message is missing",
+        ),
+        (
+            "hop with truncated JSON",
+            "hop",
+            request(
+                "POST",
+                "/hop",
+                &[("burdockhall-message", "{\"execute\":")],
+                "",
+            ),
+            400,
+            "column",
+        ),
+        (
+            "hop with a large body",
+            "hop",
+            request("POST", "/hop", &[], &long),
+            413,
+            "larger than 1000 bytes",
+        ),
+        (
+            "control with truncated JSON",
+            "control",
+            request(
+                "POST",
+                "/",
+                &[("content-type", "application/json")],
+                "{\"jsonrpc\":",
+            ),
+            200,
+            "Parse error",
+        ),
+    ]
+    .map(|(name, listener, bytes, status, says)| Foreign {
+        name,
+        listener,
+        bytes,
+        status,
+        says,
+    });
+    for case in cases {
+        let address = match case.listener {
+            "local" => settings.local_address,
+            "hop" => settings.hop_address,
+            _ => settings.control_address,
+        };
+        let answer: RawAnswer = raw(address, &case.bytes).unwrap();
+        assert_eq!(answer.status, case.status, "{}: {answer:?}", case.name);
+        assert!(answer.body.contains(case.says), "{}: {answer:?}", case.name);
+    }
+}
--- /dev/null
+++ b/tests/workdir/running.rs
@@ -0,0 +1,104 @@
+//! A daemon in this process with a stand-in log service and backend server.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use burdockhall::config::Settings;
+use burdockhall::decide::Mechanisms;
+use burdockhall::net::Daemon;
+use burdockhall::standin::backend::{BackendPlan, StandInBackend};
+use burdockhall::standin::log::StandInLog;
+use serde_json::Value;
+use tokio::runtime::Runtime;
+
+use super::{RawAnswer, free_settings, raw, request, wait_for, wait_ready};
+
+/// The service of the stand-in.
+pub const SERVICE: &str = "redemptions";
+
+/// The platform and the backend server around a daemon.
+pub struct Surroundings {
+    pub runtime: Runtime,
+    pub log: StandInLog,
+    pub backend: StandInBackend,
+}
+
+impl Surroundings {
+    pub fn start(settings: &Settings, service_ms: u64) -> Surroundings {
+        let runtime = Runtime::new().unwrap();
+        let plan = BackendPlan {
+            service: SERVICE.into(),
+            slots: 4,
+            connections: 16,
+            service_ms,
+            calls: BTreeMap::new(),
+            daemon: settings.local_address,
+        };
+        let log = runtime.block_on(StandInLog::start(settings.log_address));
+        let backend = runtime.block_on(StandInBackend::start(settings.backend_address, plan));
+        Surroundings {
+            runtime,
+            log: log.unwrap(),
+            backend: backend.unwrap(),
+        }
+    }
+}
+
+/// A daemon in this process.
+pub struct Running {
+    pub settings: Settings,
+    pub daemon: Option<Daemon>,
+    pub around: Surroundings,
+}
+
+impl Running {
+    pub fn start(service_ms: u64, change: impl FnOnce(&mut Settings)) -> Running {
+        let mut settings = free_settings();
+        change(&mut settings);
+        let around = Surroundings::start(&settings, service_ms);
+        let starting = Daemon::start(&settings, Mechanisms::ALL);
+        let daemon = around.runtime.block_on(starting).unwrap();
+        wait_ready(settings.admin_address);
+        wait_worker(&settings);
+        Running {
+            settings,
+            daemon: Some(daemon),
+            around,
+        }
+    }
+
+    /// A request with a key of its own.
+    pub fn call(&self, body: &str) -> Option<RawAnswer> {
+        call(&self.settings, body)
+    }
+}
+
+/// Waits until the daemon issues tickets for the service, so that it knows a worker of it.
+pub fn wait_worker(settings: &Settings) {
+    wait_for("a worker", || ticket(settings));
+}
+
+pub fn ticket(settings: &Settings) -> Option<String> {
+    let path = format!("/ticket/{SERVICE}");
+    let answer = raw(settings.callers_address, &request("POST", &path, &[], ""))?;
+    let ticket: Value = answer.json();
+    (answer.status == 200).then(|| ticket["ticket"].as_str().unwrap().to_owned())
+}
+
+pub fn call_bytes(ticket: &str, sequence: u64, body: &str) -> Vec<u8> {
+    let key = format!("{sequence}:{ticket}");
+    let path = format!("/call/{SERVICE}/redeem");
+    let headers = [
+        ("burdockhall-caller", "employer"),
+        ("burdockhall-key", key.as_str()),
+    ];
+    request("POST", &path, &headers, body)
+}
+
+pub fn call(settings: &Settings, body: &str) -> Option<RawAnswer> {
+    let ticket = ticket(settings)?;
+    raw(settings.callers_address, &call_bytes(&ticket, 0, body))
+}
+
+/// A span for things that must not happen.
+pub const MOMENT: Duration = Duration::from_millis(300);
