--- a/src/cmd/trial.rs
+++ b/src/cmd/trial.rs
@@ -1,192 +1,181 @@
 //! `burdockhall trial`
 
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::collections::BTreeSet;
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
 
-use bytes::Bytes;
-use clap::{Arg, ArgMatches, Command, value_parser};
-use http_body_util::Full;
-use hyper::Request;
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use strum::IntoEnumIterator;
 
 use super::CmdError;
-use crate::config::Settings;
-use crate::decide::Mechanisms;
-use crate::decide::control::record::{LogRecord, Publication, Stream};
-use crate::model::sheet::Rule;
-use crate::model::{Contract, Importance, SheetVersion};
-use crate::net::backend::{CALLER_HEADER, KEY_HEADER, OUTCOME_HEADER};
-use crate::net::daemon::unix_ms;
-use crate::net::{Daemon, http};
-use crate::platform::log::LogClient;
-use crate::standin::backend::{BackendPlan, ChildCall, StandInBackend};
-use crate::standin::log::StandInLog;
+use crate::trial::{DeploymentName, Fault, TrialPlan, TrialResult, page};
+
+/// Threads of the callers; every VM of the trial has a thread of its own besides.
+const CALLER_THREADS: usize = 4;
+/// Shortest trial, in seconds: a run must hold a judged second after its surge.
+const MIN_SECONDS: u64 = 9;
+const MAX_SECONDS: u64 = 3_600;
 
 /// Usage.
 pub fn command() -> Command {
     Command::new("trial")
-        .about("Runs daemons and stand-ins over loopback and drives a closing through them")
+        .about("Drives a closing through real daemons and compares three policies")
+        .long_about(
+            "Runs real daemons and stand-ins of the log service and of the backend servers in one \
+             process over loopback, in the proportions of a deployment, and drives a surge of \
+             hard-retrying callers through them while a deep service slows. The same demand meets \
+             three policies: no limit (none), a fixed limit (fixed), both with three retries in \
+             each layer, and burdockhall. Needs nothing else on the machine.",
+        )
+        .arg(
+            Arg::new("deployment")
+                .long("deployment")
+                .value_name("NAME")
+                .default_value("levy")
+                .value_parser(|text: &str| parse::<DeploymentName>(text))
+                .help("The deployment: levy or tantuvan"),
+        )
+        .arg(
+            Arg::new("scale")
+                .long("scale")
+                .value_name("SHARE")
+                .default_value("0.05")
+                .value_parser(parse_scale)
+                .help("Share of the deployment's slots and connections, from 0.01 to 1"),
+        )
+        .arg(
+            Arg::new("seed")
+                .long("seed")
+                .value_name("N")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Seed of the arrivals and of the service times"),
+        )
         .arg(
             Arg::new("seconds")
                 .long("seconds")
-                .default_value("5")
-                .value_parser(value_parser!(u64))
-                .help("How long to drive load"),
+                .value_name("N")
+                .default_value("21")
+                .value_parser(value_parser!(u64).range(MIN_SECONDS..=MAX_SECONDS))
+                .help("Seconds of load in all, shared evenly by the three policies"),
+        )
+        .arg(
+            Arg::new("fault")
+                .long("fault")
+                .value_name("NAME")
+                .action(ArgAction::Append)
+                .value_parser(|text: &str| parse::<Fault>(text))
+                .help("A fault besides the surge; may be given several times"),
+        )
+        .arg(
+            Arg::new("list-faults")
+                .long("list-faults")
+                .action(ArgAction::SetTrue)
+                .help("Lists the faults and ends"),
+        )
+        .arg(
+            Arg::new("json")
+                .long("json")
+                .action(ArgAction::SetTrue)
+                .help("Prints one JSON object in place of the table"),
+        )
+        .arg(
+            Arg::new("report")
+                .long("report")
+                .value_name("FILE.html")
+                .value_parser(value_parser!(PathBuf))
+                .help("Also writes a page with plots over time"),
         )
 }
 
 #[derive(Debug)]
 struct Args {
-    seconds: u64,
+    plan: TrialPlan,
+    json: bool,
+    report: Option<PathBuf>,
 }
 
-/// The chain of the trial: each service calls the next.
-const CHAIN: [&str; 3] = ["balances", "redemptions", "ledger"];
-/// Workers of each service.
-const WORKERS: u16 = 2;
-const FIRST_PORT: u16 = 21_000;
-
 /// Runs the command.
 pub fn run(matches: &ArgMatches) -> Result<(), CmdError> {
-    let args = Args {
-        seconds: matches.get_one("seconds").copied().unwrap_or(5),
-    };
-    let runtime = tokio::runtime::Runtime::new()?;
-    runtime.block_on(args.drive())
-}
-
-#[derive(Debug, Default)]
-struct Counts {
-    done: AtomicU64,
-    other: AtomicU64,
+    if matches.get_flag("list-faults") {
+        return list_faults();
+    }
+    let args = Args::from_matches(matches);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(CALLER_THREADS)
+        .enable_all()
+        .build()?;
+    // The daemons' log lines would drown the table.
+    spdlog::default_logger().set_level_filter(spdlog::LevelFilter::Off);
+    let result = runtime.block_on(args.plan.run(progress));
+    runtime.shutdown_background();
+    args.print(&result?)
 }
 
 impl Args {
-    async fn drive(&self) -> Result<(), CmdError> {
-        let log = StandInLog::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
-        publish(&LogClient::new(log.address, 1_000)).await?;
-        let mut daemons = Vec::new();
-        let mut backends = Vec::new();
-        for (index, service) in CHAIN.iter().enumerate() {
-            for worker in 0..WORKERS {
-                let port = FIRST_PORT + (index as u16 * WORKERS + worker) * 10;
-                let mut settings = Settings::example(port);
-                settings.log_address = log.address;
-                daemons.push(Daemon::start(&settings, Mechanisms::ALL).await?);
-                backends.push(start_backend(&settings, index, service).await?);
-            }
+    fn from_matches(matches: &ArgMatches) -> Args {
+        let faults = matches.get_many::<Fault>("fault").unwrap_or_default();
+        let seconds: u64 = matches.get_one("seconds").copied().unwrap_or(MIN_SECONDS);
+        Args {
+            plan: TrialPlan {
+                deployment: matches
+                    .get_one("deployment")
+                    .copied()
+                    .unwrap_or(DeploymentName::Levy),
+                scale: matches.get_one("scale").copied().unwrap_or(1.0),
+                seed: matches.get_one("seed").copied().unwrap_or(1),
+                span_ms: seconds * 1_000,
+                faults: faults.copied().collect::<BTreeSet<Fault>>(),
+                policies: TrialPlan::all_policies(),
+            },
+            json: matches.get_flag("json"),
+            report: matches.get_one::<PathBuf>("report").cloned(),
         }
-        tokio::time::sleep(Duration::from_millis(1_500)).await;
-        let counts = Counts::default();
-        let entry = Settings::example(FIRST_PORT).callers_address;
-        let client = http::client(64);
-        let until = tokio::time::Instant::now() + Duration::from_secs(self.seconds);
-        let ticket = ticket(&client, entry).await?;
-        let mut sequence = 0;
-        while tokio::time::Instant::now() < until {
-            one_call(&client, entry, &ticket, sequence, &counts).await;
-            sequence += 1;
+    }
+
+    fn print(&self, result: &TrialResult) -> Result<(), CmdError> {
+        if let Some(path) = &self.report {
+            std::fs::write(path, page::page(result))?;
+        }
+        let mut wtr = std::io::stdout().lock();
+        if self.json {
+            writeln!(wtr, "{}", serde_json::to_string(&result.report)?)?;
+        } else {
+            write!(wtr, "{}", result.report.table())?;
         }
-        println!(
-            "{} done, {} other",
-            counts.done.load(Ordering::Relaxed),
-            counts.other.load(Ordering::Relaxed)
-        );
-        let twice = backends
-            .iter()
-            .flat_map(|backend| backend.state.executions().into_values())
-            .filter(|count| *count > 1)
-            .count();
-        println!("{twice} keys executed twice");
         Ok(())
     }
 }
 
-async fn publish(log: &LogClient) -> Result<(), CmdError> {
-    let contract = Contract {
-        importance: Importance::Critical,
-        idempotent: false,
-        deadline_ms: 2_000,
-        retry_allowance: 2,
-    };
-    let publication = Publication {
-        id: "trial".to_owned(),
-        base: SheetVersion(0),
-        author: "trial".into(),
-        published_ms: unix_ms(),
-        rules: vec![Rule {
-            service: None,
-            request: None,
-            caller: None,
-            contract,
-        }],
-        shares: Vec::new(),
-    };
-    let record = LogRecord::Publication(publication);
-    log.append(Stream::Sheets, &record).await?;
+fn list_faults() -> Result<(), CmdError> {
+    let mut wtr = std::io::stdout().lock();
+    for fault in Fault::iter() {
+        writeln!(wtr, "{:<18} {}", fault.to_string(), fault.describe())?;
+    }
     Ok(())
 }
 
-async fn start_backend(
-    settings: &Settings,
-    index: usize,
-    service: &str,
-) -> Result<StandInBackend, CmdError> {
-    let mut calls = BTreeMap::new();
-    if let Some(next) = CHAIN.get(index + 1) {
-        let child = ChildCall {
-            service: (*next).into(),
-            request: "redeem".into(),
-        };
-        calls.insert("redeem".into(), vec![child]);
+fn progress(line: &str) {
+    let mut wtr = std::io::stderr();
+    if wtr.is_terminal() {
+        let _ = writeln!(wtr, "{line}");
     }
-    let plan = BackendPlan {
-        service: service.into(),
-        slots: 8,
-        connections: 64,
-        service_ms: 2,
-        calls,
-        daemon: settings.local_address,
-    };
-    Ok(StandInBackend::start(settings.backend_address, plan).await?)
 }
 
-async fn ticket(client: &http::HttpClient, entry: SocketAddr) -> Result<String, CmdError> {
-    let request = Request::post(format!("http://{entry}/ticket/{}", CHAIN[0]))
-        .body(Full::new(Bytes::new()))
-        .map_err(std::io::Error::other)?;
-    let (_, _, body) = http::exchange(client, entry, request, 1_000).await?;
-    let value: serde_json::Value = serde_json::from_slice(&body)?;
-    Ok(value["ticket"].as_str().unwrap_or_default().to_owned())
+fn parse_scale(text: &str) -> Result<f64, String> {
+    match text.parse::<f64>() {
+        Ok(scale) if (0.01..=1.0).contains(&scale) => Ok(scale),
+        _ => Err(format!("{text:?} is no number from 0.01 to 1")),
+    }
 }
 
-async fn one_call(
-    client: &http::HttpClient,
-    entry: SocketAddr,
-    ticket: &str,
-    sequence: u64,
-    counts: &Counts,
-) {
-    let body = Bytes::from(format!("voucher {sequence}"));
-    let request = Request::post(format!("http://{entry}/call/{}/redeem", CHAIN[0]))
-        .header(CALLER_HEADER, "employer")
-        .header(KEY_HEADER, format!("{sequence}:{ticket}"))
-        .body(Full::new(body.clone()));
-    let Ok(request) = request else {
-        return;
-    };
-    let result = http::exchange(client, entry, request, 5_000).await;
-    match result {
-        Ok((_, headers, answer))
-            if http::header(&headers, OUTCOME_HEADER) == Some("done") && answer == body =>
-        {
-            counts.done.fetch_add(1, Ordering::Relaxed);
-        }
-        other => {
-            if counts.other.fetch_add(1, Ordering::Relaxed) == 0 {
-                eprintln!("first failure: {other:?}");
-            }
-        }
-    }
+/// Parses a name and lists all names if it is none of them.
+fn parse<T>(text: &str) -> Result<T, String>
+where
+    T: std::str::FromStr + IntoEnumIterator + ToString,
+{
+    text.parse().map_err(|_| {
+        let names: Vec<String> = T::iter().map(|name| name.to_string()).collect();
+        format!("{text:?} is none of {}", names.join(", "))
+    })
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod platform;
 pub mod prelude;
 pub mod standin;
+pub mod trial;
 pub mod util;
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -17,7 +17,7 @@
 use crate::model::{CallKey, NotRunReason, Outcome, UnknownReason};
 
 /// All answers of the key's ticket below this counter are acknowledged.
-const ACKNOWLEDGED_HEADER: &str = "burdockhall-acknowledged-below";
+pub const ACKNOWLEDGED_HEADER: &str = "burdockhall-acknowledged-below";
 
 #[derive(Debug, Serialize)]
 struct TicketBody {
--- a/src/standin/backend.rs
+++ b/src/standin/backend.rs
@@ -1,6 +1,16 @@
-//! A stand-in of a backend server: slots, service time, further calls, executions by key.
+//! A stand-in of a backend server: slots, service time, further calls, cancellation,
+//! deadlines, and a count of what it ran.
+//!
+//! A run waits for a slot, works for its service time and makes its calls beneath,
+//! holding the slot. It takes effect at its end: if its first call beneath was not
+//! run, or if it is cancelled or out of time before that call, the server answers
+//! `not-run`. Cancelled or out of time later, it answers with an error.
+//! Service times are kept by tokio's timer, whose resolution is one millisecond:
+//! a run takes up to one millisecond longer than planned, and a service time of
+//! zero takes none.
 
 use std::collections::{BTreeMap, HashMap};
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -9,14 +19,25 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
+use hyper::http::request::Parts;
+use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
-use tokio::sync::Semaphore;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, Semaphore};
 use tokio::task::JoinSet;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::ledger::RunLedger;
+use super::switches::BackendSwitches;
 use crate::decide::sharded::lock;
 use crate::model::{RequestName, ServerState, ServiceName};
 use crate::net::NetError;
-use crate::net::backend::{CALL_HEADER, KEY_HEADER};
+use crate::net::backend::{
+    CALL_HEADER, KEY_HEADER, OUTCOME_HEADER, RETRY_AFTER_HEADER, TIME_LEFT_HEADER,
+};
 use crate::net::http::{self, FullResponse, HttpClient};
 use crate::net::local::{BackendAnnouncement, ORDINAL_HEADER};
 
@@ -26,6 +47,8 @@
 const CHILD_TIMEOUT_MS: u64 = 30_000;
 /// Connections kept open to the daemon.
 const IDLE_CONNECTIONS: usize = 64;
+/// When to come back after a refusal that names no time, in milliseconds.
+const RETRY_AFTER_MS: u64 = 100;
 
 /// A call that a run makes before it answers.
 #[derive(Debug, Clone)]
@@ -45,8 +68,14 @@
     pub slots: u32,
     /// Connections that it announces.
     pub connections: u32,
-    /// Time that a run takes, in milliseconds.
+    /// Mean time that a run takes without its calls beneath, in milliseconds.
     pub service_ms: u64,
+    /// Kinds of request that take no time.
+    pub instant: Vec<RequestName>,
+    /// Seed of the service times, which spread evenly from half to one and a half of the mean.
+    pub seed: u64,
+    /// Whether it gives up what is past its deadline.
+    pub deadlines: bool,
     /// Calls made by each kind of request, one after the other.
     pub calls: BTreeMap<RequestName, Vec<ChildCall>>,
     /// The daemon beside it.
@@ -60,17 +89,31 @@
     pub started: AtomicU64,
     /// Runs that were finished, with whatever status.
     pub finished: AtomicU64,
-    /// The service time is multiplied by this; zero counts as one.
-    pub slowdown: AtomicU64,
-    /// Announce the leaving.
-    pub leaving: AtomicBool,
-    executions: Mutex<HashMap<String, u32>>,
+    /// Connections accepted.
+    pub accepted: AtomicU64,
+    /// Switches.
+    pub switches: BackendSwitches,
+    /// What it ran.
+    pub ledger: RunLedger,
 }
 
 impl BackendState {
     /// How often each key was executed.
     pub fn executions(&self) -> HashMap<String, u32> {
-        lock(&self.executions).clone()
+        self.ledger.executions()
+    }
+
+    /// Runs that are not finished.
+    pub fn running(&self) -> u64 {
+        let finished = self.finished.load(Ordering::Acquire);
+        let started = self.started.load(Ordering::Acquire);
+        started.saturating_sub(finished)
+    }
+
+    /// Makes all connections that are now open silent.
+    pub fn silence_connections(&self) {
+        let accepted = self.accepted.load(Ordering::Relaxed);
+        self.switches.silence_below(accepted);
     }
 }
 
@@ -90,6 +133,21 @@
     state: Arc<BackendState>,
     slots: Semaphore,
     client: HttpClient,
+    cancels: Mutex<HashMap<String, Arc<Notify>>>,
+}
+
+/// How a run ends.
+enum Ended {
+    Whole,
+    NotRun { retry_after_ms: u64 },
+    Failed(StatusCode),
+}
+
+/// What the server says of its load.
+#[derive(Debug, Serialize)]
+struct LoadReport {
+    slots: u32,
+    running: u64,
 }
 
 impl StandInBackend {
@@ -103,12 +161,10 @@
             plan,
             state: Arc::clone(&state),
             client: http::client(IDLE_CONNECTIONS),
+            cancels: Mutex::default(),
         });
         let mut tasks = JoinSet::new();
-        let serving = Arc::clone(&shared);
-        tasks.spawn(http::serve(listener, move |request| {
-            run(Arc::clone(&serving), request)
-        }));
+        tasks.spawn(accept(listener, Arc::clone(&shared)));
         tasks.spawn(announce(shared));
         Ok(StandInBackend {
             address,
@@ -118,20 +174,40 @@
     }
 }
 
-async fn announce(shared: Arc<Shared>) {
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut connections = JoinSet::new();
     loop {
-        let leaving = shared.state.leaving.load(Ordering::Relaxed);
-        let announcement = BackendAnnouncement {
-            service: shared.plan.service.clone(),
-            slots: shared.plan.slots,
-            connections: shared.plan.connections,
-            state: if leaving {
-                ServerState::Leaving
-            } else {
-                ServerState::Serving
-            },
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
         };
-        let body = serde_json::to_vec(&announcement).unwrap_or_default();
+        let number = shared.state.accepted.fetch_add(1, Ordering::Relaxed);
+        connections.spawn(serve_connection(Arc::clone(&shared), stream, number));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn serve_connection(shared: Arc<Shared>, stream: TcpStream, number: u64) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let shared = Arc::clone(&shared);
+        async move {
+            let response = handle(&shared, request).await;
+            if shared.state.switches.is_silent(number) {
+                std::future::pending::<()>().await;
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let _ = hyper::server::conn::http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn announce(shared: Arc<Shared>) {
+    loop {
+        shared.state.switches.while_paused().await;
+        let body = serde_json::to_vec(&shared.announcement()).unwrap_or_default();
         let uri = format!("http://{}/announce", shared.plan.daemon);
         if let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(body))) {
             let daemon = shared.plan.daemon;
@@ -141,55 +217,196 @@
     }
 }
 
-async fn run(shared: Arc<Shared>, request: Request<Incoming>) -> FullResponse {
+async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> FullResponse {
     let (parts, body) = request.into_parts();
+    shared.state.switches.while_paused().await;
     let path = parts.uri.path().to_owned();
-    let Some(name) = path.strip_prefix("/run/") else {
-        return http::json(StatusCode::OK, &());
-    };
-    let Ok(body) = http::read_body(body).await else {
-        return http::error(StatusCode::BAD_REQUEST, "the body broke off");
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match segments.as_slice() {
+        ["run", name] => match http::read_body(body).await {
+            Ok(body) => run(shared, name, &parts, body).await,
+            Err(_) => http::error(StatusCode::BAD_REQUEST, "the body broke off"),
+        },
+        ["cancel", call] => {
+            if let Some(cancel) = lock(&shared.cancels).get(*call) {
+                cancel.notify_one();
+            }
+            http::json(StatusCode::OK, &())
+        }
+        ["load"] => http::json(StatusCode::OK, &shared.load()),
+        _ => http::json(StatusCode::OK, &()),
+    }
+}
+
+async fn run(shared: &Arc<Shared>, name: &str, parts: &Parts, body: Bytes) -> FullResponse {
+    let key = http::header(&parts.headers, KEY_HEADER);
+    let call = http::header(&parts.headers, CALL_HEADER).unwrap_or_default();
+    shared.state.started.fetch_add(1, Ordering::AcqRel);
+    shared.state.ledger.started(key, &body);
+    let cancel = Arc::new(Notify::new());
+    lock(&shared.cancels).insert(call.to_owned(), Arc::clone(&cancel));
+    let _running = Running { shared, call };
+    let called = AtomicBool::new(false);
+    let ended = tokio::select! {
+        // A run that has ended is answered, even if it was cancelled at the same moment.
+        biased;
+        ended = work(shared, name, call, &body, &called) => ended,
+        () = cancel.notified() => broken_off(&called, StatusCode::INTERNAL_SERVER_ERROR),
+        () = shared.past_deadline(parts) => broken_off(&called, StatusCode::GATEWAY_TIMEOUT),
     };
-    shared.state.started.fetch_add(1, Ordering::Relaxed);
-    if let Some(key) = http::header(&parts.headers, KEY_HEADER) {
-        *lock(&shared.state.executions)
-            .entry(key.to_owned())
-            .or_default() += 1;
-    }
-    let slowdown = shared.state.slowdown.load(Ordering::Relaxed).max(1);
-    {
-        let _slot = shared.slots.acquire().await;
-        tokio::time::sleep(Duration::from_millis(shared.plan.service_ms * slowdown)).await;
-        let call = http::header(&parts.headers, CALL_HEADER).unwrap_or_default();
-        let status = call_children(&shared, name, call, &body).await;
-        if status != StatusCode::OK {
-            shared.state.finished.fetch_add(1, Ordering::Relaxed);
-            return http::error(status, "a call beneath this one failed");
+    shared.state.switches.while_paused().await;
+    match ended {
+        Ended::Whole => Response::new(Full::new(body)),
+        Ended::Failed(status) => http::error(status, "the run did not finish"),
+        Ended::NotRun { retry_after_ms } => {
+            shared.state.ledger.refused(key, &body);
+            not_run(retry_after_ms)
         }
     }
-    shared.state.finished.fetch_add(1, Ordering::Relaxed);
-    Response::new(Full::new(body))
 }
 
-async fn call_children(shared: &Shared, name: &str, call: &str, body: &Bytes) -> StatusCode {
+async fn work(shared: &Shared, name: &str, call: &str, body: &Bytes, called: &AtomicBool) -> Ended {
+    let Ok(_slot) = shared.slots.acquire().await else {
+        return Ended::Failed(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    if !shared.is_instant(name) {
+        tokio::time::sleep(shared.service_time(body)).await;
+    }
+    called.store(true, Ordering::Relaxed);
+    call_children(shared, name, call, body).await
+}
+
+fn broken_off(called: &AtomicBool, status: StatusCode) -> Ended {
+    if called.load(Ordering::Relaxed) {
+        return Ended::Failed(status);
+    }
+    Ended::NotRun {
+        retry_after_ms: RETRY_AFTER_MS,
+    }
+}
+
+async fn call_children(shared: &Shared, name: &str, call: &str, body: &Bytes) -> Ended {
     let Some(children) = shared.plan.calls.get(name) else {
-        return StatusCode::OK;
+        return Ended::Whole;
     };
     for (ordinal, child) in children.iter().enumerate() {
-        let daemon = shared.plan.daemon;
-        let uri = format!("http://{daemon}/call/{}/{}", child.service, child.request);
-        let request = Request::post(uri)
-            .header(CALL_HEADER, call)
-            .header(ORDINAL_HEADER, ordinal)
-            .body(Full::new(body.clone()));
-        let Ok(request) = request else {
-            return StatusCode::INTERNAL_SERVER_ERROR;
-        };
-        match http::exchange(&shared.client, daemon, request, CHILD_TIMEOUT_MS).await {
-            Ok((status, _, answer)) if status.is_success() && answer == *body => {}
-            Ok((status, _, _)) if !status.is_success() => return status,
-            _ => return StatusCode::BAD_GATEWAY,
+        let first = ordinal == 0;
+        match call_child(shared, child, ordinal, call, body).await {
+            Ended::Whole => {}
+            // Work that was done beneath cannot be taken back.
+            Ended::NotRun { .. } if !first => {
+                return Ended::Failed(StatusCode::SERVICE_UNAVAILABLE);
+            }
+            ended => return ended,
+        }
+    }
+    Ended::Whole
+}
+
+async fn call_child(
+    shared: &Shared,
+    child: &ChildCall,
+    ordinal: usize,
+    call: &str,
+    body: &Bytes,
+) -> Ended {
+    let daemon = shared.plan.daemon;
+    let uri = format!("http://{daemon}/call/{}/{}", child.service, child.request);
+    let request = Request::post(uri)
+        .header(CALL_HEADER, call)
+        .header(ORDINAL_HEADER, ordinal)
+        .body(Full::new(body.clone()));
+    let Ok(request) = request else {
+        return Ended::Failed(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    shared.state.ledger.called(body, &child.service);
+    match http::exchange(&shared.client, daemon, request, CHILD_TIMEOUT_MS).await {
+        Ok((_, headers, _)) if http::header(&headers, OUTCOME_HEADER) == Some("not-run") => {
+            let retry_after = http::header(&headers, RETRY_AFTER_HEADER);
+            let retry_after_ms = retry_after.and_then(|text| text.parse().ok());
+            Ended::NotRun {
+                retry_after_ms: retry_after_ms.unwrap_or(RETRY_AFTER_MS),
+            }
+        }
+        Ok((status, _, answer)) if status.is_success() && answer == *body => Ended::Whole,
+        Ok((status, _, _)) if !status.is_success() => Ended::Failed(status),
+        _ => Ended::Failed(StatusCode::BAD_GATEWAY),
+    }
+}
+
+impl Shared {
+    fn announcement(&self) -> BackendAnnouncement {
+        let switches = &self.state.switches;
+        let reported = switches.reported_slots.load(Ordering::Relaxed);
+        let leaving = switches.leaving.load(Ordering::Relaxed);
+        BackendAnnouncement {
+            service: self.plan.service.clone(),
+            slots: if reported > 0 {
+                reported
+            } else {
+                self.plan.slots
+            },
+            connections: self.plan.connections,
+            state: if leaving {
+                ServerState::Leaving
+            } else {
+                ServerState::Serving
+            },
         }
     }
-    StatusCode::OK
+
+    fn load(&self) -> LoadReport {
+        LoadReport {
+            slots: self.announcement().slots,
+            running: self.state.running(),
+        }
+    }
+
+    fn is_instant(&self, name: &str) -> bool {
+        self.plan
+            .instant
+            .iter()
+            .any(|request| request.as_str() == name)
+    }
+
+    /// Drawn by seed and body, so that a request takes the same time in every run of the trial.
+    fn service_time(&self, body: &Bytes) -> Duration {
+        let draw = xxh3_64_with_seed(body, self.plan.seed) >> 32;
+        let share = 0.5 + draw as f64 / (1u64 << 32) as f64;
+        let mean_ms = self.plan.service_ms as f64;
+        let factor = self.state.switches.factor() as f64;
+        Duration::from_secs_f64(mean_ms * share * factor / 1_000.0)
+    }
+
+    async fn past_deadline(&self, parts: &Parts) {
+        let left = http::header(&parts.headers, TIME_LEFT_HEADER);
+        let left_ms = left.and_then(|text| text.parse().ok());
+        match left_ms {
+            Some(left_ms) if self.plan.deadlines => {
+                tokio::time::sleep(Duration::from_millis(left_ms)).await;
+            }
+            _ => std::future::pending().await,
+        }
+    }
+}
+
+/// A run under way; counts as finished once dropped, also if its connection is closed.
+struct Running<'a> {
+    shared: &'a Shared,
+    call: &'a str,
+}
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        lock(&self.shared.cancels).remove(self.call);
+        self.shared.state.finished.fetch_add(1, Ordering::AcqRel);
+    }
+}
+
+fn not_run(retry_after_ms: u64) -> FullResponse {
+    let mut response = http::error(StatusCode::SERVICE_UNAVAILABLE, "the request was not run");
+    let headers = response.headers_mut();
+    headers.insert(OUTCOME_HEADER, HeaderValue::from_static("not-run"));
+    headers.insert(RETRY_AFTER_HEADER, HeaderValue::from(retry_after_ms));
+    response
 }
--- /dev/null
+++ b/src/trial/audit.rs
@@ -0,0 +1,110 @@
+//! What the backend servers' own counts prove at the end of a run.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::deployment::{Deployment, PROBE};
+use crate::model::ServiceName;
+use crate::standin::backend::BackendState;
+use crate::standin::ledger::BodyRuns;
+
+/// What was found.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Audit {
+    /// Non-idempotent requests that ran twice at one service, or a key that did.
+    pub executed_twice: u64,
+    /// Requests answered `not-run` that ran at some service.
+    pub not_run_but_ran: u64,
+    /// Most attempts beyond the first for one root request, over all services.
+    pub extra_attempts_max: u64,
+}
+
+/// Runs of one body by service.
+type ByService = HashMap<&'static str, BodyRuns>;
+
+/// Judges all backend servers of a run, and the bodies whose requests were answered `not-run`.
+pub fn audit(
+    deployment: &Deployment,
+    backends: &[(&'static str, Arc<BackendState>)],
+    not_run_bodies: &[String],
+) -> Audit {
+    let runs = collect(backends);
+    let twice = runs
+        .iter()
+        .filter(|(body, by_service)| {
+            is_keyed(deployment, body) && by_service.values().any(|runs| runs.executed > 1)
+        })
+        .count();
+    let ran = not_run_bodies
+        .iter()
+        .filter_map(|body| runs.get(body.as_bytes()))
+        .filter(|by_service| by_service.values().any(|runs| runs.executed > 0))
+        .count();
+    let extra = runs
+        .iter()
+        .filter(|(body, _)| !body.starts_with(PROBE.as_bytes()))
+        .map(|(body, by_service)| extra_attempts(deployment, body, by_service))
+        .max();
+    Audit {
+        executed_twice: keys_twice(backends).max(twice as u64),
+        not_run_but_ran: ran as u64,
+        extra_attempts_max: extra.unwrap_or(0),
+    }
+}
+
+fn collect(backends: &[(&'static str, Arc<BackendState>)]) -> HashMap<Bytes, ByService> {
+    let mut runs: HashMap<Bytes, ByService> = HashMap::new();
+    for (service, state) in backends {
+        for (body, of_server) in state.ledger.by_body() {
+            let of_service = runs.entry(body).or_default().entry(service).or_default();
+            of_service.arrived += of_server.arrived;
+            of_service.executed += of_server.executed;
+            for (called, count) in of_server.calls {
+                *of_service.calls.entry(called).or_default() += count;
+            }
+        }
+    }
+    runs
+}
+
+fn keys_twice(backends: &[(&'static str, Arc<BackendState>)]) -> u64 {
+    let mut by_key: HashMap<String, u32> = HashMap::new();
+    for (_, state) in backends {
+        for (key, count) in state.executions() {
+            *by_key.entry(key).or_default() += count;
+        }
+    }
+    by_key.values().filter(|count| **count > 1).count() as u64
+}
+
+/// Attempts that reached a service beyond those that its callers asked for.
+fn extra_attempts(deployment: &Deployment, body: &Bytes, by_service: &ByService) -> u64 {
+    let first = class_of(deployment, body).map(|class| class.chain[0]);
+    let asked = |service: &str| -> u32 {
+        let name = ServiceName::from(service);
+        let beneath: u32 = by_service
+            .values()
+            .filter_map(|runs| runs.calls.get(&name))
+            .sum();
+        beneath + u32::from(first == Some(service))
+    };
+    by_service
+        .iter()
+        .map(|(service, runs)| u64::from(runs.arrived.saturating_sub(asked(service))))
+        .sum()
+}
+
+fn is_keyed(deployment: &Deployment, body: &Bytes) -> bool {
+    class_of(deployment, body).is_some_and(|class| !class.idempotent)
+}
+
+fn class_of<'a>(
+    deployment: &'a Deployment,
+    body: &Bytes,
+) -> Option<&'a super::deployment::ClassPlan> {
+    let text = std::str::from_utf8(body).ok()?;
+    let (name, _) = text.split_once(':')?;
+    deployment.classes.iter().find(|class| class.name == name)
+}
--- /dev/null
+++ b/src/trial/caller.rs
@@ -0,0 +1,281 @@
+//! Callers that resubmit hard: whatever the answer, they come back soon.
+
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, StatusCode};
+use serde::Deserialize;
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+use super::deployment::{ClassPlan, Deployment};
+use super::schedule::Arrival;
+use super::tally::{RootEnd, Tally};
+use crate::decide::sharded::lock;
+use crate::net::backend::{CALLER_HEADER, KEY_HEADER, OUTCOME_HEADER};
+use crate::net::callers::ACKNOWLEDGED_HEADER;
+use crate::net::http::{self, HttpClient};
+
+/// Times that a caller submits a request before it gives up.
+const SUBMISSIONS: u32 = 5;
+/// Wait before a request is submitted again, in milliseconds, whatever the answer asks for.
+const RESUBMIT_MS: u64 = 50;
+/// What a caller waits beyond the deadline of its class, in milliseconds.
+const PATIENCE_MS: u64 = 200;
+/// Longest wait for a ticket, in milliseconds.
+const TICKET_TIMEOUT_MS: u64 = 1_000;
+/// Keys that a caller mints from one ticket.
+const KEYS_PER_TICKET: u64 = 25;
+/// Connections kept open to each daemon.
+const IDLE_CONNECTIONS: usize = 64;
+
+/// All callers of a run.
+#[derive(Debug)]
+pub struct Callers {
+    deployment: Deployment,
+    entries: Vec<SocketAddr>,
+    client: HttpClient,
+    tally: Arc<Tally>,
+    sessions: Mutex<HashMap<(SocketAddr, &'static str), Arc<Session>>>,
+}
+
+/// A ticket and the keys minted from it.
+#[derive(Debug)]
+struct Session {
+    ticket: String,
+    keys: Mutex<Keys>,
+}
+
+#[derive(Debug, Default)]
+struct Keys {
+    next: u64,
+    open: BTreeSet<u64>,
+}
+
+/// A key that is open until it is dropped.
+#[derive(Debug)]
+struct OpenKey {
+    session: Arc<Session>,
+    sequence: u64,
+}
+
+/// What came back from one submission.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Submitted {
+    Whole,
+    Wrong,
+    NotRun { reason: String },
+    Unknown,
+    ErrorAnswer,
+    NoAnswer,
+}
+
+#[derive(Debug, Deserialize)]
+struct TicketAnswer {
+    ticket: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct RefusalAnswer {
+    reason: String,
+}
+
+impl Callers {
+    /// Callers that know the given entry daemons.
+    pub fn new(
+        deployment: Deployment,
+        entries: Vec<SocketAddr>,
+        tally: Arc<Tally>,
+    ) -> Arc<Callers> {
+        Arc::new(Callers {
+            deployment,
+            entries,
+            client: http::client(IDLE_CONNECTIONS),
+            tally,
+            sessions: Mutex::default(),
+        })
+    }
+
+    /// Makes all requests at their times. The requests still open are in the returned set.
+    pub async fn drive(self: Arc<Self>, arrivals: Vec<Arrival>) -> JoinSet<()> {
+        let mut open = JoinSet::new();
+        for (index, arrival) in arrivals.into_iter().enumerate() {
+            let at = self.tally.start() + Duration::from_micros(arrival.at_us);
+            tokio::time::sleep_until(at).await;
+            let callers = Arc::clone(&self);
+            open.spawn(async move { callers.request(index, arrival, at).await });
+            while open.try_join_next().is_some() {}
+        }
+        open
+    }
+
+    async fn request(&self, index: usize, arrival: Arrival, at: Instant) {
+        self.tally.offered(arrival.class, at.elapsed());
+        let class = &self.deployment.classes[arrival.class];
+        let mut end = RootEnd::Failed;
+        let mut key = None;
+        let mut attempt_of_body = 0;
+        for submission in 0..SUBMISSIONS {
+            let draw = arrival.draw.rotate_right(7 * submission);
+            if submission > 0 {
+                let wait_ms = RESUBMIT_MS + draw % RESUBMIT_MS;
+                tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+            }
+            let entry = self.entries[(draw % self.entries.len() as u64) as usize];
+            if !class.idempotent && key.is_none() {
+                key = self.mint(entry, class.chain[0]).await;
+                if key.is_none() {
+                    continue;
+                }
+            }
+            let body = format!("{}:{index}:{attempt_of_body}", class.name);
+            let submitted = self
+                .submit(entry, class, arrival, key.as_ref(), &body)
+                .await;
+            end = match submitted {
+                Submitted::Whole => RootEnd::Done,
+                Submitted::Wrong | Submitted::ErrorAnswer | Submitted::NoAnswer => RootEnd::Failed,
+                Submitted::NotRun { .. } => RootEnd::NotRun,
+                Submitted::Unknown => RootEnd::Unknown,
+            };
+            match submitted {
+                Submitted::Whole | Submitted::Wrong => break,
+                // The answer stands under its key; another key might run the request twice.
+                Submitted::ErrorAnswer if !class.idempotent => break,
+                Submitted::NotRun { reason } => {
+                    self.tally.refused(&body, &reason);
+                    key = None;
+                    attempt_of_body += 1;
+                }
+                // The same key joins the call that may be running.
+                Submitted::Unknown | Submitted::NoAnswer if !class.idempotent => {}
+                Submitted::Unknown | Submitted::NoAnswer | Submitted::ErrorAnswer => {
+                    attempt_of_body += 1;
+                }
+            }
+        }
+        self.tally.ended(arrival.class, end, at.elapsed());
+    }
+
+    async fn submit(
+        &self,
+        entry: SocketAddr,
+        class: &ClassPlan,
+        arrival: Arrival,
+        key: Option<&OpenKey>,
+        body: &str,
+    ) -> Submitted {
+        let callers = self.deployment.callers;
+        let caller = callers[(arrival.draw >> 32) as usize % callers.len()];
+        let uri = format!("http://{entry}/call/{}/{}", class.chain[0], class.name);
+        let mut request = Request::post(uri).header(CALLER_HEADER, caller);
+        if let Some(key) = key {
+            request = request
+                .header(KEY_HEADER, key.text())
+                .header(ACKNOWLEDGED_HEADER, key.session.acknowledged_below());
+        }
+        let Ok(request) = request.body(Full::new(Bytes::from(body.to_owned()))) else {
+            return Submitted::NoAnswer;
+        };
+        let timeout_ms = class.deadline_ms + PATIENCE_MS;
+        match http::exchange(&self.client, entry, request, timeout_ms).await {
+            Ok((status, headers, answer)) => self.judge(status, &headers, &answer, body),
+            Err(_) => Submitted::NoAnswer,
+        }
+    }
+
+    fn judge(
+        &self,
+        status: StatusCode,
+        headers: &HeaderMap,
+        answer: &[u8],
+        body: &str,
+    ) -> Submitted {
+        match http::header(headers, OUTCOME_HEADER) {
+            Some("done") if !status.is_success() => Submitted::ErrorAnswer,
+            Some("done") if answer == body.as_bytes() => Submitted::Whole,
+            Some("done") => {
+                let wrong = &self.tally.wrong_answers;
+                wrong.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                Submitted::Wrong
+            }
+            Some("not-run") => Submitted::NotRun {
+                reason: reason(answer),
+            },
+            Some("unknown") => Submitted::Unknown,
+            _ => Submitted::NoAnswer,
+        }
+    }
+
+    /// A new key from the session with this entry daemon.
+    async fn mint(&self, entry: SocketAddr, service: &'static str) -> Option<OpenKey> {
+        let known = lock(&self.sessions).get(&(entry, service)).cloned();
+        if let Some(key) = known.and_then(Session::mint) {
+            return Some(key);
+        }
+        let session = Arc::new(Session {
+            ticket: self.ticket(entry, service).await?,
+            keys: Mutex::default(),
+        });
+        lock(&self.sessions).insert((entry, service), Arc::clone(&session));
+        session.mint()
+    }
+
+    async fn ticket(&self, entry: SocketAddr, service: &str) -> Option<String> {
+        let uri = format!("http://{entry}/ticket/{service}");
+        let request = Request::post(uri).body(Full::new(Bytes::new())).ok()?;
+        let answer = http::exchange(&self.client, entry, request, TICKET_TIMEOUT_MS).await;
+        let (status, _, body) = answer.ok()?;
+        if !status.is_success() {
+            return None;
+        }
+        let answer: TicketAnswer = serde_json::from_slice(&body).ok()?;
+        Some(answer.ticket)
+    }
+}
+
+impl Session {
+    fn mint(self: Arc<Self>) -> Option<OpenKey> {
+        let sequence = {
+            let mut keys = lock(&self.keys);
+            if keys.next >= KEYS_PER_TICKET {
+                return None;
+            }
+            let sequence = keys.next;
+            keys.next += 1;
+            keys.open.insert(sequence);
+            sequence
+        };
+        Some(OpenKey {
+            session: self,
+            sequence,
+        })
+    }
+
+    /// All keys below this counter have been answered.
+    fn acknowledged_below(&self) -> u64 {
+        let keys = lock(&self.keys);
+        keys.open.first().copied().unwrap_or(keys.next)
+    }
+}
+
+impl OpenKey {
+    fn text(&self) -> String {
+        format!("{}:{}", self.sequence, self.session.ticket)
+    }
+}
+
+impl Drop for OpenKey {
+    fn drop(&mut self) {
+        lock(&self.session.keys).open.remove(&self.sequence);
+    }
+}
+
+fn reason(answer: &[u8]) -> String {
+    let answer = serde_json::from_slice::<RefusalAnswer>(answer);
+    answer.map_or_else(|_| "no reason given".to_owned(), |answer| answer.reason)
+}
--- /dev/null
+++ b/src/trial/deployment.rs
@@ -0,0 +1,309 @@
+//! The two deployments that the trial runs, scaled to one machine.
+
+use std::collections::BTreeMap;
+
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::model::sheet::Rule;
+use crate::model::{Contract, Importance, Place};
+use crate::standin::backend::ChildCall;
+
+/// Workers of each service, one in each availability zone.
+pub const WORKERS: usize = 6;
+/// Share of the bottleneck's capacity that is offered outside the surge.
+const CALM_UTILISATION: f64 = 0.5;
+/// Most root requests a second outside the surge, so that one machine can carry the surge.
+const MAX_CALM_PER_S: f64 = 250.0;
+/// Service time that a call through daemons adds to its caller's slot, in milliseconds.
+const CALL_OVERHEAD_MS: f64 = 2.0;
+
+/// Which deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum DeploymentName {
+    /// Levy Voucher Exchange Ireland.
+    Levy,
+    /// Tantuvan Fibre Safety Labs.
+    Tantuvan,
+}
+
+/// One service, with the figures of one of its workers.
+#[derive(Debug, Clone, Copy)]
+pub struct ServicePlan {
+    /// Name.
+    pub name: &'static str,
+    /// Slots at full scale.
+    pub slots: u32,
+    /// Connections at full scale.
+    pub connections: u32,
+    /// Mean time of a run without its calls beneath, in milliseconds.
+    pub service_ms: u64,
+}
+
+/// One class of requests.
+#[derive(Debug, Clone, Copy)]
+pub struct ClassPlan {
+    /// Name of the class and of the kind of request.
+    pub name: &'static str,
+    /// Share of all root requests.
+    pub share: f64,
+    /// The services that it crosses, each called by the one before.
+    pub chain: &'static [&'static str],
+    /// Importance by the sheet.
+    pub importance: Importance,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// Deadline by the sheet, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+impl ClassPlan {
+    /// Whether the class counts for the goodput of important work.
+    pub fn important(&self) -> bool {
+        self.importance >= Importance::High
+    }
+}
+
+/// A deployment.
+#[derive(Debug, Clone, Copy)]
+pub struct Deployment {
+    /// Name.
+    pub name: DeploymentName,
+    /// Regions, each with its availability zones.
+    pub regions: [(&'static str, [&'static str; 2]); 3],
+    /// Services.
+    pub services: &'static [ServicePlan],
+    /// Classes of requests.
+    pub classes: &'static [ClassPlan],
+    /// The deep service that slows down.
+    pub deep: &'static str,
+    /// Callers on whose behalf requests are made.
+    pub callers: &'static [&'static str],
+}
+
+/// Extra attempts that the trial's sheet allows a root request.
+pub const RETRY_ALLOWANCE: u32 = 2;
+/// The kind of request by which the added time is found.
+pub const PROBE: &str = "probe";
+
+const LEVY: Deployment = Deployment {
+    name: DeploymentName::Levy,
+    regions: [
+        ("dublin", ["dublin-a", "dublin-b"]),
+        ("cork", ["cork-a", "cork-b"]),
+        ("galway", ["galway-a", "galway-b"]),
+    ],
+    services: &[
+        service("balances", 110, 750, 15),
+        service("redemptions", 110, 750, 25),
+        service("transfers", 110, 750, 50),
+        service("catalogue", 25, 240, 15),
+    ],
+    classes: &[
+        ClassPlan {
+            name: "redemption",
+            share: 0.30,
+            chain: &["balances", "redemptions", "transfers"],
+            importance: Importance::Critical,
+            idempotent: false,
+            deadline_ms: 1_500,
+        },
+        ClassPlan {
+            name: "transfer",
+            share: 0.15,
+            chain: &["balances", "transfers"],
+            importance: Importance::Critical,
+            idempotent: false,
+            deadline_ms: 1_500,
+        },
+        ClassPlan {
+            name: "balance_check",
+            share: 0.25,
+            chain: &["balances"],
+            importance: Importance::Normal,
+            idempotent: true,
+            deadline_ms: 1_000,
+        },
+        ClassPlan {
+            name: "browsing",
+            share: 0.30,
+            chain: &["catalogue", "balances"],
+            importance: Importance::Sheddable,
+            idempotent: true,
+            deadline_ms: 1_000,
+        },
+    ],
+    deep: "transfers",
+    callers: &[
+        "provider-a",
+        "provider-b",
+        "provider-c",
+        "employer-a",
+        "employer-b",
+    ],
+};
+
+const TANTUVAN: Deployment = Deployment {
+    name: DeploymentName::Tantuvan,
+    regions: [
+        ("guj-west", ["guj-west-a", "guj-west-b"]),
+        ("guj-central", ["guj-central-a", "guj-central-b"]),
+        ("guj-south", ["guj-south-a", "guj-south-b"]),
+    ],
+    services: &[
+        service("coursebook", 75, 550, 15),
+        service("enrolment", 75, 550, 25),
+        service("certdesk", 75, 550, 25),
+        service("ledger", 20, 230, 20),
+    ],
+    classes: &[
+        ClassPlan {
+            name: "enrolment",
+            share: 0.25,
+            chain: &["coursebook", "enrolment", "ledger"],
+            importance: Importance::Critical,
+            idempotent: false,
+            deadline_ms: 1_500,
+        },
+        ClassPlan {
+            name: "certificate",
+            share: 0.15,
+            chain: &["certdesk", "ledger"],
+            importance: Importance::Critical,
+            idempotent: false,
+            deadline_ms: 1_500,
+        },
+        ClassPlan {
+            name: "refresher",
+            share: 0.15,
+            chain: &["coursebook", "enrolment"],
+            importance: Importance::High,
+            idempotent: false,
+            deadline_ms: 1_500,
+        },
+        ClassPlan {
+            name: "reading",
+            share: 0.45,
+            chain: &["coursebook"],
+            importance: Importance::Sheddable,
+            idempotent: true,
+            deadline_ms: 1_000,
+        },
+    ],
+    deep: "ledger",
+    callers: &["contractor-a", "contractor-b", "inspectorate", "trainees"],
+};
+
+const fn service(name: &'static str, slots: u32, connections: u32, service_ms: u64) -> ServicePlan {
+    ServicePlan {
+        name,
+        slots,
+        connections,
+        service_ms,
+    }
+}
+
+impl Deployment {
+    /// The deployment of a name.
+    pub fn of(name: DeploymentName) -> Deployment {
+        match name {
+            DeploymentName::Levy => LEVY,
+            DeploymentName::Tantuvan => TANTUVAN,
+        }
+    }
+
+    /// The place of the worker with this index: one in each availability zone.
+    pub fn place(&self, worker: usize) -> Place {
+        let (region, zones) = self.regions[worker / 2 % self.regions.len()];
+        Place {
+            region: region.into(),
+            zone: zones[worker % zones.len()].into(),
+        }
+    }
+
+    /// The sheet's rules: one for each class, and one for the probe.
+    pub fn rules(&self) -> Vec<Rule> {
+        let probe = Contract {
+            importance: Importance::High,
+            idempotent: true,
+            deadline_ms: 1_000,
+            retry_allowance: 0,
+        };
+        let classes = self.classes.iter().map(|class| {
+            let contract = Contract {
+                importance: class.importance,
+                idempotent: class.idempotent,
+                deadline_ms: class.deadline_ms,
+                retry_allowance: RETRY_ALLOWANCE,
+            };
+            rule(class.name, contract)
+        });
+        classes.chain([rule(PROBE, probe)]).collect()
+    }
+
+    /// The calls that a service makes beneath each kind of request.
+    pub fn calls_of(&self, service: &str) -> BTreeMap<crate::model::RequestName, Vec<ChildCall>> {
+        let mut calls = BTreeMap::new();
+        for class in self.classes {
+            let next = class
+                .chain
+                .windows(2)
+                .find(|pair| pair[0] == service)
+                .map(|pair| pair[1]);
+            if let Some(next) = next {
+                let child = ChildCall {
+                    service: next.into(),
+                    request: class.name.into(),
+                };
+                calls.insert(class.name.into(), vec![child]);
+            }
+        }
+        calls
+    }
+
+    /// Root requests a second outside the surge.
+    pub fn calm_per_s(&self, scale: f64) -> f64 {
+        let capacity = self
+            .services
+            .iter()
+            .map(|service| self.capacity_per_s(service, scale))
+            .fold(f64::INFINITY, f64::min);
+        (capacity * CALM_UTILISATION).min(MAX_CALM_PER_S)
+    }
+
+    /// Root requests a second at which all slots of a service are taken.
+    fn capacity_per_s(&self, service: &ServicePlan, scale: f64) -> f64 {
+        let slots = f64::from(scaled(service.slots, scale)) * WORKERS as f64;
+        let held_ms: f64 = self
+            .classes
+            .iter()
+            .map(|class| class.share * self.held_ms(class, service.name))
+            .sum();
+        slots * 1_000.0 / held_ms
+    }
+
+    /// Time for which a request of the class holds a slot of the service.
+    fn held_ms(&self, class: &ClassPlan, service: &str) -> f64 {
+        class
+            .chain
+            .iter()
+            .skip_while(|name| **name != service)
+            .filter_map(|name| self.services.iter().find(|plan| plan.name == *name))
+            .map(|plan| plan.service_ms as f64 + CALL_OVERHEAD_MS)
+            .sum()
+    }
+}
+
+/// A number of slots or connections, scaled down and at least two.
+pub fn scaled(count: u32, scale: f64) -> u32 {
+    ((f64::from(count) * scale).round() as u32).max(2)
+}
+
+fn rule(request: &str, contract: Contract) -> Rule {
+    Rule {
+        service: None,
+        request: Some(request.into()),
+        caller: None,
+        contract,
+    }
+}
--- /dev/null
+++ b/src/trial/fleet.rs
@@ -0,0 +1,289 @@
+//! The log service and the VMs of one run: each with a daemon and a backend server.
+//!
+//! Every VM has a runtime of its own with one thread. Dropping the runtime ends
+//! all its tasks at once and closes its sockets, as the loss of a VM does, and
+//! blocking its thread stops daemon and backend server as a paused process.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use tokio::runtime::Runtime;
+
+use super::deployment::{Deployment, PROBE, WORKERS, scaled};
+use crate::cmd::CmdError;
+use crate::config::Settings;
+use crate::decide::Mechanisms;
+use crate::decide::control::record::{LogRecord, Publication, Stream};
+use crate::model::SheetVersion;
+use crate::net::Daemon;
+use crate::net::daemon::unix_ms;
+use crate::net::pump::Pump;
+use crate::platform::log::{LogClient, LogError};
+use crate::standin::backend::{BackendPlan, BackendState, StandInBackend};
+use crate::standin::log::StandInLog;
+
+/// Listeners of one VM.
+const LISTENERS: usize = 6;
+/// Base port of the example settings, all of whose addresses are replaced.
+const EXAMPLE_PORT: u16 = 20_000;
+/// Longest wait until all daemons know the sheet and each other, in milliseconds.
+const READY_TIMEOUT_MS: u64 = 10_000;
+/// Time between two looks at the daemons while they start, in milliseconds.
+const READY_POLL_MS: u64 = 20;
+/// Longest wait for the log service, in milliseconds.
+const LOG_TIMEOUT_MS: u64 = 1_000;
+/// Time within which a leaving worker must be known to all, in milliseconds.
+pub const LEAVING_KNOWN_MS: u64 = 3_000;
+
+/// What a fleet is made from.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetPlan {
+    /// The deployment.
+    pub deployment: Deployment,
+    /// Share of slots and connections.
+    pub scale: f64,
+    /// Mechanisms of the daemons.
+    pub mechanisms: Mechanisms,
+    /// Seed of the service times.
+    pub seed: u64,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct TrialVm {
+    /// The service of its backend server.
+    pub service: &'static str,
+    /// The settings of its daemon.
+    pub settings: Settings,
+    /// The true slots of its backend server.
+    pub slots: u32,
+    /// What its backend server counts.
+    pub backend: Arc<BackendState>,
+    /// What its daemon decides.
+    pub pump: Arc<Pump>,
+    daemon: Daemon,
+    _server: StandInBackend,
+    runtime: Runtime,
+}
+
+/// All VMs of a run.
+#[derive(Debug)]
+pub struct Fleet {
+    plan: FleetPlan,
+    /// The log service.
+    pub log: StandInLog,
+    /// The VMs that are running.
+    pub vms: Vec<TrialVm>,
+    /// Backend servers of VMs that are gone.
+    pub gone: Vec<(&'static str, Arc<BackendState>)>,
+}
+
+impl Fleet {
+    /// Starts everything, publishes the sheet and waits until all daemons know it and each other.
+    pub async fn start(plan: FleetPlan) -> Result<Fleet, CmdError> {
+        let log = StandInLog::start(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let mut fleet = Fleet {
+            plan,
+            log,
+            vms: Vec::new(),
+            gone: Vec::new(),
+        };
+        fleet.publish(SheetVersion(0)).await?;
+        let count = plan.deployment.services.len() * WORKERS;
+        let addresses = free_addresses(count)?;
+        for (index, of_vm) in addresses.iter().enumerate() {
+            let vm = fleet.start_vm(index, of_vm).await?;
+            fleet.vms.push(vm);
+        }
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Publishes the deployment's sheet on top of a version.
+    pub async fn publish(&self, base: SheetVersion) -> Result<(), LogError> {
+        let publication = Publication {
+            id: format!("trial-{base}"),
+            base,
+            author: "trial".into(),
+            published_ms: unix_ms(),
+            rules: self.plan.deployment.rules(),
+            shares: Vec::new(),
+        };
+        let client = LogClient::new(self.log.address, LOG_TIMEOUT_MS);
+        let record = LogRecord::Publication(publication);
+        client.append(Stream::Sheets, &record).await?;
+        Ok(())
+    }
+
+    /// The index of the first running VM of a service.
+    pub fn first_of(&self, service: &str) -> Option<usize> {
+        self.vms.iter().position(|vm| vm.service == service)
+    }
+
+    /// All backend servers of the run, also those that are gone.
+    pub fn backends(&self) -> Vec<(&'static str, Arc<BackendState>)> {
+        let running = self
+            .vms
+            .iter()
+            .map(|vm| (vm.service, Arc::clone(&vm.backend)));
+        running.chain(self.gone.iter().cloned()).collect()
+    }
+
+    /// Ends a VM at once.
+    pub fn lose(&mut self, index: usize) -> Settings {
+        let vm = self.vms.remove(index);
+        self.gone.push((vm.service, Arc::clone(&vm.backend)));
+        vm.runtime.shutdown_background();
+        vm.settings
+    }
+
+    /// Starts a VM with the settings of one that is gone.
+    pub async fn replace(
+        &mut self,
+        service: &'static str,
+        settings: Settings,
+    ) -> Result<(), CmdError> {
+        let index = self.plan.deployment.services.iter();
+        let index = index.take_while(|plan| plan.name != service).count() * WORKERS;
+        let vm = self.start_with(index, settings).await?;
+        self.vms.push(vm);
+        Ok(())
+    }
+
+    /// Ends all VMs.
+    pub fn stop(mut self) {
+        for vm in self.vms.drain(..) {
+            vm.runtime.shutdown_background();
+        }
+    }
+
+    async fn start_vm(
+        &self,
+        index: usize,
+        addresses: &[SocketAddr; LISTENERS],
+    ) -> Result<TrialVm, CmdError> {
+        let worker = index % WORKERS;
+        let service = self.plan.deployment.services[index / WORKERS];
+        let mut settings = Settings::example(EXAMPLE_PORT);
+        settings.place = self.plan.deployment.place(worker);
+        settings.callers_address = addresses[0];
+        settings.local_address = addresses[1];
+        settings.hop_address = addresses[2];
+        settings.control_address = addresses[3];
+        settings.admin_address = addresses[4];
+        settings.backend_address = addresses[5];
+        settings.backend_connections = scaled(service.connections, self.plan.scale);
+        settings.log_address = self.log.address;
+        self.start_with(index, settings).await
+    }
+
+    async fn start_with(&self, index: usize, settings: Settings) -> Result<TrialVm, CmdError> {
+        let service = self.plan.deployment.services[index / WORKERS];
+        let plan = BackendPlan {
+            service: service.name.into(),
+            slots: scaled(service.slots, self.plan.scale),
+            connections: settings.backend_connections,
+            service_ms: service.service_ms,
+            instant: vec![PROBE.into()],
+            seed: self.plan.seed,
+            deadlines: self.plan.mechanisms.deadlines,
+            calls: self.plan.deployment.calls_of(service.name),
+            daemon: settings.local_address,
+        };
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name(format!("vm-{index}"))
+            .enable_all()
+            .build()?;
+        let mechanisms = self.plan.mechanisms;
+        let for_daemon = settings.clone();
+        let started = runtime.spawn(async move {
+            let daemon = Daemon::start(&for_daemon, mechanisms).await?;
+            let server = StandInBackend::start(for_daemon.backend_address, plan).await?;
+            Ok::<_, CmdError>((daemon, server))
+        });
+        let started = started.await.map_err(std::io::Error::other)?;
+        let (daemon, server) = match started {
+            Ok(started) => started,
+            Err(error) => {
+                runtime.shutdown_background();
+                return Err(error);
+            }
+        };
+        Ok(TrialVm {
+            service: service.name,
+            settings,
+            slots: scaled(service.slots, self.plan.scale),
+            backend: Arc::clone(&server.state),
+            pump: Arc::clone(daemon.pump()),
+            daemon,
+            _server: server,
+            runtime,
+        })
+    }
+
+    async fn wait_until_ready(&self) -> Result<(), CmdError> {
+        for _ in 0..READY_TIMEOUT_MS / READY_POLL_MS {
+            if self.is_ready().await {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(READY_POLL_MS)).await;
+        }
+        let message = "the daemons did not learn the sheet and each other in time";
+        Err(std::io::Error::other(message).into())
+    }
+
+    async fn is_ready(&self) -> bool {
+        for vm in &self.vms {
+            if vm.pump.node.sheet_version() == SheetVersion(0) {
+                return false;
+            }
+            if vm.daemon.control().workers().await.len() < self.vms.len() {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+impl TrialVm {
+    /// Runs a task on the VM's own thread.
+    pub fn spawn<F>(&self, task: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        self.runtime.spawn(task);
+    }
+
+    /// Makes daemon and backend server stand still for a span.
+    pub fn pause(&self, span_ms: u64) {
+        self.runtime.spawn(async move {
+            // Blocks the VM's only thread on purpose.
+            std::thread::sleep(Duration::from_millis(span_ms));
+        });
+    }
+
+    /// Makes the backend server announce that it leaves.
+    pub fn leave(&self) {
+        let switches = &self.backend.switches;
+        switches.leaving.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Addresses on loopback that were free a moment ago, [`LISTENERS`] for each VM.
+fn free_addresses(count: usize) -> Result<Vec<[SocketAddr; LISTENERS]>, CmdError> {
+    let mut held = Vec::new();
+    let mut addresses = Vec::new();
+    for _ in 0..count {
+        let mut of_vm = [SocketAddr::from(([127, 0, 0, 1], 0)); LISTENERS];
+        for address in &mut of_vm {
+            let listener = TcpListener::bind(*address)?;
+            *address = listener.local_addr()?;
+            held.push(listener);
+        }
+        addresses.push(of_vm);
+    }
+    Ok(addresses)
+}
--- /dev/null
+++ b/src/trial/probe.rs
@@ -0,0 +1,98 @@
+//! The time that daemons add to a call: calls through two daemons against direct
+//! calls to the same backend servers, taken in turn.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::time::Instant;
+
+use super::deployment::PROBE;
+use super::tally::histogram;
+use crate::net::backend::{CALL_HEADER, CALLER_HEADER};
+use crate::net::http::{self, HttpClient};
+
+/// Longest wait for one answer, in milliseconds.
+const TIMEOUT_MS: u64 = 2_000;
+/// Pairs of calls before the first that counts, which open the connections.
+const WARM_UP_PAIRS: u64 = 50;
+/// Connections kept open to each address.
+const IDLE_CONNECTIONS: usize = 4;
+
+/// Whom to call.
+#[derive(Debug, Clone)]
+pub struct ProbePlan {
+    /// A daemon whose backend server is of another service.
+    pub entry: SocketAddr,
+    /// The service called.
+    pub service: &'static str,
+    /// The service's backend servers, called directly one after the other.
+    pub direct: Vec<SocketAddr>,
+}
+
+/// Latencies in microseconds.
+#[derive(Debug, Clone)]
+pub struct Probed {
+    /// Of calls straight to a backend server.
+    pub direct: Histogram<u64>,
+    /// Of calls through two daemons.
+    pub through: Histogram<u64>,
+}
+
+impl Probed {
+    /// What the daemons add at a quantile, in microseconds; `None` without calls.
+    pub fn added_us(&self, quantile: f64) -> Option<i64> {
+        if self.direct.is_empty() || self.through.is_empty() {
+            return None;
+        }
+        let direct = self.direct.value_at_quantile(quantile) as i64;
+        Some(self.through.value_at_quantile(quantile) as i64 - direct)
+    }
+}
+
+/// Calls in turn until `until`.
+pub async fn probe(plan: ProbePlan, until: Instant) -> Probed {
+    let client = http::client(IDLE_CONNECTIONS);
+    let mut probed = Probed {
+        direct: histogram(),
+        through: histogram(),
+    };
+    let mut pair = 0;
+    while Instant::now() < until {
+        let server = plan.direct[pair as usize % plan.direct.len()];
+        let straight = timed(
+            &client,
+            server,
+            format!("http://{server}/run/{PROBE}"),
+            pair,
+        )
+        .await;
+        let entry = plan.entry;
+        let uri = format!("http://{entry}/call/{}/{PROBE}", plan.service);
+        let through = timed(&client, entry, uri, pair).await;
+        if let (Some(straight), Some(through)) = (straight, through)
+            && pair >= WARM_UP_PAIRS
+        {
+            let _ = probed.direct.record(straight);
+            let _ = probed.through.record(through);
+        }
+        pair += 1;
+    }
+    probed
+}
+
+async fn timed(client: &HttpClient, address: SocketAddr, uri: String, pair: u64) -> Option<u64> {
+    let body = format!("{PROBE}:{pair}");
+    let request = Request::post(uri)
+        .header(CALLER_HEADER, PROBE)
+        .header(CALL_HEADER, format!("{PROBE}-{pair}"))
+        .body(Full::new(Bytes::from(body.clone())))
+        .ok()?;
+    let start = Instant::now();
+    let answer = http::exchange(client, address, request, TIMEOUT_MS).await;
+    let latency_us = start.elapsed().as_micros() as u64;
+    let (status, _, answer) = answer.ok()?;
+    (status.is_success() && answer == body).then_some(latency_us)
+}
--- /dev/null
+++ b/src/trial/run.rs
@@ -0,0 +1,402 @@
+//! One trial: the policies one after the other, each through all phases.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use serde::Serialize;
+use strum::IntoEnumIterator;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
+
+use super::audit::audit;
+use super::caller::Callers;
+use super::cpu::CpuTimes;
+use super::deployment::{Deployment, DeploymentName, RETRY_ALLOWANCE};
+use super::fault::Fault;
+use super::fleet::{Fleet, FleetPlan, TrialVm};
+use super::injector::Injector;
+use super::probe::{ProbePlan, Probed, probe};
+use super::report::{Bottleneck, ClassReport, Policy, RunReport, TrialReport};
+use super::schedule::{Phases, arrivals};
+use super::tally::{SLICE_MS, Tally};
+use crate::cmd::CmdError;
+use crate::decide::sharded::lock;
+
+/// Longest wait after the run for the requests that are still open, in milliseconds.
+const TAIL_MS: u64 = 1_500;
+/// Slices at the start that do not count for the level of goodput before the surge.
+const WARM_UP_SLICES: usize = 5;
+/// Slices in the second over which goodput is judged.
+const JUDGED_SLICES: usize = (1_000 / SLICE_MS) as usize;
+/// Share of the goodput before the surge that counts as recovered.
+const RECOVERED_SHARE: f64 = 0.95;
+/// Share of the processors taken by the trial itself from which the machine counts
+/// as the bottleneck.
+const MACHINE_BUSY_SHARE: f64 = 0.85;
+/// Lateness of callers and VMs at 99 in 100 from which it does too, in milliseconds.
+const MACHINE_LATE_MS: u64 = 25;
+/// Time between two looks at a VM's timers, in milliseconds.
+const TIMER_CHECK_MS: u64 = 20;
+
+/// What a trial is made from.
+#[derive(Debug, Clone)]
+pub struct TrialPlan {
+    /// Which deployment.
+    pub deployment: DeploymentName,
+    /// Share of its slots and connections.
+    pub scale: f64,
+    /// Seed of arrivals and service times.
+    pub seed: u64,
+    /// Length of the load in all, shared evenly by the policies, in milliseconds.
+    pub span_ms: u64,
+    /// Faults besides the surge.
+    pub faults: BTreeSet<Fault>,
+    /// The policies, in order.
+    pub policies: Vec<Policy>,
+}
+
+/// What a run showed over time, in slices of [`SLICE_MS`].
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Series {
+    /// The policy.
+    pub policy: Policy,
+    /// The phases.
+    pub surge_ms: (u64, u64),
+    /// Classes with their whole answers in each slice.
+    pub done: Vec<(String, Vec<u64>)>,
+    /// Refusals that callers received in each slice.
+    pub refusals: Vec<u64>,
+    /// Mean latency of whole answers in each slice, in milliseconds.
+    pub latency_ms: Vec<Option<f64>>,
+    /// Summed concurrency limits of the deep service's daemons.
+    pub deep_limit: Vec<u64>,
+    /// Summed concurrency limits of the first service's daemons.
+    pub front_limit: Vec<u64>,
+}
+
+/// A trial's report, and its series for the plots.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TrialResult {
+    /// The report.
+    pub report: TrialReport,
+    /// One for each run.
+    pub series: Vec<Series>,
+}
+
+impl TrialPlan {
+    /// All policies on the same seed and demand.
+    pub fn all_policies() -> Vec<Policy> {
+        Policy::iter().collect()
+    }
+
+    /// Runs the trial; `progress` is told what happens.
+    pub async fn run(&self, progress: impl Fn(&str)) -> Result<TrialResult, CmdError> {
+        let mut result = TrialResult {
+            report: TrialReport {
+                seed: self.seed,
+                deployment: self.deployment.to_string(),
+                runs: Vec::new(),
+                scale: self.scale,
+                faults: self.faults.iter().map(Fault::to_string).collect(),
+            },
+            series: Vec::new(),
+        };
+        let span_ms = self.span_ms / self.policies.len().max(1) as u64;
+        for policy in &self.policies {
+            let (report, series) = self.run_policy(*policy, span_ms, &progress).await?;
+            result.report.runs.push(report);
+            result.series.push(series);
+        }
+        Ok(result)
+    }
+
+    async fn run_policy(
+        &self,
+        policy: Policy,
+        span_ms: u64,
+        progress: &impl Fn(&str),
+    ) -> Result<(RunReport, Series), CmdError> {
+        let deployment = Deployment::of(self.deployment);
+        let phases = Phases::of(span_ms);
+        let calm_per_s = deployment.calm_per_s(self.scale);
+        progress(&format!("{policy}: starting daemons and stand-ins"));
+        let mut fleet = Fleet::start(FleetPlan {
+            deployment,
+            scale: self.scale,
+            mechanisms: policy.mechanisms(),
+            seed: self.seed,
+        })
+        .await?;
+        let times = CpuTimes::read();
+        let tally = Arc::new(Tally::new(deployment.classes.len(), phases.end_ms));
+        let load = Load::start(&fleet, deployment, phases, &tally, |deployment| {
+            arrivals(deployment, calm_per_s, phases, self.seed)
+        });
+        progress(&format!("{policy}: calm, {calm_per_s:.0} requests/s"));
+        let mut injector = Injector::new(deployment, self.faults.clone());
+        sleep_until(&tally, phases.surge_from_ms).await;
+        progress(&format!("{policy}: surge, the deep service slows"));
+        injector.begin(&mut fleet).await?;
+        sleep_until(&tally, phases.surge_to_ms).await;
+        injector.end(&fleet);
+        progress(&format!("{policy}: after the surge"));
+        sleep_until(&tally, phases.end_ms).await;
+        let busy = CpuTimes::read()
+            .zip(times)
+            .map(|(now, then)| now.since(&then));
+        let busy = busy.unwrap_or_default();
+        let probed = load.finish().await?;
+        let leaving = injector.leaving.take();
+        let lost_in_drain = leaving.as_ref().map_or(0, |leaving| leaving.cut_off());
+        let audit = audit(&deployment, &fleet.backends(), &lock(&tally.not_run_bodies));
+        fleet.stop();
+        let late_p99_ms = tally.late_p99_ms();
+        let machine = busy.own >= MACHINE_BUSY_SHARE || late_p99_ms >= MACHINE_LATE_MS;
+        let judge = Judge {
+            tally: &tally,
+            deployment: &deployment,
+            phases,
+        };
+        let report = RunReport {
+            policy,
+            classes: judge.classes(),
+            goodput_per_s: Some(judge.goodput_per_s(phases.surge_from_ms, phases.end_ms, |_| true)),
+            important_goodput_per_s: Some(judge.goodput_per_s(
+                phases.surge_from_ms,
+                phases.end_ms,
+                |class| deployment.classes[class].important(),
+            )),
+            recovery_ms: judge.recovery_ms(),
+            extra_attempts_max: Some(audit.extra_attempts_max),
+            retry_allowance: RETRY_ALLOWANCE,
+            executed_twice: audit.executed_twice,
+            not_run_but_ran: audit.not_run_but_ran,
+            wrong_answers: tally.wrong_answers.load(Ordering::Relaxed),
+            lost_in_drain,
+            added_p50_us: probed.added_us(0.5),
+            added_p99_us: probed.added_us(0.99),
+            busy_share: round_share(busy.all),
+            own_busy_share: round_share(busy.own),
+            late_p99_ms,
+            bottleneck: if machine {
+                Bottleneck::Machine
+            } else {
+                Bottleneck::Slots
+            },
+            calm_goodput_per_s: Some(judge.calm_per_s()),
+            surge_goodput_per_s: Some(judge.goodput_per_s(
+                phases.surge_from_ms,
+                phases.surge_to_ms,
+                |_| true,
+            )),
+            refusals: lock(&tally.reasons).clone(),
+            started_after_leaving: leaving.map_or(0, |leaving| leaving.started_after_leaving()),
+        };
+        let report = if machine {
+            report.without_figures()
+        } else {
+            report
+        };
+        Ok((report, judge.series(policy)))
+    }
+}
+
+/// The tasks that load a fleet and watch it.
+struct Load {
+    driver: JoinHandle<JoinSet<()>>,
+    prober: JoinHandle<Probed>,
+    watcher: JoinHandle<()>,
+}
+
+impl Load {
+    fn start(
+        fleet: &Fleet,
+        deployment: Deployment,
+        phases: Phases,
+        tally: &Arc<Tally>,
+        arrivals: impl FnOnce(&Deployment) -> Vec<super::schedule::Arrival>,
+    ) -> Load {
+        for vm in &fleet.vms {
+            vm.spawn(check_timers(Arc::clone(tally)));
+        }
+        let entries = fleet.vms.iter().map(|vm| vm.settings.callers_address);
+        let callers = Callers::new(deployment, entries.collect(), Arc::clone(tally));
+        let arrivals = arrivals(&deployment);
+        let driver = tokio::spawn(callers.drive(arrivals));
+        let until = tally.start() + Duration::from_millis(phases.surge_from_ms);
+        let prober = tokio::spawn(probe(probe_plan(fleet, &deployment), until));
+        let watcher = tokio::spawn(watch(fleet, &deployment, Arc::clone(tally)));
+        Load {
+            driver,
+            prober,
+            watcher,
+        }
+    }
+
+    /// Waits for the requests that are still open, for a bounded time.
+    async fn finish(self) -> Result<Probed, CmdError> {
+        let mut open = self.driver.await.map_err(std::io::Error::other)?;
+        let rest = async { while open.join_next().await.is_some() {} };
+        let _ = tokio::time::timeout(Duration::from_millis(TAIL_MS), rest).await;
+        open.abort_all();
+        self.watcher.abort();
+        Ok(self.prober.await.map_err(std::io::Error::other)?)
+    }
+}
+
+/// Calls the first service from a daemon beside a backend server of another.
+fn probe_plan(fleet: &Fleet, deployment: &Deployment) -> ProbePlan {
+    let service = deployment.classes[0].chain[0];
+    let is_called = |vm: &&TrialVm| vm.service == service;
+    let direct = fleet.vms.iter().filter(is_called);
+    let entry = fleet.vms.iter().find(|vm| !is_called(vm));
+    let entry = entry.unwrap_or(&fleet.vms[0]);
+    ProbePlan {
+        entry: entry.settings.callers_address,
+        service,
+        direct: direct.map(|vm| vm.settings.backend_address).collect(),
+    }
+}
+
+/// Notes how late the timers of a VM fire, which shows whether its thread gets its time.
+async fn check_timers(tally: Arc<Tally>) {
+    loop {
+        let at = Instant::now() + Duration::from_millis(TIMER_CHECK_MS);
+        tokio::time::sleep_until(at).await;
+        tally.fired(at.elapsed());
+    }
+}
+
+/// Notes the concurrency limits in every slice.
+fn watch(
+    fleet: &Fleet,
+    deployment: &Deployment,
+    tally: Arc<Tally>,
+) -> impl Future<Output = ()> + use<> {
+    let pumps = |service: &str| {
+        let vms = fleet.vms.iter().filter(|vm| vm.service == service);
+        vms.map(|vm| Arc::clone(&vm.pump)).collect::<Vec<_>>()
+    };
+    let deep = pumps(deployment.deep);
+    let front = pumps(deployment.classes[0].chain[0]);
+    async move {
+        let mut ticks = tokio::time::interval(Duration::from_millis(SLICE_MS));
+        loop {
+            ticks.tick().await;
+            let Some(slice) = tally.slice() else {
+                return;
+            };
+            let limits = |pumps: &[Arc<crate::net::pump::Pump>]| -> u64 {
+                let limits = pumps.iter().map(|pump| pump.node.gauges().limit);
+                limits.map(u64::from).sum()
+            };
+            slice.deep_limit.store(limits(&deep), Ordering::Relaxed);
+            slice.front_limit.store(limits(&front), Ordering::Relaxed);
+        }
+    }
+}
+
+/// Draws conclusions from a tally.
+struct Judge<'a> {
+    tally: &'a Tally,
+    deployment: &'a Deployment,
+    phases: Phases,
+}
+
+impl Judge<'_> {
+    fn classes(&self) -> Vec<ClassReport> {
+        let classes = self.deployment.classes.iter().zip(&self.tally.classes);
+        classes
+            .map(|(plan, tally)| {
+                let offered = tally.offered.load(Ordering::Relaxed);
+                let done = tally.done.load(Ordering::Relaxed);
+                let not_run = tally.not_run.load(Ordering::Relaxed);
+                let unknown = tally.unknown.load(Ordering::Relaxed);
+                ClassReport {
+                    class: plan.name.to_owned(),
+                    offered,
+                    done: Some(done),
+                    not_run: Some(not_run),
+                    unknown: Some(unknown),
+                    // What is still open at the end has had no answer.
+                    failed: Some(offered - done - not_run - unknown),
+                }
+            })
+            .collect()
+    }
+
+    fn goodput_per_s(&self, from_ms: u64, to_ms: u64, counts: impl Fn(usize) -> bool) -> f64 {
+        let done = self
+            .tally
+            .done_between(slice(from_ms), slice(to_ms), counts);
+        let per_s = done as f64 * 1_000.0 / (to_ms - from_ms).max(1) as f64;
+        (per_s * 10.0).round() / 10.0
+    }
+
+    fn calm_per_s(&self) -> f64 {
+        let warm_ms = WARM_UP_SLICES as u64 * SLICE_MS;
+        self.goodput_per_s(warm_ms, self.phases.surge_from_ms, |_| true)
+    }
+
+    /// From the end of the trigger to the first second from which every second
+    /// up to the run's end holds the level.
+    fn recovery_ms(&self) -> Option<u64> {
+        let from = slice(self.phases.surge_to_ms);
+        let last = slice(self.phases.end_ms).checked_sub(JUDGED_SLICES)?;
+        let level = self.calm_per_s() * RECOVERED_SHARE;
+        let holds = |start: &usize| {
+            let done = self
+                .tally
+                .done_between(*start, start + JUDGED_SLICES, |_| true);
+            done as f64 >= level
+        };
+        let held = (from..=last).rev().take_while(holds).last()?;
+        Some((held - from) as u64 * SLICE_MS)
+    }
+
+    fn series(&self, policy: Policy) -> Series {
+        let slices = &self.tally.slices;
+        let of_class = |class: usize| {
+            let counts = slices.iter().map(|slice| &slice.done[class]);
+            counts.map(|count| count.load(Ordering::Relaxed)).collect()
+        };
+        let classes = self.deployment.classes.iter().enumerate();
+        let all = |pick: fn(&super::tally::Slice) -> &std::sync::atomic::AtomicU64| {
+            let counts = slices.iter().map(pick);
+            counts.map(|count| count.load(Ordering::Relaxed)).collect()
+        };
+        Series {
+            policy,
+            surge_ms: (self.phases.surge_from_ms, self.phases.surge_to_ms),
+            done: classes
+                .map(|(class, plan)| (plan.name.to_owned(), of_class(class)))
+                .collect(),
+            refusals: all(|slice| &slice.refusals),
+            latency_ms: slices.iter().map(mean_latency_ms).collect(),
+            deep_limit: all(|slice| &slice.deep_limit),
+            front_limit: all(|slice| &slice.front_limit),
+        }
+    }
+}
+
+fn mean_latency_ms(slice: &super::tally::Slice) -> Option<f64> {
+    let done = slice.done.iter().map(|done| done.load(Ordering::Relaxed));
+    let done: u64 = done.sum();
+    let sum_us = slice.latency_sum_us.load(Ordering::Relaxed);
+    (done > 0).then(|| sum_us as f64 / done as f64 / 1_000.0)
+}
+
+fn slice(at_ms: u64) -> usize {
+    (at_ms / SLICE_MS) as usize
+}
+
+fn round_share(share: f64) -> f64 {
+    (share * 1_000.0).round() / 1_000.0
+}
+
+async fn sleep_until(tally: &Tally, at_ms: u64) {
+    let at: Instant = tally.start() + Duration::from_millis(at_ms);
+    tokio::time::sleep_until(at).await;
+}
