--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -5,6 +5,7 @@
 mod executing;
 mod parking;
 mod settling;
+mod wanting;
 
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -15,6 +16,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
+use self::wanting::{CalledServices, WaitingCall};
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -100,6 +102,8 @@
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
     counters: Counters,
+    called: CalledServices,
+    waiting_calls: Mutex<Vec<WaitingCall>>,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -138,6 +142,8 @@
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
             counters: Counters::default(),
+            called: CalledServices::default(),
+            waiting_calls: Mutex::default(),
             settings,
         }
     }
@@ -152,9 +158,14 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if the table of tickets is full.
+    /// A ticket for keys of a service; `None` if no worker of it is known yet or
+    /// the table of tickets is full.
     pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        self.called.note(service);
         let candidates = self.candidates(service);
+        if candidates.is_empty() {
+            return None;
+        }
         self.home.issue(service, candidates)
     }
 
@@ -168,6 +179,9 @@
         while let Some(work) = turn.work.pop_front() {
             self.step(&mut turn, work);
         }
+        for service in self.called.take_new() {
+            turn.actions.push(Action::WantWorkers { service });
+        }
     }
 
     /// When [`Event::Tick`] should be handled next, if anything waits for it.
@@ -229,7 +243,10 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.router.learn(&workers),
+            Event::WorkersLearned(workers) => {
+                self.router.learn(&workers);
+                self.resume_waiting(turn);
+            }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
             Event::Tick => self.tick(turn),
         }
@@ -288,6 +305,7 @@
             }
         }
         self.expire_parked(turn);
+        self.resume_waiting(turn);
         self.release_queue(turn);
         self.note_limit(turn);
     }
