--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -9,7 +9,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::runtime::Runtime;
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use tokio::runtime::{Handle, Runtime};
 
 use super::deployment::{Deployment, PROBE, WORKERS, scaled};
 use crate::cmd::CmdError;
@@ -17,9 +20,9 @@
 use crate::decide::Mechanisms;
 use crate::decide::control::record::{LogRecord, Publication, Stream};
 use crate::model::SheetVersion;
-use crate::net::Daemon;
 use crate::net::daemon::unix_ms;
 use crate::net::pump::Pump;
+use crate::net::{Daemon, http};
 use crate::platform::log::{LogClient, LogError};
 use crate::standin::backend::{BackendPlan, BackendState, StandInBackend};
 use crate::standin::log::StandInLog;
@@ -32,6 +35,8 @@
 const READY_TIMEOUT_MS: u64 = 10_000;
 /// Time between two looks at the daemons while they start, in milliseconds.
 const READY_POLL_MS: u64 = 20;
+/// Looks at the daemons between two rounds of calls to all services.
+const CALL_ROUNDS: u64 = 25;
 /// Longest wait for the log service, in milliseconds.
 const LOG_TIMEOUT_MS: u64 = 1_000;
 /// Time within which a leaving worker must be known to all, in milliseconds.
@@ -65,7 +70,7 @@
     pub pump: Arc<Pump>,
     daemon: Daemon,
     _server: StandInBackend,
-    runtime: Runtime,
+    runtime: VmRuntime,
 }
 
 /// All VMs of a run.
@@ -135,7 +140,6 @@
     pub fn lose(&mut self, index: usize) -> Settings {
         let vm = self.vms.remove(index);
         self.gone.push((vm.service, Arc::clone(&vm.backend)));
-        vm.runtime.shutdown_background();
         vm.settings
     }
 
@@ -152,13 +156,6 @@
         Ok(())
     }
 
-    /// Ends all VMs.
-    pub fn stop(mut self) {
-        for vm in self.vms.drain(..) {
-            vm.runtime.shutdown_background();
-        }
-    }
-
     async fn start_vm(
         &self,
         index: usize,
@@ -192,26 +189,16 @@
             calls: self.plan.deployment.calls_of(service.name),
             daemon: settings.local_address,
         };
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(1)
-            .thread_name(format!("vm-{index}"))
-            .enable_all()
-            .build()?;
+        let runtime = VmRuntime::new(index)?;
         let mechanisms = self.plan.mechanisms;
         let for_daemon = settings.clone();
-        let started = runtime.spawn(async move {
+        let started = runtime.handle().spawn(async move {
             let daemon = Daemon::start(&for_daemon, mechanisms).await?;
             let server = StandInBackend::start(for_daemon.backend_address, plan).await?;
             Ok::<_, CmdError>((daemon, server))
         });
         let started = started.await.map_err(std::io::Error::other)?;
-        let (daemon, server) = match started {
-            Ok(started) => started,
-            Err(error) => {
-                runtime.shutdown_background();
-                return Err(error);
-            }
-        };
+        let (daemon, server) = started?;
         Ok(TrialVm {
             service: service.name,
             settings,
@@ -225,7 +212,10 @@
     }
 
     async fn wait_until_ready(&self) -> Result<(), CmdError> {
-        for _ in 0..READY_TIMEOUT_MS / READY_POLL_MS {
+        for round in 0..READY_TIMEOUT_MS / READY_POLL_MS {
+            if round % CALL_ROUNDS == 0 {
+                self.call_all_services();
+            }
             if self.is_ready().await {
                 return Ok(());
             }
@@ -235,6 +225,24 @@
         Err(std::io::Error::other(message).into())
     }
 
+    /// A daemon keeps the workers of the services that it calls, so each calls all once.
+    fn call_all_services(&self) {
+        let client = http::client(0);
+        for vm in &self.vms {
+            let entry = vm.settings.callers_address;
+            for service in self.plan.deployment.services {
+                let uri = format!("http://{entry}/call/{}/{PROBE}", service.name);
+                let request = Request::post(uri).body(Full::new(Bytes::from_static(b"start")));
+                let client = client.clone();
+                tokio::spawn(async move {
+                    if let Ok(request) = request {
+                        let _ = http::exchange(&client, entry, request, READY_TIMEOUT_MS).await;
+                    }
+                });
+            }
+        }
+    }
+
     async fn is_ready(&self) -> bool {
         for vm in &self.vms {
             if vm.pump.node.sheet_version() == SheetVersion(0) {
@@ -248,18 +256,48 @@
     }
 }
 
+/// A runtime with one thread that ends with all its tasks when it is dropped.
+#[derive(Debug)]
+struct VmRuntime(Option<Runtime>);
+
+impl VmRuntime {
+    fn new(index: usize) -> Result<VmRuntime, CmdError> {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name(format!("vm-{index}"))
+            .enable_all()
+            .build()?;
+        Ok(VmRuntime(Some(runtime)))
+    }
+
+    fn handle(&self) -> &Handle {
+        match &self.0 {
+            Some(runtime) => runtime.handle(),
+            None => unreachable!("the runtime is taken out on drop only"),
+        }
+    }
+}
+
+impl Drop for VmRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 impl TrialVm {
     /// Runs a task on the VM's own thread.
     pub fn spawn<F>(&self, task: F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
-        self.runtime.spawn(task);
+        self.runtime.handle().spawn(task);
     }
 
     /// Makes daemon and backend server stand still for a span.
     pub fn pause(&self, span_ms: u64) {
-        self.runtime.spawn(async move {
+        self.runtime.handle().spawn(async move {
             // Blocks the VM's only thread on purpose.
             std::thread::sleep(Duration::from_millis(span_ms));
         });
--- a/src/trial/run.rs
+++ b/src/trial/run.rs
@@ -151,7 +151,7 @@
         let leaving = injector.leaving.take();
         let lost_in_drain = leaving.as_ref().map_or(0, |leaving| leaving.cut_off());
         let audit = audit(&deployment, &fleet.backends(), &lock(&tally.not_run_bodies));
-        fleet.stop();
+        drop(fleet);
         let late_p99_ms = tally.late_p99_ms();
         let machine = busy.own >= MACHINE_BUSY_SHARE || late_p99_ms >= MACHINE_LATE_MS;
         let judge = Judge {
