--- a/src/cmd/trial.rs
+++ b/src/cmd/trial.rs
@@ -15,7 +15,7 @@
 use crate::decide::Mechanisms;
 use crate::decide::control::record::{LogRecord, Publication, Stream};
 use crate::model::sheet::Rule;
-use crate::model::{Contract, Importance, SheetVersion};
+use crate::model::{Contract, Importance, SheetContent};
 use crate::net::backend::{CALLER_HEADER, KEY_HEADER, OUTCOME_HEADER};
 use crate::net::daemon::unix_ms;
 use crate::net::{Daemon, http};
@@ -110,19 +110,14 @@
         deadline_ms: 2_000,
         retry_allowance: 2,
     };
-    let publication = Publication {
-        id: "trial".to_owned(),
-        base: SheetVersion(0),
-        author: "trial".into(),
-        published_ms: unix_ms(),
-        rules: vec![Rule {
-            service: None,
-            request: None,
-            caller: None,
-            contract,
-        }],
-        shares: Vec::new(),
+    let rule = Rule {
+        service: None,
+        request: None,
+        caller: None,
+        contract,
     };
+    let content = SheetContent::canonical(vec![rule], Vec::new());
+    let publication = Publication::first("trial", "trial", unix_ms(), &content);
     let record = LogRecord::Publication(publication);
     log.append(Stream::Sheets, &record).await?;
     Ok(())
--- a/src/decide/control/gateways.rs
+++ b/src/decide/control/gateways.rs
@@ -15,17 +15,28 @@
 /// Two daemons with different views may find different gateways, which costs
 /// a message and harms nothing.
 pub fn gateways(members: &Members, zone: &ZoneName) -> Vec<SocketAddr> {
-    let seed = xxh3_64_with_seed(zone.as_str().as_bytes(), 0);
+    let seed = zone_seed(zone);
     let mut ranked: Vec<(u64, SocketAddr)> = members
         .alive_in_zone(zone)
         .filter(|known| known.state == ServerState::Serving)
         .map(|known| {
-            let address = address_hash(known.vm.worker.address);
-            let weight = xxh3_64_with_seed(&address.to_le_bytes(), seed);
-            (weight, known.vm.control_address)
+            (
+                weight(seed, known.vm.worker.address),
+                known.vm.control_address,
+            )
         })
         .collect();
     ranked.sort_unstable();
     ranked.truncate(GATEWAYS);
     ranked.into_iter().map(|(_, address)| address).collect()
 }
+
+/// The seed by which the daemons of a zone are ranked.
+pub fn zone_seed(zone: &ZoneName) -> u64 {
+    xxh3_64_with_seed(zone.as_str().as_bytes(), 0)
+}
+
+/// Rank of a daemon in its zone; the lowest are the gateways.
+pub fn weight(zone_seed: u64, worker_address: SocketAddr) -> u64 {
+    xxh3_64_with_seed(&address_hash(worker_address).to_le_bytes(), zone_seed)
+}
--- a/src/decide/control/mod.rs
+++ b/src/decide/control/mod.rs
@@ -1,12 +1,16 @@
 //! Sheets, membership and the audit trail: events and the time go in, actions come out.
 
+pub mod audit;
+pub mod checkpoint;
 pub mod fold;
 pub mod gateways;
 pub mod interests;
 pub mod member_control;
 pub mod members;
+pub mod publish;
 pub mod record;
 pub mod sheet_control;
+pub mod spread;
 pub mod verdict;
 
 use std::net::SocketAddr;
@@ -16,9 +20,12 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use serde::{Deserialize, Serialize};
 
+use self::audit::{AuditControl, AuditEntry};
 use self::member_control::{MemberControl, MemberMessage};
+use self::publish::{PublishReport, PublishRequest};
 use self::record::{LogBatch, LogRecord, Stream};
-use self::sheet_control::{SheetControl, SheetMessage};
+use self::sheet_control::SheetControl;
+use self::spread::SheetMessage;
 use crate::model::{Announcement, ServiceName, Sheet, SheetVersion, TimeMs, Vm, WorkerId};
 
 /// A control message between two daemons. The receiver may answer with further ones.
@@ -84,6 +91,10 @@
         /// The version.
         version: SheetVersion,
     },
+    /// An operator publishes a sheet.
+    Publish(PublishRequest),
+    /// Something happened that belongs in the audit trail.
+    Audited(AuditEntry),
     /// Time has passed.
     Tick,
 }
@@ -130,16 +141,22 @@
         /// Control addresses of the daemons that could not reach it.
         voters: Vec<SocketAddr>,
     },
+    /// A publication has ended.
+    PublishEnded(PublishReport),
 }
 
 /// What the parts of [`Control`] share while they handle one event.
 pub struct ControlTurn<'a> {
     /// The time.
     pub now: TimeMs,
+    /// The time in milliseconds since the Unix epoch.
+    pub unix_ms: u64,
     /// The random source.
     pub rng: &'a mut Xoshiro256PlusPlus,
     /// The actions found.
     pub actions: &'a mut Vec<ControlAction>,
+    /// Entries for the audit trail.
+    pub audits: Vec<AuditEntry>,
 }
 
 /// The decisions of one daemon about sheets and membership. One task owns it.
@@ -147,6 +164,8 @@
 pub struct Control {
     sheets: SheetControl,
     members: MemberControl,
+    audit: AuditControl,
+    unix_origin_ms: u64,
     rng: Xoshiro256PlusPlus,
 }
 
@@ -155,6 +174,8 @@
     pub fn new(vm: Vm, seed: u64) -> Control {
         Control {
             sheets: SheetControl::new(vm.clone()),
+            audit: AuditControl::new(vm.worker),
+            unix_origin_ms: 0,
             members: MemberControl::new(vm),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
         }
@@ -170,6 +191,16 @@
         &self.sheets
     }
 
+    /// Sets the time since the Unix epoch at the origin of the clock, in milliseconds.
+    pub fn set_unix_origin(&mut self, unix_origin_ms: u64) {
+        self.unix_origin_ms = unix_origin_ms;
+    }
+
+    /// The part for the audit trail.
+    pub fn audit(&self) -> &AuditControl {
+        &self.audit
+    }
+
     /// The part for membership.
     pub fn members(&self) -> &MemberControl {
         &self.members
@@ -179,8 +210,10 @@
     pub fn handle(&mut self, now: TimeMs, event: ControlEvent, actions: &mut Vec<ControlAction>) {
         let turn = &mut ControlTurn {
             now,
+            unix_ms: self.unix_origin_ms + now.0,
             rng: &mut self.rng,
             actions,
+            audits: Vec::new(),
         };
         match event {
             ControlEvent::LocalAnnounced(announcement) => {
@@ -189,29 +222,45 @@
             ControlEvent::LogRead { stream, batch } => match stream {
                 Stream::Sheets => self.sheets.log_read(turn, batch),
                 Stream::Members => self.members.log_read(turn, batch),
+                Stream::Audit => {}
             },
             ControlEvent::LogFailed { stream } => match stream {
                 Stream::Sheets => self.sheets.log_failed(turn),
                 Stream::Members => self.members.log_failed(turn),
+                Stream::Audit => {}
+            },
+            ControlEvent::Appended { stream, offset } => match stream {
+                Stream::Sheets => self.sheets.appended(turn, offset),
+                Stream::Members => {}
+                Stream::Audit => self.audit.appended(turn),
             },
-            ControlEvent::Appended { .. } => {}
             ControlEvent::AppendFailed { stream, .. } => match stream {
-                Stream::Sheets => {}
+                Stream::Sheets => self.sheets.append_failed(turn),
                 Stream::Members => self.members.append_failed(turn),
+                Stream::Audit => self.audit.append_failed(turn),
             },
             ControlEvent::PeerSaid { from, message } => match message {
                 ControlMessage::Sheet(message) => self.sheets.peer_said(turn, from, message),
                 ControlMessage::Member(message) => self.members.peer_said(turn, from, message),
             },
-            ControlEvent::PeerSilent { to } => self.members.peer_silent(turn, to),
+            ControlEvent::PeerSilent { to } => {
+                self.members.peer_silent(turn, to);
+                self.sheets.peer_silent(turn, to);
+            }
             ControlEvent::ServiceCalled { service } => {
                 self.members.service_called(turn, &service);
             }
+            ControlEvent::Publish(request) => self.sheets.publish(turn, request),
+            ControlEvent::Audited(entry) => turn.audits.push(entry),
             ControlEvent::SheetWanted { version } => self.sheets.sheet_wanted(turn, version),
             ControlEvent::Tick => {
                 self.members.tick(turn);
                 self.sheets.tick(turn, &self.members);
+                self.audit.tick(turn);
             }
         }
+        for entry in std::mem::take(&mut turn.audits) {
+            self.audit.add(turn, entry);
+        }
     }
 }
--- /dev/null
+++ b/src/decide/control/publish.rs
@@ -0,0 +1,550 @@
+//! Publication of a sheet: from the operator's request to the zones that hold it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::audit::{AuditEntry, AuditKind};
+use super::fold::{SheetFold, first_version};
+use super::record::{Accepted, LogRecord, Publication, SheetBase, Stream};
+use super::spread::{SheetDigest, SheetMessage, ZoneDirectory};
+use super::{ControlAction, ControlTurn};
+use crate::model::{
+    AuthorName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm, ZoneName,
+};
+
+/// Time after which an append without an effect is made again, in milliseconds.
+const APPEND_AGAIN_MS: u64 = 2_000;
+/// Longest wait for the record to stand in the log's order, in milliseconds.
+const SETTLE_WAIT_MS: u64 = 30_000;
+/// Longest wait for a daemon of each zone to hold the sheet, in milliseconds.
+const CONFIRM_WAIT_MS: u64 = 8_000;
+/// Time after which the next daemon of a zone is asked, in milliseconds.
+const PROBE_INTERVAL_MS: u64 = 400;
+
+/// An operator's request to publish a sheet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PublishRequest {
+    /// Chosen by the publisher; the same for each repetition.
+    pub id: String,
+    /// The version that the operator has seen; none starts a new history.
+    pub base: Option<SheetVersion>,
+    /// The chain hash that the operator has seen, if it is known.
+    pub base_chain: Option<SheetHash>,
+    /// Who publishes.
+    pub author: AuthorName,
+    /// When, in milliseconds since the Unix epoch.
+    pub published_ms: u64,
+    /// The sheet.
+    pub content: SheetContent,
+}
+
+/// How a publication stands.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", tag = "status")]
+pub enum PublishStatus {
+    /// Nothing was published.
+    Refused {
+        /// Why, and what to do about it.
+        reason: String,
+    },
+    /// Another publication on the same base came first; nothing was published.
+    Conflict {
+        /// The version of the winner.
+        version: SheetVersion,
+        /// Who published it.
+        author: AuthorName,
+        /// When, in milliseconds since the Unix epoch.
+        published_ms: u64,
+    },
+    /// Whether the publication took effect cannot be told yet.
+    InDoubt {
+        /// What to do about it.
+        reason: String,
+    },
+    /// The sheet is in force here and in all zones that could be reached, but not in all.
+    Accepted(PublishReceipt),
+    /// The sheet is in force in all zones.
+    InForce(PublishReceipt),
+}
+
+/// Where a publication is in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishReceipt {
+    /// The version that the sheet has got.
+    pub version: SheetVersion,
+    /// The offset of the record, if it was read by this daemon.
+    pub offset: Option<u64>,
+    /// Zones of which a daemon holds the sheet.
+    pub zones_confirmed: Vec<ZoneName>,
+    /// Zones of which no daemon could be reached.
+    pub zones_missing: Vec<ZoneName>,
+    /// Time from the request, in milliseconds.
+    pub elapsed_ms: u64,
+}
+
+/// A publication with its id, as it ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PublishReport {
+    /// The publisher's id.
+    pub id: String,
+    /// The hash of the sheet that was to be published.
+    pub content: SheetHash,
+    /// How it ended.
+    pub status: PublishStatus,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// The operator's base is newer than the sheet here.
+    Behind,
+    /// The record was given to the log.
+    Appending { record: Publication, again: TimeMs },
+    /// The record stands in the log's order.
+    Confirming {
+        accepted: Accepted,
+        zones: BTreeMap<ZoneName, ZoneProbe>,
+        since: TimeMs,
+    },
+}
+
+#[derive(Debug, Default)]
+struct ZoneProbe {
+    confirmed: bool,
+    asked: usize,
+    next: TimeMs,
+}
+
+#[derive(Debug)]
+struct Running {
+    request: PublishRequest,
+    started: TimeMs,
+    stage: Stage,
+}
+
+/// The publications that run at this daemon.
+#[derive(Debug)]
+pub struct PublishControl {
+    vm: Vm,
+    running: Vec<Running>,
+}
+
+/// What the publications see of the rest while they handle one event.
+pub struct PublishView<'a> {
+    /// The fold.
+    pub fold: &'a SheetFold,
+    /// How each zone can be reached.
+    pub zones: &'a ZoneDirectory,
+}
+
+impl PublishControl {
+    /// No publication runs.
+    pub fn new(vm: Vm) -> PublishControl {
+        PublishControl {
+            vm,
+            running: Vec::new(),
+        }
+    }
+
+    /// Whether any publication waits for the log.
+    pub fn waits_for_log(&self) -> bool {
+        let confirming = |running: &Running| matches!(running.stage, Stage::Confirming { .. });
+        self.running.iter().any(|running| !confirming(running))
+    }
+
+    /// The new history that waits for the log, if there is one.
+    pub fn new_history(&self) -> Option<&Publication> {
+        self.running
+            .iter()
+            .find_map(|running| match &running.stage {
+                Stage::Appending { record, .. } if record.base.is_none() => Some(record),
+                _ => None,
+            })
+    }
+
+    /// Starts a publication, or joins the one that runs with the same id.
+    pub fn start(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+        request: PublishRequest,
+    ) {
+        let same_id = |running: &&Running| running.request.id == request.id;
+        if let Some(running) = self.running.iter().find(same_id) {
+            if running.request.content != request.content {
+                let reason = "the publication id belongs to another sheet: choose a new one";
+                refuse(turn, &request, reason);
+            }
+            return;
+        }
+        self.running.push(Running {
+            request,
+            started: turn.now,
+            stage: Stage::Behind,
+        });
+        self.advance(turn, view);
+    }
+
+    /// Takes note of what another daemon holds.
+    pub fn peer_holds(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+        from: SocketAddr,
+        digest: &SheetDigest,
+    ) {
+        for running in &mut self.running {
+            if let Stage::Confirming {
+                accepted, zones, ..
+            } = &mut running.stage
+                && holds(digest, accepted)
+            {
+                let reached = |zone: &ZoneName| view.zones.daemons(zone).contains(&from);
+                let probes = zones.iter_mut().filter(|(zone, _)| reached(zone));
+                probes.for_each(|(_, probe)| probe.confirmed = true);
+            }
+        }
+        self.advance(turn, view);
+    }
+
+    /// Carries all publications on as far as they can go now.
+    pub fn advance(&mut self, turn: &mut ControlTurn<'_>, view: &PublishView<'_>) {
+        for mut running in std::mem::take(&mut self.running) {
+            match running.step(turn, view, &self.vm) {
+                Some(status) => running.end(turn, status),
+                None => self.running.push(running),
+            }
+        }
+    }
+}
+
+impl Running {
+    /// Goes on until something has to be waited for; the status if this is the end.
+    fn step(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+        vm: &Vm,
+    ) -> Option<PublishStatus> {
+        if !matches!(self.stage, Stage::Confirming { .. }) {
+            if let Some(accepted) = view.fold.accepted(&self.request.id) {
+                if accepted.content != self.request.content.hash() {
+                    return Some(PublishStatus::Refused {
+                        reason: "the publication id belongs to another sheet: choose a new one"
+                            .to_owned(),
+                    });
+                }
+                self.confirm(turn.now, vm, accepted.clone());
+            } else if let Some(status) = self.settle(turn, view) {
+                return Some(status);
+            }
+        }
+        self.probe(turn, view)
+    }
+
+    fn settle(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+    ) -> Option<PublishStatus> {
+        let waited_ms = turn.now.since_ms(self.started);
+        let appended = matches!(self.stage, Stage::Appending { .. });
+        if let Some(status) = self.base_status(view, appended) {
+            return Some(status);
+        }
+        if waited_ms >= SETTLE_WAIT_MS {
+            return Some(self.given_up(appended));
+        }
+        match &mut self.stage {
+            Stage::Behind => self.append(turn, view),
+            Stage::Appending { record, again } if turn.now >= *again => {
+                *again = turn.now.plus_ms(APPEND_AGAIN_MS);
+                push_append(turn, record.clone());
+                None
+            }
+            _ => None,
+        }
+    }
+
+    /// Whether the base rules the publication out.
+    fn base_status(&self, view: &PublishView<'_>, appended: bool) -> Option<PublishStatus> {
+        let Some(base) = self.base() else {
+            return self.new_history_status(view, appended);
+        };
+        let in_force = view.fold.base();
+        if base.version > in_force.version {
+            return None;
+        }
+        let chain = base.chain.unwrap_or(in_force.chain);
+        if base.version == in_force.version {
+            return (chain != in_force.chain).then(|| PublishStatus::Refused {
+                reason: format!(
+                    "version {} here has the hash {}, not {chain}: look at the sheet in force",
+                    in_force.version, in_force.chain
+                ),
+            });
+        }
+        let next = base.version.next();
+        match view.fold.recent().find(|accepted| accepted.version == next) {
+            Some(winner) => Some(conflict(winner)),
+            None if appended => Some(self.given_up(appended)),
+            None => Some(PublishStatus::Refused {
+                reason: format!(
+                    "version {} is long superseded; version {} is in force: publish on top of it",
+                    base.version, in_force.version
+                ),
+            }),
+        }
+    }
+
+    fn new_history_status(&self, view: &PublishView<'_>, appended: bool) -> Option<PublishStatus> {
+        let version = first_version(self.request.published_ms);
+        let in_force = view.fold.base().version;
+        if version > in_force {
+            return None;
+        }
+        let winner = view.fold.recent().next_back().filter(|_| appended);
+        Some(match winner {
+            Some(winner) => conflict(winner),
+            None => PublishStatus::Refused {
+                reason: format!(
+                    "a new history would start at version {version}, which is not above \
+                     {in_force}: set the clock of this VM"
+                ),
+            },
+        })
+    }
+
+    fn append(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+    ) -> Option<PublishStatus> {
+        let fold = view.fold;
+        let behind = |base| base > fold.base().version || fold.has_gap();
+        if self.request.base.is_some_and(behind) {
+            return None;
+        }
+        let old = match self.request.base {
+            Some(_) => fold.sheet().content(),
+            None => SheetContent::default(),
+        };
+        let change = SheetChange::between(&old, &self.request.content);
+        if change.is_empty() && self.request.base.is_some() {
+            let version = fold.base().version;
+            let reason = format!("the sheet says the same as version {version}, which is in force");
+            return Some(PublishStatus::Refused { reason });
+        }
+        let record = Publication {
+            id: self.request.id.clone(),
+            base: self.request.base.map(|_| fold.base()),
+            author: self.request.author.clone(),
+            published_ms: self.request.published_ms,
+            change,
+        };
+        push_append(turn, record.clone());
+        self.stage = Stage::Appending {
+            record,
+            again: turn.now.plus_ms(APPEND_AGAIN_MS),
+        };
+        None
+    }
+
+    fn confirm(&mut self, now: TimeMs, vm: &Vm, accepted: Accepted) {
+        let own = ZoneProbe {
+            confirmed: true,
+            ..ZoneProbe::default()
+        };
+        self.stage = Stage::Confirming {
+            accepted,
+            zones: BTreeMap::from([(vm.place.zone.clone(), own)]),
+            since: now,
+        };
+    }
+
+    /// Asks a further daemon of each zone that has not confirmed.
+    fn probe(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        view: &PublishView<'_>,
+    ) -> Option<PublishStatus> {
+        let Stage::Confirming {
+            accepted,
+            zones,
+            since,
+        } = &mut self.stage
+        else {
+            return None;
+        };
+        for zone in view.zones.zones() {
+            zones.entry(zone.clone()).or_default();
+        }
+        let now = turn.now;
+        let open = zones.iter_mut().filter(|(_, probe)| !probe.confirmed);
+        for (zone, probe) in open.filter(|(_, probe)| now >= probe.next) {
+            let daemons = view.zones.daemons(zone);
+            if daemons.is_empty() {
+                continue;
+            }
+            let to = daemons[probe.asked % daemons.len()];
+            probe.asked += 1;
+            probe.next = turn.now.plus_ms(PROBE_INTERVAL_MS);
+            let base = SheetBase {
+                version: SheetVersion(accepted.version.0 - 1),
+                chain: accepted.parent,
+            };
+            let changes = view.fold.changes_since(&base).unwrap_or_default();
+            turn.send_sheet(to, SheetMessage::Probe(changes));
+        }
+        let waiting = !view.zones.is_complete() || zones.values().any(|probe| !probe.confirmed);
+        if waiting && turn.now.since_ms(*since) < CONFIRM_WAIT_MS {
+            return None;
+        }
+        let named = |confirmed: bool| {
+            let zones = zones
+                .iter()
+                .filter(move |(_, probe)| probe.confirmed == confirmed);
+            zones.map(|(zone, _)| zone.clone()).collect()
+        };
+        let receipt = PublishReceipt {
+            version: accepted.version,
+            offset: accepted.offset,
+            zones_confirmed: named(true),
+            zones_missing: named(false),
+            elapsed_ms: turn.now.since_ms(self.started),
+        };
+        Some(if waiting {
+            PublishStatus::Accepted(receipt)
+        } else {
+            PublishStatus::InForce(receipt)
+        })
+    }
+
+    fn base(&self) -> Option<NamedBase> {
+        if let Stage::Appending { record, .. } = &self.stage {
+            return record.base.map(|base| NamedBase {
+                version: base.version,
+                chain: Some(base.chain),
+            });
+        }
+        self.request.base.map(|version| NamedBase {
+            version,
+            chain: self.request.base_chain,
+        })
+    }
+
+    fn given_up(&self, appended: bool) -> PublishStatus {
+        if appended {
+            let id = &self.request.id;
+            return PublishStatus::InDoubt {
+                reason: format!(
+                    "the log service gave no answer in {} s and the record may still take effect: \
+                     publish the same sheet again with the id {id}, which cannot double it",
+                    SETTLE_WAIT_MS / 1_000
+                ),
+            };
+        }
+        PublishStatus::Refused {
+            reason: "the base cannot be found: the log service and the other daemons did not \
+                     give the sheet in force; nothing was written, publish again later"
+                .to_owned(),
+        }
+    }
+
+    fn end(self, turn: &mut ControlTurn<'_>, status: PublishStatus) {
+        let entry = audit_entry(turn, &self.request, &status);
+        turn.audits.push(entry);
+        turn.actions
+            .push(ControlAction::PublishEnded(PublishReport {
+                id: self.request.id.clone(),
+                content: self.request.content.hash(),
+                status,
+            }));
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+struct NamedBase {
+    version: SheetVersion,
+    chain: Option<SheetHash>,
+}
+
+fn refuse(turn: &mut ControlTurn<'_>, request: &PublishRequest, reason: &str) {
+    let status = PublishStatus::Refused {
+        reason: reason.to_owned(),
+    };
+    turn.actions
+        .push(ControlAction::PublishEnded(PublishReport {
+            id: request.id.clone(),
+            content: request.content.hash(),
+            status,
+        }));
+}
+
+fn push_append(turn: &mut ControlTurn<'_>, record: Publication) {
+    turn.actions.push(ControlAction::Append {
+        stream: Stream::Sheets,
+        record: LogRecord::Publication(record),
+    });
+}
+
+fn conflict(winner: &Accepted) -> PublishStatus {
+    PublishStatus::Conflict {
+        version: winner.version,
+        author: winner.author.clone(),
+        published_ms: winner.published_ms,
+    }
+}
+
+fn holds(digest: &SheetDigest, accepted: &Accepted) -> bool {
+    let same = digest.base.chain == accepted.chain;
+    digest.base.version > accepted.version || same
+}
+
+fn audit_entry(
+    turn: &ControlTurn<'_>,
+    request: &PublishRequest,
+    status: &PublishStatus,
+) -> AuditEntry {
+    let (kind, to_version, detail) = match status {
+        PublishStatus::Refused { reason } | PublishStatus::InDoubt { reason } => {
+            (AuditKind::SheetRefused, None, reason.clone())
+        }
+        PublishStatus::Conflict {
+            version, author, ..
+        } => {
+            let detail = format!("version {version} by {author} came first");
+            (AuditKind::SheetConflict, None, detail)
+        }
+        PublishStatus::Accepted(receipt) | PublishStatus::InForce(receipt) => {
+            let version = Some(receipt.version);
+            (AuditKind::SheetAccepted, version, receipt_words(receipt))
+        }
+    };
+    AuditEntry {
+        at_ms: turn.unix_ms,
+        kind,
+        author: request.author.clone(),
+        services: Vec::new(),
+        from_version: request.base,
+        to_version,
+        detail: format!("publication {}: {detail}", request.id),
+    }
+}
+
+fn receipt_words(receipt: &PublishReceipt) -> String {
+    let confirmed = receipt.zones_confirmed.len();
+    if receipt.zones_missing.is_empty() {
+        return format!(
+            "in force in {confirmed} zones after {} ms",
+            receipt.elapsed_ms
+        );
+    }
+    let missing: Vec<&str> = receipt.zones_missing.iter().map(ZoneName::as_str).collect();
+    format!(
+        "held in {confirmed} zones, not confirmed by {}",
+        missing.join(", ")
+    )
+}
--- a/src/decide/control/sheet_control.rs
+++ b/src/decide/control/sheet_control.rs
@@ -1,45 +1,112 @@
-//! How the sheet in force is learned: from the log and from peers.
+//! How the sheet in force is learned and passed on: from the log and between daemons.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use rand::RngExt;
 use serde::{Deserialize, Serialize};
 
+use super::checkpoint::CheckpointPlan;
 use super::fold::SheetFold;
 use super::member_control::MemberControl;
-use super::record::{LogBatch, LogRecord, Stream};
-use super::{ControlAction, ControlTurn};
-use crate::model::{Sheet, SheetVersion, TimeMs, Vm};
+use super::publish::{PublishControl, PublishRequest, PublishView};
+use super::record::{AcceptedChange, LogBatch, SheetBase, Stream};
+use super::spread::{SheetDigest, SheetMessage, ZoneDirectory, ZoneView};
+use super::{ControlAction, ControlMessage, ControlTurn};
+use crate::model::{AuthorName, Sheet, SheetVersion, TimeMs, Vm};
 
-/// Time between two reads of the log, in milliseconds.
+/// Time between two reads of the log by a reader, in milliseconds.
 const READ_INTERVAL_MS: u64 = 500;
+/// Time between two reads for a publication that waits, in milliseconds.
+const SETTLE_READ_INTERVAL_MS: u64 = 200;
+/// Age of the sheet beyond which a daemon that is no reader reads the log, in milliseconds.
+const FALLBACK_AGE_MS: u64 = 10_000;
+/// Least time between two such reads, in milliseconds; up to as much again is added at random.
+const FALLBACK_INTERVAL_MS: u64 = 30_000;
+/// Time between two digests to a daemon of the zone, in milliseconds.
+const DIGEST_INTERVAL_MS: u64 = 1_000;
+/// Time between two digests to a daemon of another zone, in milliseconds.
+const FAR_DIGEST_INTERVAL_MS: u64 = 5_000;
+/// Time between two looks at the workers known, in milliseconds.
+const VIEW_INTERVAL_MS: u64 = 1_000;
+/// Time for which a daemon must be a gateway to be sure that it knows all zones, in milliseconds.
+const ZONES_KNOWN_MS: u64 = 10_000;
+/// Least time between two searches for a version that calls carried, in milliseconds.
+const WANTED_INTERVAL_MS: u64 = 100;
+/// Daemons asked for a version that a call carried.
+const WANTED_PEERS: usize = 2;
 
-/// A message about sheets.
+/// The sheet in force at one daemon, for status and metrics.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum SheetMessage {
-    /// The sheet in force at the sender.
-    InForce(Sheet),
+#[serde(deny_unknown_fields)]
+pub struct SheetStatus {
+    /// Version and chain hash.
+    pub base: SheetBase,
+    /// Who published it.
+    pub author: AuthorName,
+    /// When, in milliseconds since the Unix epoch.
+    pub published_ms: u64,
+    /// Whether no sheet is known, so that the built-in safe rules hold.
+    pub built_in: bool,
+    /// Time since this was known to be the newest sheet, in milliseconds; none if it never was.
+    pub age_ms: Option<u64>,
+    /// Whether records are missing behind those read, so that a checkpoint is waited for.
+    pub gap: bool,
+    /// Whether the last read of the log failed.
+    pub log_failing: bool,
+    /// Whether this daemon reads the log for its zone.
+    pub reader: bool,
+}
+
+/// Reads of the log; one at a time, so that an old answer cannot pass for a new one.
+#[derive(Debug, Default)]
+struct LogReads {
+    outstanding: Option<u64>,
+    again: bool,
+    from: Option<u64>,
+    failing: bool,
+    next: TimeMs,
 }
 
 /// What one daemon knows of sheets.
 #[derive(Debug)]
 pub struct SheetControl {
-    #[allow(dead_code)]
     vm: Vm,
     fold: SheetFold,
-    next_offset: u64,
-    next_read: TimeMs,
+    publish: PublishControl,
+    checkpoints: CheckpointPlan,
+    reads: LogReads,
+    zone: ZoneView,
+    zones: ZoneDirectory,
+    far: Vec<SocketAddr>,
+    pushed: Vec<SocketAddr>,
+    fresh_at: Option<TimeMs>,
+    gateway_since: Option<TimeMs>,
+    next_view: TimeMs,
+    next_digest: TimeMs,
+    next_far_digest: TimeMs,
+    next_wanted: TimeMs,
 }
 
 impl SheetControl {
     /// Knows no sheet yet.
     pub fn new(vm: Vm) -> SheetControl {
         SheetControl {
+            publish: PublishControl::new(vm.clone()),
+            zone: ZoneView::alone(&vm),
+            zones: ZoneDirectory::default(),
             vm,
             fold: SheetFold::default(),
-            next_offset: 0,
-            next_read: TimeMs::default(),
+            checkpoints: CheckpointPlan::default(),
+            reads: LogReads::default(),
+            far: Vec::new(),
+            pushed: Vec::new(),
+            fresh_at: None,
+            gateway_since: None,
+            next_view: TimeMs::default(),
+            next_digest: TimeMs::default(),
+            next_far_digest: TimeMs::default(),
+            next_wanted: TimeMs::default(),
         }
     }
 
@@ -48,55 +115,366 @@
         self.fold.sheet()
     }
 
+    /// The fold of the log.
+    pub fn fold(&self) -> &SheetFold {
+        &self.fold
+    }
+
+    /// The sheet in force here, for operators.
+    pub fn status(&self, now: TimeMs) -> SheetStatus {
+        let sheet = self.fold.sheet();
+        SheetStatus {
+            base: self.fold.base(),
+            author: sheet.author.clone(),
+            published_ms: sheet.published_ms,
+            built_in: sheet.version == SheetVersion(0),
+            age_ms: self.fresh_at.map(|fresh_at| now.since_ms(fresh_at)),
+            gap: self.fold.has_gap(),
+            log_failing: self.reads.failing,
+            reader: self.zone.is_reader(),
+        }
+    }
+
     /// Takes in records of the sheet stream.
     pub fn log_read(&mut self, turn: &mut ControlTurn<'_>, batch: LogBatch) {
-        self.next_offset = batch.next_offset;
-        let before = self.fold.sheet().version;
-        for entry in batch.entries {
-            if let LogRecord::Publication(publication) = entry.record {
-                self.fold.apply(&publication);
-            }
+        let Some(from) = self.reads.outstanding.take() else {
+            return;
+        };
+        self.reads.failing = false;
+        let records = batch.entries.iter();
+        let new = records.filter(|entry| entry.offset >= self.fold.next_offset());
+        self.checkpoints
+            .seen(turn.now, new.map(|entry| &entry.record));
+        let at_end = batch.next_offset <= from;
+        let before = self.fold.base();
+        self.fold.read(from, batch);
+        if at_end && !self.fold.has_gap() {
+            self.fresh_at = Some(turn.now);
         }
-        if self.fold.sheet().version > before {
-            let sheet = Arc::clone(self.fold.sheet());
-            turn.actions.push(ControlAction::SheetLearned(sheet));
+        self.learned(turn, before);
+        if !at_end || std::mem::take(&mut self.reads.again) {
+            self.read(turn);
+        }
+    }
+
+    /// The log could not be read; a later tick tries again.
+    pub fn log_failed(&mut self, turn: &mut ControlTurn<'_>) {
+        self.reads.outstanding = None;
+        self.reads.again = false;
+        self.reads.failing = true;
+        self.advance_publications(turn);
+    }
+
+    /// A record was appended by this daemon.
+    pub fn appended(&mut self, turn: &mut ControlTurn<'_>, offset: u64) {
+        let below = offset < self.fold.next_offset();
+        if below && self.publish.new_history().is_some() {
+            self.reads.from = Some(offset);
         }
+        self.read(turn);
+    }
+
+    /// It cannot be told whether a record was appended: the log tells.
+    pub fn append_failed(&mut self, turn: &mut ControlTurn<'_>) {
+        self.read(turn);
     }
 
-    /// The log could not be read; the next tick tries again.
-    pub fn log_failed(&mut self, _turn: &mut ControlTurn<'_>) {}
+    /// Starts a publication.
+    pub fn publish(&mut self, turn: &mut ControlTurn<'_>, request: PublishRequest) {
+        let view = PublishView {
+            fold: &self.fold,
+            zones: &self.zones,
+        };
+        self.publish.start(turn, &view, request);
+        if !self.zones.is_complete() {
+            for reader in self.zone.readers() {
+                turn.send_sheet(*reader, SheetMessage::WantZones);
+            }
+        }
+        if self.publish.waits_for_log() {
+            self.read(turn);
+        }
+    }
 
     /// Takes in a message.
     pub fn peer_said(
         &mut self,
-        _turn: &mut ControlTurn<'_>,
-        _from: SocketAddr,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
         message: SheetMessage,
     ) {
+        let before = self.fold.base();
         match message {
-            SheetMessage::InForce(_) => {}
+            SheetMessage::Digest(digest) => self.digest_arrived(turn, from, &digest),
+            SheetMessage::Want(digest) => self.send_newer(turn, from, &digest),
+            SheetMessage::Changes(changes) => {
+                self.fold.merge_changes(&changes);
+                self.learned(turn, before);
+                self.ask_if_behind(turn, from, &changes);
+            }
+            SheetMessage::State(state) => {
+                self.fold.merge_state(&state);
+                self.learned(turn, before);
+            }
+            SheetMessage::WantZones if self.zones.is_complete() => {
+                turn.send_sheet(from, SheetMessage::Zones(self.zones.entrances()));
+            }
+            SheetMessage::WantZones => {}
+            SheetMessage::Zones(entrances) => {
+                self.zones.merge(entrances);
+                self.advance_publications(turn);
+            }
+            SheetMessage::Probe(changes) => {
+                self.fold.merge_changes(&changes);
+                self.learned(turn, before);
+                turn.send_sheet(from, SheetMessage::Digest(self.digest(turn.now)));
+            }
+        }
+    }
+
+    /// A message to `to` got no answer: what it would have passed on goes past it.
+    pub fn peer_silent(&mut self, turn: &mut ControlTurn<'_>, to: SocketAddr) {
+        let Some(at) = self.pushed.iter().position(|pushed| *pushed == to) else {
+            return;
+        };
+        self.pushed.swap_remove(at);
+        let digest = self.digest(turn.now);
+        for child in self.zone.children_of(to) {
+            self.pushed.push(*child);
+            turn.send_sheet(*child, SheetMessage::Digest(digest));
         }
     }
 
-    /// Looks for a version that a call carried.
+    /// Looks for a version that a call carried: on the log and in the zone, at once.
     pub fn sheet_wanted(&mut self, turn: &mut ControlTurn<'_>, version: SheetVersion) {
-        if version > self.fold.sheet().version {
-            self.read(turn);
+        if version <= self.fold.sheet().version || turn.now < self.next_wanted {
+            return;
+        }
+        self.next_wanted = turn.now.plus_ms(WANTED_INTERVAL_MS);
+        self.read(turn);
+        for _ in 0..WANTED_PEERS {
+            self.ask_zone(turn);
+        }
+    }
+
+    /// Reads, tells and publishes what it is time for.
+    pub fn tick(&mut self, turn: &mut ControlTurn<'_>, members: &MemberControl) {
+        if turn.now >= self.next_view {
+            self.next_view = turn.now.plus_ms(VIEW_INTERVAL_MS);
+            self.look_at(turn.now, members);
+        }
+        if turn.now >= self.reads.next {
+            self.read_if_due(turn);
+        }
+        if turn.now >= self.next_digest {
+            self.next_digest = turn.now.plus_ms(jittered(turn, DIGEST_INTERVAL_MS));
+            self.tell_zone(turn);
+        }
+        if turn.now >= self.next_far_digest {
+            self.tell_far(turn);
+        }
+        let complete = self.fold.base() != SheetBase::default() && !self.fold.has_gap();
+        if self.zone.is_reader() && complete && self.checkpoints.is_due(turn) {
+            self.checkpoint(turn);
+        }
+        self.advance_publications(turn);
+    }
+
+    fn look_at(&mut self, now: TimeMs, members: &MemberControl) {
+        self.zone = ZoneView::new(members.members(), &self.vm);
+        if !members.is_gateway() {
+            self.gateway_since = None;
+        }
+        let since = members
+            .is_gateway()
+            .then(|| *self.gateway_since.get_or_insert(now));
+        let knows_all = since.is_some_and(|since| now.since_ms(since) >= ZONES_KNOWN_MS);
+        self.zones.update(members.members(), knows_all);
+        let own = &self.vm.place.zone;
+        let elsewhere = self.zones.zones().filter(|zone| *zone != own);
+        self.far = elsewhere
+            .flat_map(|zone| self.zones.daemons(zone))
+            .copied()
+            .collect();
+    }
+
+    fn advance_publications(&mut self, turn: &mut ControlTurn<'_>) {
+        let view = PublishView {
+            fold: &self.fold,
+            zones: &self.zones,
+        };
+        self.publish.advance(turn, &view);
+    }
+
+    /// Puts a newer sheet in force and passes it on.
+    fn learned(&mut self, turn: &mut ControlTurn<'_>, before: SheetBase) {
+        self.begin_history(turn);
+        if self.fold.base() != before {
+            let sheet = Arc::clone(self.fold.sheet());
+            turn.actions.push(ControlAction::SheetLearned(sheet));
+            let message = match self.fold.changes_since(&before) {
+                Some(changes) => SheetMessage::Changes(changes),
+                None => SheetMessage::Digest(self.digest(turn.now)),
+            };
+            self.pushed = self.zone.children().to_vec();
+            for child in &self.pushed {
+                turn.send_sheet(*child, message.clone());
+            }
+        }
+        self.advance_publications(turn);
+    }
+
+    /// A new history that was started here is written as a checkpoint at once, for readers
+    /// that lack the records before it.
+    fn begin_history(&mut self, turn: &mut ControlTurn<'_>) {
+        let started = self.publish.new_history();
+        let Some(id) = started.map(|publication| publication.id.clone()) else {
+            return;
+        };
+        if self.fold.accepted(&id).is_some() {
+            self.fold.begin_history(&id);
+            self.checkpoint(turn);
+        }
+    }
+
+    fn checkpoint(&self, turn: &mut ControlTurn<'_>) {
+        turn.actions.push(ControlAction::Append {
+            stream: Stream::Sheets,
+            record: CheckpointPlan::record(self.fold.state()),
+        });
+    }
+
+    fn digest(&self, now: TimeMs) -> SheetDigest {
+        SheetDigest {
+            base: self.fold.base(),
+            published_ms: self.fold.sheet().published_ms,
+            age_ms: self.fresh_at.map(|fresh_at| now.since_ms(fresh_at)),
+        }
+    }
+
+    fn digest_arrived(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        digest: &SheetDigest,
+    ) {
+        if digest.rank() > self.fold.rank() {
+            return turn.send_sheet(from, SheetMessage::Want(self.digest(turn.now)));
+        }
+        if digest.rank() < self.fold.rank() {
+            self.send_newer(turn, from, digest);
+        } else if let Some(age_ms) = digest.age_ms {
+            let fresh_at = TimeMs(turn.now.0.saturating_sub(age_ms));
+            self.fresh_at = self.fresh_at.max(Some(fresh_at));
+        }
+        let view = PublishView {
+            fold: &self.fold,
+            zones: &self.zones,
+        };
+        self.publish.peer_holds(turn, &view, from, digest);
+    }
+
+    fn send_newer(&self, turn: &mut ControlTurn<'_>, to: SocketAddr, digest: &SheetDigest) {
+        if digest.rank() >= self.fold.rank() {
+            return;
+        }
+        let message = match self.fold.changes_since(&digest.base) {
+            Some(changes) => SheetMessage::Changes(changes),
+            None => SheetMessage::State(Box::new(self.fold.state())),
+        };
+        turn.send_sheet(to, message);
+    }
+
+    /// Changes that build on something newer than what is here are of no use yet.
+    fn ask_if_behind(
+        &self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        changes: &[AcceptedChange],
+    ) {
+        let last = changes.last().and_then(|change| change.publication.base);
+        if last.is_some_and(|base| base.version >= self.fold.base().version) {
+            turn.send_sheet(from, SheetMessage::Want(self.digest(turn.now)));
+        }
+    }
+
+    fn tell_zone(&self, turn: &mut ControlTurn<'_>) {
+        if let Some(peer) = self.random_peer(turn) {
+            turn.send_sheet(peer, SheetMessage::Digest(self.digest(turn.now)));
+        }
+    }
+
+    fn ask_zone(&self, turn: &mut ControlTurn<'_>) {
+        if let Some(peer) = self.random_peer(turn) {
+            turn.send_sheet(peer, SheetMessage::Want(self.digest(turn.now)));
+        }
+    }
+
+    fn random_peer(&self, turn: &mut ControlTurn<'_>) -> Option<SocketAddr> {
+        let count = self.zone.peer_count();
+        let number = (count > 0).then(|| turn.rng.random_range(0..count))?;
+        self.zone.peer(number)
+    }
+
+    /// The readers of a zone compare with other zones, more often while the log fails them.
+    fn tell_far(&mut self, turn: &mut ControlTurn<'_>) {
+        let complete = !self.reads.failing && !self.fold.has_gap();
+        let interval_ms = if complete {
+            FAR_DIGEST_INTERVAL_MS
+        } else {
+            DIGEST_INTERVAL_MS
+        };
+        self.next_far_digest = turn.now.plus_ms(jittered(turn, interval_ms));
+        if self.zone.is_reader() && !self.far.is_empty() {
+            let number = turn.rng.random_range(0..self.far.len());
+            let digest = self.digest(turn.now);
+            turn.send_sheet(self.far[number], SheetMessage::Digest(digest));
         }
     }
 
-    /// Reads the log when it is time to.
-    pub fn tick(&mut self, turn: &mut ControlTurn<'_>, _members: &MemberControl) {
-        if turn.now >= self.next_read {
+    fn read_if_due(&mut self, turn: &mut ControlTurn<'_>) {
+        if self.publish.waits_for_log() {
+            self.read(turn);
+            self.reads.next = turn.now.plus_ms(SETTLE_READ_INTERVAL_MS);
+            return;
+        }
+        if self.zone.is_reader() {
             self.read(turn);
+            return;
+        }
+        let age_ms = self.fresh_at.map(|fresh_at| turn.now.since_ms(fresh_at));
+        if age_ms.is_none_or(|age_ms| age_ms > FALLBACK_AGE_MS) {
+            self.read(turn);
+            self.reads.next = turn.now.plus_ms(jittered(turn, 2 * FALLBACK_INTERVAL_MS));
         }
     }
 
     fn read(&mut self, turn: &mut ControlTurn<'_>) {
-        self.next_read = turn.now.plus_ms(READ_INTERVAL_MS);
+        if self.reads.outstanding.is_some() {
+            self.reads.again = true;
+            return;
+        }
+        let from_offset = self.reads.from.take().unwrap_or(self.fold.next_offset());
+        self.reads.next = turn.now.plus_ms(READ_INTERVAL_MS);
+        self.reads.outstanding = Some(from_offset);
         turn.actions.push(ControlAction::ReadLog {
             stream: Stream::Sheets,
-            from_offset: self.next_offset,
+            from_offset,
         });
     }
 }
+
+impl ControlTurn<'_> {
+    /// Sends a message about sheets.
+    pub(super) fn send_sheet(&mut self, to: SocketAddr, message: SheetMessage) {
+        self.actions.push(ControlAction::Send {
+            to,
+            message: ControlMessage::Sheet(message),
+        });
+    }
+}
+
+/// Between half of a span and the whole of it.
+fn jittered(turn: &mut ControlTurn<'_>, span_ms: u64) -> u64 {
+    turn.rng.random_range(span_ms / 2..=span_ms)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod net;
 pub mod platform;
 pub mod prelude;
+pub mod sheet;
 pub mod standin;
 pub mod util;
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 pub mod request;
 pub mod sheet;
+pub mod sheet_change;
 pub mod vm;
 
 pub use announcement::{Announcement, ServerState};
@@ -24,5 +25,6 @@
 pub use names::{AuthorName, CallerName, RegionName, RequestName, ServiceName, ZoneName};
 pub use outcome::{Answer, NotRun, NotRunReason, Outcome, UnknownReason};
 pub use request::{CallContext, RootId, SheetVersion};
-pub use sheet::{CallerShare, Rule, Sheet};
+pub use sheet::{CallerShare, Rule, Sheet, SheetContent};
+pub use sheet_change::{ServiceRules, SheetChange, SheetHash};
 pub use vm::{Incarnation, Place, Vm, WorkerId};
--- a/src/model/sheet.rs
+++ b/src/model/sheet.rs
@@ -5,6 +5,7 @@
 use super::contract::Contract;
 use super::names::{AuthorName, CallerName, RequestName, ServiceName};
 use super::request::SheetVersion;
+use super::sheet_change::SheetHash;
 
 /// One rule. A field left out matches everything; the most specific rule wins.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -20,6 +21,23 @@
     pub contract: Contract,
 }
 
+impl Rule {
+    /// What the rule applies to; two rules of one sheet must differ in it.
+    pub fn subject(
+        &self,
+    ) -> (
+        Option<&ServiceName>,
+        Option<&RequestName>,
+        Option<&CallerName>,
+    ) {
+        (
+            self.service.as_ref(),
+            self.request.as_ref(),
+            self.caller.as_ref(),
+        )
+    }
+}
+
 /// A caller's share of every backend server, in percent of its slots.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -30,6 +48,31 @@
     pub percent: u32,
 }
 
+/// What a sheet says, without its place in the order of publications.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SheetContent {
+    /// The rules, sorted by service, request and caller.
+    pub rules: Vec<Rule>,
+    /// Shares of callers, sorted by caller.
+    pub shares: Vec<CallerShare>,
+}
+
+impl SheetContent {
+    /// Brings rules and shares into canonical form.
+    pub fn canonical(mut rules: Vec<Rule>, mut shares: Vec<CallerShare>) -> SheetContent {
+        rules.sort_by(|one, other| one.subject().cmp(&other.subject()));
+        shares.sort_by(|one, other| one.caller.cmp(&other.caller));
+        SheetContent { rules, shares }
+    }
+
+    /// The hash of the canonical form: equal for two exports that say the same.
+    pub fn hash(&self) -> SheetHash {
+        let bytes = serde_json::to_vec(self).unwrap_or_default();
+        SheetHash::of(&[&bytes])
+    }
+}
+
 /// A planning sheet with its place in the order of publications.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -57,4 +100,9 @@
             shares: Vec::new(),
         }
     }
+
+    /// What the sheet says.
+    pub fn content(&self) -> SheetContent {
+        SheetContent::canonical(self.rules.clone(), self.shares.clone())
+    }
 }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,21 +1,30 @@
 //! Drives the control decisions: the log service, peers, announcements, ticks.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{Mutex, mpsc};
+use tokio::sync::{Mutex, mpsc, oneshot};
 
+use super::daemon::unix_ms;
 use super::local::BackendAnnouncement;
 use super::peer_control::{self, Arrived};
 use super::pump::{Pump, Wanted};
-use crate::decide::control::record::{LogRecord, Stream};
+use crate::decide::control::audit::{AuditBatch, AuditEntry};
+use crate::decide::control::publish::{PublishReport, PublishRequest, PublishStatus};
+use crate::decide::control::record::{Accepted, LogRecord, SheetBase, Stream};
+use crate::decide::control::sheet_control::SheetStatus;
+use crate::decide::sharded::lock;
 use crate::decide::{Control, ControlAction, ControlEvent, Event};
-use crate::model::{Announcement, ServerState, Sheet};
-use crate::platform::log::LogClient;
+use crate::model::{Announcement, ServerState, Sheet, SheetHash};
+use crate::platform::log::{LogClient, LogError};
 
 /// Time between two ticks, in milliseconds.
 const TICK_MS: u64 = 50;
 
+/// Who waits for the end of a publication, by its id and the hash of its sheet.
+type Publishers = HashMap<(String, SheetHash), Vec<oneshot::Sender<PublishStatus>>>;
+
 /// What reaches the control loop from the daemon's other tasks.
 #[derive(Debug)]
 pub struct ControlInputs {
@@ -34,6 +43,7 @@
     pump: Arc<Pump>,
     log: LogClient,
     started_ms: u64,
+    publishers: std::sync::Mutex<Publishers>,
 }
 
 impl ControlLoop {
@@ -41,11 +51,14 @@
     pub fn new(pump: Arc<Pump>, log: LogClient, started_ms: u64) -> Arc<ControlLoop> {
         let vm = pump.node.vm().clone();
         let seed = vm.worker.incarnation.0;
+        let mut control = Control::new(vm, seed);
+        control.set_unix_origin(unix_ms().saturating_sub(pump.clock().now().0));
         Arc::new(ControlLoop {
-            control: Mutex::new(Control::new(vm, seed)),
+            control: Mutex::new(control),
             pump,
             log,
             started_ms,
+            publishers: std::sync::Mutex::default(),
         })
     }
 
@@ -54,6 +67,63 @@
         Arc::clone(self.control.lock().await.sheets().sheet())
     }
 
+    /// The sheet in force here with its age, for status and metrics.
+    pub async fn sheet_status(&self) -> SheetStatus {
+        let now = self.pump.clock().now();
+        self.control.lock().await.sheets().status(now)
+    }
+
+    /// Where in the history of sheets this daemon stands.
+    pub async fn sheet_base(&self) -> SheetBase {
+        self.control.lock().await.sheets().fold().base()
+    }
+
+    /// The latest accepted publications, oldest first.
+    pub async fn sheet_history(&self) -> Vec<Accepted> {
+        let control = self.control.lock().await;
+        control.sheets().fold().recent().cloned().collect()
+    }
+
+    /// Publishes a sheet and waits for the end; the same id may be sent any number of times.
+    pub async fn publish(self: &Arc<Self>, request: PublishRequest) -> PublishStatus {
+        let (sender, receiver) = oneshot::channel();
+        let key = (request.id.clone(), request.content.hash());
+        lock(&self.publishers).entry(key).or_default().push(sender);
+        self.feed(ControlEvent::Publish(request)).await;
+        receiver.await.unwrap_or_else(|_| PublishStatus::InDoubt {
+            reason: "the daemon is stopping; publish again with the same id".to_owned(),
+        })
+    }
+
+    /// Puts an entry into the audit trail.
+    pub async fn audit(self: &Arc<Self>, entry: AuditEntry) {
+        self.feed(ControlEvent::Audited(entry)).await;
+    }
+
+    /// Entries of this daemon that had to be dropped, and those not yet on the log.
+    pub async fn audit_backlog(&self) -> (u64, usize) {
+        let control = self.control.lock().await;
+        (control.audit().dropped(), control.audit().waiting())
+    }
+
+    /// Reads the audit trail as far as the log service keeps it.
+    pub async fn read_audit(&self) -> Result<Vec<AuditBatch>, LogError> {
+        let mut batches = Vec::new();
+        let mut from_offset = 0;
+        loop {
+            let page = self.log.read(Stream::Audit, from_offset).await?;
+            for entry in page.entries {
+                if let LogRecord::Audit(batch) = entry.record {
+                    batches.push(batch);
+                }
+            }
+            if page.next_offset <= from_offset {
+                return Ok(batches);
+            }
+            from_offset = page.next_offset;
+        }
+    }
+
     /// The workers known here.
     pub async fn workers(&self) -> Vec<Announcement> {
         self.control.lock().await.members().workers()
@@ -110,6 +180,7 @@
             ControlAction::WorkersLearned(workers) => {
                 self.pump.feed(Event::WorkersLearned(workers));
             }
+            ControlAction::PublishEnded(report) => self.publish_ended(report),
             ControlAction::ReadLog {
                 stream,
                 from_offset,
@@ -155,6 +226,13 @@
         }
     }
 
+    fn publish_ended(&self, report: PublishReport) {
+        let waiting = lock(&self.publishers).remove(&(report.id, report.content));
+        for sender in waiting.into_iter().flatten() {
+            let _ = sender.send(report.status.clone());
+        }
+    }
+
     async fn append(&self, stream: Stream, record: LogRecord) -> ControlEvent {
         match self.log.append(stream, &record).await {
             Ok(offset) => ControlEvent::Appended { stream, offset },
--- /dev/null
+++ b/tests/fold_properties.rs
@@ -0,0 +1,331 @@
+//! The fold of the sheet stream under random interleavings: all readers end at the same
+//! bytes, and none ever goes back.
+
+mod control_world;
+
+use std::collections::BTreeMap;
+
+use burdockhall::decide::control::fold::{SheetFold, SheetRank};
+use burdockhall::decide::control::record::{LogRecord, Publication, SheetBase, Stream};
+use burdockhall::model::{SheetChange, SheetContent};
+use control_world::{FakeLog, content};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+const READERS: usize = 4;
+/// Time between two new histories, in seconds; more than the changes of one case.
+const HISTORY_INTERVAL_S: u64 = 1_000;
+const SERVICES: [&str; 3] = ["balances", "redemptions", "ledger"];
+
+/// One thing that happens; indices are taken modulo what there is.
+#[derive(Debug, Clone)]
+enum Step {
+    /// An operator publishes on top of what a reader holds.
+    Publish {
+        reader: usize,
+        deadline_ms: u64,
+        services: usize,
+    },
+    /// An operator starts a new history at a reader.
+    StartAnew { reader: usize },
+    /// An append that was thought lost is made a second time.
+    Duplicate { record: usize },
+    /// A reader reads one page.
+    Read { reader: usize },
+    /// A reader gets the answer to an old read again.
+    Replay { reader: usize, from: u64 },
+    /// A reader writes what it holds as a checkpoint, at once or with a delay.
+    Checkpoint { reader: usize },
+    /// A checkpoint that was written late arrives.
+    LateCheckpoint { reader: usize },
+    /// Old records expire.
+    Truncate { keep: usize },
+    /// A reader restarts and knows nothing.
+    Restart { reader: usize },
+    /// A reader gives another its whole state.
+    State { from: usize, to: usize },
+    /// A reader gives another what follows the other's state.
+    Changes { from: usize, to: usize },
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let reader = 0..READERS;
+    let step = prop_oneof![
+        6 => (reader.clone(), 1..50u64, 0..8usize)
+            .prop_map(|(reader, deadline_ms, services)| Step::Publish { reader, deadline_ms, services }),
+        1 => reader.clone().prop_map(|reader| Step::StartAnew { reader }),
+        2 => any::<usize>().prop_map(|record| Step::Duplicate { record }),
+        8 => reader.clone().prop_map(|reader| Step::Read { reader }),
+        2 => (reader.clone(), 0..60u64).prop_map(|(reader, from)| Step::Replay { reader, from }),
+        2 => reader.clone().prop_map(|reader| Step::Checkpoint { reader }),
+        1 => reader.clone().prop_map(|reader| Step::LateCheckpoint { reader }),
+        2 => (0..12usize).prop_map(|keep| Step::Truncate { keep }),
+        2 => reader.clone().prop_map(|reader| Step::Restart { reader }),
+        3 => (reader.clone(), reader.clone()).prop_map(|(from, to)| Step::State { from, to }),
+        3 => (reader.clone(), reader).prop_map(|(from, to)| Step::Changes { from, to }),
+    ];
+    proptest::collection::vec(step, 1..120)
+}
+
+struct World {
+    log: FakeLog,
+    folds: Vec<SheetFold>,
+    late: BTreeMap<usize, LogRecord>,
+    published: u64,
+    /// What one reader that never missed a record holds.
+    complete: SheetFold,
+}
+
+impl World {
+    fn new() -> World {
+        World {
+            log: FakeLog::default(),
+            folds: (0..READERS).map(|_| SheetFold::default()).collect(),
+            late: BTreeMap::new(),
+            published: 0,
+            complete: SheetFold::default(),
+        }
+    }
+
+    fn append(&mut self, record: LogRecord) {
+        self.log.append(Stream::Sheets, record);
+        let from = self.complete.next_offset();
+        let batch = self.log.read(Stream::Sheets, from);
+        let before = self.complete.rank();
+        self.complete.read(from, batch);
+        assert!(self.complete.rank() >= before);
+    }
+
+    fn step(&mut self, step: &Step) {
+        match step {
+            Step::Publish {
+                reader,
+                deadline_ms,
+                services,
+            } => {
+                let sheet = content(*deadline_ms, &services_of(*services));
+                let base = self.folds[*reader].base();
+                self.publish(Some(base), self.folds[*reader].sheet().content(), sheet);
+            }
+            Step::StartAnew { reader } => self.start_anew(*reader),
+            Step::Duplicate { record } => {
+                let kept = self
+                    .log
+                    .records
+                    .get(&Stream::Sheets)
+                    .map_or(&[][..], Vec::as_slice);
+                if !kept.is_empty() {
+                    let copy = kept[record % kept.len()].1.clone();
+                    self.append(copy);
+                }
+            }
+            Step::Read { reader } => {
+                let from = self.folds[*reader].next_offset();
+                let batch = self.log.read(Stream::Sheets, from);
+                self.folds[*reader].read(from, batch);
+            }
+            Step::Replay { reader, from } => {
+                let from = (*from).min(self.folds[*reader].next_offset());
+                let batch = self.log.read(Stream::Sheets, from);
+                self.folds[*reader].read(from, batch);
+            }
+            Step::Checkpoint { reader } => {
+                let fold = &self.folds[*reader];
+                if !fold.has_gap() && fold.base() != SheetBase::default() {
+                    let state = Box::new(fold.state());
+                    self.late
+                        .insert(*reader, LogRecord::Checkpoint(state.clone()));
+                    self.append(LogRecord::Checkpoint(state));
+                }
+            }
+            Step::LateCheckpoint { reader } => {
+                if let Some(record) = self.late.remove(reader) {
+                    self.append(record);
+                }
+            }
+            Step::Truncate { keep } => {
+                let next = self.log.next.get(&Stream::Sheets).copied().unwrap_or(0);
+                let first = self.log.first.get(&Stream::Sheets).copied().unwrap_or(0);
+                let first = first.max(next.saturating_sub(*keep as u64));
+                self.log.truncate(Stream::Sheets, first);
+            }
+            Step::Restart { reader } => self.folds[*reader] = SheetFold::default(),
+            Step::State { from, to } => {
+                let state = self.folds[*from].state();
+                self.folds[*to].merge_state(&state);
+            }
+            Step::Changes { from, to } => {
+                let base = self.folds[*to].base();
+                let changes = self.folds[*from].changes_since(&base).unwrap_or_default();
+                self.folds[*to].merge_changes(&changes);
+            }
+        }
+    }
+
+    fn publish(&mut self, base: Option<SheetBase>, old: SheetContent, new: SheetContent) {
+        self.published += 1;
+        self.append(LogRecord::Publication(Publication {
+            id: format!("publication-{}", self.published),
+            base,
+            author: "planner".into(),
+            published_ms: self.published,
+            change: SheetChange::between(&old, &new),
+        }));
+    }
+
+    /// Operators start new histories so far apart that counting changes does not reach the next.
+    fn start_anew(&mut self, reader: usize) {
+        self.published = (self.published / 1_000 + HISTORY_INTERVAL_S) * 1_000;
+        self.publish(None, SheetContent::default(), content(7, &[]));
+        let id = format!("publication-{}", self.published);
+        read_to_the_end(&mut self.log, &mut self.folds[reader]);
+        if self.folds[reader].accepted(&id).is_some() {
+            self.folds[reader].begin_history(&id);
+            let state = self.folds[reader].state();
+            self.append(LogRecord::Checkpoint(Box::new(state)));
+        }
+    }
+
+    fn all_read_to_the_end(&mut self) {
+        for fold in &mut self.folds {
+            read_to_the_end(&mut self.log, fold);
+        }
+    }
+}
+
+fn read_to_the_end(log: &mut FakeLog, fold: &mut SheetFold) {
+    loop {
+        let from = fold.next_offset();
+        let batch = log.read(Stream::Sheets, from);
+        let end = batch.next_offset <= from;
+        fold.read(from, batch);
+        if end {
+            return;
+        }
+    }
+}
+
+fn bytes(fold: &SheetFold) -> String {
+    serde_json::to_string(&fold.state()).unwrap()
+}
+
+fn services_of(bits: usize) -> Vec<&'static str> {
+    let chosen = SERVICES
+        .iter()
+        .enumerate()
+        .filter(|(index, _)| bits & (1 << index) != 0);
+    chosen.map(|(_, service)| *service).collect()
+}
+
+fn ranks(world: &World) -> Vec<SheetRank> {
+    world.folds.iter().map(SheetFold::rank).collect()
+}
+
+fn check(steps: &[Step]) {
+    let mut world = World::new();
+    for step in steps {
+        let before = ranks(&world);
+        world.step(step);
+        for (reader, (before, after)) in before.iter().zip(ranks(&world)).enumerate() {
+            let restarted = matches!(step, Step::Restart { reader: other } if *other == reader);
+            assert!(
+                restarted || after >= *before,
+                "reader {reader} went back at {step:?}"
+            );
+            let fold = &world.folds[reader];
+            let ahead = after > world.complete.rank();
+            assert!(!ahead, "reader {reader} is ahead of the log at {step:?}");
+            let state = fold.state();
+            assert!(state.is_consistent() || fold.base() == SheetBase::default());
+        }
+    }
+    world.all_read_to_the_end();
+    let complete = bytes(&world.complete);
+    let current = world.folds.iter().filter(|fold| !fold.has_gap());
+    for fold in current {
+        assert!(
+            bytes(fold) == complete,
+            "{:?} {:?}",
+            fold.rank(),
+            world.complete.rank()
+        );
+    }
+    if world.complete.base() == SheetBase::default() {
+        return;
+    }
+    // A checkpoint brings the readers with a gap up.
+    world.append(LogRecord::Checkpoint(Box::new(world.complete.state())));
+    world.all_read_to_the_end();
+    let complete = bytes(&world.complete);
+    for fold in &world.folds {
+        assert!(!fold.has_gap(), "{:?}", fold.rank());
+        assert!(
+            bytes(fold) == complete,
+            "{:?} {:?}",
+            fold.rank(),
+            world.complete.rank()
+        );
+    }
+}
+
+/// Fixed, so that the verdict is the same every time.
+const SEED: [u8; 32] = *b"the fold never goes back, always";
+const CASES: u32 = 3_000;
+
+#[test]
+fn every_reader_ends_at_the_same_bytes_and_none_goes_back() {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &SEED);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let outcome = runner.run(&steps(), |steps| {
+        check(&steps);
+        Ok(())
+    });
+    outcome.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[test]
+fn a_state_that_does_not_fit_its_hashes_changes_nothing() {
+    let mut fold = SheetFold::default();
+    let mut other = SheetFold::default();
+    let mut log = FakeLog::default();
+    let first = Publication::first("a", "planner", 1, &content(10, &[]));
+    log.append(Stream::Sheets, LogRecord::Publication(first));
+    other.read(0, log.read(Stream::Sheets, 0));
+    let mut forged = other.state();
+    forged.sheet.rules.clear();
+    fold.merge_state(&forged);
+    assert_eq!(fold.base(), SheetBase::default());
+    fold.merge_state(&other.state());
+    assert_eq!(fold.base(), other.base());
+}
+
+#[test]
+fn two_histories_with_the_same_numbers_are_told_apart() {
+    let mut fold = SheetFold::default();
+    let mut log = FakeLog::default();
+    let one = content(10, &[]);
+    let first = Publication::first("a", "planner", 1, &one);
+    log.append(Stream::Sheets, LogRecord::Publication(first));
+    fold.read(0, log.read(Stream::Sheets, 0));
+    let mut elsewhere = SheetFold::default();
+    let mut other_log = FakeLog::default();
+    let first = Publication::first("b", "planner", 1, &content(20, &[]));
+    other_log.append(Stream::Sheets, LogRecord::Publication(first));
+    elsewhere.read(0, other_log.read(Stream::Sheets, 0));
+    let second = Publication {
+        id: "c".to_owned(),
+        base: Some(elsewhere.base()),
+        author: "planner".into(),
+        published_ms: 2,
+        change: SheetChange::between(&content(20, &[]), &content(30, &[])),
+    };
+    log.append(Stream::Sheets, LogRecord::Publication(second));
+    fold.read(1, log.read(Stream::Sheets, 1));
+    assert_eq!(fold.sheet().version.0, 1);
+    assert_eq!(fold.sheet().content(), one);
+}
--- /dev/null
+++ b/tests/publish_decisions.rs
@@ -0,0 +1,233 @@
+//! Publications as operators see them, with the log and the network failing in turn.
+
+mod control_world;
+
+use burdockhall::decide::control::publish::PublishStatus;
+use burdockhall::decide::control::record::Stream;
+use control_world::{World, content};
+
+/// Time in which all daemons of a new world find each other, in milliseconds.
+const SETTLING_MS: u64 = 30_000;
+/// Longest time for a sheet to be in force everywhere on an ordinary day, in milliseconds.
+const ORDINARY_MS: u64 = 3_000;
+/// Longest time for a sheet to be in force everywhere with the log slow, in milliseconds.
+const SLOW_MS: u64 = 12_000;
+
+fn settled(seed: u64, zones: usize, daemons: usize) -> World {
+    let mut world = World::new(seed, zones, daemons);
+    world.run_for(SETTLING_MS);
+    world
+}
+
+#[test]
+fn a_publication_is_in_force_in_all_zones() {
+    let mut world = settled(1, 6, 4);
+    world.publish(5, "a", Some(0), content(100, &["balances"]));
+    let taken = world.run_until_held(1, ORDINARY_MS);
+    assert!(taken.is_some());
+    world.run_for(ORDINARY_MS);
+    let Some(PublishStatus::InForce(receipt)) = world.status("a") else {
+        panic!("{:?}", world.status("a"));
+    };
+    assert_eq!(receipt.version.0, 1);
+    assert_eq!(receipt.zones_confirmed.len(), 6);
+    assert!(receipt.elapsed_ms <= ORDINARY_MS);
+}
+
+struct Race {
+    name: &'static str,
+    operators: usize,
+    slow_ms: u64,
+    lost_answers: u32,
+}
+
+const RACES: [Race; 4] = [
+    Race {
+        name: "two operators",
+        operators: 2,
+        slow_ms: 0,
+        lost_answers: 0,
+    },
+    Race {
+        name: "five operators",
+        operators: 5,
+        slow_ms: 0,
+        lost_answers: 0,
+    },
+    Race {
+        name: "five operators, slow log",
+        operators: 5,
+        slow_ms: 700,
+        lost_answers: 0,
+    },
+    Race {
+        name: "five operators, answers lost",
+        operators: 5,
+        slow_ms: 20,
+        lost_answers: 3,
+    },
+];
+
+#[test]
+fn one_of_several_racing_operators_wins_and_the_others_learn_who() {
+    for race in &RACES {
+        let mut world = settled(2, 5, 3);
+        world.log.slow_ms = race.slow_ms;
+        world.log.lose_answers = race.lost_answers;
+        for operator in 0..race.operators {
+            let sheet = content(100 + operator as u64, &[]);
+            world.publish(3 * operator, &format!("op-{operator}"), Some(0), sheet);
+        }
+        world.run_for(SLOW_MS);
+        let mut winners = Vec::new();
+        let mut named = Vec::new();
+        for operator in 0..race.operators {
+            match world.status(&format!("op-{operator}")) {
+                Some(PublishStatus::InForce(_)) => winners.push(format!("author of op-{operator}")),
+                Some(PublishStatus::Conflict {
+                    version, author, ..
+                }) => {
+                    assert_eq!(version.0, 1, "{}", race.name);
+                    named.push(author.to_string());
+                }
+                other => panic!("{}: {other:?}", race.name),
+            }
+        }
+        assert_eq!(winners.len(), 1, "{}", race.name);
+        assert!(
+            named.iter().all(|name| *name == winners[0]),
+            "{}",
+            race.name
+        );
+        assert!(world.all_hold(1) && !world.all_hold(2), "{}", race.name);
+    }
+}
+
+#[test]
+fn a_lost_answer_is_settled_without_a_second_effect() {
+    let mut world = settled(3, 3, 3);
+    world.log.lose_answers = 1;
+    world.publish(0, "lost", Some(0), content(100, &[]));
+    world.run_for(SLOW_MS);
+    assert!(matches!(
+        world.status("lost"),
+        Some(PublishStatus::InForce(_))
+    ));
+    world.publish(4, "lost", Some(0), content(100, &[]));
+    world.publish(7, "lost", Some(1), content(100, &[]));
+    world.run_for(SLOW_MS);
+    assert!(world.reports.len() >= 3);
+    for (_, _, id, status) in &world.reports {
+        let PublishStatus::InForce(receipt) = status else {
+            panic!("{id}: {status:?}");
+        };
+        assert_eq!(receipt.version.0, 1);
+    }
+    assert!(!world.all_hold(2));
+}
+
+#[test]
+fn an_id_with_another_sheet_is_refused() {
+    let mut world = settled(4, 2, 2);
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(ORDINARY_MS);
+    world.publish(1, "a", Some(1), content(200, &[]));
+    world.run_for(ORDINARY_MS);
+    assert!(matches!(
+        world.status("a"),
+        Some(PublishStatus::Refused { .. })
+    ));
+}
+
+#[test]
+fn a_publication_during_an_outage_takes_effect_once_the_log_is_back() {
+    let mut world = settled(5, 3, 3);
+    world.log.down = true;
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(10_000);
+    assert_eq!(world.status("a"), None);
+    world.log.down = false;
+    assert!(world.run_until_held(1, SLOW_MS).is_some());
+    world.run_for(ORDINARY_MS);
+    assert!(matches!(world.status("a"), Some(PublishStatus::InForce(_))));
+}
+
+#[test]
+fn a_publication_that_cannot_be_settled_says_so() {
+    let mut world = settled(6, 3, 3);
+    world.log.down = true;
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(40_000);
+    assert!(matches!(
+        world.status("a"),
+        Some(PublishStatus::InDoubt { .. })
+    ));
+}
+
+#[test]
+fn a_base_that_cannot_be_found_is_refused() {
+    let mut world = settled(7, 3, 3);
+    world.publish(0, "a", Some(9), content(100, &[]));
+    world.run_for(40_000);
+    assert!(matches!(
+        world.status("a"),
+        Some(PublishStatus::Refused { .. })
+    ));
+    assert_eq!(world.log.records.get(&Stream::Sheets), None);
+}
+
+#[test]
+fn a_zone_that_cannot_be_reached_is_named() {
+    let mut world = settled(8, 4, 3);
+    world.cut_zone(2);
+    world.cut_from_log.insert(2);
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(SLOW_MS);
+    let Some(PublishStatus::Accepted(receipt)) = world.status("a") else {
+        panic!("{:?}", world.status("a"));
+    };
+    assert_eq!(receipt.zones_missing, ["zone-2".into()]);
+    assert_eq!(receipt.zones_confirmed.len(), 3);
+}
+
+#[test]
+fn a_truncated_stream_without_a_checkpoint_takes_no_publication_but_a_new_history() {
+    let mut world = World::new(9, 1, 2);
+    world.log.append(Stream::Sheets, first_record());
+    world.log.append(Stream::Sheets, first_record());
+    world.log.truncate(Stream::Sheets, 2);
+    world.run_for(ORDINARY_MS);
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(40_000);
+    assert!(matches!(
+        world.status("a"),
+        Some(PublishStatus::Refused { .. })
+    ));
+    world.publish(0, "b", None, content(100, &[]));
+    world.run_for(ORDINARY_MS);
+    assert!(matches!(world.status("b"), Some(PublishStatus::InForce(_))));
+    assert!(world.version(1) > 1_000_000);
+}
+
+#[test]
+fn a_log_that_has_started_anew_takes_a_new_history() {
+    let mut world = settled(10, 2, 3);
+    for number in 0..5 {
+        let sheet = content(100 + number, &[]);
+        world.publish(0, &format!("a{number}"), Some(number), sheet);
+        world.run_for(ORDINARY_MS);
+    }
+    world.log = control_world::FakeLog::default();
+    world.publish(0, "b", None, content(300, &[]));
+    world.run_for(ORDINARY_MS);
+    assert!(matches!(world.status("b"), Some(PublishStatus::InForce(_))));
+    let version = world.version(0);
+    world.publish(4, "c", Some(version), content(400, &[]));
+    assert!(world.run_until_held(version + 1, ORDINARY_MS).is_some());
+}
+
+fn first_record() -> burdockhall::decide::control::record::LogRecord {
+    use burdockhall::decide::control::record::{LogRecord, Publication};
+    let publication = Publication::first("z", "planner", 1, &content(100, &[]));
+    LogRecord::Publication(publication)
+}
