Push sheets between the readers of a zone and settle with two reads at once

Cause: the readers of a zone waited for their own read of the log, and a publication behind a slow log waited for a read made before its append. Change: readers push to each other; while a publication settles a second read may be on its way; reads are jittered.

--- a/src/decide/control/sheet_control.rs
+++ b/src/decide/control/sheet_control.rs
@@ -15,8 +15,8 @@
 use super::{ControlAction, ControlMessage, ControlTurn};
 use crate::model::{AuthorName, Sheet, SheetVersion, TimeMs, Vm};
 
-/// Time between two reads of the log by a reader, in milliseconds.
-const READ_INTERVAL_MS: u64 = 500;
+/// Longest time between two reads of the log by a reader, in milliseconds.
+const READ_INTERVAL_MS: u64 = 600;
 /// Time between two reads for a publication that waits, in milliseconds.
 const SETTLE_READ_INTERVAL_MS: u64 = 200;
 /// Age of the sheet beyond which a daemon that is no reader reads the log, in milliseconds.
@@ -58,10 +58,10 @@
     pub reader: bool,
 }
 
-/// Reads of the log; one at a time, so that an old answer cannot pass for a new one.
+/// Reads of the log, by the offsets that they were made from.
 #[derive(Debug, Default)]
 struct LogReads {
-    outstanding: Option<u64>,
+    outstanding: Vec<u64>,
     again: bool,
     from: Option<u64>,
     failing: bool,
@@ -137,7 +137,7 @@
 
     /// Takes in records of the sheet stream.
     pub fn log_read(&mut self, turn: &mut ControlTurn<'_>, batch: LogBatch) {
-        let Some(from) = self.reads.outstanding.take() else {
+        let Some(from) = self.reads.answered() else {
             return;
         };
         self.reads.failing = false;
@@ -145,7 +145,7 @@
         let new = records.filter(|entry| entry.offset >= self.fold.next_offset());
         self.checkpoints
             .seen(turn.now, new.map(|entry| &entry.record));
-        let at_end = batch.next_offset <= from;
+        let at_end = batch.next_offset <= self.fold.next_offset();
         let before = self.fold.base();
         self.fold.read(from, batch);
         if at_end && !self.fold.has_gap() {
@@ -159,7 +159,7 @@
 
     /// The log could not be read; a later tick tries again.
     pub fn log_failed(&mut self, turn: &mut ControlTurn<'_>) {
-        self.reads.outstanding = None;
+        self.reads.answered();
         self.reads.again = false;
         self.reads.failing = true;
         self.advance_publications(turn);
@@ -316,7 +316,7 @@
                 Some(changes) => SheetMessage::Changes(changes),
                 None => SheetMessage::Digest(self.digest(turn.now)),
             };
-            self.pushed = self.zone.children().to_vec();
+            self.pushed = self.zone.targets();
             for child in &self.pushed {
                 turn.send_sheet(*child, message.clone());
             }
@@ -450,13 +450,14 @@
     }
 
     fn read(&mut self, turn: &mut ControlTurn<'_>) {
-        if self.reads.outstanding.is_some() {
+        let settling = usize::from(self.publish.waits_for_log());
+        if self.reads.outstanding.len() > settling {
             self.reads.again = true;
             return;
         }
         let from_offset = self.reads.from.take().unwrap_or(self.fold.next_offset());
-        self.reads.next = turn.now.plus_ms(READ_INTERVAL_MS);
-        self.reads.outstanding = Some(from_offset);
+        self.reads.next = turn.now.plus_ms(jittered(turn, READ_INTERVAL_MS));
+        self.reads.outstanding.push(from_offset);
         turn.actions.push(ControlAction::ReadLog {
             stream: Stream::Sheets,
             from_offset,
@@ -464,6 +465,23 @@
     }
 }
 
+impl LogReads {
+    /// The offset that an answer is for; of two reads on the way the later one, so that
+    /// an answer is never taken to reach further back than it does.
+    fn answered(&mut self) -> Option<u64> {
+        let from = self.outstanding.iter().max().copied()?;
+        let first = self
+            .outstanding
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, from)| **from);
+        if let Some((index, _)) = first {
+            self.outstanding.swap_remove(index);
+        }
+        Some(from)
+    }
+}
+
 impl ControlTurn<'_> {
     /// Sends a message about sheets.
     pub(super) fn send_sheet(&mut self, to: SocketAddr, message: SheetMessage) {
--- a/src/decide/control/spread.rs
+++ b/src/decide/control/spread.rs
@@ -148,7 +148,7 @@
 }
 
 /// The place of one daemon in its zone.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ZoneView {
     ranked: Vec<SocketAddr>,
     own_rank: usize,
@@ -182,9 +182,14 @@
         self.own_rank < READERS_PER_ZONE
     }
 
-    /// The daemons that this one pushes changes to.
-    pub fn children(&self) -> &[SocketAddr] {
-        self.below(self.own_rank)
+    /// The daemons that this one pushes changes to; readers also push to each other.
+    pub fn targets(&self) -> Vec<SocketAddr> {
+        let mut targets = self.below(self.own_rank).to_vec();
+        if self.is_reader() {
+            let own = self.ranked[self.own_rank];
+            targets.extend(self.readers().iter().filter(|reader| **reader != own));
+        }
+        targets
     }
 
     /// The daemons that another one would have pushed changes to.
--- a/tests/control_world/mod.rs
+++ b/tests/control_world/mod.rs
@@ -21,6 +21,8 @@
 const TICK_MS: u64 = 50;
 /// Time after which a lost message or answer counts as failed, in milliseconds.
 const TIMEOUT_MS: u64 = 2_000;
+/// Longest wait for an answer of the log service, in milliseconds.
+const LOG_TIMEOUT_MS: u64 = 5_000;
 /// Most records in one page of the log.
 const PAGE_RECORDS: usize = 500;
 /// Index of a daemon.
@@ -361,13 +363,14 @@
             }
             Delivery::Append(_, _, stream, record) => self.append(host, started, stream, record),
             Delivery::Read(_, _, stream, from) => {
-                let event = if self.log_refuses(host) {
+                let delay_ms = self.log_delay_ms(host);
+                let late = 2 * delay_ms > LOG_TIMEOUT_MS;
+                let event = if late || self.log_refuses(host) {
                     ControlEvent::LogFailed { stream }
                 } else {
                     let batch = self.log.read(stream, from);
                     ControlEvent::LogRead { stream, batch }
                 };
-                let delay_ms = self.log_delay_ms(host);
                 self.schedule(delay_ms, Delivery::Event(host, started, event));
             }
         }
@@ -380,8 +383,9 @@
             return self.schedule(TIMEOUT_MS, Delivery::Event(host, started, failed));
         }
         let offset = self.log.append(stream, record.clone());
-        if stream == Stream::Sheets && self.log.lose_answers > 0 {
-            self.log.lose_answers -= 1;
+        let late = 2 * self.log_delay_ms(host) > LOG_TIMEOUT_MS;
+        if late || stream == Stream::Sheets && self.log.lose_answers > 0 {
+            self.log.lose_answers = self.log.lose_answers.saturating_sub(1);
             let failed = ControlEvent::AppendFailed { stream, record };
             return self.schedule(TIMEOUT_MS, Delivery::Event(host, started, failed));
         }
--- /dev/null
+++ b/tests/spread_sheets.rs
@@ -0,0 +1,338 @@
+//! How a sheet spreads while the log service, links and daemons fail.
+
+mod control_world;
+
+use burdockhall::decide::ControlEvent;
+use burdockhall::decide::control::publish::PublishStatus;
+use burdockhall::decide::control::record::{LogRecord, Stream};
+use burdockhall::model::SheetVersion;
+use control_world::{Host, World, content};
+
+/// Time in which all daemons of a new world find each other, in milliseconds.
+const SETTLING_MS: u64 = 30_000;
+/// Longest time for a sheet to be in force everywhere on an ordinary day, in milliseconds.
+const ORDINARY_MS: u64 = 3_000;
+/// Longest time for a sheet to be in force everywhere with the log slow, in milliseconds.
+const SLOW_MS: u64 = 12_000;
+/// Longest time for a healed zone to take up the newest sheet, in milliseconds.
+const HEALED_MS: u64 = 5_000;
+/// Longest time for which a call waits for the sheet by which it was classified, in milliseconds.
+const CALL_WAIT_MS: u64 = 500;
+
+fn settled(seed: u64, zones: usize, daemons: usize) -> World {
+    let mut world = World::new(seed, zones, daemons);
+    world.run_for(SETTLING_MS);
+    world
+}
+
+/// Publishes version after version and returns the times until all daemons held each.
+fn times_to_force(world: &mut World, publications: u64, limit_ms: u64) -> Vec<u64> {
+    let mut times = Vec::new();
+    for number in 0..publications {
+        let host = (number as usize * 37) % world.daemons.len();
+        let base = world.version(host);
+        let sheet = content(100 + number, &["balances", "ledger"]);
+        world.publish(host, &format!("publication-{number}"), Some(base), sheet);
+        let taken = world.run_until_held(base + 1, limit_ms);
+        times.push(taken.unwrap_or_else(|| panic!("publication {number} after {limit_ms} ms")));
+        world.run_for(700);
+    }
+    times.sort_unstable();
+    times
+}
+
+struct Size {
+    zones: usize,
+    daemons: usize,
+    publications: u64,
+    slow_ms: u64,
+    limit_ms: u64,
+}
+
+const SIZES: [Size; 5] = [
+    Size {
+        zones: 6,
+        daemons: 4,
+        publications: 20,
+        slow_ms: 0,
+        limit_ms: ORDINARY_MS,
+    },
+    Size {
+        zones: 13,
+        daemons: 20,
+        publications: 10,
+        slow_ms: 0,
+        limit_ms: ORDINARY_MS,
+    },
+    Size {
+        zones: 6,
+        daemons: 4,
+        publications: 5,
+        slow_ms: 900,
+        limit_ms: SLOW_MS,
+    },
+    Size {
+        zones: 13,
+        daemons: 20,
+        publications: 3,
+        slow_ms: 900,
+        limit_ms: SLOW_MS,
+    },
+    Size {
+        zones: 13,
+        daemons: 20,
+        publications: 3,
+        slow_ms: 2_000,
+        limit_ms: SLOW_MS,
+    },
+];
+
+#[test]
+fn a_sheet_is_in_force_everywhere_in_time() {
+    for size in &SIZES {
+        let mut world = settled(11, size.zones, size.daemons);
+        world.log.slow_ms = size.slow_ms;
+        let times = times_to_force(&mut world, size.publications, size.limit_ms);
+        println!(
+            "{} zones of {} daemons, log slower by {} ms each way: {} to {} ms, median {} ms",
+            size.zones,
+            size.daemons,
+            size.slow_ms,
+            times[0],
+            times[times.len() - 1],
+            times[times.len() / 2]
+        );
+    }
+}
+
+#[test]
+fn only_the_readers_of_each_zone_read_the_sheet_stream() {
+    let mut world = settled(12, 3, 12);
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(SETTLING_MS);
+    let now = world.now;
+    let readers = |zone: usize| {
+        let daemons = world.daemons.iter().filter(|daemon| daemon.zone == zone);
+        daemons
+            .filter(|daemon| daemon.control.sheets().status(now).reader)
+            .count()
+    };
+    assert_eq!([readers(0), readers(1), readers(2)], [3, 3, 3]);
+    let before = world.log.reads;
+    world.run_for(10_000);
+    // Nine readers, three reads a second, and the membership's own reads.
+    assert!(
+        world.log.reads - before < 9 * 30 + 60,
+        "{}",
+        world.log.reads - before
+    );
+    for daemon in &world.daemons {
+        let age_ms = daemon.control.sheets().status(world.now).age_ms;
+        assert!(age_ms.is_some_and(|age_ms| age_ms < 10_000), "{age_ms:?}");
+    }
+}
+
+#[test]
+fn the_readers_of_a_zone_may_be_lost_one_after_the_other() {
+    let mut world = settled(13, 3, 8);
+    for number in 0..5 {
+        let now = world.now;
+        let reads = |host: &Host| {
+            let daemon = &world.daemons[*host];
+            daemon.alive && daemon.zone == 1 && daemon.control.sheets().status(now).reader
+        };
+        let Some(reader) = (0..world.daemons.len()).find(reads) else {
+            panic!("zone 1 has no reader");
+        };
+        world.kill(reader);
+        let sheet = content(200 + number, &[]);
+        world.publish(0, &format!("a{number}"), Some(number), sheet);
+        assert!(
+            world.run_until_held(number + 1, ORDINARY_MS).is_some(),
+            "{number}"
+        );
+        world.run_for(1_000);
+    }
+}
+
+struct Cut {
+    name: &'static str,
+    from_zones: bool,
+    from_log: bool,
+    /// Whether the zone still learns of a sheet while it is cut off.
+    learns: bool,
+}
+
+const CUTS: [Cut; 3] = [
+    Cut {
+        name: "from zones",
+        from_zones: true,
+        from_log: false,
+        learns: true,
+    },
+    Cut {
+        name: "from the platform",
+        from_zones: false,
+        from_log: true,
+        learns: true,
+    },
+    Cut {
+        name: "from both",
+        from_zones: true,
+        from_log: true,
+        learns: false,
+    },
+];
+
+#[test]
+fn a_zone_that_is_cut_off_serves_on_and_catches_up() {
+    for cut in &CUTS {
+        let mut world = settled(14, 4, 5);
+        world.publish(0, "first", Some(0), content(100, &[]));
+        world.run_for(SETTLING_MS);
+        if cut.from_zones {
+            world.cut_zone(2);
+        }
+        if cut.from_log {
+            world.cut_from_log.insert(2);
+        }
+        world.run_for(1_000);
+        world.publish(0, "second", Some(1), content(200, &[]));
+        world.run_for(20_000);
+        for host in 10..15 {
+            assert_eq!(
+                world.version(host),
+                if cut.learns { 2 } else { 1 },
+                "{}",
+                cut.name
+            );
+            let status = world.daemons[host].control.sheets().status(world.now);
+            let old = status.age_ms.is_none_or(|age_ms| age_ms > 10_000);
+            assert_eq!(old, !cut.learns, "{}: {status:?}", cut.name);
+        }
+        if !cut.learns {
+            let status = world.status("second");
+            let Some(PublishStatus::Accepted(receipt)) = status else {
+                panic!("{}: {status:?}", cut.name);
+            };
+            assert_eq!(receipt.zones_missing, ["zone-2".into()], "{}", cut.name);
+        }
+        world.heal();
+        assert!(world.run_until_held(2, HEALED_MS).is_some(), "{}", cut.name);
+    }
+}
+
+#[test]
+fn a_daemon_started_in_a_cut_off_zone_asks_its_zone() {
+    let mut world = settled(15, 3, 4);
+    world.publish(0, "first", Some(0), content(100, &[]));
+    world.run_for(SETTLING_MS);
+    world.cut_zone(1);
+    world.cut_from_log.insert(1);
+    world.restart(5);
+    world.run_for(HEALED_MS);
+    assert_eq!(world.version(5), 1);
+}
+
+#[test]
+fn a_daemon_alone_without_a_log_has_the_built_in_rules_and_says_so() {
+    let mut world = World::new(16, 1, 1);
+    world.log.down = true;
+    world.run_for(SETTLING_MS);
+    let status = world.daemons[0].control.sheets().status(world.now);
+    assert!(status.built_in && status.log_failing);
+    assert_eq!(status.age_ms, None);
+    world.log.down = false;
+    world.publish(0, "first", Some(0), content(100, &[]));
+    assert!(world.run_until_held(1, ORDINARY_MS).is_some());
+    assert!(!world.daemons[0].control.sheets().status(world.now).built_in);
+}
+
+#[test]
+fn the_log_may_be_down_while_all_daemons_start() {
+    let mut world = World::new(17, 3, 3);
+    world.log.down = true;
+    world.run_for(20_000);
+    world.log.down = false;
+    world.run_for(SETTLING_MS);
+    world.publish(0, "first", Some(0), content(100, &[]));
+    assert!(world.run_until_held(1, ORDINARY_MS).is_some());
+}
+
+#[test]
+fn a_version_that_a_call_carries_is_found_before_the_call_has_waited_too_long() {
+    let mut world = settled(18, 2, 6);
+    let now = world.now;
+    let is_reader = |host: &Host| world.daemons[*host].control.sheets().status(now).reader;
+    let Some(host) = (6..12).find(|host| !is_reader(host)) else {
+        panic!("all are readers");
+    };
+    world.cut_zone(1);
+    world.cut_from_log.insert(1);
+    world.publish(0, "first", Some(0), content(100, &[]));
+    world.run_for(ORDINARY_MS);
+    assert_eq!(world.version(host), 0);
+    world.heal();
+    let version = SheetVersion(1);
+    world.handle(host, ControlEvent::SheetWanted { version });
+    world.run_for(CALL_WAIT_MS);
+    assert_eq!(world.version(host), 1);
+}
+
+#[test]
+fn a_checkpoint_is_written_once_and_lets_the_stream_be_truncated() {
+    let mut world = settled(19, 2, 4);
+    for number in 0..3 {
+        world.publish(
+            0,
+            &format!("a{number}"),
+            Some(number),
+            content(100 + number, &[]),
+        );
+        world.run_for(ORDINARY_MS);
+    }
+    world.run_for(700_000);
+    let records = &world.log.records[&Stream::Sheets];
+    let is_checkpoint = |record: &&(u64, LogRecord)| matches!(record.1, LogRecord::Checkpoint(_));
+    assert_eq!(records.iter().filter(is_checkpoint).count(), 1);
+    let Some((offset, _)) = records.iter().find(is_checkpoint).cloned() else {
+        return;
+    };
+    world.log.truncate(Stream::Sheets, offset);
+    for host in 0..world.daemons.len() {
+        world.restart(host);
+    }
+    assert!(world.run_until_held(3, ORDINARY_MS).is_some());
+    world.run_for(SETTLING_MS);
+    let base = world.version(3);
+    world.publish(3, "after", Some(base), content(300, &[]));
+    assert!(world.run_until_held(4, ORDINARY_MS).is_some());
+}
+
+#[test]
+fn a_stream_truncated_under_a_cut_off_zone_is_made_good_by_its_peers() {
+    let mut world = settled(20, 3, 4);
+    world.publish(0, "a", Some(0), content(100, &[]));
+    world.run_for(ORDINARY_MS);
+    world.cut_zone(1);
+    world.cut_from_log.insert(1);
+    for number in 1..4 {
+        world.publish(
+            0,
+            &format!("b{number}"),
+            Some(number),
+            content(100 + number, &[]),
+        );
+        world.run_for(12_000);
+    }
+    let next = world.log.next[&Stream::Sheets];
+    world.log.truncate(Stream::Sheets, next);
+    world.heal();
+    assert!(world.run_until_held(4, HEALED_MS).is_some());
+    world.run_for(ORDINARY_MS);
+    let gaps = world
+        .daemons
+        .iter()
+        .filter(|d| d.control.sheets().fold().has_gap());
+    assert_eq!(gaps.count(), 0);
+}
