--- a/src/decide/control/member_control.rs
+++ b/src/decide/control/member_control.rs
@@ -216,8 +216,7 @@
     /// Takes in that the local backend server calls a service.
     pub fn service_called(&mut self, turn: &mut ControlTurn<'_>, service: &ServiceName) {
         if self.interests.called(turn.now, service) {
-            self.due.interest = turn.now;
-            self.interest_is_new_until = turn.now.plus_ms(NEW_INTEREST_MS);
+            self.ask_gateway_soon(turn.now);
             self.changed = true;
         }
     }
@@ -352,6 +351,7 @@
             self.named_since = None;
             if std::mem::take(&mut self.gateway) {
                 self.forget_unneeded();
+                self.ask_gateway_soon(now);
             }
             return;
         }
@@ -359,6 +359,11 @@
         self.gateway = now.since_ms(since) >= GATEWAY_SETTLE_MS;
     }
 
+    fn ask_gateway_soon(&mut self, now: TimeMs) {
+        self.due.interest = now;
+        self.interest_is_new_until = now.plus_ms(NEW_INTEREST_MS);
+    }
+
     fn forget_unneeded(&mut self) {
         let unneeded: Vec<SocketAddr> = self
             .members
