--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod drain;
 pub mod error;
 pub mod settings;
+pub mod standin;
 pub mod status;
 pub mod trial;
 pub mod version;
@@ -56,6 +57,7 @@
         .subcommand(workers::command())
         .subcommand(drain::command())
         .subcommand(trial::command())
+        .subcommand(standin::command())
         .subcommand(version::command())
 }
 
@@ -67,6 +69,7 @@
         Some(("workers", matches)) => workers::run(matches),
         Some(("drain", matches)) => drain::run(matches),
         Some(("trial", matches)) => trial::run(matches),
+        Some(("standin", matches)) => standin::run(matches),
         Some(("version", matches)) => version::run(matches),
         _ => Ok(()),
     }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -100,16 +100,23 @@
             "{} {:5} {}",
             time_ms(record),
             record.level().as_str(),
-            record.payload().escape_debug()
+            one_line(record.payload())
         );
         for (key, value) in record.key_values() {
             let text = value.to_string();
-            let _ = write!(line, " {}={}", key.as_str(), text.escape_debug());
+            let _ = write!(line, " {}={}", key.as_str(), one_line(&text));
         }
         writeln!(dest, "{line}").map_err(spdlog::Error::FormatRecord)
     }
 }
 
+/// The text without control characters, which could forge a line of their own.
+fn one_line(text: &str) -> String {
+    text.chars()
+        .map(|letter| if letter.is_control() { ' ' } else { letter })
+        .collect()
+}
+
 fn time_ms(record: &Record<'_>) -> u64 {
     let since = record.time().duration_since(UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -141,7 +141,9 @@
             let mut response = Response::new(Full::new(answer.body));
             *response.status_mut() =
                 StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
-            if let Ok(value) = HeaderValue::from_str(&answer.content_type) {
+            if let Ok(value) = HeaderValue::from_str(&answer.content_type)
+                && !value.is_empty()
+            {
                 response.headers_mut().insert(CONTENT_TYPE, value);
             }
             with_outcome(response, "done")
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -12,7 +12,7 @@
 use super::control::{ControlInputs, ControlLoop};
 use super::error::NetError;
 use super::lifecycle::Lifecycle;
-use super::listener::{ListenerPlan, Listeners};
+use super::listener::{ListenerPlan, Listeners, Stage};
 use super::local::LocalServer;
 use super::pump::{Pump, Wanted};
 use super::{callers, hop, http, listener, local, peer_control};
@@ -44,7 +44,7 @@
     lifecycle: Arc<Lifecycle>,
     local_server: Arc<LocalServer>,
     listeners: Arc<Listeners>,
-    closing: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
     tasks: JoinSet<()>,
 }
 
@@ -71,7 +71,7 @@
             lifecycle: Arc::default(),
             local_server: Arc::new(LocalServer::new(announcement_sender)),
             listeners: Arc::default(),
-            closing: watch::Sender::new(false),
+            stage: watch::Sender::new(Stage::Open),
             tasks: JoinSet::new(),
         };
         daemon.open_listeners(announcements, wanted).await?;
@@ -125,9 +125,9 @@
         serving.iter().map(|counts| counts.open()).sum()
     }
 
-    /// Accepts no further connection; the open ones end after the answers due on them.
-    pub fn close_listeners(&self) {
-        self.closing.send_replace(true);
+    /// Moves the listeners on their way to close.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.send_replace(stage);
     }
 
     async fn open_listeners(
@@ -201,7 +201,7 @@
         ListenerPlan {
             bounds,
             counts: Arc::clone(counts),
-            closing: self.closing.subscribe(),
+            stage: self.stage.subscribe(),
         }
     }
 
--- a/src/net/drain.rs
+++ b/src/net/drain.rs
@@ -7,13 +7,16 @@
 use tokio::time::{Instant, interval, sleep, timeout_at};
 
 use super::daemon::Daemon;
+use super::listener::Stage;
 use crate::decide::Event;
 use crate::decide::life::{CutReason, LifeEvent};
 
 /// Time between two looks at what is unfinished, in milliseconds.
 const LOOK_MS: u64 = 10;
+/// Time for the leaving to reach other daemons before the listeners close, in milliseconds.
+const LEAVE_MS: u64 = 1_000;
 /// Longest time that finished keyed calls are kept for those whose answer was lost, in milliseconds.
-const HANDOVER_MS: u64 = 1_000;
+const HANDOVER_MS: u64 = 2_000;
 /// Longest time for connections to close after their last answer, in milliseconds.
 const CLOSE_MS: u64 = 1_000;
 /// Time for the last announcement to leave, in milliseconds.
@@ -66,6 +69,7 @@
     pub async fn drain(&mut self, mut stop_again: mpsc::Receiver<()>) -> Drained {
         let limit = Instant::now() + Duration::from_millis(self.settings().drain.limit_ms);
         self.pump().feed(Event::Draining);
+        self.set_stage(Stage::Leaving);
         self.lifecycle().handle(LifeEvent::StopAsked);
         self.local_server().leave().await;
         let finished = tokio::select! {
@@ -98,14 +102,15 @@
 
     async fn finish(&self, limit: Instant) {
         let mut looks = interval(Duration::from_millis(LOOK_MS));
-        while !self.unfinished().is_none() {
+        let left = Instant::now() + Duration::from_millis(LEAVE_MS);
+        while !self.unfinished().is_none() || Instant::now() < left {
             looks.tick().await;
         }
         let handover = limit.min(Instant::now() + Duration::from_millis(HANDOVER_MS));
         while self.keeps_records() && Instant::now() < handover {
             looks.tick().await;
         }
-        self.close_listeners();
+        self.set_stage(Stage::Closed);
         let closed = limit.min(Instant::now() + Duration::from_millis(CLOSE_MS));
         let _ = timeout_at(closed, async {
             while self.connections_open() > 0 {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -17,6 +17,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
@@ -122,9 +123,20 @@
     pub bounds: ListenerBounds,
     /// Where refusals are counted.
     pub counts: Arc<ListenerCounts>,
-    /// Turns true when the listener is to close: no connection is accepted any more, and
-    /// each one open ends after the answers that are due on it.
-    pub closing: watch::Receiver<bool>,
+    /// Whether the listener is to close.
+    pub stage: watch::Receiver<Stage>,
+}
+
+/// How far a listener is on its way to close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It accepts connections and keeps them.
+    Open,
+    /// It accepts connections, answers one request on each and closes it, so that clients go
+    /// elsewhere.
+    Leaving,
+    /// It accepts no connection; each one open ends after the answers due on it.
+    Closed,
 }
 
 /// Serves a listener until it is closed, one task a connection.
@@ -136,16 +148,18 @@
     let ListenerPlan {
         bounds,
         counts,
-        closing,
+        stage,
     } = plan;
     let handler = Arc::new(handler);
     let connections = Arc::new(Semaphore::new(bounds.connections));
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
-    let mut closing_here = closing.clone();
+    let mut stage_here = stage.clone();
     loop {
+        // Clients that have connected are served before the stage is looked at.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = closed(&mut closing_here) => return,
+            () = closed(&mut stage_here) => return,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -165,9 +179,9 @@
             waiting: AtomicBool::new(false),
         };
         let handler = Arc::clone(&handler);
-        let closing = closing.clone();
+        let stage = stage.clone();
         tokio::spawn(async move {
-            connection.serve(stream, closing, handler).await;
+            connection.serve(stream, stage, handler).await;
             drop(permit);
         });
     }
@@ -218,19 +232,25 @@
     async fn serve<H, F>(
         self,
         stream: TcpStream,
-        mut closing: watch::Receiver<bool>,
+        mut stage: watch::Receiver<Stage>,
         handler: Arc<H>,
     ) where
         H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
         F: Future<Output = FullResponse> + Send + 'static,
     {
         let this = &self;
+        let leaving = stage.clone();
         let service = service_fn(move |request| {
             let handler = Arc::clone(&handler);
+            let leaving = leaving.clone();
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
                 this.waiting.store(true, Ordering::Relaxed);
-                let response = this.answer(request, &*handler).await;
+                let mut response = this.answer(request, &*handler).await;
+                if *leaving.borrow() != Stage::Open {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 this.waiting.store(false, Ordering::Relaxed);
                 Ok::<_, Infallible>(response)
             })
@@ -242,7 +262,7 @@
             .serve_connection(TokioIo::new(stream), service);
         let ended = tokio::select! {
             ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(ended),
-            () = closed(&mut closing) => None,
+            () = closed(&mut stage) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
@@ -351,8 +371,8 @@
     path + headers.sum::<usize>()
 }
 
-async fn closed(closing: &mut watch::Receiver<bool>) {
-    let _ = closing.wait_for(|closing| *closing).await;
+async fn closed(stage: &mut watch::Receiver<Stage>) {
+    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
 }
 
 fn is_length_error(error: &(dyn Error + 'static)) -> bool {
