--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -125,6 +125,9 @@
             slots: 10,
             connections: 100,
             service_ms: self.service_ms,
+            instant: Vec::new(),
+            seed: 0,
+            deadlines: true,
             calls: self.child_calls(),
             daemon: settings.local_address,
         };
--- a/tests/daemon_drain.rs
+++ b/tests/daemon_drain.rs
@@ -2,7 +2,6 @@
 
 mod workdir;
 
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::TcpStream;
 use std::sync::Arc;
@@ -10,12 +9,12 @@
 
 use burdockhall::decide::Mechanisms;
 use burdockhall::net::Daemon;
-use burdockhall::standin::backend::{BackendPlan, StandInBackend};
+use burdockhall::standin::backend::StandInBackend;
 use burdockhall::standin::log::StandInLog;
 use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 use tokio::sync::mpsc;
-use workdir::running::{SERVICE, call_bytes, ticket, wait_worker};
+use workdir::running::{call_bytes, plan, ticket, wait_worker};
 use workdir::{RawAnswer, free_settings, read_answer};
 
 const SEEDS: [u64; 2] = [1, 2];
@@ -50,14 +49,7 @@
         settings.log_address = log_address;
         let starting = Daemon::start(settings, Mechanisms::ALL);
         daemons.push(runtime.block_on(starting).unwrap());
-        let plan = BackendPlan {
-            service: SERVICE.into(),
-            slots: 4,
-            connections: 16,
-            service_ms: SERVICE_MS,
-            calls: BTreeMap::new(),
-            daemon: settings.local_address,
-        };
+        let plan = plan(settings, SERVICE_MS);
         let starting = StandInBackend::start(settings.backend_address, plan);
         backends.push(runtime.block_on(starting).unwrap());
     }
--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -16,6 +16,21 @@
 /// The service of the stand-in.
 pub const SERVICE: &str = "redemptions";
 
+/// A stand-in backend server beside a daemon.
+pub fn plan(settings: &Settings, service_ms: u64) -> BackendPlan {
+    BackendPlan {
+        service: SERVICE.into(),
+        slots: 4,
+        connections: 16,
+        service_ms,
+        instant: Vec::new(),
+        seed: 0,
+        deadlines: false,
+        calls: BTreeMap::new(),
+        daemon: settings.local_address,
+    }
+}
+
 /// The platform and the backend server around a daemon.
 pub struct Surroundings {
     pub runtime: Runtime,
@@ -26,14 +41,7 @@
 impl Surroundings {
     pub fn start(settings: &Settings, service_ms: u64) -> Surroundings {
         let runtime = Runtime::new().unwrap();
-        let plan = BackendPlan {
-            service: SERVICE.into(),
-            slots: 4,
-            connections: 16,
-            service_ms,
-            calls: BTreeMap::new(),
-            daemon: settings.local_address,
-        };
+        let plan = plan(settings, service_ms);
         let log = runtime.block_on(StandInLog::start(settings.log_address));
         let backend = runtime.block_on(StandInBackend::start(settings.backend_address, plan));
         Surroundings {
