--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -263,3 +263,24 @@
         assert_eq!(known.team(&headers).unwrap().name, team);
     }
 }
+
+#[test]
+fn the_page_on_operations_names_each_metric() {
+    let page = include_str!("../docs/OPERATIONS.md");
+    let running = Running::start(1, |_| {});
+    let admin = running.settings.admin_address;
+    let metrics = raw(admin, &request("GET", "/metrics", &[], ""))
+        .unwrap()
+        .body;
+    let names: Vec<&str> = metrics
+        .lines()
+        .filter_map(|line| line.strip_prefix("# TYPE ")?.split(' ').next())
+        .collect();
+    assert!(names.len() > 20, "{names:?}");
+    for name in names {
+        assert!(
+            page.contains(&format!("`{name}`")),
+            "docs/OPERATIONS.md does not explain {name}"
+        );
+    }
+}
