--- /dev/null
+++ b/src/decide/acks.rs
@@ -0,0 +1,135 @@
+//! Acknowledgements on their way to executors: gathered, sent in bounded batches, sent again if lost.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+
+use super::home::Closing;
+use super::message::{CallId, TicketClosings};
+use super::sharded::lock;
+use crate::model::{TimeMs, WorkerId};
+
+/// Time between two batches, in milliseconds.
+const BATCH_INTERVAL_MS: u64 = 500;
+/// Tickets in one message.
+const MAX_BATCH: usize = 256;
+/// Tickets that may wait for one executor. Further ones are left to the floors.
+const MAX_PENDING: usize = 8_192;
+
+#[derive(Debug, Default)]
+struct Pending {
+    next_batch: TimeMs,
+    by_executor: HashMap<WorkerId, TicketClosings>,
+    sent: HashMap<CallId, (WorkerId, TicketClosings)>,
+}
+
+/// Closings that executors have not confirmed yet.
+#[derive(Debug, Default)]
+pub struct Acknowledgements {
+    pending: Mutex<Pending>,
+}
+
+impl Acknowledgements {
+    /// Takes in what the executors of a ticket have to be told.
+    pub fn add(&self, closing: &Closing) {
+        let mut pending = lock(&self.pending);
+        for executor in &closing.executors {
+            let closings = pending.by_executor.entry(*executor).or_default();
+            if closings.len() < MAX_PENDING {
+                closings.add(closing.ticket, closing.lowest_open);
+            }
+        }
+    }
+
+    /// The batches that are due, at most one for each executor.
+    pub fn due(&self, now: TimeMs) -> Vec<(WorkerId, TicketClosings)> {
+        let mut pending = lock(&self.pending);
+        if now < pending.next_batch {
+            return Vec::new();
+        }
+        pending.next_batch = now.plus_ms(BATCH_INTERVAL_MS);
+        let mut batches = Vec::new();
+        for (executor, closings) in &mut pending.by_executor {
+            batches.push((*executor, closings.split_off(MAX_BATCH)));
+        }
+        pending
+            .by_executor
+            .retain(|_, closings| !closings.is_empty());
+        batches
+    }
+
+    /// Remembers a batch until the executor confirms it.
+    pub fn sent(&self, call: CallId, executor: WorkerId, batch: TicketClosings) {
+        lock(&self.pending).sent.insert(call, (executor, batch));
+    }
+
+    /// Takes in that a batch has arrived, or that its executor is gone; false if
+    /// the call is not a batch.
+    pub fn confirmed(&self, call: CallId) -> bool {
+        lock(&self.pending).sent.remove(&call).is_some()
+    }
+
+    /// Takes in that a batch was lost; false if the call is not a batch.
+    pub fn failed(&self, call: CallId) -> bool {
+        let mut pending = lock(&self.pending);
+        let Some((executor, batch)) = pending.sent.remove(&call) else {
+            return false;
+        };
+        let closings = pending.by_executor.entry(executor).or_default();
+        if closings.len() < MAX_PENDING {
+            closings.merge(batch);
+        }
+        true
+    }
+
+    /// Forgets executors that are gone for good.
+    pub fn retain(&self, present: impl Fn(&WorkerId) -> bool) {
+        let mut pending = lock(&self.pending);
+        pending.by_executor.retain(|executor, _| present(executor));
+    }
+
+    /// Tickets that wait to be confirmed.
+    pub fn len(&self) -> usize {
+        let pending = lock(&self.pending);
+        let waiting: usize = pending.by_executor.values().map(TicketClosings::len).sum();
+        waiting + pending.sent.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+impl TicketClosings {
+    /// Tickets named.
+    pub fn len(&self) -> usize {
+        self.lowest_open.len() + self.closed.len()
+    }
+
+    /// Whether no ticket is named.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Takes out up to `count` tickets.
+    fn split_off(&mut self, count: usize) -> TicketClosings {
+        let mut batch = TicketClosings::default();
+        while batch.len() < count {
+            if let Some(ticket) = self.closed.pop_first() {
+                batch.closed.insert(ticket);
+            } else if let Some((ticket, lowest_open)) = self.lowest_open.pop_first() {
+                batch.lowest_open.insert(ticket, lowest_open);
+            } else {
+                break;
+            }
+        }
+        batch
+    }
+
+    fn merge(&mut self, other: TicketClosings) {
+        for (ticket, lowest_open) in other.lowest_open {
+            self.add(ticket, lowest_open);
+        }
+        self.closed.extend(other.closed);
+    }
+}
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -3,10 +3,10 @@
 use bytes::Bytes;
 
 use super::evidence::NotRunEvidence;
-use super::message::{CallId, ExchangeId, ExecuteRequest, Priority};
+use super::message::{CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
 use super::node::ReplyTo;
 use crate::model::{
-    CallContext, CallKey, NotRunReason, RequestName, ServiceName, TimeMs, WorkerId,
+    CallContext, CallKey, NotRunReason, Outcome, RequestName, ServiceName, TimeMs, WorkerId,
 };
 
 /// A call that this daemon moves, as its entry or as its home.
@@ -34,6 +34,17 @@
     pub state: DispatchState,
     /// Extra attempts that may still be made here or beneath.
     pub allowance: u32,
+    /// Extra attempts that were granted in all, which the allowance never exceeds.
+    pub granted: u32,
+    /// An attempt of an idempotent call may have run.
+    pub in_doubt: bool,
+    /// The executor that may still tell what became of the key.
+    pub doubt: Option<WorkerId>,
+    /// Those who waited were answered at the deadline; what is left of their
+    /// allowance belongs to nobody.
+    pub waiters_answered: bool,
+    /// The caller's acknowledgement, which travels to the home.
+    pub acknowledged_below: u64,
     /// Attempts made.
     pub attempts: u32,
     /// Workers that refused.
@@ -155,6 +166,23 @@
         }
     }
 
+    /// Whether a reply can be the one that this call waits for: about its key,
+    /// and from the process start that was asked unless that one is gone.
+    pub fn is_answered_by(&self, reply: &PeerReply) -> bool {
+        if reply.key.is_some() && reply.key != self.key {
+            return false;
+        }
+        let asked = match &self.state {
+            DispatchState::Attempting { worker, .. } | DispatchState::Resolving { worker, .. } => {
+                *worker
+            }
+            _ => return true,
+        };
+        let gone = matches!(&reply.outcome, Outcome::NotRun(refusal)
+            if refusal.reason == NotRunReason::WrongIncarnation);
+        reply.from == asked || gone
+    }
+
     /// What a wake-up at `now` finds to be done.
     pub fn due(&self, now: TimeMs) -> Due {
         let expired = now >= self.deadline;
--- a/src/decide/evidence.rs
+++ b/src/decide/evidence.rs
@@ -6,9 +6,27 @@
 ///
 /// The variants are private: outside this module one can only be obtained from
 /// a [`Refusal`], from [`Unsent`], or by combining the evidence of all attempts.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NotRunEvidence(Proof);
+
+/// Evidence as it travels between daemons. It becomes [`NotRunEvidence`] again
+/// only where a reply of another daemon is taken in.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct NotRunEvidence(Proof);
+pub struct WireEvidence(Proof);
+
+impl From<NotRunEvidence> for WireEvidence {
+    fn from(evidence: NotRunEvidence) -> Self {
+        WireEvidence(evidence.0)
+    }
+}
+
+impl WireEvidence {
+    /// The evidence that the daemon at the other end stands for.
+    pub(in crate::decide) fn vouched_for(self) -> NotRunEvidence {
+        NotRunEvidence(self.0)
+    }
+}
 
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/decide/execution.rs
+++ b/src/decide/execution.rs
@@ -29,6 +29,8 @@
     pub started: Option<TimeMs>,
     /// What is left of the allowance that was granted.
     pub allowance: u32,
+    /// The allowance that was granted, which what is left never exceeds.
+    pub granted: u32,
     /// The strictest level heard from calls beneath this one.
     pub level_beneath: Priority,
     /// Time that backend servers beneath this one spent, in milliseconds.
--- a/src/decide/executor.rs
+++ b/src/decide/executor.rs
@@ -1,13 +1,27 @@
 //! The executor's table: what became of each key at the backend server beside this daemon.
+//!
+//! Memory: at most `capacity` records, one small entry for each ticket that was
+//! ever used here and is not closed (at most [`TICKETS_PER_RECORD`] times
+//! `capacity`), and eight bytes for each home incarnation that is gone.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Mutex;
 
 use super::evidence::Refusal;
-use super::message::CallId;
+use super::message::TicketClosings;
 use super::node::ReplyTo;
+use super::record::{Record, RecordEvent, Step};
 use super::sharded::lock;
-use crate::model::{CallKey, NotRun, NotRunReason, Outcome, TicketId, UnknownReason};
+use crate::model::key::TICKET_SERIES;
+use crate::model::{
+    CallKey, Incarnation, NotRun, NotRunReason, Outcome, TimeMs, UnknownReason, WorkerId,
+};
+
+/// Tickets that may have an entry, as a multiple of the capacity for records.
+const TICKETS_PER_RECORD: usize = 4;
+/// How long the records of a home that has been replaced are kept for
+/// callers who ask again, in milliseconds.
+pub const GONE_HOME_KEEP_MS: u64 = 600_000;
 
 /// What the executor says to a key.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,44 +30,52 @@
     New,
     /// The key is being worked on; the asker will be answered with it.
     Joined,
-    /// The key has ended.
+    /// The key had ended before.
     Ended(Outcome),
+    /// The key is refused just now, and late copies of it will be.
+    Refused(Outcome),
+    /// The key belongs to another request that was received before.
+    Reused,
 }
 
-/// Records and tombstones together may be this many times the capacity for records.
-const TOMBSTONE_FACTOR: usize = 2;
-
-#[derive(Debug)]
-enum Record {
-    Received {
-        call: CallId,
-        fingerprint: u64,
-        waiters: Vec<ReplyTo>,
-    },
-    HandedOver {
-        call: CallId,
-        fingerprint: u64,
-        waiters: Vec<ReplyTo>,
-    },
-    Ended {
-        call: Option<CallId>,
-        outcome: Outcome,
-    },
+/// What the executor says to a hand-over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HandOver {
+    /// The request may be handed to the backend server, this once.
+    Granted,
+    /// The record was dropped by an acknowledgement: nobody waits.
+    Dropped,
+    /// The key was handed over before or has ended: an invariant is broken.
+    Repeated,
 }
 
 #[derive(Debug, Default)]
 struct TicketRecords {
     lowest_open: u64,
+    /// Keys up to this one that have no record are refused for good.
+    refused_through: Option<u64>,
     records: BTreeMap<u64, Record>,
 }
 
+#[derive(Debug, Default)]
+struct HomeRecords {
+    tickets: HashMap<u64, TicketRecords>,
+    /// All tickets of a series below these numbers are closed.
+    floors: [u64; TICKET_SERIES],
+    /// Tickets above the floors that are closed.
+    closed: BTreeSet<u64>,
+    gone_at: Option<TimeMs>,
+}
+
 #[derive(Debug, Default)]
 struct Table {
-    tickets: HashMap<TicketId, TicketRecords>,
+    homes: HashMap<WorkerId, HomeRecords>,
+    gone: HashSet<Incarnation>,
     records: usize,
+    tickets: usize,
 }
 
-/// Records by key, dropped by acknowledgement only.
+/// Records by key, dropped by acknowledgement, or with a home that is gone.
 #[derive(Debug)]
 pub struct ExecutorTable {
     capacity: usize,
@@ -79,90 +101,58 @@
         self.len() == 0
     }
 
+    /// Tickets that have an entry.
+    pub fn tickets(&self) -> usize {
+        lock(&self.table).tickets
+    }
+
     /// Takes in a request to execute a key.
-    pub fn receive(
+    pub fn receive(&self, key: &CallKey, fingerprint: u64, waiter: ReplyTo) -> Received {
+        let mut table = lock(&self.table);
+        if let Some(found) = table.find(key, Some(fingerprint), waiter) {
+            return found;
+        }
+        if table.records >= self.capacity {
+            return table.fence(key, NotRunReason::KeyTableFull, self.capacity);
+        }
+        let record = Record::received(fingerprint, waiter);
+        match table.insert(key, record, self.capacity) {
+            true => Received::New,
+            false => Received::Ended(Outcome::Unknown(UnknownReason::TableExhausted)),
+        }
+    }
+
+    /// Refuses a key for good unless it was received before.
+    pub fn refuse_new(
         &self,
         key: &CallKey,
         fingerprint: u64,
-        call: CallId,
+        reason: NotRunReason,
         waiter: ReplyTo,
     ) -> Received {
         let mut table = lock(&self.table);
-        let full = table.records >= self.capacity;
-        let exhausted = table.records >= self.capacity * TOMBSTONE_FACTOR;
-        let ticket = table.tickets.entry(key.ticket.id).or_default();
-        if key.sequence < ticket.lowest_open {
-            return Received::Ended(Outcome::Unknown(UnknownReason::KeyAcknowledged));
-        }
-        if let Some(record) = ticket.records.get_mut(&key.sequence) {
-            return record.join(Some(fingerprint), waiter);
-        }
-        if exhausted {
-            return Received::Ended(Outcome::Unknown(UnknownReason::TableExhausted));
-        }
-        if full {
-            let outcome = tombstone(NotRunReason::KeyTableFull, 0);
-            let record = Record::Ended {
-                call: None,
-                outcome: outcome.clone(),
-            };
-            ticket.records.insert(key.sequence, record);
-            table.records += 1;
-            return Received::Ended(outcome);
-        }
-        let record = Record::Received {
-            call,
-            fingerprint,
-            waiters: vec![waiter],
-        };
-        ticket.records.insert(key.sequence, record);
-        table.records += 1;
-        Received::New
+        table
+            .find(key, Some(fingerprint), waiter)
+            .unwrap_or_else(|| table.fence(key, reason, self.capacity))
     }
 
     /// Tells what became of a key; one that is not known is fenced.
-    ///
-    /// A full table does not stop a fence: it is the smaller evil beside an
-    /// unresolved key, and the number of fences is bounded by the keys in doubt.
     pub fn settle(&self, key: &CallKey, waiter: ReplyTo) -> Received {
         let mut table = lock(&self.table);
-        let ticket = table.tickets.entry(key.ticket.id).or_default();
-        if key.sequence < ticket.lowest_open {
-            return Received::Ended(Outcome::Unknown(UnknownReason::KeyAcknowledged));
-        }
-        if let Some(record) = ticket.records.get_mut(&key.sequence) {
-            return record.join(None, waiter);
-        }
-        let outcome = tombstone(NotRunReason::Fenced, 0);
-        let record = Record::Ended {
-            call: None,
-            outcome: outcome.clone(),
-        };
-        ticket.records.insert(key.sequence, record);
-        table.records += 1;
-        Received::Ended(outcome)
+        table
+            .find(key, None, waiter)
+            .unwrap_or_else(|| table.fence(key, NotRunReason::Fenced, self.capacity))
     }
 
-    /// Marks a key as handed over. False if it may not be: the caller must not run it.
-    pub fn hand_over(&self, key: &CallKey) -> bool {
+    /// Marks a key as handed over, which is granted once.
+    pub fn hand_over(&self, key: &CallKey) -> HandOver {
         let mut table = lock(&self.table);
         let Some(record) = table.record(key) else {
-            return false;
+            return HandOver::Dropped;
         };
-        match record {
-            Record::Received {
-                call,
-                fingerprint,
-                waiters,
-            } => {
-                *record = Record::HandedOver {
-                    call: *call,
-                    fingerprint: *fingerprint,
-                    waiters: std::mem::take(waiters),
-                };
-                true
-            }
-            Record::HandedOver { .. } | Record::Ended { .. } => false,
+        match record.step(&RecordEvent::HandOver) {
+            Step::Taken(_) => HandOver::Granted,
+            _ => HandOver::Repeated,
         }
     }
 
@@ -177,16 +167,11 @@
     ) -> Option<(Outcome, Vec<ReplyTo>)> {
         let mut table = lock(&self.table);
         let record = table.record(key)?;
-        let Record::Received { call, waiters, .. } = record else {
-            return None;
-        };
-        let waiters = std::mem::take(waiters);
-        let outcome = tombstone(reason, retry_after_ms);
-        *record = Record::Ended {
-            call: Some(*call),
-            outcome: outcome.clone(),
-        };
-        Some((outcome, waiters))
+        let outcome = refusal(reason, retry_after_ms);
+        match record.step(&RecordEvent::Refuse(&outcome)) {
+            Step::Taken(waiters) => Some((outcome, waiters)),
+            _ => None,
+        }
     }
 
     /// Ends a key that was handed over and returns who waits.
@@ -195,71 +180,193 @@
         let Some(record) = table.record(key) else {
             return Vec::new();
         };
-        let Record::HandedOver { call, waiters, .. } = record else {
-            return Vec::new();
-        };
-        let waiters = std::mem::take(waiters);
-        *record = Record::Ended {
-            call: Some(*call),
-            outcome: outcome.clone(),
-        };
-        waiters
+        match record.step(&RecordEvent::End(outcome)) {
+            Step::Taken(waiters) => waiters,
+            _ => Vec::new(),
+        }
     }
 
-    /// Drops the records of a ticket below `lowest_open`, refuses those keys for
-    /// good, and returns the calls whose records were dropped.
-    pub fn acknowledge(&self, ticket: TicketId, lowest_open: u64) -> Vec<CallId> {
+    /// Drops the records of a ticket below `lowest_open` and refuses those keys
+    /// for good. A ticket that was never used here is left alone.
+    pub fn acknowledge(&self, home: WorkerId, ticket: u64, lowest_open: u64) {
         let mut table = lock(&self.table);
-        let held = table.tickets.entry(ticket).or_default();
+        let Some(held) = table
+            .homes
+            .get_mut(&home)
+            .and_then(|records| records.tickets.get_mut(&ticket))
+        else {
+            return;
+        };
         held.lowest_open = held.lowest_open.max(lowest_open);
-        let kept = held.records.split_off(&lowest_open);
+        let kept = held.records.split_off(&held.lowest_open);
         let dropped = std::mem::replace(&mut held.records, kept);
         table.records -= dropped.len();
-        dropped.values().filter_map(Record::call).collect()
+    }
+
+    /// Closes tickets of a home: their entries go, and their keys are refused for good.
+    pub fn close(&self, home: WorkerId, closings: &TicketClosings) {
+        let mut table = lock(&self.table);
+        let Some(records) = table.homes.get_mut(&home) else {
+            return;
+        };
+        for (floor, raised) in records.floors.iter_mut().zip(closings.floors) {
+            *floor = raised.max(*floor);
+        }
+        records.closed.extend(&closings.closed);
+        let dropped = records.drop_closed();
+        table.forget(&dropped);
+    }
+
+    /// Takes in which incarnation now stands at an address: records of earlier
+    /// ones are kept a while longer and then go.
+    pub fn homes_seen(&self, now: TimeMs, present: &HashMap<std::net::SocketAddr, Incarnation>) {
+        let mut table = lock(&self.table);
+        for (home, records) in &mut table.homes {
+            let replaced = present
+                .get(&home.address)
+                .is_some_and(|incarnation| *incarnation != home.incarnation);
+            if replaced && records.gone_at.is_none() {
+                records.gone_at = Some(now);
+            }
+        }
+    }
+
+    /// Drops the records of homes that were replaced long ago. Their keys are
+    /// never run here any more: the incarnation stays refused.
+    pub fn expire_gone_homes(&self, now: TimeMs) {
+        let mut table = lock(&self.table);
+        let expired: Vec<WorkerId> = table
+            .homes
+            .iter()
+            .filter(|(_, records)| records.gone_for(now) >= GONE_HOME_KEEP_MS)
+            .map(|(home, _)| *home)
+            .collect();
+        for home in expired {
+            table.gone.insert(home.incarnation);
+            let Some(records) = table.homes.remove(&home) else {
+                continue;
+            };
+            let dropped: Vec<TicketRecords> = records.tickets.into_values().collect();
+            table.forget(&dropped);
+        }
     }
 }
 
 impl Table {
     fn record(&mut self, key: &CallKey) -> Option<&mut Record> {
-        self.tickets
-            .get_mut(&key.ticket.id)?
+        self.homes
+            .get_mut(&key.ticket.id.home)?
+            .tickets
+            .get_mut(&key.ticket.id.number)?
             .records
             .get_mut(&key.sequence)
     }
-}
 
-impl Record {
-    fn join(&mut self, asked: Option<u64>, waiter: ReplyTo) -> Received {
-        match self {
-            Record::Received {
-                fingerprint,
-                waiters,
-                ..
-            }
-            | Record::HandedOver {
-                fingerprint,
-                waiters,
-                ..
-            } => {
-                if asked.is_some_and(|asked| asked != *fingerprint) {
-                    return Received::Ended(tombstone(NotRunReason::KeyReused, 0));
-                }
-                waiters.push(waiter);
-                Received::Joined
-            }
-            Record::Ended { outcome, .. } => Received::Ended(outcome.clone()),
+    /// What is known of a key, if anything is.
+    fn find(&mut self, key: &CallKey, asked: Option<u64>, waiter: ReplyTo) -> Option<Received> {
+        let acknowledged = Received::Ended(Outcome::Unknown(UnknownReason::KeyAcknowledged));
+        if self.gone.contains(&key.ticket.id.home.incarnation) {
+            return Some(acknowledged);
+        }
+        let home = self.homes.get_mut(&key.ticket.id.home)?;
+        if home.has_closed(key.ticket.id.number) {
+            return Some(acknowledged);
+        }
+        let ticket = home.tickets.get_mut(&key.ticket.id.number)?;
+        if key.sequence < ticket.lowest_open {
+            return Some(acknowledged);
         }
+        if let Some(record) = ticket.records.get_mut(&key.sequence) {
+            return Some(join(record, asked, waiter));
+        }
+        let fenced = ticket
+            .refused_through
+            .is_some_and(|through| key.sequence <= through);
+        fenced.then(|| Received::Ended(refusal(NotRunReason::KeyTableFull, 0)))
     }
 
-    fn call(&self) -> Option<CallId> {
-        match self {
-            Record::Received { call, .. } | Record::HandedOver { call, .. } => Some(*call),
-            Record::Ended { call, .. } => *call,
+    /// Keeps a key out for good. A full table does so with a mark on the ticket,
+    /// which keeps out all smaller keys that have no record as well.
+    fn fence(&mut self, key: &CallKey, reason: NotRunReason, capacity: usize) -> Received {
+        let outcome = refusal(reason, 0);
+        let full = self.records >= capacity;
+        let Some(ticket) = self.ticket(key, capacity) else {
+            return Received::Ended(Outcome::Unknown(UnknownReason::TableExhausted));
+        };
+        if full {
+            ticket.refused_through = ticket.refused_through.max(Some(key.sequence));
+            return Received::Refused(outcome);
         }
+        let tombstone = Record::tombstone(&outcome);
+        ticket.records.insert(key.sequence, tombstone);
+        self.records += 1;
+        Received::Refused(outcome)
+    }
+
+    fn insert(&mut self, key: &CallKey, record: Record, capacity: usize) -> bool {
+        let Some(ticket) = self.ticket(key, capacity) else {
+            return false;
+        };
+        ticket.records.insert(key.sequence, record);
+        self.records += 1;
+        true
+    }
+
+    fn ticket(&mut self, key: &CallKey, capacity: usize) -> Option<&mut TicketRecords> {
+        let full = self.tickets >= capacity * TICKETS_PER_RECORD;
+        let home = self.homes.entry(key.ticket.id.home).or_default();
+        let known = home.tickets.contains_key(&key.ticket.id.number);
+        if !known && full {
+            return None;
+        }
+        self.tickets += usize::from(!known);
+        Some(home.tickets.entry(key.ticket.id.number).or_default())
+    }
+
+    fn forget(&mut self, dropped: &[TicketRecords]) {
+        self.tickets -= dropped.len();
+        let records: usize = dropped.iter().map(|ticket| ticket.records.len()).sum();
+        self.records -= records;
+    }
+}
+
+impl HomeRecords {
+    fn has_closed(&self, ticket: u64) -> bool {
+        ticket < self.floors[series(ticket)] || self.closed.contains(&ticket)
+    }
+
+    /// Takes out the entries of closed tickets, and the marks below the floors.
+    fn drop_closed(&mut self) -> Vec<TicketRecords> {
+        let (floors, closed) = (self.floors, &self.closed);
+        let is_closed = |number: &u64| *number < floors[series(*number)] || closed.contains(number);
+        let numbers: Vec<u64> = self.tickets.keys().copied().filter(is_closed).collect();
+        let dropped = numbers.iter().filter_map(|n| self.tickets.remove(n));
+        let dropped = dropped.collect();
+        self.closed
+            .retain(|number| *number >= floors[series(*number)]);
+        dropped
+    }
+
+    fn gone_for(&self, now: TimeMs) -> u64 {
+        self.gone_at.map_or(0, |gone_at| now.since_ms(gone_at))
+    }
+}
+
+fn series(ticket: u64) -> usize {
+    ticket as usize % TICKET_SERIES
+}
+
+fn join(record: &mut Record, asked: Option<u64>, waiter: ReplyTo) -> Received {
+    if asked.is_some_and(|asked| !record.matches(asked)) {
+        return Received::Reused;
+    }
+    match record.step(&RecordEvent::Join(waiter)) {
+        Step::Ended(outcome) => Received::Ended(outcome),
+        _ => Received::Joined,
     }
 }
 
-fn tombstone(reason: NotRunReason, retry_after_ms: u64) -> Outcome {
+fn refusal(reason: NotRunReason, retry_after_ms: u64) -> Outcome {
     Outcome::NotRun(NotRun {
         reason,
         retry_after_ms,
--- a/src/decide/home.rs
+++ b/src/decide/home.rs
@@ -1,16 +1,26 @@
 //! The home's table: the tickets that this daemon issued and the calls made under them.
+//!
+//! Memory: at most `open_keys` calls with their answers and `tickets` tickets.
+//! A call that the full table refuses costs nothing more: a mark on its ticket
+//! keeps it and all smaller keys without a record out for good.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 
 use super::evidence::Unsent;
-use super::message::CallId;
+use super::message::{CallId, TicketClosings};
 use super::node::ReplyTo;
 use super::sharded::lock;
+use crate::model::key::TICKET_SERIES;
 use crate::model::{
     CallKey, NotRun, NotRunReason, Outcome, ServiceName, Ticket, TicketId, UnknownReason, WorkerId,
 };
 
+/// Tickets of callers.
+const CALLER_SERIES: usize = 0;
+/// Tickets of single calls beneath a run.
+const CHILD_SERIES: usize = 1;
+
 /// What the home says to a keyed request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Opened {
@@ -20,8 +30,10 @@
     Joined,
     /// The call has ended with this outcome.
     Kept(Outcome),
-    /// The request is refused.
-    Refused(NotRunReason),
+    /// The call ended in doubt; this executor may still tell its outcome.
+    Doubtful(WorkerId),
+    /// The key belongs to another request.
+    Reused,
 }
 
 /// Limits of the table.
@@ -33,44 +45,69 @@
     pub tickets: usize,
 }
 
+/// Names a child call by the run it is made beneath.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ChildOf {
+    /// The run, as the local backend server knows it.
+    pub parent: CallId,
+    /// The backend server's counter of its calls beneath that run.
+    pub ordinal: u32,
+}
+
+/// What the executors of a ticket have to be told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Closing {
+    /// The ticket's number.
+    pub ticket: u64,
+    /// The lowest open counter; `u64::MAX` if the ticket is closed.
+    pub lowest_open: u64,
+    /// The daemons that were sent a call under the ticket.
+    pub executors: Vec<WorkerId>,
+}
+
 #[derive(Debug)]
 struct HomeTicket {
     ticket: Ticket,
     lowest_open: u64,
+    /// Keys up to this one that have no record are refused for good.
+    refused_through: Option<u64>,
     calls: BTreeMap<u64, HomeCall>,
+    executors: Vec<WorkerId>,
+    last_used: u64,
+    /// The run beneath which the only call was made has ended.
+    parent_gone: bool,
 }
 
 #[derive(Debug)]
 struct HomeCall {
-    fingerprint: u64,
+    /// `None` for a fence, which stands for any request.
+    fingerprint: Option<u64>,
     state: HomeCallState,
 }
 
 #[derive(Debug)]
 enum HomeCallState {
-    Running { call: CallId, waiters: Vec<ReplyTo> },
-    Ended(Outcome),
+    Running {
+        call: CallId,
+        waiters: Vec<ReplyTo>,
+    },
+    Ended {
+        outcome: Outcome,
+        doubt: Option<WorkerId>,
+    },
 }
 
 #[derive(Debug, Default)]
 struct Table {
-    tickets: HashMap<u64, HomeTicket>,
-    children: HashMap<ChildOf, (CallKey, CallId)>,
-    next_ticket: u64,
+    tickets: [BTreeMap<u64, HomeTicket>; TICKET_SERIES],
+    children: BTreeMap<ChildOf, CallKey>,
+    /// Tickets of callers without any call kept, by last use.
+    idle: BTreeMap<u64, u64>,
+    issued: [u64; TICKET_SERIES],
+    uses: u64,
     open_keys: usize,
 }
 
-/// Names a child call by the run it is made beneath.
-#[derive(Debug, Clone, PartialEq, Eq, Hash)]
-pub struct ChildOf {
-    /// The run, as the local backend server knows it.
-    pub parent: CallId,
-    /// The service called.
-    pub service: ServiceName,
-    /// The backend server's counter of its calls beneath that run.
-    pub ordinal: u32,
-}
-
 /// The home's table behind one short lock.
 #[derive(Debug)]
 pub struct HomeTable {
@@ -89,226 +126,434 @@
         }
     }
 
-    /// Issues a ticket; `None` if the table is full.
-    pub fn issue(&self, service: &ServiceName, candidates: Vec<WorkerId>) -> Option<Ticket> {
+    /// Issues a ticket, and tells which idle one had to be closed for it.
+    /// `None` if the table is full and no ticket is idle.
+    pub fn issue(
+        &self,
+        service: &ServiceName,
+        candidates: Vec<WorkerId>,
+    ) -> Option<(Ticket, Option<Closing>)> {
+        let mut table = lock(&self.table);
+        let closed = if table.len() >= self.bounds.tickets {
+            Some(table.close_idle()?)
+        } else {
+            None
+        };
+        let ticket = table.issue(self.me, CALLER_SERIES, service, candidates);
+        table.mark_idle(ticket.id.number);
+        Some((ticket, closed))
+    }
+
+    /// Closes a ticket whose caller needs it no more. Nothing happens while a call is running.
+    pub fn close(&self, ticket: &Ticket) -> Option<Closing> {
         let mut table = lock(&self.table);
-        self.issue_locked(&mut table, service, candidates)
+        let held = table.ticket(ticket.id.number)?;
+        if held.ticket != *ticket || held.is_running() {
+            return None;
+        }
+        table.remove(ticket.id.number)
     }
 
     /// The key of a child call, the same each time the backend server repeats it.
     pub fn child_key(
         &self,
         child: ChildOf,
-        call: CallId,
+        service: &ServiceName,
         candidates: impl FnOnce() -> Vec<WorkerId>,
-    ) -> Option<CallKey> {
+    ) -> Result<CallKey, NotRunReason> {
         let mut table = lock(&self.table);
-        if let Some((key, _)) = table.children.get(&child) {
-            return Some(key.clone());
+        if let Some(key) = table.children.get(&child) {
+            return Ok(key.clone());
+        }
+        if table.len() >= self.bounds.tickets {
+            return Err(NotRunReason::KeyTableFull);
         }
-        let ticket = self.issue_locked(&mut table, &child.service, candidates())?;
+        let ticket = table.issue(self.me, CHILD_SERIES, service, candidates());
         let key = CallKey {
             ticket,
             sequence: 0,
         };
-        table.children.insert(child, (key.clone(), call));
-        Some(key)
+        table.children.insert(child, key.clone());
+        Ok(key)
     }
 
-    /// Forgets the child calls of a run that has been acknowledged.
-    pub fn forget_children(&self, parent: CallId) -> Vec<(TicketId, Vec<WorkerId>)> {
+    /// Forgets the child calls of a run that has ended, as soon as each has ended itself.
+    pub fn forget_children(&self, parent: CallId) -> Vec<Closing> {
         let mut table = lock(&self.table);
-        let keys: Vec<ChildOf> = table
+        let first = ChildOf { parent, ordinal: 0 };
+        let last = ChildOf {
+            parent,
+            ordinal: u32::MAX,
+        };
+        let children: Vec<ChildOf> = table
             .children
-            .keys()
-            .filter(|child| child.parent == parent)
-            .cloned()
+            .range(first..=last)
+            .map(|(child, _)| *child)
             .collect();
-        let mut closed = Vec::new();
-        for child in keys {
-            let Some((key, _)) = table.children.remove(&child) else {
+        let mut closings = Vec::new();
+        for child in children {
+            let Some(key) = table.children.remove(&child) else {
                 continue;
             };
-            let number = key.ticket.id.number;
-            if let Some(ticket) = table.tickets.remove(&number) {
-                table.open_keys -= ticket.calls.len();
-                closed.push((key.ticket.id, key.ticket.candidates));
-            }
+            closings.extend(table.forget_child(key.ticket.id.number));
         }
-        closed
+        closings
     }
 
     /// Opens, joins or repeats a keyed call.
     pub fn open(&self, key: &CallKey, fingerprint: u64, call: CallId, waiter: ReplyTo) -> Opened {
-        if key.ticket.id.home != self.me {
-            return Opened::Refused(NotRunReason::WrongIncarnation);
-        }
         let mut table = lock(&self.table);
-        let full = table.open_keys >= self.bounds.open_keys;
-        let Some(ticket) = table.tickets.get_mut(&key.ticket.id.number) else {
-            return Opened::Kept(Outcome::Unknown(UnknownReason::KeyAcknowledged));
-        };
-        if ticket.ticket != key.ticket {
-            return Opened::Refused(NotRunReason::KeyReused);
-        }
-        if key.sequence < ticket.lowest_open {
-            return Opened::Kept(Outcome::Unknown(UnknownReason::KeyAcknowledged));
+        if let Some(found) = table.find(key, Some(fingerprint), waiter) {
+            return found;
         }
-        if let Some(home_call) = ticket.calls.get_mut(&key.sequence) {
-            return home_call.join(fingerprint, waiter);
-        }
-        if full {
-            return Opened::Refused(NotRunReason::KeyTableFull);
+        if table.open_keys >= self.bounds.open_keys {
+            return table.fence(key, None, NotRunReason::KeyTableFull, true);
         }
         let state = HomeCallState::Running {
             call,
             waiters: vec![waiter],
         };
-        ticket
-            .calls
-            .insert(key.sequence, HomeCall { fingerprint, state });
-        table.open_keys += 1;
+        let fingerprint = Some(fingerprint);
+        table.insert(key, HomeCall { fingerprint, state });
         Opened::New
     }
 
-    /// Keeps the outcome of a call and returns who waits for it.
-    pub fn end(&self, key: &CallKey, outcome: &Outcome) -> Vec<ReplyTo> {
+    /// Refuses a key for good unless it was opened before.
+    pub fn refuse_new(
+        &self,
+        key: &CallKey,
+        fingerprint: Option<u64>,
+        reason: NotRunReason,
+        waiter: ReplyTo,
+    ) -> Opened {
         let mut table = lock(&self.table);
-        let home_call = table
-            .tickets
-            .get_mut(&key.ticket.id.number)
-            .and_then(|ticket| ticket.calls.get_mut(&key.sequence));
-        let Some(home_call) = home_call else {
-            return Vec::new();
-        };
-        let ended = HomeCallState::Ended(outcome.clone());
-        match std::mem::replace(&mut home_call.state, ended) {
-            HomeCallState::Running { waiters, .. } => waiters,
-            HomeCallState::Ended(_) => Vec::new(),
-        }
+        let full = table.open_keys >= self.bounds.open_keys;
+        table
+            .find(key, fingerprint, waiter)
+            .unwrap_or_else(|| table.fence(key, fingerprint, reason, full))
     }
 
     /// Tells what became of a key; one that is not known is fenced here, before it was ever sent.
     pub fn settle(&self, key: &CallKey, waiter: ReplyTo) -> Opened {
+        self.refuse_new(key, None, NotRunReason::Fenced, waiter)
+    }
+
+    /// Keeps the outcome of a call and returns who waits for it. `doubt` names
+    /// the executor that may still tell the outcome if it is unknown.
+    pub fn end(
+        &self,
+        key: &CallKey,
+        outcome: &Outcome,
+        doubt: Option<WorkerId>,
+    ) -> (Vec<ReplyTo>, Option<Closing>) {
         let mut table = lock(&self.table);
-        let Some(ticket) = table.tickets.get_mut(&key.ticket.id.number) else {
-            return Opened::Kept(Outcome::Unknown(UnknownReason::KeyAcknowledged));
+        let Some(home_call) = table.call(key) else {
+            return (Vec::new(), None);
         };
-        if key.sequence < ticket.lowest_open {
-            return Opened::Kept(Outcome::Unknown(UnknownReason::KeyAcknowledged));
-        }
-        if let Some(home_call) = ticket.calls.get_mut(&key.sequence) {
-            return home_call.join(home_call.fingerprint, waiter);
+        if matches!(home_call.state, HomeCallState::Ended { .. }) {
+            return (Vec::new(), None);
         }
-        let outcome = Outcome::NotRun(NotRun {
-            reason: NotRunReason::Fenced,
-            retry_after_ms: 0,
-            evidence: Unsent::no_byte_left().into(),
-        });
-        let home_call = HomeCall {
-            fingerprint: 0,
-            state: HomeCallState::Ended(outcome.clone()),
+        let ended = HomeCallState::Ended {
+            outcome: outcome.clone(),
+            doubt,
         };
-        ticket.calls.insert(key.sequence, home_call);
-        table.open_keys += 1;
-        Opened::Kept(outcome)
+        let waiters = match std::mem::replace(&mut home_call.state, ended) {
+            HomeCallState::Running { waiters, .. } => waiters,
+            HomeCallState::Ended { .. } => Vec::new(),
+        };
+        let number = key.ticket.id.number;
+        let orphan = table.ticket(number).is_some_and(|held| held.parent_gone);
+        let closing = if orphan { table.remove(number) } else { None };
+        (waiters, closing)
+    }
+
+    /// Puts a call that ended in doubt back among the running ones.
+    pub fn reopen(&self, key: &CallKey, call: CallId, waiter: ReplyTo) {
+        let mut table = lock(&self.table);
+        if let Some(home_call) = table.call(key) {
+            home_call.state = HomeCallState::Running {
+                call,
+                waiters: vec![waiter],
+            };
+        }
     }
 
     /// Takes the waiters out of a running call, which goes on without them.
     pub fn take_waiters(&self, key: &CallKey) -> Vec<ReplyTo> {
         let mut table = lock(&self.table);
-        let home_call = table
-            .tickets
-            .get_mut(&key.ticket.id.number)
-            .and_then(|ticket| ticket.calls.get_mut(&key.sequence));
-        match home_call.map(|home_call| &mut home_call.state) {
+        match table.call(key).map(|home_call| &mut home_call.state) {
             Some(HomeCallState::Running { waiters, .. }) => std::mem::take(waiters),
             _ => Vec::new(),
         }
     }
 
-    /// The call that runs a key, or how it ended.
-    pub fn look_up(&self, key: &CallKey) -> Option<Result<CallId, Outcome>> {
-        let table = lock(&self.table);
-        let ticket = table.tickets.get(&key.ticket.id.number)?;
-        match &ticket.calls.get(&key.sequence)?.state {
-            HomeCallState::Running { call, .. } => Some(Ok(*call)),
-            HomeCallState::Ended(outcome) => Some(Err(outcome.clone())),
-        }
+    /// Whether `call` is the one that runs this key.
+    pub fn is_run_by(&self, key: &CallKey, call: CallId) -> bool {
+        let mut table = lock(&self.table);
+        let state = table.call(key).map(|home_call| &home_call.state);
+        matches!(state, Some(HomeCallState::Running { call: runner, .. }) if *runner == call)
     }
 
-    /// Drops the ended calls of a ticket below `below`, as far as none before them is running.
-    pub fn acknowledge(&self, ticket: &Ticket, below: u64) {
+    /// Remembers that an executor was sent a call under the ticket.
+    pub fn sent_to(&self, ticket: TicketId, executor: WorkerId) {
         let mut table = lock(&self.table);
-        let Some(held) = table.tickets.get_mut(&ticket.id.number) else {
+        let Some(held) = table.ticket(ticket.number) else {
             return;
         };
-        let mut dropped = 0;
-        while let Some(first) = held.calls.first_entry() {
-            let running = matches!(first.get().state, HomeCallState::Running { .. });
-            if *first.key() >= below || running {
-                break;
-            }
-            first.remove();
-            dropped += 1;
+        if !held.executors.contains(&executor) {
+            held.executors.push(executor);
         }
-        let first_left = held.calls.keys().next().copied().unwrap_or(below);
-        held.lowest_open = held.lowest_open.max(first_left.min(below));
+    }
+
+    /// Drops the ended calls of a ticket below `below`, as far as none before them
+    /// is running, and tells what its executors have to know.
+    pub fn acknowledge(&self, ticket: &Ticket, below: u64) -> Option<Closing> {
+        let mut table = lock(&self.table);
+        let number = ticket.id.number;
+        let held = table.ticket(number)?;
+        if held.ticket != *ticket || below <= held.lowest_open {
+            return None;
+        }
+        let dropped = held.acknowledge(below);
+        let closing = held.closing(held.lowest_open);
+        let is_idle = held.calls.is_empty();
         table.open_keys -= dropped;
+        if is_idle {
+            table.mark_idle(number);
+        }
+        Some(closing)
     }
 
     /// The lowest open counter of a ticket; every key below it is closed.
     pub fn lowest_open(&self, ticket: TicketId) -> u64 {
-        let table = lock(&self.table);
-        let held = table.tickets.get(&ticket.number);
+        let mut table = lock(&self.table);
+        let held = table.ticket(ticket.number);
         held.map_or(u64::MAX, |held| held.lowest_open)
     }
 
+    /// For each series the number below which all tickets are closed.
+    pub fn floors(&self) -> [u64; TICKET_SERIES] {
+        let table = lock(&self.table);
+        let mut floors = [0; TICKET_SERIES];
+        for (series, floor) in floors.iter_mut().enumerate() {
+            let lowest = table.tickets[series].keys().next().copied();
+            *floor = lowest.unwrap_or_else(|| number_of(series, table.issued[series]));
+        }
+        floors
+    }
+
     /// Calls kept, running or ended.
     pub fn open_keys(&self) -> usize {
         lock(&self.table).open_keys
     }
 
-    fn issue_locked(
-        &self,
-        table: &mut Table,
+    /// Tickets held.
+    pub fn tickets(&self) -> usize {
+        lock(&self.table).len()
+    }
+}
+
+impl Table {
+    fn len(&self) -> usize {
+        self.tickets.iter().map(BTreeMap::len).sum()
+    }
+
+    fn ticket(&mut self, number: u64) -> Option<&mut HomeTicket> {
+        self.tickets[number as usize % TICKET_SERIES].get_mut(&number)
+    }
+
+    fn call(&mut self, key: &CallKey) -> Option<&mut HomeCall> {
+        let held = self.ticket(key.ticket.id.number)?;
+        held.calls.get_mut(&key.sequence)
+    }
+
+    /// What is known of a key, if anything is.
+    fn find(&mut self, key: &CallKey, asked: Option<u64>, waiter: ReplyTo) -> Option<Opened> {
+        let acknowledged = Opened::Kept(Outcome::Unknown(UnknownReason::KeyAcknowledged));
+        let Some(held) = self.ticket(key.ticket.id.number) else {
+            return Some(acknowledged);
+        };
+        if held.ticket != key.ticket {
+            return Some(Opened::Reused);
+        }
+        if key.sequence < held.lowest_open {
+            return Some(acknowledged);
+        }
+        if let Some(home_call) = held.calls.get_mut(&key.sequence) {
+            return Some(home_call.join(asked, waiter));
+        }
+        let refused = held
+            .refused_through
+            .is_some_and(|through| key.sequence <= through);
+        refused.then(|| Opened::Kept(refusal(NotRunReason::KeyTableFull)))
+    }
+
+    fn fence(
+        &mut self,
+        key: &CallKey,
+        fingerprint: Option<u64>,
+        reason: NotRunReason,
+        full: bool,
+    ) -> Opened {
+        let outcome = refusal(reason);
+        if full {
+            if let Some(held) = self.ticket(key.ticket.id.number) {
+                held.refused_through = held.refused_through.max(Some(key.sequence));
+            }
+            return Opened::Kept(outcome);
+        }
+        let state = HomeCallState::Ended {
+            outcome: outcome.clone(),
+            doubt: None,
+        };
+        self.insert(key, HomeCall { fingerprint, state });
+        Opened::Kept(outcome)
+    }
+
+    fn insert(&mut self, key: &CallKey, home_call: HomeCall) {
+        self.uses += 1;
+        let uses = self.uses;
+        let Some(held) = self.ticket(key.ticket.id.number) else {
+            return;
+        };
+        held.calls.insert(key.sequence, home_call);
+        let last_used = std::mem::replace(&mut held.last_used, uses);
+        self.idle.remove(&last_used);
+        self.open_keys += 1;
+    }
+
+    fn issue(
+        &mut self,
+        home: WorkerId,
+        series: usize,
         service: &ServiceName,
         candidates: Vec<WorkerId>,
-    ) -> Option<Ticket> {
-        if table.tickets.len() >= self.bounds.tickets {
-            return None;
-        }
-        let number = table.next_ticket;
-        table.next_ticket += 1;
+    ) -> Ticket {
+        let number = number_of(series, self.issued[series]);
+        self.issued[series] += 1;
+        self.uses += 1;
         let ticket = Ticket {
-            id: TicketId {
-                home: self.me,
-                number,
-            },
+            id: TicketId { home, number },
             service: service.clone(),
             candidates,
         };
         let held = HomeTicket {
             ticket: ticket.clone(),
             lowest_open: 0,
+            refused_through: None,
             calls: BTreeMap::new(),
+            executors: Vec::new(),
+            last_used: self.uses,
+            parent_gone: false,
         };
-        table.tickets.insert(number, held);
-        Some(ticket)
+        self.tickets[series].insert(number, held);
+        ticket
+    }
+
+    fn mark_idle(&mut self, number: u64) {
+        if number as usize % TICKET_SERIES != CALLER_SERIES {
+            return;
+        }
+        let last_used = self.ticket(number).map(|held| held.last_used);
+        if let Some(last_used) = last_used {
+            self.idle.insert(last_used, number);
+        }
+    }
+
+    fn close_idle(&mut self) -> Option<Closing> {
+        let (_, number) = self.idle.pop_first()?;
+        self.remove(number)
+    }
+
+    fn forget_child(&mut self, number: u64) -> Option<Closing> {
+        let held = self.ticket(number)?;
+        if held.is_running() {
+            held.parent_gone = true;
+            return None;
+        }
+        self.remove(number)
+    }
+
+    fn remove(&mut self, number: u64) -> Option<Closing> {
+        let held = self.tickets[number as usize % TICKET_SERIES].remove(&number)?;
+        self.open_keys -= held.calls.len();
+        self.idle.remove(&held.last_used);
+        Some(held.closing(u64::MAX))
+    }
+}
+
+impl HomeTicket {
+    fn is_running(&self) -> bool {
+        let mut calls = self.calls.values();
+        calls.any(|home_call| matches!(home_call.state, HomeCallState::Running { .. }))
+    }
+
+    /// Drops calls from the lowest on and returns how many.
+    fn acknowledge(&mut self, below: u64) -> usize {
+        let mut dropped = 0;
+        while let Some(first) = self.calls.first_entry() {
+            let running = matches!(first.get().state, HomeCallState::Running { .. });
+            if *first.key() >= below || running {
+                break;
+            }
+            first.remove();
+            dropped += 1;
+        }
+        let first_left = self.calls.keys().next().copied().unwrap_or(below);
+        self.lowest_open = self.lowest_open.max(first_left.min(below));
+        dropped
+    }
+
+    fn closing(&self, lowest_open: u64) -> Closing {
+        Closing {
+            ticket: self.ticket.id.number,
+            lowest_open,
+            executors: self.executors.clone(),
+        }
     }
 }
 
 impl HomeCall {
-    fn join(&mut self, fingerprint: u64, waiter: ReplyTo) -> Opened {
-        if self.fingerprint != fingerprint {
-            return Opened::Refused(NotRunReason::KeyReused);
+    fn join(&mut self, asked: Option<u64>, waiter: ReplyTo) -> Opened {
+        if let (Some(own), Some(asked)) = (self.fingerprint, asked)
+            && own != asked
+        {
+            return Opened::Reused;
         }
         match &mut self.state {
             HomeCallState::Running { waiters, .. } => {
                 waiters.push(waiter);
                 Opened::Joined
             }
-            HomeCallState::Ended(outcome) => Opened::Kept(outcome.clone()),
+            HomeCallState::Ended { doubt, outcome } => match doubt {
+                Some(executor) => Opened::Doubtful(*executor),
+                None => Opened::Kept(outcome.clone()),
+            },
         }
     }
 }
+
+impl TicketClosings {
+    /// Adds what one ticket's executors have to be told.
+    pub fn add(&mut self, ticket: u64, lowest_open: u64) {
+        if lowest_open == u64::MAX {
+            self.lowest_open.remove(&ticket);
+            self.closed.insert(ticket);
+            return;
+        }
+        let held = self.lowest_open.entry(ticket).or_default();
+        *held = lowest_open.max(*held);
+    }
+}
+
+fn number_of(series: usize, count: u64) -> u64 {
+    count * TICKET_SERIES as u64 + series as u64
+}
+
+fn refusal(reason: NotRunReason) -> Outcome {
+    Outcome::NotRun(NotRun {
+        reason,
+        retry_after_ms: 0,
+        evidence: Unsent::no_byte_left().into(),
+    })
+}
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -1,15 +1,18 @@
 //! Events that enter [`super::Node`], actions that leave it, and the messages between daemons.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use strum::IntoStaticStr;
 
-use super::evidence::NotRunEvidence;
+use super::evidence::WireEvidence;
+use crate::model::key::TICKET_SERIES;
 use crate::model::sheet::Sheet;
 use crate::model::vm::WorkerId;
 use crate::model::{
     Announcement, Answer, CallContext, CallKey, CallerName, Importance, NotRun, NotRunReason,
-    Outcome, RequestName, ServiceName, SheetVersion, TicketId, UnknownReason,
+    Outcome, RequestName, ServiceName, SheetVersion, UnknownReason,
 };
 
 /// Identifies a call that somebody waits for at this daemon.
@@ -112,17 +115,29 @@
         /// The key.
         key: CallKey,
     },
-    /// All keys of the ticket below the counter are closed.
+    /// Keys and tickets of a home that are closed.
     Acknowledge {
         /// The daemon meant.
         to: WorkerId,
-        /// The ticket.
-        ticket: TicketId,
-        /// The lowest open counter.
-        lowest_open: u64,
+        /// The home.
+        home: WorkerId,
+        /// What is closed.
+        closings: TicketClosings,
     },
 }
 
+/// Keys and tickets of one home that are closed, so that their records can go.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TicketClosings {
+    /// For each series of ticket numbers: all tickets below this one are closed.
+    pub floors: [u64; TICKET_SERIES],
+    /// Tickets above the floors that are closed.
+    pub closed: BTreeSet<u64>,
+    /// Lowest open counters of tickets that are open.
+    pub lowest_open: BTreeMap<u64, u64>,
+}
+
 impl PeerRequest {
     /// The daemon that the message is meant for.
     pub fn to(&self) -> WorkerId {
@@ -153,7 +168,7 @@
         /// When to come back.
         retry_after_ms: u64,
         /// The proof.
-        evidence: NotRunEvidence,
+        evidence: WireEvidence,
     },
     /// Cannot be told.
     Unknown {
@@ -178,7 +193,7 @@
                 let header = WireOutcome::NotRun {
                     reason: not_run.reason,
                     retry_after_ms: not_run.retry_after_ms,
-                    evidence: not_run.evidence,
+                    evidence: not_run.evidence.into(),
                 };
                 (header, Bytes::new())
             }
@@ -187,7 +202,7 @@
     }
 
     /// Puts an outcome together again; `None` if the body is not whole.
-    pub fn into_outcome(self, body: Bytes) -> Option<Outcome> {
+    pub(crate) fn into_outcome(self, body: Bytes) -> Option<Outcome> {
         match self {
             WireOutcome::Done {
                 status,
@@ -205,7 +220,7 @@
             } => Some(Outcome::NotRun(NotRun {
                 reason,
                 retry_after_ms,
-                evidence,
+                evidence: evidence.vouched_for(),
             })),
             WireOutcome::Unknown { reason } => Some(Outcome::Unknown(reason)),
         }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -6,6 +6,7 @@
 //! One thread may drive any number of them under a virtual clock; in the daemon
 //! many threads share one [`Node`].
 
+pub mod acks;
 pub mod admission;
 pub mod budget;
 pub mod control;
@@ -20,6 +21,7 @@
 pub mod mechanisms;
 pub mod message;
 pub mod node;
+pub(crate) mod record;
 pub mod route;
 pub mod rules;
 pub mod sharded;
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -14,7 +14,7 @@
 use crate::decide::sharded::lock;
 use crate::model::{
     CallContext, CallKey, Contract, NotRun, NotRunReason, Outcome, RequestName, RootId,
-    ServiceName, TimeMs,
+    ServiceName, TimeMs, WorkerId,
 };
 
 /// When to come back after the entry has shed a request, in milliseconds.
@@ -26,6 +26,7 @@
     pub(super) request: RequestName,
     pub(super) context: CallContext,
     pub(super) parent: Option<CallId>,
+    pub(super) acknowledged_below: u64,
     pub(super) body: Bytes,
 }
 
@@ -33,8 +34,9 @@
     pub(super) fn call_arrived(&self, turn: &mut Turn<'_>, call: CallId, asked: CallerRequest) {
         let rules = self.rules.load();
         let key = asked.key.clone();
-        if let (Some(key), Some(below)) = (&key, asked.acknowledged_below) {
-            self.home.acknowledge(&key.ticket, below);
+        let acknowledged_below = asked.acknowledged_below.unwrap_or(0);
+        if let Some(key) = &key {
+            self.acknowledge_at_home(key, acknowledged_below);
         }
         let Some(context) = self.context_for(turn.now, &asked) else {
             return self.answer_not_run(turn, call, key, NotRunReason::Cancelled, 0);
@@ -46,13 +48,14 @@
             request: asked.request,
             context,
             parent: parent.map(|parent| parent.call),
+            acknowledged_below,
             body: asked.body,
         };
-        if contract.idempotent {
+        if contract.idempotent && key.is_none() {
             return self.idempotent_arrived(turn, call, classified);
         }
         let key = match parent {
-            Some(parent) => self.child_key(call, parent, &classified.service),
+            Some(parent) => self.child_key(parent, &classified.service),
             None => key.ok_or(NotRunReason::KeyRequired),
         };
         match key {
@@ -78,12 +81,13 @@
         if request.to != self.settings.vm.worker {
             return self.refuse_foreign(turn, reply_to, Some(key), request.context.allowance);
         }
-        self.home.acknowledge(&key.ticket, request.lowest_open);
+        self.acknowledge_at_home(&key, request.lowest_open);
         let classified = Classified {
             service: request.service,
             request: request.request,
             context: request.context,
             parent: None,
+            acknowledged_below: 0,
             body: request.body,
         };
         self.open_at_home(turn, call, reply_to, classified, key);
@@ -148,26 +152,31 @@
 
     fn child_key(
         &self,
-        call: CallId,
         parent: ParentCall,
         service: &ServiceName,
     ) -> Result<CallKey, NotRunReason> {
-        let parent_keyed = self
-            .executions
-            .lock(&parent.call)
-            .get(&parent.call)
-            .is_some_and(|execution| execution.key.is_some());
-        if !parent_keyed {
+        // The lock is held until the key is in the home's table, so that the end
+        // of the run cannot miss it.
+        let shard = self.executions.lock(&parent.call);
+        let execution = shard.get(&parent.call).ok_or(NotRunReason::Cancelled)?;
+        if execution.key.is_none() {
             return Err(NotRunReason::IdempotentParent);
         }
         let child = ChildOf {
             parent: parent.call,
-            service: service.clone(),
             ordinal: parent.ordinal,
         };
         self.home
-            .child_key(child, call, || self.candidates(service))
-            .ok_or(NotRunReason::KeyTableFull)
+            .child_key(child, service, || self.candidates(service))
+    }
+
+    pub(super) fn acknowledge_at_home(&self, key: &CallKey, below: u64) {
+        if key.ticket.id.home != self.settings.vm.worker {
+            return;
+        }
+        if let Some(closing) = self.home.acknowledge(&key.ticket, below) {
+            self.acks.add(&closing);
+        }
     }
 
     fn idempotent_arrived(&self, turn: &mut Turn<'_>, call: CallId, classified: Classified) {
@@ -208,29 +217,58 @@
         key: CallKey,
     ) {
         let fingerprint = fingerprint(&classified.request, &classified.body);
-        match self.home.open(&key, fingerprint, call, reply_to) {
-            Opened::New => {}
-            Opened::Joined => return,
-            Opened::Kept(outcome) => {
-                let reply = self.plain_reply(Some(key), outcome);
-                return self.deliver(turn, reply_to, reply);
-            }
-            Opened::Refused(reason) => {
-                let outcome = not_run(reason, 0, Unsent::no_byte_left().into());
-                let reply = self.plain_reply(Some(key), outcome);
-                return self.deliver(turn, reply_to, reply);
-            }
+        let opened = if self.is_draining() {
+            let reason = NotRunReason::Leaving;
+            self.home
+                .refuse_new(&key, Some(fingerprint), reason, reply_to)
+        } else {
+            self.home.open(&key, fingerprint, call, reply_to)
+        };
+        if opened != Opened::New {
+            return self.answer_opened(turn, reply_to, key, opened);
         }
         if !self.entry_admits(turn.now, &classified) {
             let evidence = Unsent::no_byte_left().into();
             let outcome = not_run(NotRunReason::ShedAtEntry, SHED_RETRY_AFTER_MS, evidence);
-            let waiters = self.home.end(&key, &outcome);
+            let waiters = self.end_at_home(&key, &outcome, None);
             let reply = self.plain_reply(Some(key), outcome);
             return self.deliver_all(turn, &waiters, &reply);
         }
         self.start_dispatch(turn, call, classified, Some(key), None);
     }
 
+    /// Tells the asker what the home's table knows.
+    pub(super) fn answer_opened(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        opened: Opened,
+    ) {
+        let outcome = match opened {
+            Opened::New | Opened::Joined => return,
+            Opened::Kept(outcome) => outcome,
+            Opened::Reused => not_run(NotRunReason::KeyReused, 0, Unsent::no_byte_left().into()),
+            Opened::Doubtful(executor) => return self.ask_again(turn, reply_to, key, executor),
+        };
+        let reply = self.plain_reply(Some(key), outcome);
+        self.deliver(turn, reply_to, reply);
+    }
+
+    /// Keeps the outcome of a call at its home and returns who waits.
+    pub(super) fn end_at_home(
+        &self,
+        key: &CallKey,
+        outcome: &Outcome,
+        doubt: Option<WorkerId>,
+    ) -> Vec<ReplyTo> {
+        let (waiters, closing) = self.home.end(key, outcome, doubt);
+        if let Some(closing) = closing {
+            self.acks.add(&closing);
+        }
+        waiters
+    }
+
     /// Only root requests are shed here: beneath them work has been sunk already.
     fn entry_admits(&self, now: TimeMs, classified: &Classified) -> bool {
         if !self.settings.mechanisms.entry_shedding || classified.context.depth > 0 {
@@ -267,6 +305,11 @@
             deadline: now.plus_ms(classified.context.time_left_ms),
             state: DispatchState::Waiting { until: now },
             allowance: classified.context.allowance,
+            granted: classified.context.allowance,
+            in_doubt: false,
+            doubt: None,
+            waiters_answered: false,
+            acknowledged_below: classified.acknowledged_below,
             attempts: 0,
             tried: Vec::new(),
             next_number: 0,
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -37,6 +37,15 @@
             .key
             .as_ref()
             .map_or(0, |key| self.home.lowest_open(key.ticket.id));
+        if let Some(key) = dispatch.key.clone() {
+            if !self.home.is_run_by(&key, call) {
+                self.breach(turn, "key_is_run_by_one_call", Some(&key));
+                let evidence = Unsent::no_byte_left().into();
+                let reason = NotRunReason::InvariantBreach;
+                return self.end_not_run(turn, call, dispatch, reason, 0, evidence);
+            }
+            self.home.sent_to(key.ticket.id, worker);
+        }
         let exchange = dispatch.next_exchange(call);
         let request = dispatch.execute_request(turn.now, worker, lowest_open);
         let local = (worker == self.settings.vm.worker).then(|| self.next_call());
@@ -92,12 +101,20 @@
     }
 
     pub(super) fn peer_replied(&self, turn: &mut Turn<'_>, exchange: ExchangeId, reply: PeerReply) {
+        if self.acks.confirmed(exchange.call) {
+            return;
+        }
         let dispatch = match self.take_waiting_for(exchange) {
             Taken::Nothing => return,
             Taken::Settling => return self.candidate_replied(turn, exchange, reply),
             Taken::Dispatch(dispatch) => *dispatch,
         };
         let call = exchange.call;
+        if !dispatch.is_answered_by(&reply) {
+            self.breach(turn, "reply_is_about_its_request", dispatch.key.as_ref());
+            self.dispatches.insert(call, dispatch);
+            return self.peer_failed(turn, exchange, SendFailure::Broken);
+        }
         match dispatch.state {
             DispatchState::Attempting { worker, .. } => {
                 self.router.ended(worker);
@@ -117,6 +134,9 @@
         exchange: ExchangeId,
         failure: SendFailure,
     ) {
+        if self.acks.failed(exchange.call) {
+            return;
+        }
         let dispatch = match self.take_waiting_for(exchange) {
             Taken::Nothing => return,
             Taken::Settling => return self.candidate_failed(turn, exchange),
@@ -139,12 +159,13 @@
     pub(super) fn dispatch_due(&self, turn: &mut Turn<'_>, call: CallId) {
         let (due, dispatch) = {
             let mut shard = self.dispatches.lock(&call);
-            let Some(dispatch) = shard.get(&call) else {
+            let Some(dispatch) = shard.get_mut(&call) else {
                 return;
             };
             match dispatch.due(turn.now) {
                 Due::Nothing => return,
                 Due::AnswerWaiters(key) => {
+                    dispatch.waiters_answered = true;
                     drop(shard);
                     return self.answer_waiters(turn, key);
                 }
@@ -200,13 +221,14 @@
         if matches!(outcome, Outcome::Done(_)) {
             self.budgets.succeeded(&dispatch.service);
         }
-        let credited = self.credit_parent(&mut dispatch);
+        let credited = self.credit_parent(turn, &mut dispatch);
         let mut reply = self.plain_reply(dispatch.key.clone(), outcome);
-        reply.allowance_left = if credited { 0 } else { dispatch.allowance };
+        let unowned = credited || dispatch.waiters_answered;
+        reply.allowance_left = if unowned { 0 } else { dispatch.allowance };
         reply.level = dispatch.level;
         reply.service_ms = dispatch.service_ms;
         let waiters = match (&dispatch.key, dispatch.reply_to) {
-            (Some(key), None) => self.home.end(key, &reply.outcome),
+            (Some(key), None) => self.end_at_home(key, &reply.outcome, dispatch.doubt),
             (_, reply_to) => reply_to.into_iter().collect(),
         };
         self.deliver_all(turn, &waiters, &reply);
@@ -222,6 +244,10 @@
         retry_after_ms: u64,
         evidence: NotRunEvidence,
     ) {
+        if dispatch.in_doubt {
+            let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
+            return self.end(turn, call, dispatch, outcome);
+        }
         let evidence = NotRunEvidence::of_every_attempt(evidence, dispatch.attempts);
         let outcome = not_run(reason, retry_after_ms, evidence);
         self.end(turn, call, dispatch, outcome);
@@ -271,7 +297,7 @@
         worker: WorkerId,
         reply: PeerReply,
     ) {
-        self.take_in_reply(turn.now, &mut dispatch, &reply);
+        self.take_in_reply(turn, &mut dispatch, &reply);
         match reply.outcome {
             Outcome::Done(_) => self.end(turn, call, dispatch, reply.outcome),
             Outcome::NotRun(refusal) => {
@@ -280,6 +306,7 @@
                 self.refused(turn, call, dispatch, refusal, retry);
             }
             Outcome::Unknown(_) => {
+                dispatch.in_doubt = true;
                 if dispatch.idempotent && self.may_retry(turn.now, &mut dispatch) {
                     return self.retry_later(turn, call, dispatch);
                 }
@@ -296,7 +323,7 @@
         worker: WorkerId,
         reply: PeerReply,
     ) {
-        self.take_in_reply(turn.now, &mut dispatch, &reply);
+        self.take_in_reply(turn, &mut dispatch, &reply);
         match reply.outcome {
             Outcome::NotRun(refusal) if refusal.reason == NotRunReason::WrongIncarnation => {
                 let outcome = Outcome::Unknown(UnknownReason::IncarnationGone);
@@ -350,6 +377,7 @@
             return self.ask_for_record(turn, call, dispatch, worker);
         }
         dispatch.tried.push(worker);
+        dispatch.in_doubt = true;
         if self.may_retry(turn.now, &mut dispatch) {
             return self.retry_later(turn, call, dispatch);
         }
@@ -358,7 +386,7 @@
     }
 
     /// Asks the executor over a new connection what became of the key.
-    fn ask_for_record(
+    pub(super) fn ask_for_record(
         &self,
         turn: &mut Turn<'_>,
         call: CallId,
@@ -394,6 +422,7 @@
         tries: u32,
     ) {
         if tries >= RESOLVE_TRIES {
+            dispatch.doubt = Some(worker);
             let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
             return self.end(turn, call, dispatch, outcome);
         }
@@ -407,8 +436,18 @@
         self.dispatches.insert(call, dispatch);
     }
 
-    fn take_in_reply(&self, now: TimeMs, dispatch: &mut Dispatch, reply: &PeerReply) {
-        dispatch.allowance += reply.allowance_left;
+    /// Takes back what a reply left of the allowance, never more than was granted.
+    pub(super) fn credit(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch, left: u32) {
+        let credited = dispatch.allowance.saturating_add(left);
+        if credited > dispatch.granted {
+            self.breach(turn, "allowance_never_grows", dispatch.key.as_ref());
+        }
+        dispatch.allowance = credited.min(dispatch.granted);
+    }
+
+    fn take_in_reply(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch, reply: &PeerReply) {
+        let now = turn.now;
+        self.credit(turn, dispatch, reply.allowance_left);
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
         self.levels
@@ -466,7 +505,7 @@
     }
 
     /// Hands what is left of the allowance back to the run beneath which the call was made.
-    fn credit_parent(&self, dispatch: &mut Dispatch) -> bool {
+    fn credit_parent(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch) -> bool {
         let Some(parent) = dispatch.parent else {
             return false;
         };
@@ -474,7 +513,11 @@
         let Some(execution) = shard.get_mut(&parent) else {
             return false;
         };
-        execution.allowance += std::mem::take(&mut dispatch.allowance);
+        let credited = execution.allowance + std::mem::take(&mut dispatch.allowance);
+        if credited > execution.granted {
+            self.breach(turn, "allowance_never_grows", execution.key.as_ref());
+        }
+        execution.allowance = credited.min(execution.granted);
         execution.level_beneath = execution.level_beneath.max(dispatch.level);
         execution.service_beneath_ms += dispatch.service_ms;
         true
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -6,16 +6,12 @@
 use crate::decide::counters::Counter;
 use crate::decide::evidence::{Refusal, Unsent};
 use crate::decide::execution::Execution;
-use crate::decide::executor::Received;
-use crate::decide::message::{
-    Action, CallId, ExchangeId, ExecuteRequest, PeerReply, PeerRequest, Priority, SendFailure,
-};
+use crate::decide::executor::{HandOver, Received};
+use crate::decide::message::{Action, CallId, ExecuteRequest, PeerReply, Priority, SendFailure};
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
-use crate::model::{Answer, NotRunReason, Outcome, TicketId, UnknownReason, WorkerId};
+use crate::model::{Answer, CallKey, NotRunReason, Outcome, TicketId, UnknownReason};
 
-/// Longest wait for the reply to an acknowledgement, in milliseconds.
-const ACKNOWLEDGE_TIMEOUT_MS: u64 = 1_000;
 /// When to come back if the backend server cannot be reached, in milliseconds.
 const UNREACHABLE_RETRY_AFTER_MS: u64 = 200;
 
@@ -35,26 +31,53 @@
         let contract = rules.contract(&request.service, &request.request, &request.context.caller);
         let newer = rules.version() > request.context.sheet_version;
         let stricter = newer && request.idempotent && !contract.idempotent;
-        if stricter && request.key.is_none() {
+        if request.key.is_none() && (stricter || !request.idempotent) {
             return self.refuse_unkeyed(turn, reply_to, NotRunReason::KeyRequired, 0, granted);
         }
         if let Some(key) = &request.key {
-            self.executor
-                .acknowledge(key.ticket.id, request.lowest_open);
+            let TicketId { home, number } = key.ticket.id;
+            self.executor.acknowledge(home, number, request.lowest_open);
             let fingerprint = fingerprint(&request.request, &request.body);
-            match self.executor.receive(key, fingerprint, call, reply_to) {
-                Received::New => {}
-                Received::Joined => return,
-                Received::Ended(outcome) => {
-                    let mut reply = self.plain_reply(request.key, outcome);
-                    reply.allowance_left = granted;
-                    return self.deliver(turn, reply_to, reply);
-                }
+            if !key.may_run_at(self.settings.vm.worker, &request.service) {
+                self.breach(turn, "key_runs_at_its_candidates", Some(key));
+                let reason = NotRunReason::InvariantBreach;
+                let received = self.executor.refuse_new(key, fingerprint, reason, reply_to);
+                return self.answer_received(turn, reply_to, key.clone(), received, granted);
+            }
+            let received = self.executor.receive(key, fingerprint, reply_to);
+            if received != Received::New {
+                return self.answer_received(turn, reply_to, key.clone(), received, granted);
             }
         }
         self.admit(turn, call, reply_to, request);
     }
 
+    /// Tells the asker what the executor's table knows. What was granted goes
+    /// back only with a first refusal: an earlier copy may have spent it.
+    pub(super) fn answer_received(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        received: Received,
+        granted: u32,
+    ) {
+        let (outcome, allowance_left) = match received {
+            Received::New | Received::Joined => return,
+            Received::Ended(outcome) => (outcome, 0),
+            Received::Refused(outcome) => (outcome, granted),
+            Received::Reused => {
+                self.breach(turn, "one_request_for_each_key", Some(&key));
+                let evidence = Refusal::before_hand_over().into();
+                (not_run(NotRunReason::KeyReused, 0, evidence), 0)
+            }
+        };
+        let mut reply = self.plain_reply(Some(key), outcome);
+        reply.allowance_left = allowance_left;
+        reply.level = lock(&self.admission).level();
+        self.deliver(turn, reply_to, reply);
+    }
+
     pub(super) fn backend_replied(&self, turn: &mut Turn<'_>, call: CallId, answer: Answer) {
         self.run_ended(turn, call, Outcome::Done(answer));
     }
@@ -151,6 +174,7 @@
             service: request.service,
             request: request.request,
             allowance: request.context.allowance,
+            granted: request.context.allowance,
             context: request.context,
             idempotent: request.idempotent,
             reply_to: request.key.is_none().then_some(reply_to),
@@ -181,13 +205,17 @@
         let Some(execution) = shard.get_mut(&call) else {
             return;
         };
-        if let Some(key) = &execution.key
-            && !self.executor.hand_over(key)
-        {
-            // Its record was dropped by an acknowledgement, so nobody waits for it.
-            lock(&self.admission).start_undone(&execution.context.caller);
-            shard.remove(&call);
-            return;
+        if let Some(key) = execution.key.clone() {
+            let verdict = self.executor.hand_over(&key);
+            if verdict != HandOver::Granted {
+                lock(&self.admission).start_undone(&execution.context.caller);
+                shard.remove(&call);
+                drop(shard);
+                if verdict == HandOver::Repeated {
+                    self.breach(turn, "key_is_handed_over_once", Some(&key));
+                }
+                return;
+            }
         }
         execution.started = Some(turn.now);
         self.counters.add(Counter::HandedOver);
@@ -208,7 +236,7 @@
         reply.level = execution.level_beneath.max(lock(&self.admission).level());
         reply.service_ms = service_ms + execution.service_beneath_ms;
         self.reply_for(turn, &execution, &reply);
-        self.forget_children(turn, call);
+        self.forget_children(call);
         self.release_queue(turn);
     }
 
@@ -247,7 +275,7 @@
         self.deliver_all(turn, &waiters, &reply);
     }
 
-    fn refuse_unkeyed(
+    pub(super) fn refuse_unkeyed(
         &self,
         turn: &mut Turn<'_>,
         reply_to: ReplyTo,
@@ -263,24 +291,9 @@
     }
 
     /// The run has ended, so its child calls cannot be repeated: their records go.
-    fn forget_children(&self, turn: &mut Turn<'_>, call: CallId) {
-        for (ticket, candidates) in self.home.forget_children(call) {
-            for to in candidates {
-                self.acknowledge(turn, to, ticket);
-            }
+    fn forget_children(&self, call: CallId) {
+        for closing in self.home.forget_children(call) {
+            self.acks.add(&closing);
         }
     }
-
-    fn acknowledge(&self, turn: &mut Turn<'_>, to: WorkerId, ticket: TicketId) {
-        let exchange = ExchangeId {
-            call: self.next_call(),
-            number: 0,
-        };
-        let message = PeerRequest::Acknowledge {
-            to,
-            ticket,
-            lowest_open: u64::MAX,
-        };
-        self.send(turn, exchange, message, false, ACKNOWLEDGE_TIMEOUT_MS);
-    }
 }
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -6,8 +6,9 @@
 mod parking;
 mod settling;
 
-use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -15,6 +16,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
+use super::acks::Acknowledgements;
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -30,7 +32,10 @@
 use super::sharded::{Sharded, lock};
 use super::timers::{Timers, Wakeup};
 use crate::model::key::MAX_CANDIDATES;
-use crate::model::{Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs, Vm};
+use crate::model::{
+    Announcement, CallKey, Incarnation, Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs,
+    Vm,
+};
 
 /// What a [`Node`] is made from.
 #[derive(Debug, Clone)]
@@ -95,6 +100,8 @@
     admission: Mutex<Admission>,
     home: HomeTable,
     executor: ExecutorTable,
+    acks: Acknowledgements,
+    draining: AtomicBool,
     timers: Timers,
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
@@ -133,6 +140,8 @@
             admission: Mutex::new(Admission::new(mechanisms)),
             home: HomeTable::new(settings.vm.worker, settings.home),
             executor: ExecutorTable::new(settings.executor_records),
+            acks: Acknowledgements::default(),
+            draining: AtomicBool::new(false),
             timers: Timers::default(),
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
@@ -152,10 +161,41 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if the table of tickets is full.
+    /// A ticket for keys of a service; `None` if the table of tickets is full or
+    /// the daemon is leaving.
     pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        if self.is_draining() {
+            return None;
+        }
         let candidates = self.candidates(service);
-        self.home.issue(service, candidates)
+        let (ticket, closed) = self.home.issue(service, candidates)?;
+        if let Some(closing) = closed {
+            self.acks.add(&closing);
+        }
+        Some(ticket)
+    }
+
+    /// Closes a ticket, which acknowledges all its answers; false if it is not
+    /// open here or one of its calls is running.
+    pub fn close_ticket(&self, ticket: &Ticket) -> bool {
+        if ticket.id.home != self.settings.vm.worker {
+            return false;
+        }
+        let closing = self.home.close(ticket);
+        if let Some(closing) = &closing {
+            self.acks.add(closing);
+        }
+        closing.is_some()
+    }
+
+    /// From now on this home opens no key and issues no ticket; what is open goes on.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Whether [`Node::begin_drain`] was called.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
     }
 
     /// Takes in an event and appends the actions that follow from it.
@@ -180,9 +220,16 @@
         self.rules.load().version()
     }
 
-    /// Calls that somebody still waits for or that run on the local backend server.
+    /// Calls that somebody still waits for or that run on the local backend
+    /// server. A daemon that drains may exit once this is zero.
     pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len()
+        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
+    }
+
+    /// Whether some call is still to be acknowledged to its executors. They keep
+    /// the records if it is not, so a drain waits for it no longer than its limit.
+    pub fn has_unsent_acknowledgements(&self) -> bool {
+        !self.acks.is_empty()
     }
 
     /// What this node has counted since it started.
@@ -229,7 +276,7 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.router.learn(&workers),
+            Event::WorkersLearned(workers) => self.workers_learned(turn.now, &workers),
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
             Event::Tick => self.tick(turn),
         }
@@ -259,11 +306,9 @@
             PeerRequest::Execute(request) => self.execute(turn, call, reply_to, request),
             PeerRequest::Submit(request) => self.submit(turn, call, reply_to, request),
             PeerRequest::Settle { to, key } => self.settle(turn, reply_to, to, key),
-            PeerRequest::Acknowledge {
-                to,
-                ticket,
-                lowest_open,
-            } => self.acknowledged(turn, reply_to, to, ticket, lowest_open),
+            PeerRequest::Acknowledge { to, home, closings } => {
+                self.acknowledged(turn, reply_to, to, home, &closings)
+            }
         }
     }
 
@@ -280,6 +325,29 @@
         self.unpark(turn);
     }
 
+    fn workers_learned(&self, now: TimeMs, workers: &[Announcement]) {
+        self.router.learn(workers);
+        let present: HashMap<SocketAddr, Incarnation> = workers
+            .iter()
+            .map(|announcement| announcement.vm.worker)
+            .map(|worker| (worker.address, worker.incarnation))
+            .collect();
+        self.executor.homes_seen(now, &present);
+        self.acks.retain(|executor| {
+            let incarnation = present.get(&executor.address);
+            incarnation.is_none_or(|incarnation| *incarnation == executor.incarnation)
+        });
+    }
+
+    /// Reports that an invariant would have been broken. The caller refuses the request.
+    fn breach(&self, turn: &mut Turn<'_>, invariant: &'static str, key: Option<&CallKey>) {
+        self.counters.add(Counter::Breaches);
+        turn.actions.push(Action::Note(Note::Breach {
+            invariant,
+            key: key.cloned(),
+        }));
+    }
+
     fn tick(&self, turn: &mut Turn<'_>) {
         for wakeup in self.timers.due(turn.now) {
             match wakeup {
@@ -288,6 +356,8 @@
             }
         }
         self.expire_parked(turn);
+        self.executor.expire_gone_homes(turn.now);
+        self.send_acknowledgements(turn);
         self.release_queue(turn);
         self.note_limit(turn);
     }
--- a/src/decide/node/parking.rs
+++ b/src/decide/node/parking.rs
@@ -1,8 +1,7 @@
 //! Messages that were classified by a newer sheet than the one in force here.
 
-use super::arrive::not_run;
+use super::arrive::fingerprint;
 use super::{Node, ReplyTo, Turn};
-use crate::decide::evidence::Refusal;
 use crate::decide::message::{Action, CallId, ExecuteRequest, PeerRequest};
 use crate::decide::sharded::lock;
 use crate::model::{NotRunReason, TimeMs};
@@ -85,11 +84,22 @@
         if request.idempotent {
             return self.message_ready(turn, call, reply_to, message);
         }
-        let (key, allowance) = (request.key.clone(), request.context.allowance);
-        let evidence = Refusal::before_hand_over().into();
-        let mut reply = self.plain_reply(key, not_run(NotRunReason::SheetBehind, 0, evidence));
-        reply.allowance_left = allowance;
-        self.deliver(turn, reply_to, reply);
+        let (key, granted) = (request.key.clone(), request.context.allowance);
+        let reason = NotRunReason::SheetBehind;
+        let Some(key) = key else {
+            return self.refuse_unkeyed(turn, reply_to, reason, 0, granted);
+        };
+        let fingerprint = fingerprint(&request.request, &request.body);
+        if let PeerRequest::Submit(_) = &message {
+            let opened = self
+                .home
+                .refuse_new(&key, Some(fingerprint), reason, reply_to);
+            return self.answer_opened(turn, reply_to, key, opened);
+        }
+        let received = self
+            .executor
+            .refuse_new(&key, fingerprint, reason, reply_to);
+        self.answer_received(turn, reply_to, key, received, granted);
     }
 
     fn take_parked(&self, ready: impl Fn(&Parked) -> bool) -> Vec<Parked> {
--- a/src/decide/node/settling.rs
+++ b/src/decide/node/settling.rs
@@ -5,16 +5,18 @@
 use crate::decide::dispatch::{Dispatch, DispatchState, Settling};
 use crate::decide::evidence::{NotRunEvidence, Refusal};
 use crate::decide::executor::Received;
-use crate::decide::home::Opened;
-use crate::decide::message::{CallId, ExchangeId, PeerReply, PeerRequest, Priority};
+use crate::decide::message::{
+    CallId, ExchangeId, PeerReply, PeerRequest, Priority, TicketClosings,
+};
 use crate::decide::timers::Wakeup;
 use crate::model::{
-    CallContext, CallKey, Importance, NotRunReason, Outcome, RootId, TicketId, UnknownReason,
-    WorkerId,
+    CallContext, CallKey, Importance, NotRunReason, Outcome, RootId, UnknownReason, WorkerId,
 };
 
 /// Longest that a caller who asks for a key waits for a run to end, in milliseconds.
 const QUERY_WAIT_MS: u64 = 5_000;
+/// Longest wait for the reply to an acknowledgement, in milliseconds.
+const ACKNOWLEDGE_TIMEOUT_MS: u64 = 1_000;
 
 impl Node {
     /// A caller asks what became of a key.
@@ -50,7 +52,8 @@
     ) {
         let exchange = dispatch.next_exchange(call);
         let granted = std::mem::take(&mut dispatch.allowance);
-        let mut request = dispatch.execute_request(turn.now, home, 0);
+        let below = dispatch.acknowledged_below;
+        let mut request = dispatch.execute_request(turn.now, home, below);
         request.context.allowance = granted;
         dispatch.state = DispatchState::AtHome {
             number: exchange.number,
@@ -69,7 +72,7 @@
         mut dispatch: Dispatch,
         reply: PeerReply,
     ) {
-        dispatch.allowance += reply.allowance_left;
+        self.credit(turn, &mut dispatch, reply.allowance_left);
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
         match reply.outcome {
@@ -154,25 +157,28 @@
             return self.settle_at_home(turn, reply_to, key);
         }
         match self.executor.settle(&key, reply_to) {
-            Received::New | Received::Joined => {}
-            Received::Ended(outcome) => {
+            Received::New | Received::Joined | Received::Reused => {}
+            Received::Ended(outcome) | Received::Refused(outcome) => {
                 let reply = self.plain_reply(Some(key), outcome);
                 self.deliver(turn, reply_to, reply);
             }
         }
     }
 
-    /// A home closes all keys of a ticket below a counter.
+    /// A home closes keys and tickets.
     pub(super) fn acknowledged(
         &self,
         turn: &mut Turn<'_>,
         reply_to: ReplyTo,
         to: WorkerId,
-        ticket: TicketId,
-        lowest_open: u64,
+        home: WorkerId,
+        closings: &TicketClosings,
     ) {
         if to == self.settings.vm.worker {
-            self.executor.acknowledge(ticket, lowest_open);
+            for (ticket, lowest_open) in &closings.lowest_open {
+                self.executor.acknowledge(home, *ticket, *lowest_open);
+            }
+            self.executor.close(home, closings);
         }
         let outcome = Outcome::Unknown(UnknownReason::KeyAcknowledged);
         let reply = self.plain_reply(None, outcome);
@@ -195,13 +201,43 @@
     }
 
     fn settle_at_home(&self, turn: &mut Turn<'_>, reply_to: ReplyTo, key: CallKey) {
-        let outcome = match self.home.settle(&key, reply_to) {
-            Opened::New | Opened::Joined => return,
-            Opened::Kept(outcome) => outcome,
-            Opened::Refused(reason) => not_run(reason, 0, Refusal::before_hand_over().into()),
-        };
-        let reply = self.plain_reply(Some(key), outcome);
-        self.deliver(turn, reply_to, reply);
+        let opened = self.home.settle(&key, reply_to);
+        self.answer_opened(turn, reply_to, key, opened);
+    }
+
+    /// Asks the executor again about a call that ended in doubt.
+    pub(super) fn ask_again(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        executor: WorkerId,
+    ) {
+        let call = self.next_call();
+        self.home.reopen(&key, call, reply_to);
+        let dispatch = self.question(turn, key);
+        self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
+        self.ask_for_record(turn, call, dispatch, executor);
+    }
+
+    /// Sends the acknowledgements that are due.
+    pub(super) fn send_acknowledgements(&self, turn: &mut Turn<'_>) {
+        let batches = self.acks.due(turn.now);
+        if batches.is_empty() {
+            return;
+        }
+        let floors = self.home.floors();
+        for (to, mut closings) in batches {
+            closings.floors = floors;
+            let exchange = ExchangeId {
+                call: self.next_call(),
+                number: 0,
+            };
+            self.acks.sent(exchange.call, to, closings.clone());
+            let home = self.settings.vm.worker;
+            let message = PeerRequest::Acknowledge { to, home, closings };
+            self.send(turn, exchange, message, false, ACKNOWLEDGE_TIMEOUT_MS);
+        }
     }
 
     /// Takes in what one candidate says, and ends the call after the last one.
@@ -260,6 +296,11 @@
             deadline: turn.now.plus_ms(QUERY_WAIT_MS),
             state: DispatchState::Settling(Settling::default()),
             allowance: 0,
+            granted: 0,
+            in_doubt: false,
+            doubt: None,
+            waiters_answered: false,
+            acknowledged_below: 0,
             attempts: 0,
             tried: Vec::new(),
             next_number: 0,
--- /dev/null
+++ b/src/decide/record.rs
@@ -0,0 +1,148 @@
+//! The life of an execution record: received, handed over, ended.
+//!
+//! The state machine is the one place that decides which step may follow which.
+//! A step out of order changes nothing and is reported as [`Step::Rejected`].
+
+use std::fmt;
+
+use statig::Outcome as Next;
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+
+use super::node::ReplyTo;
+use crate::model::Outcome;
+
+/// What happens to a record.
+#[derive(Debug)]
+pub enum RecordEvent<'a> {
+    /// The same request came again, or somebody asks for its outcome.
+    Join(ReplyTo),
+    /// The request is about to be handed to the backend server.
+    HandOver,
+    /// The request is refused before the hand-over.
+    Refuse(&'a Outcome),
+    /// The backend server has answered or broken off.
+    End(&'a Outcome),
+}
+
+/// What a record says to an event.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// The event does not fit the state; nothing has changed.
+    Rejected,
+    /// The asker waits for the end.
+    Waiting,
+    /// The record had ended before with this outcome.
+    Ended(Outcome),
+    /// The event was taken in; these were waiting for the end.
+    Taken(Vec<ReplyTo>),
+}
+
+/// What a record keeps through its whole life.
+#[derive(Debug)]
+pub struct Life {
+    fingerprint: Option<u64>,
+    waiters: Vec<ReplyTo>,
+}
+
+/// A record with its state.
+pub struct Record {
+    machine: StateMachine<Life>,
+}
+
+impl Record {
+    /// A record of a request that was just received.
+    pub fn received(fingerprint: u64, waiter: ReplyTo) -> Record {
+        let life = Life {
+            fingerprint: Some(fingerprint),
+            waiters: vec![waiter],
+        };
+        Record {
+            machine: life.state_machine(),
+        }
+    }
+
+    /// A record that keeps a request out, which was never received.
+    pub fn tombstone(outcome: &Outcome) -> Record {
+        let life = Life {
+            fingerprint: None,
+            waiters: Vec::new(),
+        };
+        let mut record = Record {
+            machine: life.state_machine(),
+        };
+        record.step(&RecordEvent::Refuse(outcome));
+        record
+    }
+
+    /// Takes in an event.
+    pub fn step(&mut self, event: &RecordEvent<'_>) -> Step {
+        let mut step = Step::Rejected;
+        self.machine.handle_with_context(event, &mut step);
+        step
+    }
+
+    /// Whether a request with this fingerprint may be the recorded one.
+    pub fn matches(&self, fingerprint: u64) -> bool {
+        let own = self.machine.inner().fingerprint;
+        own.is_none_or(|own| own == fingerprint)
+    }
+}
+
+impl fmt::Debug for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Record")
+            .field("life", self.machine.inner())
+            .field("state", self.machine.state())
+            .finish()
+    }
+}
+
+#[statig::state_machine(initial = "State::received()", state(derive(Debug)))]
+impl Life {
+    #[state]
+    fn received(&mut self, context: &mut Step, event: &RecordEvent<'_>) -> Next<State> {
+        match event {
+            RecordEvent::Join(waiter) => self.wait(context, *waiter),
+            RecordEvent::HandOver => {
+                *context = Step::Taken(Vec::new());
+                Next::Transition(State::handed_over())
+            }
+            RecordEvent::Refuse(outcome) => self.finish(context, outcome),
+            RecordEvent::End(_) => Next::Handled,
+        }
+    }
+
+    #[state]
+    fn handed_over(&mut self, context: &mut Step, event: &RecordEvent<'_>) -> Next<State> {
+        match event {
+            RecordEvent::Join(waiter) => self.wait(context, *waiter),
+            RecordEvent::End(outcome) => self.finish(context, outcome),
+            RecordEvent::HandOver | RecordEvent::Refuse(_) => Next::Handled,
+        }
+    }
+
+    #[state]
+    fn ended(
+        outcome: &mut Box<Outcome>,
+        context: &mut Step,
+        event: &RecordEvent<'_>,
+    ) -> Next<State> {
+        if let RecordEvent::Join(_) = event {
+            *context = Step::Ended((**outcome).clone());
+        }
+        Next::Handled
+    }
+}
+
+impl Life {
+    fn wait(&mut self, step: &mut Step, waiter: ReplyTo) -> Next<State> {
+        self.waiters.push(waiter);
+        *step = Step::Waiting;
+        Next::Handled
+    }
+
+    fn finish(&mut self, step: &mut Step, outcome: &Outcome) -> Next<State> {
+        *step = Step::Taken(std::mem::take(&mut self.waiters));
+        Next::Transition(State::ended(Box::new(outcome.clone())))
+    }
+}
--- a/src/model/key.rs
+++ b/src/model/key.rs
@@ -11,6 +11,9 @@
 
 /// Most candidates that a ticket names.
 pub const MAX_CANDIDATES: usize = 3;
+/// A home counts its tickets in this many series: even numbers for callers,
+/// which are long-lived, odd ones for single calls beneath a run.
+pub const TICKET_SERIES: usize = 2;
 
 /// Identifies a ticket: the daemon that issued it, and a number that it never issues again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -53,6 +56,13 @@
     problem: &'static str,
 }
 
+impl CallKey {
+    /// Whether the key may run at a worker of a service.
+    pub fn may_run_at(&self, worker: WorkerId, service: &ServiceName) -> bool {
+        self.ticket.service == *service && self.ticket.candidates.contains(&worker)
+    }
+}
+
 impl fmt::Display for Ticket {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}~{}~{}", self.service, self.id.home, self.id.number)?;
