--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -5,6 +5,8 @@
 mod executing;
 mod parking;
 mod settling;
+mod tickets;
+mod wanting;
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
+use self::wanting::CalledServices;
 use super::acks::Acknowledgements;
 use super::admission::Admission;
 use super::budget::RetryBudgets;
@@ -33,8 +36,7 @@
 use super::timers::{Timers, Wakeup};
 use crate::model::key::MAX_CANDIDATES;
 use crate::model::{
-    Announcement, CallKey, Incarnation, Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs,
-    Vm,
+    Announcement, CallKey, Incarnation, Outcome, ServiceName, Sheet, SheetVersion, TimeMs, Vm,
 };
 
 /// What a [`Node`] is made from.
@@ -107,6 +109,7 @@
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
     counters: Counters,
+    called: CalledServices,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -147,6 +150,7 @@
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
             counters: Counters::default(),
+            called: CalledServices::default(),
             settings,
         }
     }
@@ -161,43 +165,6 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if the table of tickets is full or
-    /// the daemon is leaving.
-    pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
-        if self.is_draining() {
-            return None;
-        }
-        let candidates = self.candidates(service);
-        let (ticket, closed) = self.home.issue(service, candidates)?;
-        if let Some(closing) = closed {
-            self.acks.add(&closing);
-        }
-        Some(ticket)
-    }
-
-    /// Closes a ticket, which acknowledges all its answers; false if it is not
-    /// open here or one of its calls is running.
-    pub fn close_ticket(&self, ticket: &Ticket) -> bool {
-        if ticket.id.home != self.settings.vm.worker {
-            return false;
-        }
-        let closing = self.home.close(ticket);
-        if let Some(closing) = &closing {
-            self.acks.add(closing);
-        }
-        closing.is_some()
-    }
-
-    /// From now on this home opens no key and issues no ticket; what is open goes on.
-    pub fn begin_drain(&self) {
-        self.draining.store(true, Ordering::Release);
-    }
-
-    /// Whether [`Node::begin_drain`] was called.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
-    }
-
     /// Takes in an event and appends the actions that follow from it.
     pub fn handle(&self, now: TimeMs, event: Event, actions: &mut Vec<Action>) {
         let mut turn = Turn {
@@ -208,6 +175,9 @@
         while let Some(work) = turn.work.pop_front() {
             self.step(&mut turn, work);
         }
+        for service in self.called.take_new() {
+            turn.actions.push(Action::WantWorkers { service });
+        }
     }
 
     /// When [`Event::Tick`] should be handled next, if anything waits for it.
@@ -220,18 +190,6 @@
         self.rules.load().version()
     }
 
-    /// Calls that somebody still waits for or that run on the local backend
-    /// server. A daemon that drains may exit once this is zero.
-    pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
-    }
-
-    /// Whether some call is still to be acknowledged to its executors. They keep
-    /// the records if it is not, so a drain waits for it no longer than its limit.
-    pub fn has_unsent_acknowledgements(&self) -> bool {
-        !self.acks.is_empty()
-    }
-
     /// What this node has counted since it started.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- /dev/null
+++ b/src/decide/node/tickets.rs
@@ -0,0 +1,59 @@
+//! Tickets and the drain: what a home promises to callers, and how it stops.
+
+use std::sync::atomic::Ordering;
+
+use super::Node;
+use crate::decide::sharded::lock;
+use crate::model::{ServiceName, Ticket};
+
+impl Node {
+    /// A ticket for keys of a service; `None` if no worker of it is known yet,
+    /// the table of tickets is full or the daemon is leaving.
+    pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        self.called.note(service);
+        let candidates = self.candidates(service);
+        if candidates.is_empty() || self.is_draining() {
+            return None;
+        }
+        let (ticket, closed) = self.home.issue(service, candidates)?;
+        if let Some(closing) = closed {
+            self.acks.add(&closing);
+        }
+        Some(ticket)
+    }
+
+    /// Closes a ticket, which acknowledges all its answers; false if it is not
+    /// open here or one of its calls is running.
+    pub fn close_ticket(&self, ticket: &Ticket) -> bool {
+        if ticket.id.home != self.settings.vm.worker {
+            return false;
+        }
+        let closing = self.home.close(ticket);
+        if let Some(closing) = &closing {
+            self.acks.add(closing);
+        }
+        closing.is_some()
+    }
+
+    /// From now on this home opens no key and issues no ticket; what is open goes on.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Whether [`Node::begin_drain`] was called.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Calls that somebody still waits for or that run on the local backend
+    /// server. A daemon that drains may exit once this is zero.
+    pub fn unfinished(&self) -> usize {
+        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
+    }
+
+    /// Whether executors are still to be told of closed keys. They keep the
+    /// records if they are not, so a drain waits for it no longer than its limit.
+    pub fn has_unsent_acknowledgements(&self) -> bool {
+        !self.acks.is_empty()
+    }
+}
