Run random schedules over many daemons and prove that the checks bite

Found on the way: a call that settles a lost home got the kept answer of another request with the same key; the question now carries the request's fingerprint. Batches of acknowledgements left in the order of a hash map, so that one seed gave different runs; they are ordered now and a test compares two runs.

--- a/src/decide/acks.rs
+++ b/src/decide/acks.rs
@@ -1,6 +1,6 @@
 //! Acknowledgements on their way to executors: gathered, sent in bounded batches, sent again if lost.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 
 use super::home::Closing;
@@ -18,8 +18,8 @@
 #[derive(Debug, Default)]
 struct Pending {
     next_batch: TimeMs,
-    by_executor: HashMap<WorkerId, TicketClosings>,
-    sent: HashMap<CallId, (WorkerId, TicketClosings)>,
+    by_executor: BTreeMap<WorkerId, TicketClosings>,
+    sent: BTreeMap<CallId, (WorkerId, TicketClosings)>,
 }
 
 /// Closings that executors have not confirmed yet.
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -1,10 +1,13 @@
 //! A call on its way from this daemon to a backend server: attempts, retries, resolution.
 
 use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::evidence::NotRunEvidence;
 use super::message::{CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
 use super::node::ReplyTo;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use crate::model::{
     CallContext, CallKey, NotRunReason, Outcome, RequestName, ServiceName, TimeMs, WorkerId,
 };
@@ -149,6 +152,10 @@
     ) -> ExecuteRequest {
         let granted = self.allowance / 2;
         self.allowance -= granted;
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::CopyAllowance) {
+            self.allowance += granted;
+        }
         ExecuteRequest {
             to,
             service: self.service.clone(),
@@ -166,6 +173,12 @@
         }
     }
 
+    /// The fingerprint of the request; `None` for a mere question about a key.
+    pub fn fingerprint(&self) -> Option<u64> {
+        let is_question = self.request.as_str().is_empty();
+        (!is_question).then(|| fingerprint(&self.request, &self.body))
+    }
+
     /// Whether a reply can be the one that this call waits for: about its key,
     /// and from the process start that was asked unless that one is gone.
     pub fn is_answered_by(&self, reply: &PeerReply) -> bool {
@@ -225,3 +238,8 @@
         }
     }
 }
+
+/// Tells whether two requests under one key are the same request.
+pub fn fingerprint(request: &RequestName, body: &Bytes) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64_with_seed(request.as_str().as_bytes(), 0))
+}
--- a/src/decide/execution.rs
+++ b/src/decide/execution.rs
@@ -4,6 +4,8 @@
 
 use super::message::{CallId, LocalRun, Priority};
 use super::node::ReplyTo;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use crate::model::{CallContext, CallKey, RequestName, ServiceName, TimeMs};
 
 /// A call at its executor.
@@ -56,6 +58,10 @@
     pub fn child_context(&mut self, now: TimeMs) -> CallContext {
         let granted = self.allowance.div_ceil(2);
         self.allowance -= granted;
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::CopyAllowance) {
+            self.allowance += granted;
+        }
         let elapsed_ms = self.started.map_or(0, |started| now.since_ms(started));
         CallContext {
             time_left_ms: self.deadline.since_ms(now),
--- a/src/decide/executor.rs
+++ b/src/decide/executor.rs
@@ -11,6 +11,8 @@
 use super::message::TicketClosings;
 use super::node::ReplyTo;
 use super::record::{Record, RecordEvent, Step};
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use super::sharded::lock;
 use crate::model::key::TICKET_SERIES;
 use crate::model::{
@@ -136,11 +138,12 @@
             .unwrap_or_else(|| table.fence(key, reason, self.capacity))
     }
 
-    /// Tells what became of a key; one that is not known is fenced.
-    pub fn settle(&self, key: &CallKey, waiter: ReplyTo) -> Received {
+    /// Tells what became of a key; one that is not known is fenced. `asked` is
+    /// the fingerprint of the request that is asked for.
+    pub fn settle(&self, key: &CallKey, asked: Option<u64>, waiter: ReplyTo) -> Received {
         let mut table = lock(&self.table);
         table
-            .find(key, None, waiter)
+            .find(key, asked, waiter)
             .unwrap_or_else(|| table.fence(key, NotRunReason::Fenced, self.capacity))
     }
 
@@ -289,6 +292,12 @@
     /// which keeps out all smaller keys that have no record as well.
     fn fence(&mut self, key: &CallKey, reason: NotRunReason, capacity: usize) -> Received {
         let outcome = refusal(reason, 0);
+        #[cfg(test)]
+        if (reason == NotRunReason::Fenced && sabotage::is_on(Sabotage::ForgetFence))
+            || (reason == NotRunReason::SheetBehind && sabotage::is_on(Sabotage::ForgetRefusal))
+        {
+            return Received::Refused(outcome);
+        }
         let full = self.records >= capacity;
         let Some(ticket) = self.ticket(key, capacity) else {
             return Received::Ended(Outcome::Unknown(UnknownReason::TableExhausted));
@@ -357,6 +366,8 @@
 }
 
 fn join(record: &mut Record, asked: Option<u64>, waiter: ReplyTo) -> Received {
+    #[cfg(test)]
+    let asked = asked.filter(|_| !sabotage::is_on(Sabotage::IgnoreFingerprint));
     if asked.is_some_and(|asked| !record.matches(asked)) {
         return Received::Reused;
     }
--- a/src/decide/home.rs
+++ b/src/decide/home.rs
@@ -10,6 +10,8 @@
 use super::evidence::Unsent;
 use super::message::{CallId, TicketClosings};
 use super::node::ReplyTo;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use super::sharded::lock;
 use crate::model::key::TICKET_SERIES;
 use crate::model::{
@@ -234,8 +236,8 @@
     }
 
     /// Tells what became of a key; one that is not known is fenced here, before it was ever sent.
-    pub fn settle(&self, key: &CallKey, waiter: ReplyTo) -> Opened {
-        self.refuse_new(key, None, NotRunReason::Fenced, waiter)
+    pub fn settle(&self, key: &CallKey, asked: Option<u64>, waiter: ReplyTo) -> Opened {
+        self.refuse_new(key, asked, NotRunReason::Fenced, waiter)
     }
 
     /// Keeps the outcome of a call and returns who waits for it. `doubt` names
@@ -515,6 +517,8 @@
 
 impl HomeCall {
     fn join(&mut self, asked: Option<u64>, waiter: ReplyTo) -> Opened {
+        #[cfg(test)]
+        let asked = asked.filter(|_| !sabotage::is_on(Sabotage::IgnoreFingerprint));
         if let (Some(own), Some(asked)) = (self.fingerprint, asked)
             && own != asked
         {
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -114,6 +114,8 @@
         to: WorkerId,
         /// The key.
         key: CallKey,
+        /// The request that is asked for, if the asker has it: another one is refused.
+        fingerprint: Option<u64>,
     },
     /// Keys and tickets of a home that are closed.
     Acknowledge {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -24,6 +24,8 @@
 pub(crate) mod record;
 pub mod route;
 pub mod rules;
+#[cfg(test)]
+pub mod sabotage;
 pub mod sharded;
 pub mod timers;
 
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -2,10 +2,9 @@
 
 use bytes::Bytes;
 use rand::RngExt;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{Node, ReplyTo, Turn};
-use crate::decide::dispatch::{Dispatch, DispatchState};
+use crate::decide::dispatch::{Dispatch, DispatchState, fingerprint};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
 use crate::decide::home::{ChildOf, Opened};
 use crate::decide::message::{
@@ -331,8 +330,3 @@
         evidence,
     })
 }
-
-/// Tells whether two requests under one key are the same request.
-pub(super) fn fingerprint(request: &RequestName, body: &Bytes) -> u64 {
-    xxh3_64_with_seed(body, xxh3_64_with_seed(request.as_str().as_bytes(), 0))
-}
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -8,6 +8,8 @@
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
 use crate::decide::message::{Action, CallId, ExchangeId, PeerReply, PeerRequest, SendFailure};
+#[cfg(test)]
+use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
 use crate::model::{CallKey, NotRun, NotRunReason, Outcome, TimeMs, UnknownReason, WorkerId};
@@ -394,6 +396,16 @@
             };
             return self.refused(turn, call, dispatch, refusal, AfterRefusal::Retry);
         }
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::NeverResolve) {
+            let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
+            return self.end(turn, call, dispatch, outcome);
+        }
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::RetryInDoubt) && !dispatch.idempotent {
+            dispatch.tried.push(worker);
+            return self.retry_later(turn, call, dispatch);
+        }
         if !dispatch.idempotent {
             return self.ask_for_record(turn, call, dispatch, worker);
         }
@@ -430,7 +442,11 @@
         };
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
         self.dispatches.insert(call, dispatch);
-        let message = PeerRequest::Settle { to: worker, key };
+        let message = PeerRequest::Settle {
+            to: worker,
+            key,
+            fingerprint: None,
+        };
         self.send(turn, exchange, message, true, timeout_ms);
     }
 
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -1,13 +1,18 @@
 //! Calls at the backend server beside this daemon: admission, hand-over, answer.
 
-use super::arrive::{fingerprint, not_run};
+use std::sync::atomic::Ordering;
+
+use super::arrive::not_run;
 use super::{Node, ReplyTo, Turn};
 use crate::decide::admission::{Offer, Verdict};
 use crate::decide::counters::Counter;
+use crate::decide::dispatch::fingerprint;
 use crate::decide::evidence::{Refusal, Unsent};
 use crate::decide::execution::Execution;
 use crate::decide::executor::{HandOver, Received};
 use crate::decide::message::{Action, CallId, ExecuteRequest, PeerReply, Priority, SendFailure};
+#[cfg(test)]
+use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
 use crate::model::{Answer, CallKey, NotRunReason, Outcome, TicketId, UnknownReason};
@@ -24,7 +29,10 @@
         request: ExecuteRequest,
     ) {
         let granted = request.context.allowance;
-        if request.to != self.settings.vm.worker {
+        let is_foreign = request.to != self.settings.vm.worker;
+        #[cfg(test)]
+        let is_foreign = is_foreign && !sabotage::is_on(Sabotage::IgnoreIncarnation);
+        if is_foreign {
             return self.refuse_foreign(turn, reply_to, request.key, granted);
         }
         let rules = self.rules.load();
@@ -136,6 +144,8 @@
     }
 
     pub(super) fn local_server(&self, turn: &mut Turn<'_>, slots: u32, leaving: bool) {
+        #[cfg(test)]
+        let leaving = leaving && !sabotage::is_on(Sabotage::IgnoreLeaving);
         lock(&self.admission).set_server(slots, leaving);
         self.release_queue(turn);
     }
@@ -227,6 +237,7 @@
         let Some(execution) = self.executions.remove(&call) else {
             return;
         };
+        self.last_run_end.fetch_max(turn.now.0, Ordering::AcqRel);
         let started = execution.started.unwrap_or(turn.now);
         let service_ms = turn.now.since_ms(started);
         let caller = &execution.context.caller;
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -32,6 +32,8 @@
 use super::message::{Action, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
 use super::route::Router;
 use super::rules::RuleTable;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use super::sharded::{Sharded, lock};
 use super::timers::{Timers, Wakeup};
 use crate::model::key::MAX_CANDIDATES;
@@ -104,6 +106,7 @@
     executor: ExecutorTable,
     acks: Acknowledgements,
     draining: AtomicBool,
+    last_run_end: AtomicU64,
     timers: Timers,
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
@@ -145,6 +148,7 @@
             executor: ExecutorTable::new(settings.executor_records),
             acks: Acknowledgements::default(),
             draining: AtomicBool::new(false),
+            last_run_end: AtomicU64::new(0),
             timers: Timers::default(),
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
@@ -263,7 +267,11 @@
         match message {
             PeerRequest::Execute(request) => self.execute(turn, call, reply_to, request),
             PeerRequest::Submit(request) => self.submit(turn, call, reply_to, request),
-            PeerRequest::Settle { to, key } => self.settle(turn, reply_to, to, key),
+            PeerRequest::Settle {
+                to,
+                key,
+                fingerprint,
+            } => self.settle(turn, reply_to, to, key, fingerprint),
             PeerRequest::Acknowledge { to, home, closings } => {
                 self.acknowledged(turn, reply_to, to, home, &closings)
             }
@@ -284,6 +292,8 @@
     }
 
     fn workers_learned(&self, now: TimeMs, workers: &[Announcement]) {
+        #[cfg(test)]
+        let workers = &Node::with_leaving_ignored(workers);
         self.router.learn(workers);
         let present: HashMap<SocketAddr, Incarnation> = workers
             .iter()
@@ -297,6 +307,17 @@
         });
     }
 
+    #[cfg(test)]
+    fn with_leaving_ignored(workers: &[Announcement]) -> Vec<Announcement> {
+        let mut workers = workers.to_vec();
+        if sabotage::is_on(Sabotage::IgnoreLeaving) {
+            for worker in &mut workers {
+                worker.state = crate::model::ServerState::Serving;
+            }
+        }
+        workers
+    }
+
     /// Reports that an invariant would have been broken. The caller refuses the request.
     fn breach(&self, turn: &mut Turn<'_>, invariant: &'static str, key: Option<&CallKey>) {
         self.counters.add(Counter::Breaches);
@@ -357,6 +378,10 @@
     /// Delivers one outcome to all who wait; only the first gets the allowance back.
     fn deliver_all(&self, turn: &mut Turn<'_>, waiters: &[ReplyTo], reply: &PeerReply) {
         for (index, waiter) in waiters.iter().enumerate() {
+            #[cfg(test)]
+            if index > 0 && sabotage::is_on(Sabotage::AnswerFirstOnly) {
+                break;
+            }
             let mut reply = reply.clone();
             if index > 0 {
                 reply.allowance_left = 0;
--- a/src/decide/node/parking.rs
+++ b/src/decide/node/parking.rs
@@ -1,7 +1,7 @@
 //! Messages that were classified by a newer sheet than the one in force here.
 
-use super::arrive::fingerprint;
 use super::{Node, ReplyTo, Turn};
+use crate::decide::dispatch::fingerprint;
 use crate::decide::message::{Action, CallId, ExecuteRequest, PeerRequest};
 use crate::decide::sharded::lock;
 use crate::model::{NotRunReason, TimeMs};
--- a/src/decide/node/settling.rs
+++ b/src/decide/node/settling.rs
@@ -10,7 +10,8 @@
 };
 use crate::decide::timers::Wakeup;
 use crate::model::{
-    CallContext, CallKey, Importance, NotRunReason, Outcome, RootId, UnknownReason, WorkerId,
+    CallContext, CallKey, Importance, NotRun, NotRunReason, Outcome, RootId, UnknownReason,
+    WorkerId,
 };
 
 /// Longest that a caller who asks for a key waits for a run to end, in milliseconds.
@@ -25,7 +26,7 @@
         let home = key.ticket.id.home;
         let reply_to = ReplyTo::Caller(call);
         if home == me {
-            return self.settle_at_home(turn, reply_to, key);
+            return self.settle_at_home(turn, reply_to, key, None);
         }
         let mut dispatch = self.question(turn, key.clone());
         dispatch.reply_to = Some(reply_to);
@@ -38,7 +39,11 @@
         };
         self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
         self.dispatches.insert(call, dispatch);
-        let message = PeerRequest::Settle { to: home, key };
+        let message = PeerRequest::Settle {
+            to: home,
+            key,
+            fingerprint: None,
+        };
         self.send(turn, exchange, message, false, QUERY_WAIT_MS);
     }
 
@@ -107,16 +112,15 @@
             return self.end(turn, call, dispatch, outcome);
         }
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
+        let asked = dispatch.fingerprint();
         self.dispatches.insert(call, dispatch);
         for (exchange, to) in exchanges {
-            let key = key.clone();
-            self.send(
-                turn,
-                exchange,
-                PeerRequest::Settle { to, key },
-                true,
-                timeout_ms,
-            );
+            let message = PeerRequest::Settle {
+                to,
+                key: key.clone(),
+                fingerprint: asked,
+            };
+            self.send(turn, exchange, message, true, timeout_ms);
         }
     }
 
@@ -128,10 +132,12 @@
     ) {
         let finding = match reply.outcome {
             Outcome::Done(_) => Finding::Done(reply.outcome),
-            Outcome::NotRun(refusal) if refusal.reason != NotRunReason::WrongIncarnation => {
-                Finding::Fence(refusal.evidence)
-            }
-            Outcome::NotRun(_) | Outcome::Unknown(_) => Finding::Missing,
+            Outcome::NotRun(refusal) => match refusal.reason {
+                NotRunReason::WrongIncarnation => Finding::Missing,
+                NotRunReason::KeyReused => Finding::Reused(refusal),
+                _ => Finding::Fence(refusal.evidence),
+            },
+            Outcome::Unknown(_) => Finding::Missing,
         };
         self.candidate_found(turn, exchange, finding);
     }
@@ -147,6 +153,7 @@
         reply_to: ReplyTo,
         to: WorkerId,
         key: CallKey,
+        asked: Option<u64>,
     ) {
         let me = self.settings.vm.worker;
         if to != me {
@@ -154,15 +161,18 @@
         }
         let own_question = matches!(reply_to, ReplyTo::Local(_));
         if key.ticket.id.home == me && !own_question {
-            return self.settle_at_home(turn, reply_to, key);
+            return self.settle_at_home(turn, reply_to, key, asked);
         }
-        match self.executor.settle(&key, reply_to) {
-            Received::New | Received::Joined | Received::Reused => {}
-            Received::Ended(outcome) | Received::Refused(outcome) => {
-                let reply = self.plain_reply(Some(key), outcome);
-                self.deliver(turn, reply_to, reply);
+        let outcome = match self.executor.settle(&key, asked, reply_to) {
+            Received::New | Received::Joined => return,
+            Received::Ended(outcome) | Received::Refused(outcome) => outcome,
+            Received::Reused => {
+                let evidence = Refusal::before_hand_over().into();
+                not_run(NotRunReason::KeyReused, 0, evidence)
             }
-        }
+        };
+        let reply = self.plain_reply(Some(key), outcome);
+        self.deliver(turn, reply_to, reply);
     }
 
     /// A home closes keys and tickets.
@@ -200,8 +210,14 @@
         self.deliver(turn, reply_to, reply);
     }
 
-    fn settle_at_home(&self, turn: &mut Turn<'_>, reply_to: ReplyTo, key: CallKey) {
-        let opened = self.home.settle(&key, reply_to);
+    fn settle_at_home(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        asked: Option<u64>,
+    ) {
+        let opened = self.home.settle(&key, asked, reply_to);
         self.answer_opened(turn, reply_to, key, opened);
     }
 
@@ -254,6 +270,7 @@
         }
         let outcome = match finding {
             Finding::Done(outcome) => Some(outcome),
+            Finding::Reused(refusal) => Some(Outcome::NotRun(refusal)),
             Finding::Fence(evidence) => {
                 settling.fences.push(evidence);
                 settling.verdict()
@@ -313,6 +330,7 @@
 /// What one candidate says of a key.
 enum Finding {
     Done(Outcome),
+    Reused(NotRun),
     Fence(NotRunEvidence),
     Missing,
 }
--- a/src/decide/node/tickets.rs
+++ b/src/decide/node/tickets.rs
@@ -3,8 +3,10 @@
 use std::sync::atomic::Ordering;
 
 use super::Node;
+#[cfg(test)]
+use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
-use crate::model::{ServiceName, Ticket};
+use crate::model::{ServiceName, Ticket, TimeMs};
 
 impl Node {
     /// A ticket for keys of a service; `None` if no worker of it is known yet,
@@ -51,6 +53,19 @@
         self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
     }
 
+    /// Whether a daemon that drains may exit: nothing is unfinished, and every
+    /// answer was kept long enough for a home whose reply was lost to ask again.
+    pub fn may_exit(&self, now: TimeMs) -> bool {
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::ExitEarly) {
+            return self.is_draining();
+        }
+        let last = TimeMs(self.last_run_end.load(Ordering::Acquire));
+        let kept_ms = now.since_ms(last);
+        let answered = last == TimeMs(0) || kept_ms >= self.settings.reply_grace_ms;
+        self.is_draining() && self.unfinished() == 0 && answered
+    }
+
     /// Whether executors are still to be told of closed keys. They keep the
     /// records if they are not, so a drain waits for it no longer than its limit.
     pub fn has_unsent_acknowledgements(&self) -> bool {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,3 +14,9 @@
 pub mod prelude;
 pub mod standin;
 pub mod util;
+
+#[cfg(test)]
+extern crate self as burdockhall;
+#[cfg(test)]
+#[path = "../tests/broken/mod.rs"]
+mod broken;
--- /dev/null
+++ b/tests/broken/mod.rs
@@ -0,0 +1,72 @@
+//! Each deliberately broken variant must be caught by the randomised runs, by
+//! the check that is meant for it.
+
+#[path = "../support/mod.rs"]
+mod support;
+
+use crate::decide::sabotage::{self, Sabotage};
+use support::once::check_seed;
+
+/// Schedules within which a broken variant must be caught.
+const SCHEDULES: u64 = 6_000;
+
+#[derive(Debug)]
+struct Case {
+    broken: Sabotage,
+    caught_by: &'static str,
+}
+
+const CASES: [Case; 10] = [
+    Case {
+        broken: Sabotage::RetryInDoubt,
+        caught_by: "ran 2 times",
+    },
+    Case {
+        broken: Sabotage::ForgetFence,
+        caught_by: "ran after NotRun",
+    },
+    Case {
+        broken: Sabotage::ForgetRefusal,
+        caught_by: "ran after NotRun",
+    },
+    Case {
+        broken: Sabotage::IgnoreFingerprint,
+        caught_by: "got a foreign answer",
+    },
+    Case {
+        broken: Sabotage::CopyAllowance,
+        caught_by: "extra attempts",
+    },
+    Case {
+        broken: Sabotage::IgnoreLeaving,
+        caught_by: "new work for a leaving server",
+    },
+    Case {
+        broken: Sabotage::ExitEarly,
+        caught_by: "cut in a drain",
+    },
+    Case {
+        broken: Sabotage::NeverResolve,
+        caught_by: "is done, but the answer is",
+    },
+    Case {
+        broken: Sabotage::AnswerFirstOnly,
+        caught_by: "has no outcome",
+    },
+    Case {
+        broken: Sabotage::IgnoreIncarnation,
+        caught_by: "breaches",
+    },
+];
+
+#[test]
+fn every_broken_variant_is_caught() {
+    for case in &CASES {
+        sabotage::set(Some(case.broken));
+        let mut problems = (1..=SCHEDULES).filter_map(|seed| check_seed(seed, false).err());
+        let caught = problems.find(|problem| problem.contains(case.caught_by));
+        sabotage::set(None);
+        let caught = caught.unwrap_or_else(|| panic!("{case:?} was not caught"));
+        println!("{case:?}: {}", caught.lines().next().unwrap_or_default());
+    }
+}
--- /dev/null
+++ b/tests/once_random.rs
@@ -0,0 +1,62 @@
+//! Long randomised runs of keyed calls over many daemons under faults.
+
+mod support;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::thread;
+
+use support::once::{Stats, check_seed};
+
+const CI_SCHEDULES: u64 = 400;
+const LONG_SCHEDULES: u64 = 100_000;
+const THREADS: u64 = 3;
+
+#[test]
+fn fixed_seeds_keep_every_invariant() {
+    let stats = run_seeds(1, CI_SCHEDULES);
+    assert!(stats.done > 0 && stats.not_run > 0 && stats.unknown > 0);
+}
+
+#[test]
+fn a_seed_gives_the_same_run_every_time() {
+    for seed in 1..=50 {
+        assert_eq!(check_seed(seed, false), check_seed(seed, false));
+    }
+}
+
+/// Reads BURDOCKHALL_SEED and BURDOCKHALL_COUNT; prints the first failing seed.
+#[test]
+#[ignore = "takes minutes; run it in the release profile"]
+fn long_run_keeps_every_invariant() {
+    let first = variable("BURDOCKHALL_SEED", 1_000_000);
+    let count = variable("BURDOCKHALL_COUNT", LONG_SCHEDULES);
+    let stats = run_seeds(first, count);
+    println!("{count} schedules from seed {first}: {stats:?}");
+}
+
+fn run_seeds(first: u64, count: u64) -> Stats {
+    let next = AtomicU64::new(first);
+    let worker = || {
+        let mut total = Stats::default();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= first + count {
+                return total;
+            }
+            match check_seed(seed, true) {
+                Ok(stats) => total = total.plus(&stats),
+                Err(problem) => panic!("{problem}"),
+            }
+        }
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(worker)).collect();
+        let totals = threads.into_iter().map(|thread| thread.join().unwrap());
+        totals.fold(Stats::default(), |sum, stats| sum.plus(&stats))
+    })
+}
+
+fn variable(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.map_or(default, |text| text.parse().unwrap())
+}
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -106,6 +106,11 @@
         )]
     }
 
+    /// Runs that have not ended.
+    pub fn running(&self) -> usize {
+        self.runs.len()
+    }
+
     fn start_waiting(&mut self) -> Vec<(u64, BackendStep)> {
         let mut steps = Vec::new();
         while self.busy < self.slots {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub mod backend;
+pub mod once;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -102,9 +103,21 @@
     pub ended: Option<(TimeMs, Outcome)>,
 }
 
+/// A request that was handed to a backend server.
+#[derive(Debug, Clone)]
+pub struct RunSeen {
+    pub at: TimeMs,
+    pub host: Host,
+    pub incarnation: Incarnation,
+    pub call: CallId,
+    pub key: Option<CallKey>,
+}
+
 /// All daemons, the network between them and the clients.
 pub struct World {
     pub now: TimeMs,
+    /// Time between two ticks, in milliseconds.
+    pub tick_ms: u64,
     pub hosts: Vec<HostState>,
     pub faults: NetworkFaults,
     pub cut: HashSet<(Host, Host)>,
@@ -114,6 +127,14 @@
     /// Extra attempts made for each root request, over the whole tree.
     pub attempts: HashMap<u64, u32>,
     pub notes: Vec<(TimeMs, Host, Note)>,
+    /// Every request handed to a backend server.
+    pub runs: Vec<RunSeen>,
+    /// Every outcome told to a client or to a backend server, with its key.
+    pub told: Vec<(String, Outcome)>,
+    /// Since when each host's backend server is leaving.
+    pub left: HashMap<Host, TimeMs>,
+    /// Calls that sent attempts for each root request.
+    pub callers_of_root: HashMap<u64, HashSet<(Host, Incarnation, CallId)>>,
     pub rng: Xoshiro256PlusPlus,
     pub children: BTreeMap<(ServiceName, String), Vec<(ServiceName, String)>>,
     mechanisms: Mechanisms,
@@ -131,6 +152,7 @@
     pub fn new(seed: u64, mechanisms: Mechanisms, sheet: Sheet, plans: Vec<HostPlan>) -> World {
         let mut world = World {
             now: TimeMs(1),
+            tick_ms: TICK_MS,
             hosts: Vec::new(),
             faults: NetworkFaults::default(),
             cut: HashSet::new(),
@@ -138,6 +160,10 @@
             executions: HashMap::new(),
             attempts: HashMap::new(),
             notes: Vec::new(),
+            runs: Vec::new(),
+            told: Vec::new(),
+            left: HashMap::new(),
+            callers_of_root: HashMap::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             children: BTreeMap::new(),
             mechanisms,
@@ -228,9 +254,48 @@
         let plan = self.hosts[host].plan.clone();
         let started = self.hosts[host].started + 1;
         self.hosts[host] = self.start_host(host, plan, started);
+        self.left.remove(&host);
         self.spread();
     }
 
+    /// Starts a new process at the address of a host; others learn of it after `delay_ms`.
+    pub fn replace_quietly(&mut self, host: Host, delay_ms: u64) {
+        let plan = self.hosts[host].plan.clone();
+        let started = self.hosts[host].started + 1;
+        self.hosts[host] = self.start_host(host, plan, started);
+        self.left.remove(&host);
+        let workers = self.announcements();
+        for other in 0..self.hosts.len() {
+            let wait_ms = if other == host { 0 } else { delay_ms };
+            let event = Event::WorkersLearned(workers.clone());
+            self.deliver_later(other, self.incarnation(other), wait_ms, event);
+        }
+    }
+
+    /// Tells one host of a sheet after a delay.
+    pub fn learn_sheet(&mut self, host: Host, delay_ms: u64, sheet: Sheet) {
+        let event = Event::SheetLearned(Arc::new(sheet));
+        self.deliver_later(host, self.incarnation(host), delay_ms, event);
+    }
+
+    /// The process that stands at a host.
+    pub fn incarnation(&self, host: Host) -> Incarnation {
+        self.hosts[host].node.vm().worker.incarnation
+    }
+
+    /// Whether the process that was meant still runs.
+    pub fn lives(&self, host: Host, incarnation: Incarnation) -> bool {
+        self.hosts[host].alive && self.incarnation(host) == incarnation
+    }
+
+    /// Daemons and clients that still wait for an answer of this process.
+    pub fn waiting_for(&self, host: Host, incarnation: Incarnation) -> usize {
+        let clients = self.waiting_clients.keys();
+        let peers = self.waiting_peers.keys();
+        let at_host = |key: &(Host, Incarnation, CallId)| key.0 == host && key.1 == incarnation;
+        clients.copied().filter(at_host).count() + peers.copied().filter(at_host).count()
+    }
+
     /// Stops a daemon from doing anything for a span; what arrives waits.
     pub fn pause(&mut self, host: Host, span_ms: u64) {
         self.hosts[host].paused_until = self.now.plus_ms(span_ms);
@@ -240,6 +305,7 @@
     pub fn leave(&mut self, host: Host, delay_ms: u64) {
         let incarnation = self.hosts[host].node.vm().worker.incarnation;
         self.hosts[host].backend.leaving = true;
+        self.left.entry(host).or_insert(self.now);
         let slots = self.hosts[host].plan.slots;
         let event = Event::LocalServer {
             slots,
@@ -348,7 +414,7 @@
                         self.handle(host, incarnation, Event::Tick);
                     }
                 }
-                self.schedule(TICK_MS, Delivery::Tick);
+                self.schedule(self.tick_ms, Delivery::Tick);
             }
             Delivery::ToNode {
                 host,
@@ -388,7 +454,12 @@
 
     fn carry_out(&mut self, host: Host, incarnation: Incarnation, action: Action) {
         match action {
-            Action::Answer { call, outcome, .. } => self.answered(host, incarnation, call, outcome),
+            Action::Answer { call, outcome, key } => {
+                if let Some(key) = key {
+                    self.told.push((key.to_string(), outcome.clone()));
+                }
+                self.answered(host, incarnation, call, outcome);
+            }
             Action::ReplyPeer { call, reply } => self.reply(host, incarnation, call, reply),
             Action::SendPeer {
                 exchange,
@@ -408,6 +479,13 @@
                 if let Some(key) = &run.key {
                     *self.executions.entry(key.to_string()).or_default() += 1;
                 }
+                self.runs.push(RunSeen {
+                    at: self.now,
+                    host,
+                    incarnation,
+                    call: run.call,
+                    key: run.key.clone(),
+                });
                 let children = self
                     .children
                     .get(&(run.service.clone(), run.request.to_string()))
@@ -435,7 +513,7 @@
         message: PeerRequest,
         timeout_ms: u64,
     ) {
-        self.count_attempt(&message, exchange);
+        self.count_attempt(from, &message, exchange);
         let to = host_of(message.to().address);
         let silent = Event::PeerFailed {
             exchange,
@@ -454,7 +532,7 @@
             return self.deliver_later(from, incarnation, 2 * delay_ms, refused);
         }
         if self.chance(self.faults.double_request) {
-            let late_ms = delay_ms + self.rng.random_range(0..=2_000);
+            let late_ms = delay_ms + self.rng.random_range(1..=2_000);
             let copy = Delivery::Request {
                 from,
                 from_incarnation: incarnation,
@@ -472,9 +550,12 @@
         self.schedule(delay_ms, request);
     }
 
-    fn count_attempt(&mut self, message: &PeerRequest, _exchange: ExchangeId) {
+    fn count_attempt(&mut self, from: Host, message: &PeerRequest, exchange: ExchangeId) {
         if let PeerRequest::Execute(request) = message {
-            *self.attempts.entry(request.context.root.0).or_default() += 1;
+            let root = request.context.root.0;
+            *self.attempts.entry(root).or_default() += 1;
+            let caller = (from, self.incarnation(from), exchange.call);
+            self.callers_of_root.entry(root).or_default().insert(caller);
         }
     }
 
