--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -18,7 +18,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
-use self::wanting::CalledServices;
+use self::wanting::{CalledServices, WaitingCall};
 use super::acks::Acknowledgements;
 use super::admission::Admission;
 use super::budget::RetryBudgets;
@@ -113,6 +113,7 @@
     parked: Mutex<Vec<Parked>>,
     counters: Counters,
     called: CalledServices,
+    waiting_calls: Mutex<Vec<WaitingCall>>,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -155,6 +156,7 @@
             parked: Mutex::default(),
             counters: Counters::default(),
             called: CalledServices::default(),
+            waiting_calls: Mutex::default(),
             settings,
         }
     }
@@ -238,7 +240,10 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.workers_learned(turn.now, &workers),
+            Event::WorkersLearned(workers) => {
+                self.workers_learned(turn.now, &workers);
+                self.resume_waiting(turn);
+            }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
             Event::Tick => self.tick(turn),
         }
@@ -337,6 +342,7 @@
         self.expire_parked(turn);
         self.executor.expire_gone_homes(turn.now);
         self.send_acknowledgements(turn);
+        self.resume_waiting(turn);
         self.release_queue(turn);
         self.note_limit(turn);
     }
--- a/src/decide/node/tickets.rs
+++ b/src/decide/node/tickets.rs
@@ -50,7 +50,8 @@
     /// Calls that somebody still waits for or that run on the local backend
     /// server. A daemon that drains may exit once this is zero.
     pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
+        let moving = self.dispatches.len() + self.executions.len();
+        moving + lock(&self.parked).len() + lock(&self.waiting_calls).len()
     }
 
     /// Whether a daemon that drains may exit: nothing is unfinished, and every
