--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -54,6 +54,9 @@
     pub executor_records: usize,
     /// Longest wait for an executor's or home's reply beyond the deadline, in milliseconds.
     pub reply_grace_ms: u64,
+    /// Longest silence of a connection to another daemon before it is abandoned
+    /// and its call is resolved over a new one, in milliseconds.
+    pub silence_ms: u64,
     /// Which mechanisms are on.
     pub mechanisms: Mechanisms,
     /// Seed of the random choices.
@@ -166,6 +169,11 @@
         &self.settings.vm
     }
 
+    /// Longest silence of a connection to another daemon, in milliseconds.
+    pub fn silence_ms(&self) -> u64 {
+        self.settings.silence_ms
+    }
+
     /// A number for a call that is about to arrive.
     pub fn next_call(&self) -> CallId {
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -20,6 +20,8 @@
 
 /// Time between two ticks of the decisions, in milliseconds.
 const TICK_MS: u64 = 5;
+/// Longest silence of a connection to another daemon, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
 /// Announcements of the backend server that may wait to be taken in.
 const ANNOUNCEMENT_BUFFER: usize = 16;
 /// Control messages of other daemons that may wait to be taken in.
@@ -55,6 +57,7 @@
             },
             executor_records: settings.executor_records,
             reply_grace_ms: settings.reply_grace_ms,
+            silence_ms: SILENCE_MS,
             mechanisms,
             seed,
         });
--- a/src/net/hop.rs
+++ b/src/net/hop.rs
@@ -1,26 +1,37 @@
 //! Calls between daemons: one HTTP exchange a message, the message in a header
-//! as JSON and the request's or answer's body as the body.
+//! as JSON and the request's body as the body.
+//!
+//! A reply is one line of JSON, a newline and the body of the answer. While it
+//! is awaited the replying daemon sends newlines ahead of it, by which the
+//! asking one sees that the connection is alive; see [`super::watch`].
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::Incoming;
-use hyper::header::HeaderValue;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Frame, Incoming};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
 
 use super::error::NetError;
-use super::http::{self, FullResponse, HttpClient};
+use super::http::{self, HttpClient};
 use super::pump::Pump;
+use super::watch::{PROGRESS_INTERVAL_MS, Watch, WatchEvent};
 use crate::decide::{Event, PeerReply, PeerRequest, Priority, WireOutcome};
-use crate::model::{CallKey, WorkerId};
+use crate::model::{CallKey, Clock, WorkerId};
 
 const MESSAGE_HEADER: &str = "burdockhall-message";
-const REPLY_HEADER: &str = "burdockhall-reply";
 /// Connections kept open to each daemon.
 const IDLE_CONNECTIONS: usize = 32;
+/// Ends the JSON of a reply, and fills the time until it is ready.
+const NEWLINE: u8 = b'\n';
+/// Largest reply, in bytes: a body and its JSON line.
+const MAX_REPLY_BYTES: usize = http::MAX_BODY_BYTES + 64 * 1024;
 
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -33,23 +44,45 @@
     service_ms: u64,
 }
 
+/// The body of a reply, which may be on its way still.
+#[derive(Debug)]
+pub struct ReplyBody {
+    parts: mpsc::Receiver<Bytes>,
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = std::convert::Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        let part = self.parts.poll_recv(context);
+        part.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+    }
+}
+
 /// Sends messages to other daemons.
 #[derive(Debug, Clone)]
 pub struct HopClient {
     pooled: HttpClient,
     fresh: HttpClient,
+    clock: Clock,
+    silence_ms: u64,
 }
 
-impl Default for HopClient {
-    fn default() -> Self {
+impl HopClient {
+    /// A client that abandons a connection after `silence_ms` without progress.
+    pub fn new(clock: Clock, silence_ms: u64) -> HopClient {
         HopClient {
             pooled: http::client(IDLE_CONNECTIONS),
             fresh: http::client(0),
+            clock,
+            silence_ms,
         }
     }
-}
 
-impl HopClient {
     /// Sends one message and waits for its reply.
     pub async fn send(
         &self,
@@ -60,13 +93,15 @@
         let address = message.to().address;
         let key = message_key(&message).cloned();
         let request = encode_request(address, message)?;
-        let client = if fresh_connection {
-            &self.fresh
-        } else {
-            &self.pooled
+        let reply = tokio::time::timeout(
+            Duration::from_millis(timeout_ms),
+            self.exchange(address, request, fresh_connection),
+        );
+        let silent = NetError::Silent {
+            address,
+            timeout_ms,
         };
-        let (_, headers, body) = http::exchange(client, address, request, timeout_ms).await?;
-        let reply = decode_reply(address, &headers, body)?;
+        let reply = decode_reply(address, reply.await.unwrap_or(Err(silent))?)?;
         if reply.key.is_some() && reply.key != key {
             return Err(NetError::Broken {
                 address,
@@ -75,26 +110,140 @@
         }
         Ok(reply)
     }
+
+    /// Sends a request and reads the whole reply, as long as the connection makes progress.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        fresh_connection: bool,
+    ) -> Result<Bytes, NetError> {
+        let client = if fresh_connection {
+            &self.fresh
+        } else {
+            &self.pooled
+        };
+        let broken = |message: String| NetError::Broken { address, message };
+        let mut watch = Watch::new(self.clock.now(), self.silence_ms);
+        let response = self.watched(&mut watch, address, client.request(request));
+        let response = response
+            .await?
+            .map_err(|error| http::client_error(address, &error))?;
+        if response.status() != StatusCode::OK {
+            return Err(broken(format!("the status is {}", response.status())));
+        }
+        let mut body = response.into_body();
+        let mut whole = BytesMut::new();
+        while let Some(frame) = self.watched(&mut watch, address, body.frame()).await? {
+            let frame = frame.map_err(|error| broken(error.to_string()))?;
+            let Some(data) = frame.data_ref() else {
+                continue;
+            };
+            let is_progress = whole.is_empty() && data.iter().all(|byte| *byte == NEWLINE);
+            if !is_progress {
+                whole.extend_from_slice(data);
+            }
+            if whole.len() > MAX_REPLY_BYTES {
+                return Err(broken("the reply is too long".to_owned()));
+            }
+        }
+        Ok(whole.freeze())
+    }
+
+    /// Waits for something on a connection, at most until the connection is abandoned.
+    async fn watched<F: Future>(
+        &self,
+        watch: &mut Watch,
+        address: SocketAddr,
+        step: F,
+    ) -> Result<F::Output, NetError> {
+        let mut step = std::pin::pin!(step);
+        loop {
+            let wait_ms = watch.next_look().since_ms(self.clock.now()).max(1);
+            let waited = tokio::time::timeout(Duration::from_millis(wait_ms), &mut step).await;
+            let now = self.clock.now();
+            if let Ok(output) = waited {
+                watch.is_abandoned_after(WatchEvent::Progress(now));
+                return Ok(output);
+            }
+            if watch.is_abandoned_after(WatchEvent::Tick(now)) {
+                return Err(NetError::Silent {
+                    address,
+                    timeout_ms: self.silence_ms,
+                });
+            }
+        }
+    }
 }
 
 /// Answers one message from another daemon.
-pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> FullResponse {
+pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> Response<ReplyBody> {
     let (parts, body) = request.into_parts();
     let body = match http::read_body(body).await {
         Ok(body) => body,
-        Err(message) => return http::error(StatusCode::PAYLOAD_TOO_LARGE, &message),
+        Err(message) => return refusal(StatusCode::PAYLOAD_TOO_LARGE, &message),
     };
     let message = match decode_request(&parts.headers, body) {
         Ok(message) => message,
-        Err(error) => return http::error(StatusCode::BAD_REQUEST, &error.to_string()),
+        Err(error) => return refusal(StatusCode::BAD_REQUEST, &error.to_string()),
     };
-    let reply = pump
-        .wait_for_peer(|call| Event::PeerArrived { call, message })
-        .await;
-    match reply.and_then(encode_reply) {
-        Some(response) => response,
-        None => http::error(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping"),
+    let mut reply = Box::pin(async move {
+        let event = |call| Event::PeerArrived { call, message };
+        pump.wait_for_peer(event).await
+    });
+    let interval = Duration::from_millis(PROGRESS_INTERVAL_MS);
+    match tokio::time::timeout(interval, &mut reply).await {
+        Ok(reply) => match reply.and_then(encode_reply) {
+            Some((line, body)) => response(StatusCode::OK, [line, body]),
+            None => refusal(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping"),
+        },
+        Err(_) => {
+            let (sender, parts) = mpsc::channel(2);
+            tokio::spawn(send_when_ready(reply, sender));
+            Response::new(ReplyBody { parts })
+        }
+    }
+}
+
+/// Sends progress until the reply is ready, then the reply. If the connection
+/// is closed before, the reply is given up.
+async fn send_when_ready<F>(mut reply: Pin<Box<F>>, sender: mpsc::Sender<Bytes>)
+where
+    F: Future<Output = Option<PeerReply>>,
+{
+    let mut interval = tokio::time::interval(Duration::from_millis(PROGRESS_INTERVAL_MS));
+    loop {
+        tokio::select! {
+            ready = &mut reply => {
+                if let Some((line, body)) = ready.and_then(encode_reply) {
+                    let _ = sender.send(line).await;
+                    let _ = sender.send(body).await;
+                }
+                return;
+            }
+            () = sender.closed() => return,
+            _ = interval.tick() => {
+                let _ = sender.try_send(Bytes::from_static(&[NEWLINE]));
+            }
+        }
+    }
+}
+
+fn response(status: StatusCode, parts: [Bytes; 2]) -> Response<ReplyBody> {
+    let (sender, receiver) = mpsc::channel(parts.len());
+    for part in parts {
+        let _ = sender.try_send(part);
     }
+    let mut response = Response::new(ReplyBody { parts: receiver });
+    *response.status_mut() = status;
+    response
+}
+
+fn refusal(status: StatusCode, message: &str) -> Response<ReplyBody> {
+    response(
+        status,
+        [Bytes::copy_from_slice(message.as_bytes()), Bytes::new()],
+    )
 }
 
 fn message_key(message: &PeerRequest) -> Option<&CallKey> {
@@ -135,7 +284,8 @@
     Ok(message)
 }
 
-fn encode_reply(reply: PeerReply) -> Option<FullResponse> {
+/// A reply as its JSON line, with the newline, and the body of its answer.
+fn encode_reply(reply: PeerReply) -> Option<(Bytes, Bytes)> {
     let (outcome, body) = WireOutcome::from_outcome(reply.outcome);
     let wire = WireReply {
         from: reply.from,
@@ -145,27 +295,22 @@
         level: reply.level,
         service_ms: reply.service_ms,
     };
-    let header = serde_json::to_vec(&wire).ok()?;
-    let header = HeaderValue::from_bytes(&header).ok()?;
-    let mut response = Response::new(Full::new(body));
-    response.headers_mut().insert(REPLY_HEADER, header);
-    Some(response)
+    let mut line = serde_json::to_vec(&wire).ok()?;
+    line.push(NEWLINE);
+    Some((line.into(), body))
 }
 
-fn decode_reply(
-    address: SocketAddr,
-    headers: &HeaderMap,
-    body: Bytes,
-) -> Result<PeerReply, NetError> {
+fn decode_reply(address: SocketAddr, whole: Bytes) -> Result<PeerReply, NetError> {
     let broken = |message: String| NetError::Broken { address, message };
-    let header = headers
-        .get(REPLY_HEADER)
-        .ok_or_else(|| broken(format!("the header {REPLY_HEADER} is missing")))?;
+    let start = whole.iter().position(|byte| *byte != NEWLINE);
+    let reply = whole.slice(start.unwrap_or(0)..);
+    let end = reply.iter().position(|byte| *byte == NEWLINE);
+    let end = end.ok_or_else(|| broken("the reply is not whole".to_owned()))?;
     let wire: WireReply =
-        serde_json::from_slice(header.as_bytes()).map_err(|error| broken(error.to_string()))?;
+        serde_json::from_slice(&reply[..end]).map_err(|error| broken(error.to_string()))?;
     let outcome = wire
         .outcome
-        .into_outcome(body)
+        .into_outcome(reply.slice(end + 1..))
         .ok_or_else(|| broken("the answer is not whole".to_owned()))?;
     Ok(PeerReply {
         from: wire.from,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -37,10 +37,12 @@
 }
 
 /// Serves a listener until the task is aborted, one task a connection.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -143,7 +145,8 @@
     headers.get(name)?.to_str().ok()
 }
 
-fn client_error(address: SocketAddr, error: &hyper_util::client::legacy::Error) -> NetError {
+/// Tells a connection that was never made from one that broke.
+pub fn client_error(address: SocketAddr, error: &hyper_util::client::legacy::Error) -> NetError {
     let message = format!("{error:?}");
     if error.is_connect() {
         return NetError::Connect { address, message };
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod local;
 pub mod peer_control;
 pub mod pump;
+pub(crate) mod watch;
 
 pub use daemon::Daemon;
 pub use error::NetError;
--- a/src/net/pump.rs
+++ b/src/net/pump.rs
@@ -54,10 +54,11 @@
         backend: BackendClient,
         wanted: mpsc::UnboundedSender<Wanted>,
     ) -> Arc<Pump> {
+        let hop = HopClient::new(clock.clone(), node.silence_ms());
         Arc::new(Pump {
             node,
             clock,
-            hop: HopClient::default(),
+            hop,
             backend,
             callers: Sharded::default(),
             peers: Sharded::default(),
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -29,6 +29,8 @@
 
 /// Time between two ticks of every node, in milliseconds.
 const TICK_MS: u64 = 5;
+/// Silence after which a connection is abandoned, in milliseconds.
+const SILENCE_MS: u64 = 300;
 
 /// Index of a daemon with its backend server.
 pub type Host = usize;
@@ -298,7 +300,21 @@
 
     /// Stops a daemon from doing anything for a span; what arrives waits.
     pub fn pause(&mut self, host: Host, span_ms: u64) {
-        self.hosts[host].paused_until = self.now.plus_ms(span_ms);
+        let until = self.now.plus_ms(span_ms);
+        self.hosts[host].paused_until = until.max(self.hosts[host].paused_until);
+        if span_ms < SILENCE_MS {
+            return;
+        }
+        let asked_here = self.waiting_peers.iter().filter(|(at, _)| at.0 == host);
+        let mut waiting: Vec<_> = asked_here.map(|(_, asker)| *asker).collect();
+        waiting.sort_unstable();
+        for (asker, incarnation, exchange) in waiting {
+            let silent = Event::PeerFailed {
+                exchange,
+                failure: SendFailure::Silent,
+            };
+            self.deliver_later(asker, incarnation, SILENCE_MS, silent);
+        }
     }
 
     /// Announces that a backend server leaves, to its own daemon now, to others after `delay_ms`.
@@ -387,6 +403,7 @@
             },
             executor_records: 10_000,
             reply_grace_ms: 500,
+            silence_ms: SILENCE_MS,
             mechanisms: self.mechanisms,
             seed,
         });
@@ -528,6 +545,11 @@
         };
         self.deliver_later(from, incarnation, timeout_ms, silent);
         if self.cut.contains(&(from, to)) || self.chance(self.faults.lose_request) {
+            let silent = Event::PeerFailed {
+                exchange,
+                failure: SendFailure::Silent,
+            };
+            self.deliver_later(from, incarnation, timeout_ms.min(SILENCE_MS), silent);
             return;
         }
         let delay_ms = self.delay_ms(from, to);
