--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -187,8 +187,7 @@
     }
 
     fn idempotent_arrived(&self, turn: &mut Turn<'_>, call: CallId, classified: Classified) {
-        if !self.entry_admits(turn.now, &classified) {
-            let reason = NotRunReason::ShedAtEntry;
+        if let Some(reason) = self.entry_refuses(turn.now, &classified) {
             return self.answer_not_run(turn, call, None, reason, SHED_RETRY_AFTER_MS);
         }
         let reply_to = Some(ReplyTo::Caller(call));
@@ -224,19 +223,13 @@
         key: CallKey,
     ) {
         let fingerprint = fingerprint(&classified.request, &classified.body);
-        let opened = if self.is_draining() {
-            let reason = NotRunReason::Leaving;
-            self.home
-                .refuse_new(&key, Some(fingerprint), reason, reply_to)
-        } else {
-            self.home.open(&key, fingerprint, call, reply_to)
-        };
+        let opened = self.home.open(&key, fingerprint, call, reply_to);
         if opened != Opened::New {
             return self.answer_opened(turn, reply_to, key, opened);
         }
-        if !self.entry_admits(turn.now, &classified) {
+        if let Some(reason) = self.entry_refuses(turn.now, &classified) {
             let evidence = Unsent::no_byte_left().into();
-            let outcome = not_run(NotRunReason::ShedAtEntry, SHED_RETRY_AFTER_MS, evidence);
+            let outcome = not_run(reason, SHED_RETRY_AFTER_MS, evidence);
             let waiters = self.end_at_home(&key, &outcome, None);
             let reply = self.plain_reply(Some(key), outcome);
             return self.deliver_all(turn, &waiters, &reply);
@@ -276,15 +269,23 @@
         waiters
     }
 
-    /// Only root requests are shed here: beneath them work has been sunk already.
-    fn entry_admits(&self, now: TimeMs, classified: &Classified) -> bool {
-        if !self.settings.mechanisms.entry_shedding || classified.context.depth > 0 {
-            return true;
-        }
+    /// Only root requests are refused here: beneath them work has been sunk already.
+    fn entry_refuses(&self, now: TimeMs, classified: &Classified) -> Option<NotRunReason> {
         let context = &classified.context;
+        if context.depth > 0 {
+            return None;
+        }
+        if self.is_draining() {
+            return Some(NotRunReason::Leaving);
+        }
+        if !self.settings.mechanisms.entry_shedding {
+            return None;
+        }
         let priority = Priority::new(context.importance, context.rank);
-        self.levels
-            .admits(now, &classified.service, &classified.request, priority)
+        let admitted = self
+            .levels
+            .admits(now, &classified.service, &classified.request, priority);
+        (!admitted).then_some(NotRunReason::ShedAtEntry)
     }
 
     fn start_dispatch(
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -144,12 +144,23 @@
     }
 
     pub(super) fn local_server(&self, turn: &mut Turn<'_>, slots: u32, leaving: bool) {
+        let leaving = leaving || self.is_draining();
         #[cfg(test)]
         let leaving = leaving && !sabotage::is_on(Sabotage::IgnoreLeaving);
         lock(&self.admission).set_server(slots, leaving);
         self.release_queue(turn);
     }
 
+    pub(super) fn drain(&self, turn: &mut Turn<'_>) {
+        self.draining.store(true, Ordering::Release);
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::IgnoreLeaving) {
+            return;
+        }
+        lock(&self.admission).set_leaving();
+        self.release_queue(turn);
+    }
+
     /// Drops a call without a key for which nobody waits; false if it is not here.
     pub(super) fn withdraw_execution(&self, turn: &mut Turn<'_>, call: CallId) -> bool {
         let mut shard = self.executions.lock(&call);
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -108,12 +108,12 @@
     home: HomeTable,
     executor: ExecutorTable,
     acks: Acknowledgements,
-    draining: AtomicBool,
     last_run_end: AtomicU64,
     timers: Timers,
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
+    draining: AtomicBool,
     counters: Counters,
     called: CalledServices,
     waiting_calls: Mutex<Vec<WaitingCall>>,
@@ -151,12 +151,12 @@
             home: HomeTable::new(settings.vm.worker, settings.home),
             executor: ExecutorTable::new(settings.executor_records),
             acks: Acknowledgements::default(),
-            draining: AtomicBool::new(false),
             last_run_end: AtomicU64::new(0),
             timers: Timers::default(),
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
+            draining: AtomicBool::new(false),
             counters: Counters::default(),
             called: CalledServices::default(),
             waiting_calls: Mutex::default(),
@@ -253,6 +253,7 @@
                 self.resume_waiting(turn);
             }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
+            Event::Draining => self.drain(turn),
             Event::Tick => self.tick(turn),
         }
     }
--- a/src/decide/node/tickets.rs
+++ b/src/decide/node/tickets.rs
@@ -37,12 +37,7 @@
         closing.is_some()
     }
 
-    /// From now on this home opens no key and issues no ticket; what is open goes on.
-    pub fn begin_drain(&self) {
-        self.draining.store(true, Ordering::Release);
-    }
-
-    /// Whether [`Node::begin_drain`] was called.
+    /// Whether this daemon is stopping.
     pub fn is_draining(&self) -> bool {
         self.draining.load(Ordering::Acquire)
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,11 +8,13 @@
 pub mod cmd;
 pub mod config;
 pub mod decide;
+pub mod logs;
 pub mod model;
 pub mod net;
 pub mod platform;
 pub mod prelude;
 pub mod standin;
+pub mod trial;
 pub mod util;
 
 #[cfg(test)]
--- a/src/net/hop.rs
+++ b/src/net/hop.rs
@@ -5,6 +5,7 @@
 //! is awaited the replying daemon sends newlines ahead of it, by which the
 //! asking one sees that the connection is alive; see [`super::watch`].
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -13,7 +14,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Frame, Incoming};
+use hyper::body::{Body, Frame, SizeHint};
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc;
@@ -44,22 +45,50 @@
     service_ms: u64,
 }
 
-/// The body of a reply, which may be on its way still.
+/// The body of a reply: whole, or on its way still.
 #[derive(Debug)]
-pub struct ReplyBody {
-    parts: mpsc::Receiver<Bytes>,
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Full<Bytes>),
+    /// Progress, then the reply.
+    Parts(mpsc::Receiver<Bytes>),
+}
+
+impl From<Full<Bytes>> for ReplyBody {
+    fn from(body: Full<Bytes>) -> Self {
+        ReplyBody::Whole(body)
+    }
 }
 
 impl Body for ReplyBody {
     type Data = Bytes;
-    type Error = std::convert::Infallible;
+    type Error = Infallible;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        let part = self.parts.poll_recv(context);
-        part.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        match self.get_mut() {
+            ReplyBody::Whole(body) => Pin::new(body).poll_frame(context),
+            ReplyBody::Parts(parts) => {
+                let part = parts.poll_recv(context);
+                part.map(|part| part.map(|bytes| Ok(Frame::data(bytes))))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            ReplyBody::Whole(body) => body.is_end_stream(),
+            ReplyBody::Parts(_) => false,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ReplyBody::Whole(body) => body.size_hint(),
+            ReplyBody::Parts(_) => SizeHint::default(),
+        }
     }
 }
 
@@ -125,10 +154,8 @@
         };
         let broken = |message: String| NetError::Broken { address, message };
         let mut watch = Watch::new(self.clock.now(), self.silence_ms);
-        let response = self.watched(&mut watch, address, client.request(request));
-        let response = response
-            .await?
-            .map_err(|error| http::client_error(address, &error))?;
+        let started = http::start(client, address, request);
+        let response = self.watched(&mut watch, address, started).await??;
         if response.status() != StatusCode::OK {
             return Err(broken(format!("the status is {}", response.status())));
         }
@@ -177,12 +204,8 @@
 }
 
 /// Answers one message from another daemon.
-pub async fn handle(pump: Arc<Pump>, request: Request<Incoming>) -> Response<ReplyBody> {
+pub async fn handle(pump: Arc<Pump>, request: Request<Bytes>) -> Response<ReplyBody> {
     let (parts, body) = request.into_parts();
-    let body = match http::read_body(body).await {
-        Ok(body) => body,
-        Err(message) => return refusal(StatusCode::PAYLOAD_TOO_LARGE, &message),
-    };
     let message = match decode_request(&parts.headers, body) {
         Ok(message) => message,
         Err(error) => return refusal(StatusCode::BAD_REQUEST, &error.to_string()),
@@ -194,13 +217,16 @@
     let interval = Duration::from_millis(PROGRESS_INTERVAL_MS);
     match tokio::time::timeout(interval, &mut reply).await {
         Ok(reply) => match reply.and_then(encode_reply) {
-            Some((line, body)) => response(StatusCode::OK, [line, body]),
+            Some((line, body)) => {
+                let whole = Full::new([line, body].concat().into());
+                Response::new(ReplyBody::Whole(whole))
+            }
             None => refusal(StatusCode::SERVICE_UNAVAILABLE, "the daemon is stopping"),
         },
         Err(_) => {
             let (sender, parts) = mpsc::channel(2);
             tokio::spawn(send_when_ready(reply, sender));
-            Response::new(ReplyBody { parts })
+            Response::new(ReplyBody::Parts(parts))
         }
     }
 }
@@ -229,21 +255,8 @@
     }
 }
 
-fn response(status: StatusCode, parts: [Bytes; 2]) -> Response<ReplyBody> {
-    let (sender, receiver) = mpsc::channel(parts.len());
-    for part in parts {
-        let _ = sender.try_send(part);
-    }
-    let mut response = Response::new(ReplyBody { parts: receiver });
-    *response.status_mut() = status;
-    response
-}
-
 fn refusal(status: StatusCode, message: &str) -> Response<ReplyBody> {
-    response(
-        status,
-        [Bytes::copy_from_slice(message.as_bytes()), Bytes::new()],
-    )
+    http::error(status, message).map(ReplyBody::from)
 }
 
 fn message_key(message: &PeerRequest) -> Option<&CallKey> {
--- a/tests/broken/mod.rs
+++ b/tests/broken/mod.rs
@@ -4,11 +4,15 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::thread;
+
 use crate::decide::sabotage::{self, Sabotage};
 use support::once::check_seed;
 
 /// Schedules within which a broken variant must be caught.
 const SCHEDULES: u64 = 6_000;
+const THREADS: usize = 3;
 
 #[derive(Debug)]
 struct Case {
@@ -61,12 +65,25 @@
 
 #[test]
 fn every_broken_variant_is_caught() {
-    for case in &CASES {
-        sabotage::set(Some(case.broken));
-        let mut problems = (1..=SCHEDULES).filter_map(|seed| check_seed(seed, false).err());
-        let caught = problems.find(|problem| problem.contains(case.caught_by));
-        sabotage::set(None);
-        let caught = caught.unwrap_or_else(|| panic!("{case:?} was not caught"));
-        println!("{case:?}: {}", caught.lines().next().unwrap_or_default());
-    }
+    let next = AtomicUsize::new(0);
+    let worker = || {
+        while let Some(case) = CASES.get(next.fetch_add(1, Ordering::Relaxed)) {
+            let caught = first_caught(case);
+            let caught = caught.unwrap_or_else(|| panic!("{case:?} was not caught"));
+            println!("{case:?}: {}", caught.lines().next().unwrap_or_default());
+        }
+    };
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(worker);
+        }
+    });
+}
+
+fn first_caught(case: &Case) -> Option<String> {
+    sabotage::set(Some(case.broken));
+    let mut problems = (1..=SCHEDULES).filter_map(|seed| check_seed(seed, false).err());
+    let caught = problems.find(|problem| problem.contains(case.caught_by));
+    sabotage::set(None);
+    caught
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -280,6 +280,11 @@
         self.deliver_later(host, self.incarnation(host), delay_ms, event);
     }
 
+    /// Gives a host an event.
+    pub fn feed(&mut self, host: Host, event: Event) {
+        self.deliver_later(host, self.incarnation(host), 0, event);
+    }
+
     /// The process that stands at a host.
     pub fn incarnation(&self, host: Host) -> Incarnation {
         self.hosts[host].node.vm().worker.incarnation
--- a/tests/support/once.rs
+++ b/tests/support/once.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
-use burdockhall::decide::{CallerRequest, Counter, Mechanisms};
+use burdockhall::decide::{CallerRequest, Counter, Event, Mechanisms};
 use burdockhall::model::sheet::{Rule, Sheet};
 use burdockhall::model::{
     Answer, CallKey, Contract, Importance, Incarnation, NotRunReason, Outcome, Place, SheetVersion,
@@ -327,7 +327,7 @@
             return;
         }
         self.world.leave(host, delay_ms);
-        self.world.hosts[host].node.begin_drain();
+        self.world.feed(host, Event::Draining);
         let incarnation = self.world.incarnation(host);
         self.draining.insert((host, incarnation));
     }
