--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -46,10 +46,12 @@
 }
 
 /// Serves a listener until the task is aborted, one task a connection.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -94,6 +96,19 @@
     }
 }
 
+/// Sends a request and waits for the head of its response.
+pub async fn start(
+    client: &HttpClient,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, NetError> {
+    client
+        .client
+        .request(request)
+        .await
+        .map_err(|error| client_error(address, &error))
+}
+
 /// Sends a request and reads the whole response.
 pub async fn exchange(
     client: &HttpClient,
@@ -102,11 +117,7 @@
     timeout_ms: u64,
 ) -> Result<(StatusCode, HeaderMap, Bytes), NetError> {
     let whole = async {
-        let response = client
-            .client
-            .request(request)
-            .await
-            .map_err(|error| client_error(address, &error))?;
+        let response = start(client, address, request).await?;
         let (parts, body) = response.into_parts();
         let collected = Limited::new(body, client.body_bytes).collect().await;
         let body = collected.map_err(|error| answer_error(address, client, error.as_ref()))?;
