--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -232,7 +232,8 @@
             let entry = vm.settings.callers_address;
             for service in self.plan.deployment.services {
                 let uri = format!("http://{entry}/call/{}/{PROBE}", service.name);
-                let request = Request::post(uri).body(Full::new(Bytes::from_static(b"start")));
+                let request =
+                    Request::post(uri).body(Full::new(Bytes::from(format!("{PROBE}:start"))));
                 let client = client.clone();
                 tokio::spawn(async move {
                     if let Ok(request) = request {
