--- a/src/trial/injector.rs
+++ b/src/trial/injector.rs
@@ -5,11 +5,14 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::{oneshot, watch};
+
 use super::deployment::Deployment;
 use super::fault::Fault;
 use super::fleet::{Fleet, LEAVING_KNOWN_MS};
 use crate::cmd::CmdError;
 use crate::model::SheetVersion;
+use crate::net::drain::Drained;
 use crate::standin::backend::BackendState;
 
 /// The deep service slows by this in the trigger.
@@ -32,12 +35,11 @@
 const MISLEADING_FACTOR: u32 = 4;
 
 /// A worker that leaves, as it is watched.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Leaving {
-    /// What its backend server counts.
-    pub backend: Arc<BackendState>,
-    /// Runs that it had started when all must have known of its leaving.
-    pub started_by_then: tokio::sync::watch::Receiver<Option<u64>>,
+    backend: Arc<BackendState>,
+    started_by_then: watch::Receiver<Option<u64>>,
+    drained: oneshot::Receiver<Drained>,
 }
 
 /// Causes what was asked for.
@@ -135,18 +137,19 @@
         Ok(())
     }
 
-    fn drain(&mut self, fleet: &Fleet) {
+    fn drain(&mut self, fleet: &mut Fleet) {
         let first = self.deployment.classes[0].chain[0];
         let Some(index) = fleet.first_of(first) else {
             return;
         };
-        let vm = &fleet.vms[index];
-        vm.leave();
+        let vm = &mut fleet.vms[index];
+        let drained = vm.drain();
         let backend = Arc::clone(&vm.backend);
-        let (sender, started_by_then) = tokio::sync::watch::channel(None);
+        let (sender, started_by_then) = watch::channel(None);
         self.leaving = Some(Leaving {
             backend: Arc::clone(&backend),
             started_by_then,
+            drained,
         });
         tokio::spawn(async move {
             tokio::time::sleep(Duration::from_millis(LEAVING_KNOWN_MS)).await;
@@ -163,9 +166,16 @@
         by_then.map_or(0, |by_then| started - by_then)
     }
 
-    /// Runs that are cut off if the worker is stopped now.
-    pub fn cut_off(&self) -> u64 {
-        self.backend.running()
+    /// Requests that were cut off; if the worker has not ended, those that its
+    /// backend server still runs.
+    pub fn cut_off(&mut self) -> u64 {
+        let Ok(drained) = self.drained.try_recv() else {
+            return self.backend.running();
+        };
+        let unfinished = drained.unfinished;
+        let waiting = unfinished.running as usize + unfinished.queued;
+        let cut = (waiting as u64).max(unfinished.answers);
+        if drained.cut.is_some() { cut } else { 0 }
     }
 }
 
--- a/src/trial/run.rs
+++ b/src/trial/run.rs
@@ -165,8 +165,8 @@
             .map(|(now, then)| now.since(&then));
         let busy = busy.unwrap_or_default();
         let probed = load.finish().await?;
-        let leaving = injector.leaving.take();
-        let lost_in_drain = leaving.as_ref().map_or(0, |leaving| leaving.cut_off());
+        let mut leaving = injector.leaving.take();
+        let lost_in_drain = leaving.as_mut().map_or(0, |leaving| leaving.cut_off());
         let audit = audit(&deployment, &fleet.backends(), &lock(&tally.not_run_bodies));
         let late_p99_ms = tally.late_p99_ms();
         let machine = busy.own >= MACHINE_BUSY_SHARE || late_p99_ms >= MACHINE_LATE_MS;
--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -31,6 +31,9 @@
             slots: 4,
             connections: 16,
             service_ms,
+            instant: Vec::new(),
+            seed: None,
+            deadlines: true,
             calls: BTreeMap::new(),
             daemon: settings.local_address,
         };
