--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -36,6 +36,9 @@
             deadlines: true,
             calls: BTreeMap::new(),
             daemon: settings.local_address,
+            deadlines: true,
+            instant: Vec::new(),
+            seed: 1,
         };
         let log = runtime.block_on(StandInLog::start(settings.log_address));
         let backend = runtime.block_on(StandInBackend::start(settings.backend_address, plan));
