--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -126,7 +126,7 @@
             connections: 100,
             service_ms: self.service_ms,
             instant: Vec::new(),
-            seed: 0,
+            seed: None,
             deadlines: true,
             calls: self.child_calls(),
             daemon: settings.local_address,
--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -24,7 +24,7 @@
         connections: 16,
         service_ms,
         instant: Vec::new(),
-        seed: 0,
+        seed: None,
         deadlines: false,
         calls: BTreeMap::new(),
         daemon: settings.local_address,
