Add the audit trail and the routes for sheets

Cause: nothing recorded who changed what, and operators had no way to publish. Change: entries of publications and verdicts are batched per daemon onto the stream `audit`, buffered with a bound while the log is down; routes to show, publish, list publications and search the trail, for the administration API.

--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -11,13 +11,14 @@
 use super::spread::{SheetDigest, SheetMessage, ZoneDirectory};
 use super::{ControlAction, ControlTurn};
 use crate::model::{
-    AuthorName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm, ZoneName,
+    AuthorName, ServiceName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm,
+    ZoneName,
 };
 
 /// Time after which an append without an effect is made again, in milliseconds.
 const APPEND_AGAIN_MS: u64 = 2_000;
 /// Longest wait for the record to stand in the log's order, in milliseconds.
-const SETTLE_WAIT_MS: u64 = 30_000;
+const SETTLE_WAIT_MS: u64 = 20_000;
 /// Longest wait for a daemon of each zone to hold the sheet, in milliseconds.
 const CONFIRM_WAIT_MS: u64 = 8_000;
 /// Time after which the next daemon of a zone is asked, in milliseconds.
@@ -120,6 +121,8 @@
 #[derive(Debug)]
 struct Running {
     request: PublishRequest,
+    /// The services that the publication changes; empty if also rules of any service or shares.
+    services: Vec<ServiceName>,
     started: TimeMs,
     stage: Stage,
 }
@@ -181,6 +184,7 @@
         }
         self.running.push(Running {
             request,
+            services: Vec::new(),
             started: turn.now,
             stage: Stage::Behind,
         });
@@ -337,6 +341,7 @@
             let reason = format!("the sheet says the same as version {version}, which is in force");
             return Some(PublishStatus::Refused { reason });
         }
+        self.services = single_services(&change);
         let record = Publication {
             id: self.request.id.clone(),
             base: self.request.base.map(|_| fold.base()),
@@ -454,7 +459,7 @@
     }
 
     fn end(self, turn: &mut ControlTurn<'_>, status: PublishStatus) {
-        let entry = audit_entry(turn, &self.request, &status);
+        let entry = audit_entry(turn, &self.request, self.services, &status);
         turn.audits.push(entry);
         turn.actions
             .push(ControlAction::PublishEnded(PublishReport {
@@ -490,6 +495,15 @@
     });
 }
 
+/// The services of a change that is about single services only.
+fn single_services(change: &SheetChange) -> Vec<ServiceName> {
+    let services = change.services.iter().map(|rules| rules.service.clone());
+    let named: Option<Vec<ServiceName>> = services.collect();
+    named
+        .filter(|_| change.shares.is_none())
+        .unwrap_or_default()
+}
+
 fn conflict(winner: &Accepted) -> PublishStatus {
     PublishStatus::Conflict {
         version: winner.version,
@@ -506,6 +520,7 @@
 fn audit_entry(
     turn: &ControlTurn<'_>,
     request: &PublishRequest,
+    services: Vec<ServiceName>,
     status: &PublishStatus,
 ) -> AuditEntry {
     let (kind, to_version, detail) = match status {
@@ -527,7 +542,7 @@
         at_ms: turn.unix_ms,
         kind,
         author: request.author.clone(),
-        services: Vec::new(),
+        services,
         from_version: request.base,
         to_version,
         detail: format!("publication {}: {detail}", request.id),
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! Drives the control decisions: the log service, peers, announcements, ticks.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,13 +11,13 @@
 use super::local::BackendAnnouncement;
 use super::peer_control::{self, Arrived};
 use super::pump::{Pump, Wanted};
-use crate::decide::control::audit::{AuditBatch, AuditEntry};
+use crate::decide::control::audit::{AuditBatch, AuditEntry, AuditKind};
 use crate::decide::control::publish::{PublishReport, PublishRequest, PublishStatus};
 use crate::decide::control::record::{Accepted, LogRecord, SheetBase, Stream};
 use crate::decide::control::sheet_control::SheetStatus;
 use crate::decide::sharded::lock;
 use crate::decide::{Control, ControlAction, ControlEvent, Event};
-use crate::model::{Announcement, ServerState, Sheet, SheetHash};
+use crate::model::{Announcement, ServerState, Sheet, SheetHash, WorkerId};
 use crate::platform::log::{LogClient, LogError};
 
 /// Time between two ticks, in milliseconds.
@@ -206,6 +207,9 @@
             }
             ControlAction::WorkerGone { worker, voters } => {
                 spdlog::warn!("worker {} is gone, found by {:?}", worker, voters);
+                let entry = self.verdict_entry(worker, &voters);
+                let this = Arc::clone(self);
+                tokio::spawn(async move { this.audit(entry).await });
             }
             ControlAction::Append { stream, record } => {
                 let this = Arc::clone(self);
@@ -226,6 +230,20 @@
         }
     }
 
+    fn verdict_entry(&self, worker: WorkerId, voters: &[SocketAddr]) -> AuditEntry {
+        let voters: Vec<String> = voters.iter().map(SocketAddr::to_string).collect();
+        let own = self.pump.node.vm().worker.address;
+        AuditEntry {
+            at_ms: unix_ms(),
+            kind: AuditKind::Membership,
+            author: own.to_string().as_str().into(),
+            services: Vec::new(),
+            from_version: None,
+            to_version: None,
+            detail: format!("worker {worker} is gone, found by {}", voters.join(", ")),
+        }
+    }
+
     fn publish_ended(&self, report: PublishReport) {
         let waiting = lock(&self.publishers).remove(&(report.id, report.content));
         for sender in waiting.into_iter().flatten() {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -150,3 +150,41 @@
     }
     NetError::Broken { address, message }
 }
+
+/// A value of a query with its `%XX` and `+` turned back into text.
+pub fn percent_decoded(text: &str) -> Result<String, String> {
+    let malformed = || format!("`{text}` is not percent-encoded text");
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'+' => b' ',
+            b'%' => {
+                let digits = [rest.next(), rest.next()];
+                let [Some(high), Some(low)] = digits else {
+                    return Err(malformed());
+                };
+                hex_digit(high)
+                    .zip(hex_digit(low))
+                    .map(|(high, low)| 16 * high + low)
+                    .ok_or_else(malformed)?
+            }
+            other => other,
+        });
+    }
+    String::from_utf8(bytes).map_err(|_| malformed())
+}
+
+/// Text as a value of a query.
+pub fn percent_encoded(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let encoded = text.bytes().map(|byte| match plain(byte) {
+        true => char::from(byte).to_string(),
+        false => format!("%{byte:02X}"),
+    });
+    encoded.collect()
+}
+
+fn hex_digit(byte: u8) -> Option<u8> {
+    char::from(byte).to_digit(16).map(|digit| digit as u8)
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The network: turns sockets into events for the decisions, and their actions into bytes.
 
+pub mod admin_sheets;
 pub mod backend;
 pub mod callers;
 pub mod control;
--- a/src/sheet/issue.rs
+++ b/src/sheet/issue.rs
@@ -2,11 +2,11 @@
 
 use std::fmt;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use strum::Display;
 
 /// Whether a finding prevents publication.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Display)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, Display)]
 #[serde(rename_all = "snake_case")]
 #[strum(serialize_all = "snake_case")]
 pub enum Severity {
@@ -17,14 +17,15 @@
 }
 
 /// One finding, with its place and what to do about it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct SheetIssue {
     /// Error or warning.
     pub severity: Severity,
     /// The line in the file; the header is line 1.
     pub row: u64,
     /// The other row, where two rows disagree.
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub other_row: Option<u64>,
     /// Name of the column.
     pub column: String,
