--- a/src/decide/control/mod.rs
+++ b/src/decide/control/mod.rs
@@ -21,6 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use self::audit::{AuditControl, AuditEntry};
+pub use self::fold::first_version;
 use self::member_control::{MemberControl, MemberMessage};
 use self::publish::{PublishReport, PublishRequest};
 use self::record::{LogBatch, LogRecord, Stream};
@@ -151,8 +152,10 @@
     pub now: TimeMs,
     /// The time in milliseconds since the Unix epoch.
     pub unix_ms: u64,
-    /// The random source.
+    /// The random source of membership.
     pub rng: &'a mut Xoshiro256PlusPlus,
+    /// The random source of sheets and the audit trail, so that neither part disturbs the other.
+    pub sheet_rng: &'a mut Xoshiro256PlusPlus,
     /// The actions found.
     pub actions: &'a mut Vec<ControlAction>,
     /// Entries for the audit trail.
@@ -167,6 +170,7 @@
     audit: AuditControl,
     unix_origin_ms: u64,
     rng: Xoshiro256PlusPlus,
+    sheet_rng: Xoshiro256PlusPlus,
 }
 
 impl Control {
@@ -178,6 +182,7 @@
             unix_origin_ms: 0,
             members: MemberControl::new(vm),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            sheet_rng: Xoshiro256PlusPlus::seed_from_u64(!seed),
         }
     }
 
@@ -212,6 +217,7 @@
             now,
             unix_ms: self.unix_origin_ms + now.0,
             rng: &mut self.rng,
+            sheet_rng: &mut self.sheet_rng,
             actions,
             audits: Vec::new(),
         };
--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -1,6 +1,7 @@
 //! Publication of a sheet: from the operator's request to the zones that hold it.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -70,6 +71,24 @@
     InForce(PublishReceipt),
 }
 
+impl fmt::Display for PublishStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PublishStatus::Refused { reason } => write!(f, "refused: {reason}"),
+            PublishStatus::Conflict {
+                version, author, ..
+            } => write!(
+                f,
+                "conflict: version {version} by {author} came first; look at the difference \
+                 from it with --dry-run and publish on top of it"
+            ),
+            PublishStatus::InDoubt { reason } => write!(f, "in doubt: {reason}"),
+            PublishStatus::Accepted(receipt) => write!(f, "{}", receipt_words(receipt)),
+            PublishStatus::InForce(receipt) => write!(f, "{}", receipt_words(receipt)),
+        }
+    }
+}
+
 /// Where a publication is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/src/decide/control/sheet_control.rs
+++ b/src/decide/control/sheet_control.rs
@@ -412,7 +412,7 @@
 
     fn random_peer(&self, turn: &mut ControlTurn<'_>) -> Option<SocketAddr> {
         let count = self.zone.peer_count();
-        let number = (count > 0).then(|| turn.rng.random_range(0..count))?;
+        let number = (count > 0).then(|| turn.sheet_rng.random_range(0..count))?;
         self.zone.peer(number)
     }
 
@@ -426,7 +426,7 @@
         };
         self.next_far_digest = turn.now.plus_ms(jittered(turn, interval_ms));
         if self.zone.is_reader() && !self.far.is_empty() {
-            let number = turn.rng.random_range(0..self.far.len());
+            let number = turn.sheet_rng.random_range(0..self.far.len());
             let digest = self.digest(turn.now);
             turn.send_sheet(self.far[number], SheetMessage::Digest(digest));
         }
@@ -494,5 +494,5 @@
 
 /// Between half of a span and the whole of it.
 fn jittered(turn: &mut ControlTurn<'_>, span_ms: u64) -> u64 {
-    turn.rng.random_range(span_ms / 2..=span_ms)
+    turn.sheet_rng.random_range(span_ms / 2..=span_ms)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,10 +8,12 @@
 pub mod cmd;
 pub mod config;
 pub mod decide;
+pub mod logs;
 pub mod model;
 pub mod net;
 pub mod platform;
 pub mod prelude;
 pub mod sheet;
 pub mod standin;
+pub mod trial;
 pub mod util;
--- a/src/net/admin_sheets.rs
+++ b/src/net/admin_sheets.rs
@@ -2,9 +2,11 @@
 
 use std::sync::Arc;
 
-use hyper::{Method, StatusCode};
+use hyper::{HeaderMap, Method, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use super::admin::{Admin, refusal};
+use super::admin_auth::Wish;
 use super::control::ControlLoop;
 use super::daemon::unix_ms;
 use super::http::{self, FullResponse};
@@ -43,7 +45,7 @@
     /// The chain hash of that version, if the publisher has seen it.
     #[serde(default)]
     pub base_chain: Option<SheetHash>,
-    /// Who publishes.
+    /// Who publishes; the team of the token if it is empty.
     pub author: AuthorName,
     /// The sheet as CSV.
     pub csv: String,
@@ -92,8 +94,74 @@
     pub author: Option<AuthorName>,
 }
 
-/// `GET /v1/sheet`
-pub async fn show(control: &ControlLoop) -> FullResponse {
+/// A request of an operator.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The method.
+    pub method: &'a Method,
+    /// The parts of the path.
+    pub segments: &'a [&'a str],
+    /// The query.
+    pub query: Option<&'a str>,
+    /// The headers.
+    pub headers: &'a HeaderMap,
+    /// Method and path, for the records.
+    pub line: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Answers the routes of this module; `None` for any other.
+pub async fn handle(admin: &Admin, asked: Asked<'_>) -> Option<FullResponse> {
+    let control = &admin.parts().control;
+    let publishes = match (asked.method, asked.segments) {
+        (&Method::POST, ["v1", "sheet"]) => true,
+        (&Method::GET, ["v1", "sheet"] | ["v1", "sheet", "history"] | ["v1", "audit"]) => false,
+        _ => return None,
+    };
+    let team = match admin.authorise(asked.headers, asked.line, &Wish::Read) {
+        Ok(team) => team.name.clone(),
+        Err(error) => return Some(refusal(&error)),
+    };
+    if publishes {
+        return Some(checked_publish(admin, asked, &team).await);
+    }
+    Some(match asked.segments {
+        ["v1", "audit"] => audit(control, asked.query).await,
+        ["v1", "sheet", "history"] => history(control).await,
+        _ => show(control).await,
+    })
+}
+
+async fn checked_publish(admin: &Admin, asked: Asked<'_>, team: &str) -> FullResponse {
+    let control = &admin.parts().control;
+    let mut body = match publish_body(asked.body) {
+        Ok(body) => body,
+        Err(message) => return http::error(StatusCode::BAD_REQUEST, &message),
+    };
+    let mut wishes = changed_services(control, &body).await;
+    if wishes.is_empty() || body.base.is_none() {
+        wishes.push(None);
+    }
+    for service in wishes {
+        let wish = Wish::ChangeRules(service);
+        if let Err(error) = admin.authorise(asked.headers, asked.line, &wish) {
+            return refusal(&error);
+        }
+    }
+    body.author = author_of_team(&body.author, team);
+    publish(control, body).await
+}
+
+/// The author as the records have it: who says to publish, and the team whose token it was.
+fn author_of_team(author: &AuthorName, team: &str) -> AuthorName {
+    if author.as_str().is_empty() || author.as_str() == team {
+        return team.into();
+    }
+    format!("{author} ({team})").as_str().into()
+}
+
+async fn show(control: &ControlLoop) -> FullResponse {
     let sheet = control.sheet().await;
     let answer = SheetAnswer {
         status: control.sheet_status().await,
@@ -103,30 +171,23 @@
     http::json(StatusCode::OK, &answer)
 }
 
-/// `GET /v1/sheet/history`
-pub async fn history(control: &ControlLoop) -> FullResponse {
+async fn history(control: &ControlLoop) -> FullResponse {
     let history: Vec<Accepted> = control.sheet_history().await;
     http::json(StatusCode::OK, &history)
 }
 
 /// Reads the body of `POST /v1/sheet`; else what is wrong with it.
-pub fn publish_body(body: &[u8]) -> Result<PublishBody, String> {
+fn publish_body(body: &[u8]) -> Result<PublishBody, String> {
     let body: PublishBody = serde_json::from_slice(body)
         .map_err(|error| format!("the body is not a publication: {error}"))?;
     if body.id.is_empty() || body.id.len() > MAX_ID_BYTES {
         return Err("the id must have between 1 and 128 bytes".to_owned());
     }
-    if body.author.as_str().is_empty() {
-        return Err("the author is missing: name who publishes".to_owned());
-    }
     Ok(body)
 }
 
 /// The services whose rules a publication would change; none stands for rules of any service.
-pub async fn changed_services(
-    control: &ControlLoop,
-    body: &PublishBody,
-) -> Vec<Option<ServiceName>> {
+async fn changed_services(control: &ControlLoop, body: &PublishBody) -> Vec<Option<ServiceName>> {
     let new = sheet::parse(body.csv.as_bytes()).content;
     let old = match body.base {
         Some(_) => control.sheet().await.content(),
@@ -138,8 +199,7 @@
     services.chain(shares).collect()
 }
 
-/// `POST /v1/sheet`
-pub async fn publish(control: &Arc<ControlLoop>, body: PublishBody) -> FullResponse {
+async fn publish(control: &Arc<ControlLoop>, body: PublishBody) -> FullResponse {
     let checked = sheet::parse(body.csv.as_bytes());
     if checked.has_errors() {
         let answer = PublishAnswer {
@@ -163,8 +223,7 @@
     http::json(StatusCode::OK, &answer)
 }
 
-/// `GET /v1/audit?since_ms=N&service=NAME&author=NAME`
-pub async fn audit(control: &ControlLoop, query: Option<&str>) -> FullResponse {
+async fn audit(control: &ControlLoop, query: Option<&str>) -> FullResponse {
     let filter = match AuditFilter::parse(query.unwrap_or_default()) {
         Ok(filter) => filter,
         Err(message) => return http::error(StatusCode::BAD_REQUEST, &message),
@@ -175,26 +234,6 @@
     }
 }
 
-/// Answers the routes of this module; `None` for any other.
-pub async fn handle(
-    control: &Arc<ControlLoop>,
-    method: &Method,
-    segments: &[&str],
-    query: Option<&str>,
-    body: &[u8],
-) -> Option<FullResponse> {
-    match (method, segments) {
-        (&Method::GET, ["v1", "sheet"]) => Some(show(control).await),
-        (&Method::GET, ["v1", "sheet", "history"]) => Some(history(control).await),
-        (&Method::POST, ["v1", "sheet"]) => match publish_body(body) {
-            Ok(body) => Some(publish(control, body).await),
-            Err(message) => Some(http::error(StatusCode::BAD_REQUEST, &message)),
-        },
-        (&Method::GET, ["v1", "audit"]) => Some(audit(control, query).await),
-        _ => None,
-    }
-}
-
 impl AuditFilter {
     /// Reads the query of `GET /v1/audit`.
     pub fn parse(query: &str) -> Result<AuditFilter, String> {
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Mutex, mpsc, oneshot};
@@ -45,6 +46,7 @@
     log: LogClient,
     started_ms: u64,
     publishers: std::sync::Mutex<Publishers>,
+    heard: AtomicBool,
 }
 
 impl ControlLoop {
@@ -60,14 +62,25 @@
             log,
             started_ms,
             publishers: std::sync::Mutex::default(),
+            heard: AtomicBool::new(false),
         })
     }
 
+    /// Whether the log service or another daemon has been heard since the start.
+    pub fn has_heard(&self) -> bool {
+        self.heard.load(Ordering::Relaxed)
+    }
+
     /// The sheet in force here.
     pub async fn sheet(&self) -> Arc<Sheet> {
         Arc::clone(self.control.lock().await.sheets().sheet())
     }
 
+    /// This daemon.
+    pub fn worker(&self) -> WorkerId {
+        self.pump.node.vm().worker
+    }
+
     /// The sheet in force here with its age, for status and metrics.
     pub async fn sheet_status(&self) -> SheetStatus {
         let now = self.pump.clock().now();
@@ -139,6 +152,7 @@
             let event = tokio::select! {
                 _ = ticks.tick() => ControlEvent::Tick,
                 Some(Arrived { from, message }) = inputs.arrived.recv() => {
+                    self.heard.store(true, Ordering::Relaxed);
                     ControlEvent::PeerSaid { from, message }
                 }
                 Some(wanted) = inputs.wanted.recv() => match wanted {
@@ -189,7 +203,10 @@
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
                     let event = match this.log.read(stream, from_offset).await {
-                        Ok(batch) => ControlEvent::LogRead { stream, batch },
+                        Ok(batch) => {
+                            this.heard.store(true, Ordering::Relaxed);
+                            ControlEvent::LogRead { stream, batch }
+                        }
                         Err(_) => ControlEvent::LogFailed { stream },
                     };
                     this.feed(event).await;
--- a/tests/audit_trail.rs
+++ b/tests/audit_trail.rs
@@ -4,7 +4,7 @@
 
 use burdockhall::decide::ControlEvent;
 use burdockhall::decide::control::audit::{
-    AuditBatch, AuditEntry, AuditKind, MAX_BUFFERED_ENTRIES,
+    AuditBatch, AuditEntry, AuditKind, MAX_BUFFERED_ENTRIES, MAX_BUFFERED_REFUSALS,
 };
 use burdockhall::decide::control::record::{LogRecord, Stream};
 use burdockhall::net::admin_sheets::AuditFilter;
@@ -22,14 +22,18 @@
 }
 
 fn entry(number: u64) -> AuditEntry {
+    entry_of(AuditKind::Membership, number)
+}
+
+fn entry_of(kind: AuditKind, number: u64) -> AuditEntry {
     AuditEntry {
         at_ms: 1_700_000_000_000 + number,
-        kind: AuditKind::AdminRefused,
+        kind,
         author: "team-a".into(),
         services: vec!["ledger".into()],
         from_version: None,
         to_version: None,
-        detail: format!("refusal {number}"),
+        detail: format!("entry {number}"),
     }
 }
 
@@ -105,6 +109,20 @@
     assert_eq!(answer.lines.last().map(|line| line.number), Some(total - 1));
 }
 
+#[test]
+fn a_flood_of_refusals_displaces_nothing_else() {
+    let mut world = World::new(6, 1, 1);
+    world.log.down = true;
+    world.handle(0, ControlEvent::Audited(entry(0)));
+    for number in 0..5_000 {
+        let refusal = entry_of(AuditKind::AdminRefused, number);
+        world.handle(0, ControlEvent::Audited(refusal));
+    }
+    let audit = world.daemons[0].control.audit();
+    assert_eq!(audit.waiting(), 1 + MAX_BUFFERED_REFUSALS);
+    assert_eq!(audit.dropped(), 5_000 - MAX_BUFFERED_REFUSALS as u64);
+}
+
 #[test]
 fn a_batch_whose_answer_was_lost_is_told_once() {
     let batch = |first, count| AuditBatch {
