--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -19,9 +19,9 @@
 /// Time after which an append without an effect is made again, in milliseconds.
 const APPEND_AGAIN_MS: u64 = 2_000;
 /// Longest wait for the record to stand in the log's order, in milliseconds.
-const SETTLE_WAIT_MS: u64 = 20_000;
+const SETTLE_WAIT_MS: u64 = 18_000;
 /// Longest wait for a daemon of each zone to hold the sheet, in milliseconds.
-const CONFIRM_WAIT_MS: u64 = 8_000;
+const CONFIRM_WAIT_MS: u64 = 10_000;
 /// Time after which the next daemon of a zone is asked, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 400;
 
@@ -101,6 +101,8 @@
     pub zones_confirmed: Vec<ZoneName>,
     /// Zones of which no daemon could be reached.
     pub zones_missing: Vec<ZoneName>,
+    /// Whether these are all zones; not so while the daemon that published has just started.
+    pub zones_known: bool,
     /// Time from the request, in milliseconds.
     pub elapsed_ms: u64,
 }
@@ -437,6 +439,7 @@
             offset: accepted.offset,
             zones_confirmed: named(true),
             zones_missing: named(false),
+            zones_known: view.zones.is_complete(),
             elapsed_ms: turn.now.since_ms(self.started),
         };
         Some(if waiting {
@@ -570,6 +573,13 @@
 
 fn receipt_words(receipt: &PublishReceipt) -> String {
     let confirmed = receipt.zones_confirmed.len();
+    if !receipt.zones_known {
+        return format!(
+            "accepted as version {} and held in {confirmed} zones, but the daemon that published \
+             has not found all zones yet",
+            receipt.version
+        );
+    }
     if receipt.zones_missing.is_empty() {
         return format!(
             "in force in {confirmed} zones after {} ms",
@@ -578,7 +588,8 @@
     }
     let missing: Vec<&str> = receipt.zones_missing.iter().map(ZoneName::as_str).collect();
     format!(
-        "held in {confirmed} zones, not confirmed by {}",
+        "accepted as version {} and held in {confirmed} zones, not confirmed by {}",
+        receipt.version,
         missing.join(", ")
     )
 }
--- a/src/decide/control/sheet_control.rs
+++ b/src/decide/control/sheet_control.rs
@@ -30,7 +30,7 @@
 /// Time between two looks at the workers known, in milliseconds.
 const VIEW_INTERVAL_MS: u64 = 1_000;
 /// Time for which a daemon must be a gateway to be sure that it knows all zones, in milliseconds.
-const ZONES_KNOWN_MS: u64 = 10_000;
+const ZONES_KNOWN_MS: u64 = 4_000;
 /// Least time between two searches for a version that calls carried, in milliseconds.
 const WANTED_INTERVAL_MS: u64 = 100;
 /// Daemons asked for a version that a call carried.
