--- a/tests/sheet_check.rs
+++ b/tests/sheet_check.rs
@@ -398,3 +398,14 @@
     let whole = SheetChange::between(&SheetContent::default(), &new.content);
     assert_eq!(whole.apply(&SheetContent::default()), new.content);
 }
+
+#[test]
+fn the_sheets_of_the_documentation_have_no_finding() {
+    for name in ["levy-voucher-exchange", "tantuvan-fibre-safety-labs"] {
+        let path = format!("{}/docs/sheets/{name}.csv", env!("CARGO_MANIFEST_DIR"));
+        let checked = sheet::parse(&std::fs::read(path).unwrap());
+        assert_eq!(checked.issues, [], "{name}");
+        assert!(checked.content.rules.len() > 5, "{name}");
+        assert_eq!(checked.content.shares.len(), 4, "{name}");
+    }
+}
