--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -45,8 +45,8 @@
     pump: Arc<Pump>,
     log: LogClient,
     started_ms: u64,
-    publishers: std::sync::Mutex<Publishers>,
     heard: AtomicBool,
+    publishers: std::sync::Mutex<Publishers>,
 }
 
 impl ControlLoop {
@@ -61,8 +61,8 @@
             pump,
             log,
             started_ms,
-            publishers: std::sync::Mutex::default(),
             heard: AtomicBool::new(false),
+            publishers: std::sync::Mutex::default(),
         })
     }
 
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -227,9 +227,11 @@
         let this = &self;
         let service = service_fn(move |request| {
             let handler = Arc::clone(&handler);
+            // Set here rather than in the future, which may never be polled if the
+            // end of the stream has come along with the request.
+            this.waiting.store(true, Ordering::Relaxed);
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
-                this.waiting.store(true, Ordering::Relaxed);
                 let response = this.answer(request, &*handler).await;
                 this.waiting.store(false, Ordering::Relaxed);
                 Ok::<_, Infallible>(response)
--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -107,19 +107,18 @@
         Ok(fleet)
     }
 
-    /// Publishes the deployment's sheet on top of the one in force.
+    /// Publishes the deployment's sheet on top of what stands on the log.
     pub async fn publish(&self) -> Result<(), LogError> {
         let client = LogClient::new(self.log.address, LOG_TIMEOUT_MS);
         let mut fold = SheetFold::default();
         fold.read(0, client.read(Stream::Sheets, 0).await?);
-        let base = fold.base();
         let content = SheetContent::canonical(self.plan.deployment.rules(), Vec::new());
         let publication = Publication {
-            id: format!("trial-{}", base.version),
-            base: Some(base),
+            id: format!("trial-{}", fold.base().version),
+            base: Some(fold.base()),
             author: "trial".into(),
             published_ms: unix_ms(),
-            change: SheetChange::between(&fold.sheet().content(), &content),
+            change: SheetChange::between(&SheetContent::default(), &content),
         };
         let record = LogRecord::Publication(publication);
         client.append(Stream::Sheets, &record).await?;
--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -33,9 +33,9 @@
             service_ms,
             calls: BTreeMap::new(),
             daemon: settings.local_address,
+            deadlines: true,
             instant: Vec::new(),
             seed: 1,
-            deadlines: true,
         };
         let log = runtime.block_on(StandInLog::start(settings.log_address));
         let backend = runtime.block_on(StandInBackend::start(settings.backend_address, plan));
