Race operators under random faults, bound the size of a sheet

Cause: faults had been tested one at a time, and a page of the log with several whole sheets could exceed what the client reads, so that no reader came past it. Change: tests/publish_chaos.rs; sheets above 2,000,000 bytes are refused; the stand-in ends a page after 1,000,000 bytes.

--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -25,6 +25,9 @@
 /// Time after which the next daemon of a zone is asked, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 400;
 
+/// Largest sheet in canonical form, in bytes; a checkpoint holds a whole one.
+pub const MAX_SHEET_BYTES: usize = 2_000_000;
+
 /// An operator's request to publish a sheet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PublishRequest {
@@ -356,6 +359,14 @@
             Some(_) => fold.sheet().content(),
             None => SheetContent::default(),
         };
+        let bytes = self.request.content.encoded_bytes();
+        if bytes > MAX_SHEET_BYTES {
+            let reason = format!(
+                "the sheet has {bytes} bytes in canonical form, more than {MAX_SHEET_BYTES}: \
+                 replace rules for single callers or requests by rules for any"
+            );
+            return Some(PublishStatus::Refused { reason });
+        }
         let change = SheetChange::between(&old, &self.request.content);
         if change.is_empty() && self.request.base.is_some() {
             let version = fold.base().version;
--- a/src/model/sheet.rs
+++ b/src/model/sheet.rs
@@ -66,6 +66,11 @@
         SheetContent { rules, shares }
     }
 
+    /// Length of the canonical form, in bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        serde_json::to_vec(self).map_or(usize::MAX, |bytes| bytes.len())
+    }
+
     /// The hash of the canonical form: equal for two exports that say the same.
     pub fn hash(&self) -> SheetHash {
         let bytes = serde_json::to_vec(self).unwrap_or_default();
--- a/src/standin/log.rs
+++ b/src/standin/log.rs
@@ -17,6 +17,8 @@
 
 /// Most records in one page.
 const PAGE_RECORDS: usize = 1_000;
+/// Bytes after which a page takes no further record.
+const PAGE_BYTES: usize = 1_000_000;
 
 /// Switches by which a test makes the log service fail.
 #[derive(Debug, Default)]
@@ -147,11 +149,17 @@
     let held = streams.entry(stream.to_owned()).or_default();
     let skip = from.saturating_sub(held.first_offset) as usize;
     let start = held.first_offset + skip as u64;
+    let mut bytes = 0;
     let records: Vec<StoredRecord> = held
         .records
         .iter()
         .skip(skip)
         .take(PAGE_RECORDS)
+        .take_while(|data| {
+            let fits = bytes <= PAGE_BYTES;
+            bytes += data.len();
+            fits
+        })
         .zip(start..)
         .map(|(data, offset)| StoredRecord {
             offset,
--- /dev/null
+++ b/tests/publish_chaos.rs
@@ -0,0 +1,165 @@
+//! Operators race while the log service, links and daemons fail at random.
+
+mod control_world;
+
+use std::collections::BTreeMap;
+
+use burdockhall::decide::control::fold::SheetFold;
+use burdockhall::decide::control::publish::PublishStatus;
+use burdockhall::decide::control::record::Stream;
+use control_world::{World, content};
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+const SEEDS: u64 = 30;
+const STEPS: u64 = 120;
+const ZONES: usize = 4;
+const DAEMONS: usize = 4;
+const SETTLING_MS: u64 = 30_000;
+/// Longest time from the end of all faults until all daemons agree, in milliseconds.
+const HEALED_MS: u64 = 12_000;
+
+/// A world with everything that the log has ever accepted.
+struct Chaos {
+    world: World,
+    rng: Xoshiro256PlusPlus,
+    complete: SheetFold,
+    accepted: BTreeMap<String, u64>,
+}
+
+impl Chaos {
+    fn new(seed: u64) -> Chaos {
+        let mut world = World::new(seed, ZONES, DAEMONS);
+        world.run_for(SETTLING_MS);
+        Chaos {
+            world,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            complete: SheetFold::default(),
+            accepted: BTreeMap::new(),
+        }
+    }
+
+    fn step(&mut self, number: u64) {
+        let host = self.rng.random_range(0..ZONES * DAEMONS);
+        match self.rng.random_range(0..14) {
+            0..=4 => {
+                // Several operators, some of them with an old base or a repeated id.
+                let base = self.world.version(host);
+                let base = base.saturating_sub(self.rng.random_range(0..4) / 3);
+                let id = format!("id-{}", number - number % self.rng.random_range(1..=3));
+                let services = ["balances", "ledger"];
+                let services = &services[..self.rng.random_range(0..=2)];
+                self.world
+                    .publish(host, &id, Some(base), content(100 + number, services));
+            }
+            5 => self.world.log.down = true,
+            6 => self.world.log.slow_ms = self.rng.random_range(0..2_000),
+            7 => self.world.log.lose_answers = self.rng.random_range(0..3),
+            8 => self.world.cut_zone(host % ZONES),
+            9 => {
+                self.world.cut_from_log.insert(host % ZONES);
+            }
+            10 => self.world.restart(host),
+            11 => self.calm(),
+            12 => self.calm(),
+            _ => self.truncate(),
+        }
+        let span_ms = self.rng.random_range(0..3_000);
+        for _ in 0..10 {
+            self.world.run_for(span_ms / 10);
+            self.follow();
+        }
+    }
+
+    fn calm(&mut self) {
+        self.world.heal();
+        self.world.log.down = false;
+        self.world.log.slow_ms = 0;
+        self.world.log.lose_answers = 0;
+    }
+
+    /// Drops what a checkpoint makes superfluous, as a long enough retention would.
+    fn truncate(&mut self) {
+        let lowest = (0..ZONES * DAEMONS)
+            .map(|host| {
+                self.world.daemons[host]
+                    .control
+                    .sheets()
+                    .fold()
+                    .next_offset()
+            })
+            .max();
+        let keep = self.rng.random_range(0..4);
+        let first = lowest.unwrap_or(0).saturating_sub(keep);
+        self.world.log.truncate(Stream::Sheets, first);
+    }
+
+    /// Reads every record before it can expire.
+    fn follow(&mut self) {
+        let from = self.complete.next_offset();
+        let batch = self.world.log.read(Stream::Sheets, from);
+        self.complete.read(from, batch);
+        assert!(!self.complete.has_gap());
+        for accepted in self.complete.recent() {
+            let version = accepted.version.0;
+            let known = *self.accepted.entry(accepted.id.clone()).or_insert(version);
+            assert_eq!(known, version, "{} took effect twice", accepted.id);
+        }
+    }
+
+    /// No report may say what the log contradicts.
+    fn check_reports(&self, seed: u64) {
+        for (_, host, id, status) in &self.world.reports {
+            let version = self.accepted.get(id).copied();
+            match status {
+                PublishStatus::InForce(receipt) | PublishStatus::Accepted(receipt) => {
+                    assert_eq!(
+                        version,
+                        Some(receipt.version.0),
+                        "seed {seed}, {id} at {host}"
+                    );
+                }
+                PublishStatus::Conflict {
+                    version: winner, ..
+                } => {
+                    assert_ne!(version, Some(winner.0), "seed {seed}, {id} at {host}");
+                }
+                PublishStatus::Refused { .. } | PublishStatus::InDoubt { .. } => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn all_daemons_agree_and_no_report_is_contradicted() {
+    let mut outcomes: BTreeMap<&'static str, u32> = BTreeMap::new();
+    for seed in 0..SEEDS {
+        let mut chaos = Chaos::new(seed);
+        for number in 0..STEPS {
+            chaos.step(number);
+        }
+        chaos.calm();
+        chaos.world.run_for(HEALED_MS);
+        chaos.follow();
+        let expected = chaos.complete.rank();
+        for (host, daemon) in chaos.world.daemons.iter().enumerate() {
+            let rank = daemon.control.sheets().fold().rank();
+            assert_eq!(rank, expected, "seed {seed}, daemon {host}");
+        }
+        chaos.world.run_for(SETTLING_MS);
+        chaos.follow();
+        chaos.check_reports(seed);
+        for (_, _, _, status) in &chaos.world.reports {
+            let name = match status {
+                PublishStatus::InForce(_) => "in force",
+                PublishStatus::Accepted(_) => "accepted",
+                PublishStatus::Conflict { .. } => "conflict",
+                PublishStatus::Refused { .. } => "refused",
+                PublishStatus::InDoubt { .. } => "in doubt",
+            };
+            *outcomes.entry(name).or_default() += 1;
+        }
+    }
+    println!("{outcomes:?}");
+    assert!(outcomes.len() >= 4, "{outcomes:?}");
+}
--- a/tests/publish_decisions.rs
+++ b/tests/publish_decisions.rs
@@ -2,8 +2,9 @@
 
 mod control_world;
 
-use burdockhall::decide::control::publish::PublishStatus;
+use burdockhall::decide::control::publish::{MAX_SHEET_BYTES, PublishStatus};
 use burdockhall::decide::control::record::Stream;
+use burdockhall::model::{Contract, Rule, SheetContent};
 use control_world::{World, content};
 
 /// Time in which all daemons of a new world find each other, in milliseconds.
@@ -231,3 +232,54 @@
     let publication = Publication::first("z", "planner", 1, &content(100, &[]));
     LogRecord::Publication(publication)
 }
+
+/// Rules for many services, each with a rule for every kind of request.
+fn large(services: usize, requests: usize, changed_deadline_ms: u64) -> SheetContent {
+    let mut rules = Vec::new();
+    for service in 0..services {
+        for request in 0..requests {
+            rules.push(Rule {
+                service: Some(format!("service-{service:04}").as_str().into()),
+                request: Some(format!("request-{request:03}").as_str().into()),
+                caller: None,
+                contract: Contract {
+                    deadline_ms: if service == 7 {
+                        changed_deadline_ms
+                    } else {
+                        900
+                    },
+                    ..Contract::SAFE
+                },
+            });
+        }
+    }
+    SheetContent::canonical(rules, Vec::new())
+}
+
+#[test]
+fn a_change_of_one_service_does_not_carry_the_others() {
+    let mut world = settled(11, 2, 3);
+    let (first, second) = (large(800, 5, 100), large(800, 5, 200));
+    let whole = first.encoded_bytes();
+    world.publish(0, "first", Some(0), first);
+    assert!(world.run_until_held(1, ORDINARY_MS).is_some());
+    world.publish(4, "second", Some(1), second);
+    assert!(world.run_until_held(2, ORDINARY_MS).is_some());
+    let record = &world.log.records[&Stream::Sheets][1].1;
+    let change = serde_json::to_vec(record).unwrap().len();
+    println!("sheet of 4,000 rules: {whole} bytes; record of one service: {change} bytes");
+    assert!(change < whole / 100);
+}
+
+#[test]
+fn a_sheet_that_is_too_large_is_refused() {
+    let mut world = settled(12, 1, 2);
+    let sheet = large(4_000, 5, 100);
+    assert!(sheet.encoded_bytes() > MAX_SHEET_BYTES);
+    world.publish(0, "a", Some(0), sheet);
+    world.run_for(ORDINARY_MS);
+    assert!(matches!(
+        world.status("a"),
+        Some(PublishStatus::Refused { .. })
+    ));
+}
--- a/tests/spread_sheets.rs
+++ b/tests/spread_sheets.rs
@@ -336,3 +336,37 @@
         .filter(|d| d.control.sheets().fold().has_gap());
     assert_eq!(gaps.count(), 0);
 }
+
+/// Most bytes a second that sheets may cost one daemon, a quarter of its share for control.
+const IDLE_BYTES_PER_S: u64 = 5_000;
+
+#[test]
+fn sheets_cost_a_daemon_little_while_nothing_changes() {
+    for daemons in [4, 8, 16, 32] {
+        let mut world = settled(21, 4, daemons);
+        world.publish(0, "a", Some(0), content(100, &[]));
+        world.run_for(SETTLING_MS);
+        let before: Vec<(u64, u64)> = world
+            .daemons
+            .iter()
+            .map(|daemon| (daemon.sent, daemon.sent_bytes))
+            .collect();
+        let seconds = 60;
+        world.run_for(1_000 * seconds);
+        let after = world.daemons.iter().zip(&before);
+        let spent = after.map(|(daemon, before)| {
+            (
+                (daemon.sent - before.0) / seconds,
+                (daemon.sent_bytes - before.1) / seconds,
+            )
+        });
+        let most = spent.fold((0, 0), |most, spent| {
+            (most.0.max(spent.0), most.1.max(spent.1))
+        });
+        println!(
+            "4 zones of {daemons} daemons: at most {} messages and {} bytes of JSON a second",
+            most.0, most.1
+        );
+        assert!(most.1 < IDLE_BYTES_PER_S);
+    }
+}
