--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod settings;
 pub mod sheet;
+pub mod standin;
 pub mod status;
 pub mod trial;
 pub mod version;
@@ -63,6 +64,7 @@
         .subcommand(workers::command())
         .subcommand(drain::command())
         .subcommand(trial::command())
+        .subcommand(standin::command())
         .subcommand(version::command())
 }
 
@@ -76,6 +78,7 @@
         Some(("workers", matches)) => workers::run(matches),
         Some(("drain", matches)) => drain::run(matches),
         Some(("trial", matches)) => trial::run(matches),
+        Some(("standin", matches)) => standin::run(matches),
         Some(("version", matches)) => version::run(matches),
         _ => Ok(()),
     }
--- a/src/decide/node/settling.rs
+++ b/src/decide/node/settling.rs
@@ -5,16 +5,19 @@
 use crate::decide::dispatch::{Dispatch, DispatchState, Settling};
 use crate::decide::evidence::{NotRunEvidence, Refusal};
 use crate::decide::executor::Received;
-use crate::decide::home::Opened;
-use crate::decide::message::{CallId, ExchangeId, PeerReply, PeerRequest, Priority};
+use crate::decide::message::{
+    CallId, ExchangeId, PeerReply, PeerRequest, Priority, TicketClosings,
+};
 use crate::decide::timers::Wakeup;
 use crate::model::{
-    CallContext, CallKey, Importance, NotRunReason, Outcome, RootId, TicketId, UnknownReason,
+    CallContext, CallKey, Importance, NotRun, NotRunReason, Outcome, RootId, UnknownReason,
     WorkerId,
 };
 
 /// Longest that a caller who asks for a key waits for a run to end, in milliseconds.
 const QUERY_WAIT_MS: u64 = 5_000;
+/// Longest wait for the reply to an acknowledgement, in milliseconds.
+const ACKNOWLEDGE_TIMEOUT_MS: u64 = 1_000;
 
 impl Node {
     /// A caller asks what became of a key.
@@ -23,7 +26,7 @@
         let home = key.ticket.id.home;
         let reply_to = ReplyTo::Caller(call);
         if home == me {
-            return self.settle_at_home(turn, reply_to, key);
+            return self.settle_at_home(turn, reply_to, key, None);
         }
         let mut dispatch = self.question(turn, key.clone());
         dispatch.reply_to = Some(reply_to);
@@ -36,7 +39,11 @@
         };
         self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
         self.dispatches.insert(call, dispatch);
-        let message = PeerRequest::Settle { to: home, key };
+        let message = PeerRequest::Settle {
+            to: home,
+            key,
+            fingerprint: None,
+        };
         self.send(turn, exchange, message, false, QUERY_WAIT_MS);
     }
 
@@ -50,7 +57,8 @@
     ) {
         let exchange = dispatch.next_exchange(call);
         let granted = std::mem::take(&mut dispatch.allowance);
-        let mut request = dispatch.execute_request(turn.now, home, 0);
+        let below = dispatch.acknowledged_below;
+        let mut request = dispatch.execute_request(turn.now, home, below);
         request.context.allowance = granted;
         dispatch.state = DispatchState::AtHome {
             number: exchange.number,
@@ -69,7 +77,7 @@
         mut dispatch: Dispatch,
         reply: PeerReply,
     ) {
-        dispatch.allowance += reply.allowance_left;
+        self.credit(turn, &mut dispatch, reply.allowance_left);
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
         match reply.outcome {
@@ -104,16 +112,15 @@
             return self.end(turn, call, dispatch, outcome);
         }
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
+        let asked = dispatch.fingerprint();
         self.dispatches.insert(call, dispatch);
         for (exchange, to) in exchanges {
-            let key = key.clone();
-            self.send(
-                turn,
-                exchange,
-                PeerRequest::Settle { to, key },
-                true,
-                timeout_ms,
-            );
+            let message = PeerRequest::Settle {
+                to,
+                key: key.clone(),
+                fingerprint: asked,
+            };
+            self.send(turn, exchange, message, true, timeout_ms);
         }
     }
 
@@ -125,10 +132,12 @@
     ) {
         let finding = match reply.outcome {
             Outcome::Done(_) => Finding::Done(reply.outcome),
-            Outcome::NotRun(refusal) if refusal.reason != NotRunReason::WrongIncarnation => {
-                Finding::Fence(refusal.evidence)
-            }
-            Outcome::NotRun(_) | Outcome::Unknown(_) => Finding::Missing,
+            Outcome::NotRun(refusal) => match refusal.reason {
+                NotRunReason::WrongIncarnation => Finding::Missing,
+                NotRunReason::KeyReused => Finding::Reused(refusal),
+                _ => Finding::Fence(refusal.evidence),
+            },
+            Outcome::Unknown(_) => Finding::Missing,
         };
         self.candidate_found(turn, exchange, finding);
     }
@@ -144,6 +153,7 @@
         reply_to: ReplyTo,
         to: WorkerId,
         key: CallKey,
+        asked: Option<u64>,
     ) {
         let me = self.settings.vm.worker;
         if to != me {
@@ -151,28 +161,34 @@
         }
         let own_question = matches!(reply_to, ReplyTo::Local(_));
         if key.ticket.id.home == me && !own_question {
-            return self.settle_at_home(turn, reply_to, key);
+            return self.settle_at_home(turn, reply_to, key, asked);
         }
-        match self.executor.settle(&key, reply_to) {
-            Received::New | Received::Joined => {}
-            Received::Ended(outcome) => {
-                let reply = self.plain_reply(Some(key), outcome);
-                self.deliver(turn, reply_to, reply);
+        let outcome = match self.executor.settle(&key, asked, reply_to) {
+            Received::New | Received::Joined => return,
+            Received::Ended(outcome) | Received::Refused(outcome) => outcome,
+            Received::Reused => {
+                let evidence = Refusal::before_hand_over().into();
+                not_run(NotRunReason::KeyReused, 0, evidence)
             }
-        }
+        };
+        let reply = self.plain_reply(Some(key), outcome);
+        self.deliver(turn, reply_to, reply);
     }
 
-    /// A home closes all keys of a ticket below a counter.
+    /// A home closes keys and tickets.
     pub(super) fn acknowledged(
         &self,
         turn: &mut Turn<'_>,
         reply_to: ReplyTo,
         to: WorkerId,
-        ticket: TicketId,
-        lowest_open: u64,
+        home: WorkerId,
+        closings: &TicketClosings,
     ) {
         if to == self.settings.vm.worker {
-            self.executor.acknowledge(ticket, lowest_open);
+            for (ticket, lowest_open) in &closings.lowest_open {
+                self.executor.acknowledge(home, *ticket, *lowest_open);
+            }
+            self.executor.close(home, closings);
         }
         let outcome = Outcome::Unknown(UnknownReason::KeyAcknowledged);
         let reply = self.plain_reply(None, outcome);
@@ -194,14 +210,50 @@
         self.deliver(turn, reply_to, reply);
     }
 
-    fn settle_at_home(&self, turn: &mut Turn<'_>, reply_to: ReplyTo, key: CallKey) {
-        let outcome = match self.home.settle(&key, reply_to) {
-            Opened::New | Opened::Joined => return,
-            Opened::Kept(outcome) => outcome,
-            Opened::Refused(reason) => not_run(reason, 0, Refusal::before_hand_over().into()),
-        };
-        let reply = self.plain_reply(Some(key), outcome);
-        self.deliver(turn, reply_to, reply);
+    fn settle_at_home(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        asked: Option<u64>,
+    ) {
+        let opened = self.home.settle(&key, asked, reply_to);
+        self.answer_opened(turn, reply_to, key, opened);
+    }
+
+    /// Asks the executor again about a call that ended in doubt.
+    pub(super) fn ask_again(
+        &self,
+        turn: &mut Turn<'_>,
+        reply_to: ReplyTo,
+        key: CallKey,
+        executor: WorkerId,
+    ) {
+        let call = self.next_call();
+        self.home.reopen(&key, call, reply_to);
+        let dispatch = self.question(turn, key);
+        self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
+        self.ask_for_record(turn, call, dispatch, executor);
+    }
+
+    /// Sends the acknowledgements that are due.
+    pub(super) fn send_acknowledgements(&self, turn: &mut Turn<'_>) {
+        let batches = self.acks.due(turn.now);
+        if batches.is_empty() {
+            return;
+        }
+        let floors = self.home.floors();
+        for (to, mut closings) in batches {
+            closings.floors = floors;
+            let exchange = ExchangeId {
+                call: self.next_call(),
+                number: 0,
+            };
+            self.acks.sent(exchange.call, to, closings.clone());
+            let home = self.settings.vm.worker;
+            let message = PeerRequest::Acknowledge { to, home, closings };
+            self.send(turn, exchange, message, false, ACKNOWLEDGE_TIMEOUT_MS);
+        }
     }
 
     /// Takes in what one candidate says, and ends the call after the last one.
@@ -218,6 +270,7 @@
         }
         let outcome = match finding {
             Finding::Done(outcome) => Some(outcome),
+            Finding::Reused(refusal) => Some(Outcome::NotRun(refusal)),
             Finding::Fence(evidence) => {
                 settling.fences.push(evidence);
                 settling.verdict()
@@ -260,6 +313,11 @@
             deadline: turn.now.plus_ms(QUERY_WAIT_MS),
             state: DispatchState::Settling(Settling::default()),
             allowance: 0,
+            granted: 0,
+            in_doubt: false,
+            doubt: None,
+            waiters_answered: false,
+            acknowledged_below: 0,
             attempts: 0,
             tried: Vec::new(),
             next_number: 0,
@@ -272,6 +330,7 @@
 /// What one candidate says of a key.
 enum Finding {
     Done(Outcome),
+    Reused(NotRun),
     Fence(NotRunEvidence),
     Missing,
 }
