--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,6 +1,7 @@
 //! Drives the control decisions: the log service, peers, announcements, ticks.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
@@ -11,13 +12,13 @@
 use super::local::BackendAnnouncement;
 use super::peer_control::{self, Arrived};
 use super::pump::{Pump, Wanted};
-use crate::decide::control::audit::{AuditBatch, AuditEntry};
+use crate::decide::control::audit::{AuditBatch, AuditEntry, AuditKind};
 use crate::decide::control::publish::{PublishReport, PublishRequest, PublishStatus};
 use crate::decide::control::record::{Accepted, LogRecord, SheetBase, Stream};
 use crate::decide::control::sheet_control::SheetStatus;
 use crate::decide::sharded::lock;
 use crate::decide::{Control, ControlAction, ControlEvent, Event};
-use crate::model::{Announcement, ServerState, Sheet, SheetHash};
+use crate::model::{Announcement, ServerState, Sheet, SheetHash, WorkerId};
 use crate::platform::log::{LogClient, LogError};
 
 /// Time between two ticks, in milliseconds.
@@ -75,6 +76,11 @@
         Arc::clone(self.control.lock().await.sheets().sheet())
     }
 
+    /// This daemon.
+    pub fn worker(&self) -> WorkerId {
+        self.pump.node.vm().worker
+    }
+
     /// The sheet in force here with its age, for status and metrics.
     pub async fn sheet_status(&self) -> SheetStatus {
         let now = self.pump.clock().now();
@@ -218,6 +224,9 @@
             }
             ControlAction::WorkerGone { worker, voters } => {
                 spdlog::warn!("worker {} is gone, found by {:?}", worker, voters);
+                let entry = self.verdict_entry(worker, &voters);
+                let this = Arc::clone(self);
+                tokio::spawn(async move { this.audit(entry).await });
             }
             ControlAction::Append { stream, record } => {
                 let this = Arc::clone(self);
@@ -238,6 +247,20 @@
         }
     }
 
+    fn verdict_entry(&self, worker: WorkerId, voters: &[SocketAddr]) -> AuditEntry {
+        let voters: Vec<String> = voters.iter().map(SocketAddr::to_string).collect();
+        let own = self.pump.node.vm().worker.address;
+        AuditEntry {
+            at_ms: unix_ms(),
+            kind: AuditKind::Membership,
+            author: own.to_string().as_str().into(),
+            services: Vec::new(),
+            from_version: None,
+            to_version: None,
+            detail: format!("worker {worker} is gone, found by {}", voters.join(", ")),
+        }
+    }
+
     fn publish_ended(&self, report: PublishReport) {
         let waiting = lock(&self.publishers).remove(&(report.id, report.content));
         for sender in waiting.into_iter().flatten() {
