--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,9 +1,12 @@
 //! The commands, one file each.
 
+pub mod audit;
 pub mod daemon;
 pub mod drain;
 pub mod error;
 pub mod settings;
+pub mod sheet;
+pub mod standin;
 pub mod status;
 pub mod trial;
 pub mod version;
@@ -21,7 +24,10 @@
   1  failed
   2  wrong input: the command line, settings or a sheet with errors, no token
   3  the daemon could not be asked, or it refused
-  4  a graceful shutdown was cut short";
+  4  a graceful shutdown was cut short
+  5  a publication has lost against another
+  6  a sheet was accepted, but zones are missing
+  7  whether a sheet was accepted cannot be told yet";
 
 /// Parses the command line and runs the command named there.
 pub fn main() -> ExitCode {
@@ -52,10 +58,13 @@
         .after_help(EXIT_CODES)
         .subcommand(daemon::command())
         .subcommand(settings::command())
+        .subcommand(sheet::command())
+        .subcommand(audit::command())
         .subcommand(status::command())
         .subcommand(workers::command())
         .subcommand(drain::command())
         .subcommand(trial::command())
+        .subcommand(standin::command())
         .subcommand(version::command())
 }
 
@@ -63,10 +72,13 @@
     match matches.subcommand() {
         Some(("daemon", matches)) => daemon::run(matches),
         Some(("settings", matches)) => settings::run(matches),
+        Some(("sheet", matches)) => sheet::run(matches),
+        Some(("audit", matches)) => audit::run(matches),
         Some(("status", matches)) => status::run(matches),
         Some(("workers", matches)) => workers::run(matches),
         Some(("drain", matches)) => drain::run(matches),
         Some(("trial", matches)) => trial::run(matches),
+        Some(("standin", matches)) => standin::run(matches),
         Some(("version", matches)) => version::run(matches),
         _ => Ok(()),
     }
--- /dev/null
+++ b/src/net/admin_sheets.rs
@@ -0,0 +1,291 @@
+//! The routes of the administration API for sheets and the audit trail.
+
+use std::sync::Arc;
+
+use hyper::{HeaderMap, Method, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::admin::{Admin, refusal};
+use super::admin_auth::Wish;
+use super::control::ControlLoop;
+use super::daemon::unix_ms;
+use super::http::{self, FullResponse};
+use crate::decide::control::audit::{AuditBatch, AuditEntry};
+use crate::decide::control::publish::{PublishRequest, PublishStatus};
+use crate::decide::control::record::Accepted;
+use crate::decide::control::sheet_control::SheetStatus;
+use crate::model::{
+    AuthorName, ServiceName, Sheet, SheetChange, SheetContent, SheetHash, SheetVersion, WorkerId,
+};
+use crate::sheet::{self, SheetIssue};
+
+/// Longest publication id, in bytes.
+const MAX_ID_BYTES: usize = 128;
+
+/// The sheet in force, as `GET /v1/sheet` answers it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SheetAnswer {
+    /// Version, author, time and age.
+    pub status: SheetStatus,
+    /// The hash of the content.
+    pub content_hash: SheetHash,
+    /// The sheet.
+    pub sheet: Sheet,
+}
+
+/// The body of `POST /v1/sheet`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishBody {
+    /// Chosen by the publisher; the same for each repetition.
+    pub id: String,
+    /// The version that the sheet builds on; none starts a new history.
+    pub base: Option<SheetVersion>,
+    /// The chain hash of that version, if the publisher has seen it.
+    #[serde(default)]
+    pub base_chain: Option<SheetHash>,
+    /// Who publishes; the team of the token if it is empty.
+    pub author: AuthorName,
+    /// The sheet as CSV.
+    pub csv: String,
+}
+
+/// The answer of `POST /v1/sheet`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublishAnswer {
+    /// Errors and warnings of the sheet.
+    pub issues: Vec<SheetIssue>,
+    /// How the publication ended; none if the sheet has errors.
+    pub outcome: Option<PublishStatus>,
+}
+
+/// One entry of the audit trail with its place, as `GET /v1/audit` answers it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AuditLine {
+    /// The daemon that recorded it.
+    pub worker: WorkerId,
+    /// Its number among the entries of that daemon.
+    pub number: u64,
+    /// The entry.
+    pub entry: AuditEntry,
+}
+
+/// The answer of `GET /v1/audit`.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AuditAnswer {
+    /// The entries asked for, oldest first.
+    pub lines: Vec<AuditLine>,
+    /// Entries that daemons had to drop while the log could not be written.
+    pub dropped: u64,
+}
+
+/// Which entries of the audit trail are wanted.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct AuditFilter {
+    /// Only entries from this time on, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+    /// Only entries about this service; entries about all services are always included.
+    pub service: Option<ServiceName>,
+    /// Only entries of this author.
+    pub author: Option<AuthorName>,
+}
+
+/// A request of an operator.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked<'a> {
+    /// The method.
+    pub method: &'a Method,
+    /// The parts of the path.
+    pub segments: &'a [&'a str],
+    /// The query.
+    pub query: Option<&'a str>,
+    /// The headers.
+    pub headers: &'a HeaderMap,
+    /// Method and path, for the records.
+    pub line: &'a str,
+    /// The body.
+    pub body: &'a [u8],
+}
+
+/// Answers the routes of this module; `None` for any other.
+pub async fn handle(admin: &Admin, asked: Asked<'_>) -> Option<FullResponse> {
+    let control = &admin.parts().control;
+    let publishes = match (asked.method, asked.segments) {
+        (&Method::POST, ["v1", "sheet"]) => true,
+        (&Method::GET, ["v1", "sheet"] | ["v1", "sheet", "history"] | ["v1", "audit"]) => false,
+        _ => return None,
+    };
+    let team = match admin.authorise(asked.headers, asked.line, &Wish::Read) {
+        Ok(team) => team.name.clone(),
+        Err(error) => return Some(refusal(&error)),
+    };
+    if publishes {
+        return Some(checked_publish(admin, asked, &team).await);
+    }
+    Some(match asked.segments {
+        ["v1", "audit"] => audit(control, asked.query).await,
+        ["v1", "sheet", "history"] => history(control).await,
+        _ => show(control).await,
+    })
+}
+
+async fn checked_publish(admin: &Admin, asked: Asked<'_>, team: &str) -> FullResponse {
+    let control = &admin.parts().control;
+    let mut body = match publish_body(asked.body) {
+        Ok(body) => body,
+        Err(message) => return http::error(StatusCode::BAD_REQUEST, &message),
+    };
+    let mut wishes = changed_services(control, &body).await;
+    if wishes.is_empty() || body.base.is_none() {
+        wishes.push(None);
+    }
+    for service in wishes {
+        let wish = Wish::ChangeRules(service);
+        if let Err(error) = admin.authorise(asked.headers, asked.line, &wish) {
+            return refusal(&error);
+        }
+    }
+    body.author = author_of_team(&body.author, team);
+    publish(control, body).await
+}
+
+/// The author as the records have it: who says to publish, and the team whose token it was.
+fn author_of_team(author: &AuthorName, team: &str) -> AuthorName {
+    if author.as_str().is_empty() || author.as_str() == team {
+        return team.into();
+    }
+    format!("{author} ({team})").as_str().into()
+}
+
+async fn show(control: &ControlLoop) -> FullResponse {
+    let sheet = control.sheet().await;
+    let answer = SheetAnswer {
+        status: control.sheet_status().await,
+        content_hash: sheet.content().hash(),
+        sheet: Sheet::clone(&sheet),
+    };
+    http::json(StatusCode::OK, &answer)
+}
+
+async fn history(control: &ControlLoop) -> FullResponse {
+    let history: Vec<Accepted> = control.sheet_history().await;
+    http::json(StatusCode::OK, &history)
+}
+
+/// Reads the body of `POST /v1/sheet`; else what is wrong with it.
+fn publish_body(body: &[u8]) -> Result<PublishBody, String> {
+    let body: PublishBody = serde_json::from_slice(body)
+        .map_err(|error| format!("the body is not a publication: {error}"))?;
+    if body.id.is_empty() || body.id.len() > MAX_ID_BYTES {
+        return Err("the id must have between 1 and 128 bytes".to_owned());
+    }
+    Ok(body)
+}
+
+/// The services whose rules a publication would change; none stands for rules of any service.
+async fn changed_services(control: &ControlLoop, body: &PublishBody) -> Vec<Option<ServiceName>> {
+    let new = sheet::parse(body.csv.as_bytes()).content;
+    let old = match body.base {
+        Some(_) => control.sheet().await.content(),
+        None => SheetContent::default(),
+    };
+    let change = SheetChange::between(&old, &new);
+    let shares = change.shares.is_some().then_some(None);
+    let services = change.services.into_iter().map(|rules| rules.service);
+    services.chain(shares).collect()
+}
+
+async fn publish(control: &Arc<ControlLoop>, body: PublishBody) -> FullResponse {
+    let checked = sheet::parse(body.csv.as_bytes());
+    if checked.has_errors() {
+        let answer = PublishAnswer {
+            issues: checked.issues,
+            outcome: None,
+        };
+        return http::json(StatusCode::OK, &answer);
+    }
+    let request = PublishRequest {
+        id: body.id,
+        base: body.base,
+        base_chain: body.base_chain,
+        author: body.author,
+        published_ms: unix_ms(),
+        content: checked.content,
+    };
+    let answer = PublishAnswer {
+        outcome: Some(control.publish(request).await),
+        issues: checked.issues,
+    };
+    http::json(StatusCode::OK, &answer)
+}
+
+async fn audit(control: &ControlLoop, query: Option<&str>) -> FullResponse {
+    let filter = match AuditFilter::parse(query.unwrap_or_default()) {
+        Ok(filter) => filter,
+        Err(message) => return http::error(StatusCode::BAD_REQUEST, &message),
+    };
+    match control.read_audit().await {
+        Ok(batches) => http::json(StatusCode::OK, &filter.select(batches)),
+        Err(error) => http::error(StatusCode::BAD_GATEWAY, &error.to_string()),
+    }
+}
+
+impl AuditFilter {
+    /// Reads the query of `GET /v1/audit`.
+    pub fn parse(query: &str) -> Result<AuditFilter, String> {
+        let mut filter = AuditFilter::default();
+        for pair in query.split('&').filter(|pair| !pair.is_empty()) {
+            let (name, value) = pair.split_once('=').unwrap_or((pair, ""));
+            let value = http::percent_decoded(value)?;
+            match name {
+                "since_ms" => {
+                    let since_ms = value.parse();
+                    filter.since_ms = since_ms.map_err(|_| format!("`{value}` is no time"))?;
+                }
+                "service" => filter.service = Some(value.as_str().into()),
+                "author" => filter.author = Some(value.as_str().into()),
+                _ => return Err(format!("`{name}`: use since_ms, service and author")),
+            }
+        }
+        Ok(filter)
+    }
+
+    /// The entries wanted, each once, oldest first.
+    pub fn select(&self, batches: Vec<AuditBatch>) -> AuditAnswer {
+        let mut dropped = std::collections::BTreeMap::new();
+        let mut lines = Vec::new();
+        for batch in batches {
+            let most: &mut u64 = dropped.entry(batch.worker).or_default();
+            *most = batch.dropped.max(*most);
+            let numbers = batch.first..;
+            let wanted = numbers
+                .zip(batch.entries)
+                .filter(|(_, entry)| self.wants(entry));
+            lines.extend(wanted.map(|(number, entry)| AuditLine {
+                worker: batch.worker,
+                number,
+                entry,
+            }));
+        }
+        lines.sort_by_key(|line| (line.entry.at_ms, line.worker, line.number));
+        lines.dedup_by_key(|line| (line.worker, line.number));
+        AuditAnswer {
+            lines,
+            dropped: dropped.values().sum(),
+        }
+    }
+
+    fn wants(&self, entry: &AuditEntry) -> bool {
+        let about = |service| entry.services.is_empty() || entry.services.contains(service);
+        entry.at_ms >= self.since_ms
+            && self.service.as_ref().is_none_or(about)
+            && self
+                .author
+                .as_ref()
+                .is_none_or(|author| *author == entry.author)
+    }
+}
--- a/src/util.rs
+++ b/src/util.rs
@@ -31,3 +31,30 @@
     }
     row[other.len()]
 }
+
+/// A time in milliseconds since the Unix epoch as date and time of day, in UTC.
+pub fn utc(unix_ms: u64) -> String {
+    let (days, in_day_ms) = (unix_ms / 86_400_000, unix_ms % 86_400_000);
+    let (year, month, day) = civil_date(days);
+    let (hour, minute) = (in_day_ms / 3_600_000, in_day_ms / 60_000 % 60);
+    let second = in_day_ms / 1_000 % 60;
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}Z")
+}
+
+/// Year, month and day of a day counted from 1970-01-01, in the Gregorian calendar.
+fn civil_date(days: u64) -> (u64, u64, u64) {
+    // Years are counted from March, so that the leap day is the last of its year.
+    let from_march = days + 719_468;
+    let (era, day_of_era) = (from_march / 146_097, from_march % 146_097);
+    let leaps = day_of_era / 1_460;
+    let year_of_era = (day_of_era - leaps + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = if month_from_march < 10 {
+        month_from_march + 3
+    } else {
+        month_from_march - 9
+    };
+    (era * 400 + year_of_era + u64::from(month <= 2), month, day)
+}
