--- a/src/net/local.rs
+++ b/src/net/local.rs
@@ -101,15 +101,20 @@
         },
         (_, ["call", service, name]) => {
             let call = number(http::header(&parts.headers, CALL_HEADER));
-            let ordinal = number(http::header(&parts.headers, ORDINAL_HEADER)).unwrap_or(0);
             let Some(call) = call else {
                 let message = "the header burdockhall-call is missing: pass on the one \
                                that came with the request";
                 return http::error(StatusCode::BAD_REQUEST, message);
             };
+            let ordinal = number(http::header(&parts.headers, ORDINAL_HEADER));
+            let Some(ordinal) = ordinal.and_then(|ordinal| u32::try_from(ordinal).ok()) else {
+                let message = "the header burdockhall-ordinal is missing or no whole number: \
+                               count the calls made beneath one run up from 0";
+                return http::error(StatusCode::BAD_REQUEST, message);
+            };
             let parent = ParentCall {
                 call: CallId(call),
-                ordinal: ordinal as u32,
+                ordinal,
             };
             match callers::caller_request(&parts.headers, service, name, Some(parent), body) {
                 Ok(request) => callers::call(&pump, request).await,
