Measure what a change of the sheet costs and how soon it is in force

Change: benches/capacity.rs publishes a sheet with a rule for every service and five changes, and fits each column over n or 1/n, whichever errs less.

--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -9,10 +9,15 @@
 
 use std::time::Instant;
 
+use burdockhall::decide::control::fold::SheetFold;
 use burdockhall::decide::control::members::Members;
-use burdockhall::model::{Announcement, Place, ServerState, ServiceName};
+use burdockhall::decide::control::record::{LogBatch, LogEntry, LogRecord, Publication, Stream};
+use burdockhall::model::sheet::Rule;
+use burdockhall::model::{
+    Announcement, Contract, Importance, Place, ServerState, ServiceName, SheetChange, SheetContent,
+};
 
-use control::{ControlPlan, ControlWorld};
+use control::{ControlHost, ControlPlan, ControlWorld};
 
 /// Availability zones and regions of the size aimed at.
 const ZONES: usize = 13;
@@ -29,6 +34,10 @@
 const STEADY_MS: u64 = 30_000;
 /// Restarts that are observed one after the other.
 const RESTARTS: usize = 10;
+/// Changes of the sheet that are observed one after the other.
+const CHANGES: u64 = 5;
+/// Virtual time after each change, in milliseconds.
+const CHANGE_MS: u64 = 5_000;
 /// Virtual time after each restart, in milliseconds.
 const RESTART_MS: u64 = 3_000;
 
@@ -58,6 +67,7 @@
     appends_per_worker: f64,
     zone_restart_bytes: f64,
     zone_restart_appends_per_s: f64,
+    sheet: SheetCost,
 }
 
 fn observe(workers: usize) -> Row {
@@ -87,6 +97,8 @@
         .iter()
         .map(|host| traffic(*host))
         .fold(0.0, f64::max);
+    let all_bytes_per_s = (bytes + log_bytes as f64) / per_daemon_s;
+    let sheet = publications(&mut world, all_bytes_per_s);
     let bytes_per_restart = restarts(&mut world, bytes / per_daemon_s);
     let (zone_restart_bytes, zone_restart_appends_per_s) = zone_restart(&mut world);
     Row {
@@ -102,6 +114,7 @@
         appends_per_worker,
         zone_restart_bytes,
         zone_restart_appends_per_s,
+        sheet,
     }
 }
 
@@ -127,6 +140,88 @@
     ((mean - steady_bytes_per_s * seconds) / RESTARTS as f64).max(0.0)
 }
 
+/// What publications cost and how long they take to be in force everywhere.
+struct SheetCost {
+    bytes_per_change: f64,
+    busiest_bytes_per_change: f64,
+    slowest_ms: f64,
+}
+
+/// Publishes a sheet with rules for every service, then changes of one rule each.
+fn publications(world: &mut ControlWorld, steady_bytes_per_s: f64) -> SheetCost {
+    let services = ((world.hosts.len() as f64 / WORKERS_PER_SERVICE) as usize).max(1);
+    let mut content = sheet_content(services, 0);
+    let mut fold = SheetFold::default();
+    let first = Publication::first("first", "planner", 0, &content);
+    publish(world, &mut fold, first);
+    reset(world);
+    let mut slowest_ms = 0;
+    for change in 1..=CHANGES {
+        let next = sheet_content(services, change);
+        let publication = Publication {
+            id: format!("change-{change}"),
+            base: Some(fold.base()),
+            author: "planner".into(),
+            published_ms: 0,
+            change: SheetChange::between(&content, &next),
+        };
+        content = next;
+        slowest_ms = slowest_ms.max(publish(world, &mut fold, publication));
+    }
+    let seconds = (CHANGES * CHANGE_MS) as f64 / 1_000.0;
+    let per_change = |host: &ControlHost| {
+        let bytes = (host.sent_bytes + host.received_bytes + host.log_bytes) as f64;
+        ((bytes - steady_bytes_per_s * seconds) / CHANGES as f64).max(0.0)
+    };
+    let all: Vec<f64> = world.hosts.iter().map(per_change).collect();
+    SheetCost {
+        bytes_per_change: all.iter().sum::<f64>() / all.len() as f64,
+        busiest_bytes_per_change: all.iter().copied().fold(0.0, f64::max),
+        slowest_ms: slowest_ms as f64,
+    }
+}
+
+/// Puts a publication on the log and returns the time until it is in force everywhere.
+fn publish(world: &mut ControlWorld, fold: &mut SheetFold, publication: Publication) -> u64 {
+    let record = LogRecord::Publication(publication);
+    let offset = world.append(Stream::Sheets, record.clone());
+    let batch = LogBatch {
+        first_offset: 0,
+        next_offset: offset + 1,
+        entries: vec![LogEntry { offset, record }],
+    };
+    fold.read(offset, batch);
+    let began = world.now;
+    world.run_for(CHANGE_MS);
+    let version = fold.base().version.0;
+    let in_force = |host: &ControlHost| {
+        let found = host.in_force.iter().find(|(_, held)| *held >= version);
+        found.map_or(u64::MAX, |(at, _)| at.since_ms(began))
+    };
+    world.hosts.iter().map(in_force).max().unwrap_or(0)
+}
+
+fn sheet_content(services: usize, deadline_ms: u64) -> SheetContent {
+    let rules = (0..services)
+        .map(|index| Rule {
+            service: Some(format!("service-{index}").as_str().into()),
+            request: None,
+            caller: None,
+            contract: Contract {
+                importance: Importance::Normal,
+                idempotent: false,
+                deadline_ms: if index == 0 {
+                    1_000 + deadline_ms
+                } else {
+                    1_000
+                },
+                retry_allowance: 2,
+            },
+        })
+        .collect();
+    SheetContent::canonical(rules, Vec::new())
+}
+
 /// All workers of one zone restart at once: bytes for each of them in the first
 /// 20 s, and the busiest second of appends to the log.
 fn zone_restart(world: &mut ControlWorld) -> (f64, f64) {
@@ -208,7 +303,7 @@
 
 type Column = (&'static str, fn(&Row) -> f64);
 
-const COLUMNS: [Column; 8] = [
+const COLUMNS: [Column; 10] = [
     ("announcements known", |row| row.known_mean),
     ("announcements known by a gateway", |row| row.known_gateway),
     ("bytes/s", |row| row.bytes_per_s),
@@ -219,23 +314,67 @@
     ("processor us/s", |row| row.cpu_us_per_s),
     ("bytes a restart", |row| row.bytes_per_restart),
     ("bytes a zone restart", |row| row.zone_restart_bytes),
+    ("bytes a sheet change", |row| row.sheet.bytes_per_change),
+    ("bytes a change, busiest daemon", |row| {
+        row.sheet.busiest_bytes_per_change
+    }),
 ];
 
 fn print_fits(rows: &[Row]) {
     println!();
-    println!("fit over the workers: value = base + slope * workers");
+    println!("workers  slowest ms until a change is in force everywhere");
+    for row in rows {
+        println!("{:>7} {:>48.0}", row.workers, row.sheet.slowest_ms);
+    }
+    println!();
+    println!("fits over the workers n, the better of base + slope * n and base + slope / n");
     for (name, value) in COLUMNS {
         let points: Vec<(f64, f64)> = rows.iter().map(|row| (row.workers, value(row))).collect();
-        let (base, slope) = fit(&points);
-        let at = |workers: f64| base + slope * workers;
-        let error = points
+        let rising = Fit::new("n", |workers| workers, &points);
+        let falling = Fit::new("1/n", |workers| 1.0 / workers, &points);
+        let better = if rising.error <= falling.error {
+            rising
+        } else {
+            falling
+        };
+        better.print(name);
+    }
+}
+
+/// A fit with the largest error that it makes at any size, as a share of the value there.
+struct Fit {
+    over: &'static str,
+    scale: fn(f64) -> f64,
+    base: f64,
+    slope: f64,
+    error: f64,
+}
+
+impl Fit {
+    fn new(over: &'static str, scale: fn(f64) -> f64, points: &[(f64, f64)]) -> Fit {
+        let scaled: Vec<(f64, f64)> = points.iter().map(|(x, y)| (scale(*x), *y)).collect();
+        let (base, slope) = fit(&scaled);
+        let error = scaled
             .iter()
-            .map(|(workers, value)| (at(*workers) - value).abs() / value.abs().max(1.0))
+            .map(|(x, y)| (base + slope * x - y).abs() / y.abs().max(1.0))
             .fold(0.0, f64::max);
+        Fit {
+            over,
+            scale,
+            base,
+            slope,
+            error,
+        }
+    }
+
+    fn print(&self, name: &str) {
         println!(
-            "{name:<34} base {base:>10.1}  slope {slope:>9.4}  largest error {:>5.1}%  at 6,100: {:>10.0}",
-            error * 100.0,
-            at(TARGET_WORKERS)
+            "{name:<34} base {:>10.1}  slope {:>12.4} over {:<3}  largest error {:>5.1}%  at 6,100: {:>10.0}",
+            self.base,
+            self.slope,
+            self.over,
+            self.error * 100.0,
+            self.base + self.slope * (self.scale)(TARGET_WORKERS)
         );
     }
 }
