Drive every fault at every step

tests/faults.rs strikes at each step of a keyed call, heals, and checks every invariant besides the outcome, with four seeds a cell; cells of the control plane name the test that drives them, and cells that cannot arise say why. docs/FAULTS.md is the same table and a test compares the two.

--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,275 @@
+//! The fault matrix: every fault at every step, with the outcomes that are allowed.
+//!
+//! `docs/FAULTS.md` is the same table; a test compares them. A cell that is
+//! driven here runs keyed calls over many daemons, strikes at the step, heals,
+//! and checks every invariant besides the outcome.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::fmt::Write;
+
+use burdockhall::decide::Event;
+use burdockhall::model::{CallKey, Outcome};
+use strum::{Display, EnumIter, IntoEnumIterator};
+use support::once::{self, Driver};
+
+/// Seeds for each cell that is driven.
+const SEEDS: u64 = 4;
+const DOCUMENT: &str = include_str!("../docs/FAULTS.md");
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "lowercase")]
+enum Fault {
+    #[strum(serialize = "slow deep service")]
+    SlowService,
+    #[strum(serialize = "demand surge")]
+    Surge,
+    #[strum(serialize = "clients retrying hard")]
+    ClientRetries,
+    #[strum(serialize = "log service down")]
+    LogDown,
+    #[strum(serialize = "log service slow")]
+    LogSlow,
+    #[strum(serialize = "answer lost after the write")]
+    LostWrite,
+    #[strum(serialize = "log truncated")]
+    Truncated,
+    #[strum(serialize = "process paused")]
+    Paused,
+    #[strum(serialize = "racing operators")]
+    Race,
+    #[strum(serialize = "silent connection")]
+    Silent,
+    #[strum(serialize = "VM lost")]
+    VmLost,
+    #[strum(serialize = "VM replaced at its address")]
+    VmReplaced,
+    #[strum(serialize = "zone cut off from zones")]
+    ZoneCut,
+    #[strum(serialize = "zone cut off from the platform")]
+    PlatformCut,
+    #[strum(serialize = "misleading load report")]
+    FalseReport,
+    #[strum(serialize = "cold start")]
+    ColdStart,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter)]
+#[strum(serialize_all = "lowercase")]
+enum Step {
+    Announce,
+    #[strum(serialize = "fetch sheet")]
+    FetchSheet,
+    Publish,
+    Ticket,
+    Admit,
+    Queue,
+    #[strum(serialize = "hand over")]
+    HandOver,
+    Run,
+    Reply,
+    Resolve,
+    Retry,
+    Cancel,
+    Drain,
+    Exit,
+}
+
+/// What is expected of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cell {
+    /// Driven by this test: the outcomes that a keyed call may have.
+    Allowed(&'static [&'static str]),
+    /// Driven by another test of this repository.
+    Elsewhere(&'static str),
+    /// It cannot arise, for this reason.
+    Never(&'static str),
+}
+
+const ANY: &[&str] = &["done", "not-run", "unknown"];
+const KNOWN: &[&str] = &["done", "not-run"];
+const CONTROL_ONLY: &str = "the fault is in the control plane, which no step of a call waits for";
+const NO_CALL: &str = "no call is under way in this step";
+
+/// The table by rule: one row for each group of cells that have the same reason.
+fn cell(fault: Fault, step: Step) -> Cell {
+    use Fault::*;
+    match (fault, step) {
+        (_, Step::Announce) => match fault {
+            Race | LostWrite | Truncated => Cell::Elsewhere("tests/spread_sheets.rs"),
+            _ => Cell::Elsewhere("tests/members.rs"),
+        },
+        (_, Step::FetchSheet) => Cell::Elsewhere("tests/spread_sheets.rs"),
+        (_, Step::Publish) => Cell::Elsewhere("tests/publish_decisions.rs"),
+        (LogDown | LogSlow | LostWrite | Truncated | Race | PlatformCut, _) => {
+            Cell::Never(CONTROL_ONLY)
+        }
+        (FalseReport, Step::Drain | Step::Exit | Step::Ticket | Step::Resolve) => {
+            Cell::Never("reports only weigh the choice of a worker, which this step does not make")
+        }
+        (ColdStart, Step::Exit | Step::Drain) => {
+            Cell::Never("a process that starts does not leave")
+        }
+        (SlowService | Surge | ClientRetries | ColdStart, Step::Ticket) => {
+            Cell::Never("a ticket is issued by the daemon alone, without a backend server")
+        }
+        (_, Step::Ticket) => Cell::Allowed(ANY),
+        (Silent, Step::HandOver) => {
+            Cell::Never("the daemon and its backend server are on one VM and talk over loopback")
+        }
+        (VmLost | VmReplaced, Step::Exit) => Cell::Never(NO_CALL),
+        (FalseReport, _) => Cell::Allowed(KNOWN),
+        (SlowService | Surge | ClientRetries | ColdStart, _) => Cell::Allowed(ANY),
+        (Paused | Silent | VmLost | VmReplaced | ZoneCut, _) => Cell::Allowed(ANY),
+    }
+}
+
+#[test]
+fn every_cell_holds() {
+    for fault in Fault::iter() {
+        for step in Step::iter() {
+            let Cell::Allowed(allowed) = cell(fault, step) else {
+                continue;
+            };
+            let mut seen = BTreeSet::new();
+            for seed in 0..SEEDS {
+                let name = format!("{fault} at {step}, seed {seed}");
+                let outcomes =
+                    drive(fault, step, seed).unwrap_or_else(|why| panic!("{name}: {why}"));
+                seen.extend(outcomes);
+            }
+            let allowed: BTreeSet<&str> = allowed.iter().copied().collect();
+            assert!(
+                !seen.is_empty(),
+                "{fault} at {step}: no call had an outcome"
+            );
+            assert!(seen.is_subset(&allowed), "{fault} at {step}: {seen:?}");
+        }
+    }
+}
+
+#[test]
+fn the_document_is_the_same_table() {
+    let table = document_table();
+    let found = DOCUMENT.contains(&table);
+    assert!(found, "docs/FAULTS.md must hold this table:\n{table}");
+}
+
+fn document_table() -> String {
+    let mut table = String::from("| Fault | Step | Expected |\n|---|---|---|\n");
+    for fault in Fault::iter() {
+        for step in Step::iter() {
+            let expected = match cell(fault, step) {
+                Cell::Allowed(outcomes) => outcomes.join(", "),
+                Cell::Elsewhere(test) => format!("see `{test}`"),
+                Cell::Never(why) => format!("cannot arise: {why}"),
+            };
+            let _ = writeln!(table, "| {fault} | {step} | {expected} |");
+        }
+    }
+    table
+}
+
+/// Runs calls, strikes at the step, and tells how the calls ended.
+fn drive(fault: Fault, step: Step, seed: u64) -> Result<Vec<&'static str>, String> {
+    let mut driver = Driver::new(seed * 1_000 + fault as u64 * 20 + step as u64);
+    let first = driver.world.calls.len();
+    if step == Step::Ticket {
+        strike(&mut driver, fault, 0);
+        driver.new_ticket(0, 0);
+    }
+    let surge = matches!(step, Step::Queue | Step::Retry) || fault == Fault::Surge;
+    let calls = if surge { 30 } else { 3 };
+    for index in 0..calls {
+        driver.call(index % 3, index);
+    }
+    // Milliseconds from the call to the step, for the delays and service times of the world.
+    let until_ms = match step {
+        Step::Admit => 1,
+        Step::Queue | Step::HandOver => 9,
+        Step::Run => 15,
+        Step::Cancel => 20,
+        Step::Reply | Step::Resolve | Step::Retry => 28,
+        _ => 0,
+    };
+    if step == Step::Resolve {
+        driver.world.faults.lose_reply = 1.0;
+    }
+    if matches!(step, Step::Drain | Step::Exit) {
+        driver.run_for(12);
+        driver.drain(1, 200);
+        driver.run_for(if step == Step::Exit { 500 } else { 5 });
+    }
+    driver.run_for(until_ms);
+    strike(&mut driver, fault, 1);
+    driver.run_for(600);
+    driver.settle_down();
+    driver.check()?;
+    driver.check_resolution()?;
+    let ended = driver.world.calls[first..].iter();
+    Ok(ended
+        .filter_map(|call| call.ended.as_ref())
+        .map(|(_, outcome)| name(outcome))
+        .collect())
+}
+
+fn strike(driver: &mut Driver, fault: Fault, host: usize) {
+    let world = &mut driver.world;
+    match fault {
+        Fault::SlowService => (3..6).for_each(|ledger| world.hosts[ledger].backend.slowdown = 40),
+        Fault::Surge => (0..60).for_each(|index| driver.call(index % 3, index)),
+        Fault::ClientRetries => {
+            (0..60).for_each(|index| driver.resubmit(index % 3, 0, index, false));
+        }
+        Fault::Paused => world.pause(host, 450),
+        Fault::Silent => {
+            world.faults.lose_request = 0.5;
+            world.faults.lose_reply = 0.5;
+        }
+        Fault::VmLost => world.kill(host),
+        Fault::VmReplaced | Fault::ColdStart => world.replace_quietly(host, 100),
+        Fault::ZoneCut => (0..once::HOSTS).for_each(|other| world.cut_link(host, other)),
+        Fault::FalseReport => {
+            let slots = 1_000;
+            let leaving = false;
+            world.feed(host, Event::LocalServer { slots, leaving });
+        }
+        Fault::LogDown
+        | Fault::LogSlow
+        | Fault::LostWrite
+        | Fault::Truncated
+        | Fault::Race
+        | Fault::PlatformCut => {}
+    }
+}
+
+fn name(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::Done(_) => "done",
+        Outcome::NotRun(_) => "not-run",
+        Outcome::Unknown(_) => "unknown",
+    }
+}
+
+/// A lost reply becomes `done` whenever the executor still lives.
+#[test]
+fn a_lost_reply_becomes_done() {
+    let mut driver = Driver::new(1);
+    driver.world.faults.lose_reply = 1.0;
+    let ticket = driver.world.hosts[6].node.issue_ticket(&"balances".into());
+    let key = CallKey {
+        ticket: ticket.unwrap(),
+        sequence: 0,
+    };
+    let request = once::request("redeem", Some(key), None, "voucher".to_owned());
+    let call = driver.world.call(6, request);
+    driver.run_for(60);
+    driver.world.faults.lose_reply = 0.0;
+    driver.run_for(1_000);
+    let ended = driver.world.calls[call]
+        .ended
+        .clone()
+        .map(|(_, outcome)| outcome);
+    assert!(matches!(ended, Some(Outcome::Done(_))), "{ended:?}");
+}
--- a/tests/support/once.rs
+++ b/tests/support/once.rs
@@ -175,8 +175,8 @@
     keys: Vec<CallKey>,
 }
 
-struct Driver {
-    world: World,
+pub struct Driver {
+    pub world: World,
     clients: Vec<Client>,
     /// Bodies sent under each key, the genuine one first.
     bodies: BTreeMap<CallKey, Vec<String>>,
@@ -199,7 +199,7 @@
 }
 
 impl Driver {
-    fn new(seed: u64) -> Driver {
+    pub fn new(seed: u64) -> Driver {
         let mut world = World::new(seed, Mechanisms::ALL, sheet(1, false), plans());
         world.tick_ms = 10;
         let redeem = ("balances".into(), "redeem".to_owned());
@@ -274,7 +274,7 @@
     }
 
     /// Everything heals, and clients go on for a while.
-    fn settle_down(&mut self) {
+    pub fn settle_down(&mut self) {
         self.world.heal();
         self.world.faults = NetworkFaults::default();
         self.run_for(900);
@@ -292,7 +292,7 @@
         self.run_for(6_000);
     }
 
-    fn run_for(&mut self, span_ms: u64) {
+    pub fn run_for(&mut self, span_ms: u64) {
         let end = self.world.now.plus_ms(span_ms);
         while self.world.now < end {
             let left_ms = end.since_ms(self.world.now);
@@ -322,7 +322,7 @@
         }
     }
 
-    fn drain(&mut self, host: Host, delay_ms: u64) {
+    pub fn drain(&mut self, host: Host, delay_ms: u64) {
         if !self.world.hosts[host].alive || self.world.hosts[host].backend.leaving {
             return;
         }
@@ -343,7 +343,7 @@
         keys.iter().rev().nth(key).cloned()
     }
 
-    fn new_ticket(&mut self, client: usize, home: Host) {
+    pub fn new_ticket(&mut self, client: usize, home: Host) {
         let Some(home) = self.alive(home) else {
             return;
         };
@@ -352,7 +352,7 @@
         self.clients[client].sequence = 0;
     }
 
-    fn call(&mut self, client: usize, via: Host) {
+    pub fn call(&mut self, client: usize, via: Host) {
         if self.clients[client].ticket.is_none() {
             self.new_ticket(client, via);
         }
@@ -368,7 +368,7 @@
         self.submit(key, body, via);
     }
 
-    fn resubmit(&mut self, client: usize, key: usize, via: Host, tampered: bool) {
+    pub fn resubmit(&mut self, client: usize, key: usize, via: Host, tampered: bool) {
         let Some(key) = self.key(client, key) else {
             return;
         };
@@ -424,7 +424,7 @@
             .unwrap_or(0)
     }
 
-    fn check(&self) -> Result<(), String> {
+    pub fn check(&self) -> Result<(), String> {
         for (key, count) in &self.world.executions {
             ensure(*count <= 1, || format!("{key} ran {count} times"))?;
         }
@@ -488,7 +488,7 @@
     }
 
     /// Whatever ran at an executor that still lives is told to whoever asks.
-    fn check_resolution(&mut self) -> Result<(), String> {
+    pub fn check_resolution(&mut self) -> Result<(), String> {
         let Some(via) = self.alive(0) else {
             return Ok(());
         };
