--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -48,6 +48,8 @@
     pub executor_records: usize,
     /// Longest wait for another daemon's reply beyond the deadline, in milliseconds.
     pub reply_grace_ms: u64,
+    /// Longest silence of a connection to another daemon before it is abandoned, in milliseconds.
+    pub silence_ms: u64,
     /// What the daemon writes about itself.
     pub logging: Logging,
     /// Bounds towards each outside party.
@@ -302,6 +304,7 @@
             home_tickets: 100_000,
             executor_records: 100_000,
             reply_grace_ms: 1_000,
+            silence_ms: 1_000,
             logging: Logging {
                 level: LogLevel::Info,
                 format: LogFormat::Text,
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -312,6 +312,11 @@
         TIME_MS,
         "Longest wait for another daemon's reply beyond the deadline; then its connection counts as silent.",
     ),
+    optional(
+        "silence_ms",
+        TIME_MS,
+        "Longest silence of a connection to another daemon, at least 400; then its call is resolved over a new one.",
+    ),
     optional(
         "logging",
         Kind::Group(LOGGING),
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -25,8 +25,6 @@
 
 /// Time between two ticks of the decisions, in milliseconds.
 const TICK_MS: u64 = 5;
-/// Longest silence of a connection to another daemon, in milliseconds.
-const SILENCE_MS: u64 = 1_000;
 /// Longest time to hear the log service or another daemon before serving by the built-in
 /// rules, in milliseconds.
 const JOIN_LIMIT_MS: u64 = 3_000;
@@ -259,7 +257,7 @@
         },
         executor_records: settings.executor_records,
         reply_grace_ms: settings.reply_grace_ms,
-        silence_ms: SILENCE_MS,
+        silence_ms: settings.silence_ms,
         mechanisms,
         seed,
     }
