Bound the control listener like the others; requests broken off or changed anywhere

Cause: control messages had their own server with fewer bounds, none on a slow head, and a request whose head broke off was closed without a word.

Change: control messages go through the same listener, with JSON-RPC by the module alone; a head that breaks off gets 400. Counts of listeners are in a module of their own.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -127,7 +127,7 @@
     /// The listener for calls from other daemons.
     pub hop: ListenerBounds,
     /// The listener for control messages from other daemons.
-    pub control: ControlBounds,
+    pub control: ListenerBounds,
     /// The listener for operators.
     pub admin: ListenerBounds,
     /// Answers of the backend server.
@@ -152,16 +152,6 @@
     pub body_timeout_ms: u64,
 }
 
-/// Bounds of the listener for control messages.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ControlBounds {
-    /// Largest message, in bytes.
-    pub body_bytes: u32,
-    /// Most connections open at once.
-    pub connections: u32,
-}
-
 /// Bounds of what an outside server may answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -319,9 +309,9 @@
             callers: ListenerBounds::default(),
             local: ListenerBounds::default(),
             hop: ListenerBounds::default(),
-            control: ControlBounds {
-                body_bytes: 4 * 1024 * 1024,
+            control: ListenerBounds {
                 connections: 1_000,
+                ..ListenerBounds::default()
             },
             admin: ListenerBounds {
                 connections: 64,
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -166,19 +166,6 @@
     BODY_TIMEOUT_FIELD,
 ];
 
-const CONTROL_LISTENER: &[Field] = &[
-    optional(
-        "body_bytes",
-        BODY_BYTES,
-        "Largest control message in bytes; a larger one is refused.",
-    ),
-    optional(
-        "connections",
-        CONNECTIONS,
-        "Most connections at once; a further one is refused.",
-    ),
-];
-
 const ANSWER: &[Field] = &[
     optional(
         "header_bytes",
@@ -206,7 +193,7 @@
     ),
     optional(
         "control",
-        Kind::Group(CONTROL_LISTENER),
+        Kind::Group(LISTENER),
         "Control messages from other daemons.",
     ),
     optional("admin", Kind::Group(LISTENER), "Operators."),
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -14,7 +14,7 @@
 use super::control::ControlLoop;
 use super::http::{self, FullResponse};
 use super::lifecycle::Lifecycle;
-use super::listener::Listeners;
+use super::listener_counts::Listeners;
 use super::local::LocalServer;
 use super::metrics;
 use super::pump::Pump;
--- a/src/net/admin_status.rs
+++ b/src/net/admin_status.rs
@@ -6,7 +6,7 @@
 use strum::IntoEnumIterator;
 
 use super::admin::AdminParts;
-use super::listener::{Bound, ListenerCounts};
+use super::listener_counts::{Bound, ListenerCounts};
 use super::local::BackendAnnouncement;
 use super::process::{self, ProcessFigures};
 use crate::decide::Counter;
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -12,7 +12,8 @@
 use super::control::{ControlInputs, ControlLoop};
 use super::error::NetError;
 use super::lifecycle::Lifecycle;
-use super::listener::{ListenerPlan, Listeners, Stage};
+use super::listener::{ListenerPlan, Stage};
+use super::listener_counts::{ListenerCounts, Listeners};
 use super::local::LocalServer;
 use super::pump::{Pump, Wanted};
 use super::{callers, hop, http, listener, local, peer_control};
@@ -142,10 +143,8 @@
         let local_listener = http::listen(settings.local_address).await?;
         let admin_listener = http::listen(settings.admin_address).await?;
         let (arrived_sender, arrived) = mpsc::channel(ARRIVED_BUFFER);
-        let control_address = settings.control_address;
-        let peer_control =
-            peer_control::serve(control_address, bounds.control, arrived_sender).await?;
-        self.tasks.spawn(peer_control.stopped());
+        let control_listener = http::listen(settings.control_address).await?;
+        let module = Arc::new(peer_control::module(arrived_sender)?);
         let inputs = ControlInputs {
             announcements,
             arrived,
@@ -175,6 +174,12 @@
         });
         self.tasks.spawn(serving);
 
+        let plan = self.plan(bounds.control, &self.listeners.control);
+        let serving = listener::serve(control_listener, plan, move |request| {
+            peer_control::handle(Arc::clone(&module), request)
+        });
+        self.tasks.spawn(serving);
+
         let plan = self.plan(bounds.admin, &self.listeners.admin);
         let admin = Arc::new(self.admin());
         let serving = listener::serve(admin_listener, plan, move |request| {
@@ -197,7 +202,7 @@
         )
     }
 
-    fn plan(&self, bounds: ListenerBounds, counts: &Arc<listener::ListenerCounts>) -> ListenerPlan {
+    fn plan(&self, bounds: ListenerBounds, counts: &Arc<ListenerCounts>) -> ListenerPlan {
         ListenerPlan {
             bounds,
             counts: Arc::clone(counts),
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -11,7 +11,7 @@
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,12 +22,12 @@
 use hyper::service::service_fn;
 use hyper::{Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use strum::{EnumCount, EnumIter, IntoStaticStr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, watch};
 
 use super::http::{self, FullResponse};
+use super::listener_counts::{AnsweringGuard, Bound, ListenerCounts, OpenGuard};
 use crate::config::ListenerBounds;
 
 /// Pause after a connection could not be accepted, in milliseconds.
@@ -43,79 +43,6 @@
 /// When a refused client should come back, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
-/// What a listener has refused by a bound.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumCount, EnumIter, IntoStaticStr)]
-#[strum(serialize_all = "snake_case")]
-#[repr(usize)]
-pub enum Bound {
-    /// Too many connections.
-    Connections,
-    /// A head too large or malformed.
-    Header,
-    /// A head that took too long.
-    HeaderTimeout,
-    /// A body too large.
-    Body,
-    /// A body that took too long.
-    BodyTimeout,
-    /// A body that broke off, or a client gone before its answer.
-    Gone,
-}
-
-/// What one listener counts.
-#[derive(Debug, Default)]
-pub struct ListenerCounts {
-    refused: [AtomicU64; Bound::COUNT],
-    open: AtomicU64,
-    answering: AtomicU64,
-}
-
-impl ListenerCounts {
-    /// How often a bound was reached.
-    pub fn refused(&self, bound: Bound) -> u64 {
-        self.refused[bound as usize].load(Ordering::Relaxed)
-    }
-
-    /// Connections open now.
-    pub fn open(&self) -> u64 {
-        self.open.load(Ordering::Relaxed)
-    }
-
-    /// Requests whose answer is due.
-    pub fn answering(&self) -> u64 {
-        self.answering.load(Ordering::Relaxed)
-    }
-
-    fn add(&self, bound: Bound) {
-        self.refused[bound as usize].fetch_add(1, Ordering::Relaxed);
-    }
-}
-
-/// The counts of a daemon's HTTP listeners.
-#[derive(Debug, Default)]
-pub struct Listeners {
-    /// The listener for callers.
-    pub callers: Arc<ListenerCounts>,
-    /// The listener for the backend server.
-    pub local: Arc<ListenerCounts>,
-    /// The listener for calls from other daemons.
-    pub hop: Arc<ListenerCounts>,
-    /// The listener for operators.
-    pub admin: Arc<ListenerCounts>,
-}
-
-impl Listeners {
-    /// The counts by the listener's name in the settings.
-    pub fn by_name(&self) -> [(&'static str, &ListenerCounts); 4] {
-        [
-            ("callers", &self.callers),
-            ("local", &self.local),
-            ("hop", &self.hop),
-            ("admin", &self.admin),
-        ]
-    }
-}
-
 /// What the connections of one listener share.
 #[derive(Debug, Clone)]
 pub struct ListenerPlan {
@@ -176,78 +103,40 @@
         let connection = Connection {
             bounds,
             open: OpenGuard::new(Arc::clone(&counts)),
+            stage: stage.clone(),
             waiting: AtomicBool::new(false),
         };
         let handler = Arc::clone(&handler);
-        let stage = stage.clone();
         tokio::spawn(async move {
-            connection.serve(stream, stage, handler).await;
+            connection.serve(stream, handler).await;
             drop(permit);
         });
     }
 }
 
-/// Counts a request as being answered until it is dropped.
-struct AnsweringGuard<'a>(&'a ListenerCounts);
-
-impl<'a> AnsweringGuard<'a> {
-    fn new(counts: &'a ListenerCounts) -> AnsweringGuard<'a> {
-        counts.answering.fetch_add(1, Ordering::Relaxed);
-        AnsweringGuard(counts)
-    }
-}
-
-impl Drop for AnsweringGuard<'_> {
-    fn drop(&mut self) {
-        self.0.answering.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// Counts a connection as open until it is dropped.
-struct OpenGuard {
-    counts: Arc<ListenerCounts>,
-}
-
-impl OpenGuard {
-    fn new(counts: Arc<ListenerCounts>) -> OpenGuard {
-        counts.open.fetch_add(1, Ordering::Relaxed);
-        OpenGuard { counts }
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.counts.open.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 struct Connection {
     bounds: ListenerBounds,
     open: OpenGuard,
+    stage: watch::Receiver<Stage>,
     /// Whether a request has come that no answer was made for yet.
     waiting: AtomicBool,
 }
 
 impl Connection {
-    async fn serve<H, F>(
-        self,
-        stream: TcpStream,
-        mut stage: watch::Receiver<Stage>,
-        handler: Arc<H>,
-    ) where
+    async fn serve<H, F>(self, stream: TcpStream, handler: Arc<H>)
+    where
         H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
         F: Future<Output = FullResponse> + Send + 'static,
     {
         let this = &self;
-        let leaving = stage.clone();
+        let mut stage = self.stage.clone();
         let service = service_fn(move |request| {
             let handler = Arc::clone(&handler);
-            let leaving = leaving.clone();
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
                 this.waiting.store(true, Ordering::Relaxed);
                 let mut response = this.answer(request, &*handler).await;
-                if *leaving.borrow() != Stage::Open {
+                if *this.stage.borrow() != Stage::Open {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
@@ -293,6 +182,11 @@
                                GET /key/{key} for the outcome";
                 last_word(stream, StatusCode::BAD_REQUEST, message).await;
             }
+            Err(error) if error.is_incomplete_message() => {
+                self.count(Bound::Gone);
+                let message = "the head of the request broke off; end it with an empty line";
+                last_word(stream, StatusCode::BAD_REQUEST, message).await;
+            }
             _ => close(stream).await,
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,6 +14,7 @@
 pub mod http;
 pub mod lifecycle;
 pub mod listener;
+pub mod listener_counts;
 pub mod local;
 pub mod metrics;
 pub mod peer_control;
--- a/src/net/peer_control.rs
+++ b/src/net/peer_control.rs
@@ -1,22 +1,31 @@
 //! Control messages between daemons, over JSON-RPC.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
+use hyper::{Method, Request, StatusCode};
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::http_client::HttpClientBuilder;
 use jsonrpsee::rpc_params;
-use jsonrpsee::server::{RpcModule, Server, ServerConfig, ServerHandle};
+use jsonrpsee::server::RpcModule;
 use tokio::sync::mpsc;
 
 use super::error::NetError;
-use crate::config::ControlBounds;
+use super::http::{self, FullResponse};
 use crate::decide::control::ControlMessage;
 
 const METHOD: &str = "control";
 /// Longest time for a control message to be taken in, in milliseconds.
 const TIMEOUT_MS: u64 = 2_000;
 
+/// Messages of subscriptions that may wait; there are no subscriptions.
+const SUBSCRIPTION_BUFFER: usize = 1;
+
+/// Where control messages go.
+pub type Arrivals = mpsc::Sender<Arrived>;
+
 /// A control message that has arrived.
 #[derive(Debug)]
 pub struct Arrived {
@@ -26,19 +35,8 @@
     pub message: ControlMessage,
 }
 
-/// Opens the listener for control messages; they are put into `arrived`.
-pub async fn serve(
-    address: SocketAddr,
-    bounds: ControlBounds,
-    arrived: mpsc::Sender<Arrived>,
-) -> Result<ServerHandle, NetError> {
-    let config = ServerConfig::builder()
-        .max_request_body_size(bounds.body_bytes)
-        .max_connections(bounds.connections)
-        .http_only()
-        .build();
-    let server = Server::builder().set_config(config).build(address).await;
-    let server = server.map_err(|source| NetError::Listen { address, source })?;
+/// The method by which other daemons reach this one; messages are put into `arrived`.
+pub fn module(arrived: mpsc::Sender<Arrived>) -> Result<RpcModule<Arrivals>, NetError> {
     let mut module = RpcModule::new(arrived);
     module
         .register_async_method(METHOD, |params, arrived, _| async move {
@@ -47,7 +45,26 @@
             Ok::<(), jsonrpsee::types::ErrorObjectOwned>(())
         })
         .map_err(|error| NetError::Malformed(error.to_string()))?;
-    Ok(server.start(module))
+    Ok(module)
+}
+
+/// Answers one request of another daemon.
+pub async fn handle(module: Arc<RpcModule<Arrivals>>, request: Request<Bytes>) -> FullResponse {
+    if request.method() != Method::POST {
+        let message = "control messages are sent by POST, as JSON-RPC";
+        return http::error(StatusCode::METHOD_NOT_ALLOWED, message);
+    }
+    let Ok(text) = std::str::from_utf8(request.body()) else {
+        let message = "the control message is not UTF-8; send JSON-RPC";
+        return http::error(StatusCode::BAD_REQUEST, message);
+    };
+    match module.raw_json_request(text, SUBSCRIPTION_BUFFER).await {
+        Ok((answer, _)) => http::json(StatusCode::OK, &answer),
+        Err(error) => {
+            let message = format!("the control message is not JSON-RPC: {error}");
+            http::error(StatusCode::BAD_REQUEST, &message)
+        }
+    }
 }
 
 /// Sends one message; an error if it was not taken in.
