--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -132,9 +132,11 @@
         let mut stage = self.stage.clone();
         let service = service_fn(move |request| {
             let handler = Arc::clone(&handler);
+            // Set here rather than in the future, which may never be polled if the
+            // end of the stream has come along with the request.
+            this.waiting.store(true, Ordering::Relaxed);
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
-                this.waiting.store(true, Ordering::Relaxed);
                 let mut response = this.answer(request, &*handler).await;
                 if *this.stage.borrow() != Stage::Open {
                     let close = HeaderValue::from_static("close");
--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -18,8 +18,9 @@
 use crate::cmd::CmdError;
 use crate::config::Settings;
 use crate::decide::Mechanisms;
+use crate::decide::control::fold::SheetFold;
 use crate::decide::control::record::{LogRecord, Publication, Stream};
-use crate::model::SheetVersion;
+use crate::model::{SheetChange, SheetContent, SheetVersion};
 use crate::net::daemon::unix_ms;
 use crate::net::pump::Pump;
 use crate::net::{Daemon, http};
@@ -95,7 +96,7 @@
             vms: Vec::new(),
             gone: Vec::new(),
         };
-        fleet.publish(SheetVersion(0)).await?;
+        fleet.publish().await?;
         let count = plan.deployment.services.len() * WORKERS;
         let addresses = free_addresses(count)?;
         for (index, of_vm) in addresses.iter().enumerate() {
@@ -106,17 +107,19 @@
         Ok(fleet)
     }
 
-    /// Publishes the deployment's sheet on top of a version.
-    pub async fn publish(&self, base: SheetVersion) -> Result<(), LogError> {
+    /// Publishes the deployment's sheet on top of what stands on the log.
+    pub async fn publish(&self) -> Result<(), LogError> {
+        let client = LogClient::new(self.log.address, LOG_TIMEOUT_MS);
+        let mut fold = SheetFold::default();
+        fold.read(0, client.read(Stream::Sheets, 0).await?);
+        let content = SheetContent::canonical(self.plan.deployment.rules(), Vec::new());
         let publication = Publication {
-            id: format!("trial-{base}"),
-            base,
+            id: format!("trial-{}", fold.base().version),
+            base: Some(fold.base()),
             author: "trial".into(),
             published_ms: unix_ms(),
-            rules: self.plan.deployment.rules(),
-            shares: Vec::new(),
+            change: SheetChange::between(&SheetContent::default(), &content),
         };
-        let client = LogClient::new(self.log.address, LOG_TIMEOUT_MS);
         let record = LogRecord::Publication(publication);
         client.append(Stream::Sheets, &record).await?;
         Ok(())
