--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,3 +17,9 @@
 pub mod standin;
 pub mod trial;
 pub mod util;
+
+#[cfg(test)]
+extern crate self as burdockhall;
+#[cfg(test)]
+#[path = "../tests/broken/mod.rs"]
+mod broken;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -45,6 +45,7 @@
     log: LogClient,
     started_ms: u64,
     heard: AtomicBool,
+    log_failing: AtomicBool,
     publishers: std::sync::Mutex<Publishers>,
 }
 
@@ -61,6 +62,7 @@
             log,
             started_ms,
             heard: AtomicBool::new(false),
+            log_failing: AtomicBool::new(false),
             publishers: std::sync::Mutex::default(),
         })
     }
@@ -179,11 +181,9 @@
     fn carry_out(self: &Arc<Self>, action: ControlAction) {
         match action {
             ControlAction::SheetLearned(sheet) => {
-                spdlog::info!(
-                    "sheet version {} by {} is in force",
-                    sheet.version,
-                    sheet.author
-                );
+                let version = sheet.version.0;
+                let author = sheet.author.as_str();
+                spdlog::info!("a newer sheet is in force", kv: { version, author });
                 self.pump.feed(Event::SheetLearned(sheet));
             }
             ControlAction::WorkersLearned(workers) => {
@@ -196,7 +196,9 @@
             } => {
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
-                    let event = match this.log.read(stream, from_offset).await {
+                    let read = this.log.read(stream, from_offset).await;
+                    this.note_log(read.as_ref().err());
+                    let event = match read {
                         Ok(batch) => {
                             this.heard.store(true, Ordering::Relaxed);
                             ControlEvent::LogRead { stream, batch }
@@ -217,7 +219,9 @@
                 });
             }
             ControlAction::WorkerGone { worker, voters } => {
-                spdlog::warn!("worker {} is gone, found by {:?}", worker, voters);
+                let worker = worker.to_string();
+                let voters = format!("{voters:?}");
+                spdlog::warn!("a worker is gone", kv: { worker, voters });
             }
             ControlAction::Append { stream, record } => {
                 let this = Arc::clone(self);
@@ -246,12 +250,26 @@
     }
 
     async fn append(&self, stream: Stream, record: LogRecord) -> ControlEvent {
-        match self.log.append(stream, &record).await {
+        let appended = self.log.append(stream, &record).await;
+        self.note_log(appended.as_ref().err());
+        match appended {
             Ok(offset) => ControlEvent::Appended { stream, offset },
-            Err(error) => {
-                spdlog::warn!("cannot append to the log: {}", error);
-                ControlEvent::AppendFailed { stream, record }
+            Err(_) => ControlEvent::AppendFailed { stream, record },
+        }
+    }
+
+    /// Writes one line when the log service begins to fail and one when it works again.
+    fn note_log(&self, error: Option<&LogError>) {
+        let failing = error.is_some();
+        if self.log_failing.swap(failing, Ordering::Relaxed) == failing {
+            return;
+        }
+        match error {
+            Some(error) => {
+                let error = error.to_string();
+                spdlog::warn!("the log service fails", kv: { error });
             }
+            None => spdlog::info!("the log service works again"),
         }
     }
 
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -15,12 +15,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -67,10 +67,12 @@
 }
 
 /// Serves a listener until it is closed, one task a connection.
-pub async fn serve<H, F>(listener: TcpListener, plan: ListenerPlan, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, plan: ListenerPlan, handler: H)
 where
     H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + From<Full<Bytes>> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let ListenerPlan {
         bounds,
@@ -123,10 +125,12 @@
 }
 
 impl Connection {
-    async fn serve<H, F>(self, stream: TcpStream, handler: Arc<H>)
+    async fn serve<H, F, B>(self, stream: TcpStream, handler: Arc<H>)
     where
         H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
-        F: Future<Output = FullResponse> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + From<Full<Bytes>> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let this = &self;
         let mut stage = self.stage.clone();
@@ -137,7 +141,10 @@
             this.waiting.store(true, Ordering::Relaxed);
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
-                let mut response = this.answer(request, &*handler).await;
+                let mut response = match this.whole(request).await {
+                    Ok(request) => handler(request).await,
+                    Err(refusal) => refusal.map(B::from),
+                };
                 if *this.stage.borrow() != Stage::Open {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
@@ -193,29 +200,26 @@
         }
     }
 
-    async fn answer<H, F>(&self, request: Request<Incoming>, handler: &H) -> FullResponse
-    where
-        H: Fn(Request<Bytes>) -> F,
-        F: Future<Output = FullResponse>,
-    {
+    /// Reads the whole request, or tells why it is refused.
+    async fn whole(&self, request: Request<Incoming>) -> Result<Request<Bytes>, FullResponse> {
         let (parts, body) = request.into_parts();
         if head_bytes(&parts) > self.bounds.header_bytes {
-            return self.head_too_large();
+            return Err(self.head_too_large());
         }
         let limit = self.bounds.body_bytes;
         if body.size_hint().lower() > limit as u64 {
-            return self.body_too_large();
+            return Err(self.body_too_large());
         }
         let reading = Limited::new(body, limit).collect();
         let timeout = Duration::from_millis(self.bounds.body_timeout_ms);
         let body = match tokio::time::timeout(timeout, reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) if is_length_error(error.as_ref()) => return self.body_too_large(),
+            Ok(Err(error)) if is_length_error(error.as_ref()) => return Err(self.body_too_large()),
             Ok(Err(_)) => {
                 self.count(Bound::Gone);
                 let message = "the body of the request broke off; send as many bytes as its \
                                content-length says";
-                return http::error(StatusCode::BAD_REQUEST, message);
+                return Err(http::error(StatusCode::BAD_REQUEST, message));
             }
             Err(_) => {
                 self.count(Bound::BodyTimeout);
@@ -223,10 +227,10 @@
                     "the body of the request did not arrive within {} ms; send it at once",
                     self.bounds.body_timeout_ms
                 );
-                return http::error(StatusCode::REQUEST_TIMEOUT, &message);
+                return Err(http::error(StatusCode::REQUEST_TIMEOUT, &message));
             }
         };
-        handler(Request::from_parts(parts, body)).await
+        Ok(Request::from_parts(parts, body))
     }
 
     fn count(&self, bound: Bound) {
