--- a/src/decide/control/audit.rs
+++ b/src/decide/control/audit.rs
@@ -15,12 +15,16 @@
 
 /// Longest time that an entry waits for others to share its append, in milliseconds.
 const BATCH_WAIT_MS: u64 = 5_000;
+/// The same for a drain, after which the daemon may soon be gone, in milliseconds.
+const DRAIN_WAIT_MS: u64 = 500;
 /// Longest wait before an append is tried again, in milliseconds.
 const RETRY_WAIT_MS: u64 = 20_000;
 /// Most entries in one append.
 const MAX_BATCH_ENTRIES: usize = 100;
 /// Most entries kept while the log cannot be written; the oldest are dropped.
 pub const MAX_BUFFERED_ENTRIES: usize = 1_000;
+/// Most refusals among them, so that a flood of refused requests displaces nothing else.
+pub const MAX_BUFFERED_REFUSALS: usize = 200;
 
 /// What an entry of the audit trail is about.
 #[derive(
@@ -128,13 +132,23 @@
 
     /// Takes in an entry.
     pub fn add(&mut self, turn: &mut ControlTurn<'_>, entry: AuditEntry) {
+        let kind = entry.kind;
+        if kind == AuditKind::AdminRefused && self.refusals() >= MAX_BUFFERED_REFUSALS {
+            self.dropped += 1;
+            return;
+        }
         self.buffer.push_back(entry);
         if self.buffer.len() > MAX_BUFFERED_ENTRIES {
             self.buffer.pop_front();
             self.first += 1;
             self.dropped += 1;
         }
-        self.schedule(turn, BATCH_WAIT_MS);
+        let wait_ms = if kind == AuditKind::Drain {
+            DRAIN_WAIT_MS
+        } else {
+            BATCH_WAIT_MS
+        };
+        self.schedule(turn, wait_ms);
     }
 
     /// The append took effect.
@@ -167,6 +181,13 @@
         self.appending = true;
     }
 
+    fn refusals(&self) -> usize {
+        let kinds = self.buffer.iter().map(|entry| entry.kind);
+        kinds
+            .filter(|kind| *kind == AuditKind::AdminRefused)
+            .count()
+    }
+
     fn next_batch(&mut self) -> AuditBatch {
         let count = self.buffer.len().min(MAX_BATCH_ENTRIES);
         let batch = AuditBatch {
@@ -181,9 +202,10 @@
 
     /// The jitter keeps daemons that see the same event from appending at once.
     fn schedule(&mut self, turn: &mut ControlTurn<'_>, wait_ms: u64) {
-        if self.due.is_none() && !self.appending {
-            let wait_ms = turn.rng.random_range(wait_ms / 10..=wait_ms);
-            self.due = Some(turn.now.plus_ms(wait_ms));
+        if !self.appending {
+            let wait_ms = turn.sheet_rng.random_range(wait_ms / 10..=wait_ms);
+            let due = turn.now.plus_ms(wait_ms);
+            self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
         }
     }
 }
--- a/src/decide/control/checkpoint.rs
+++ b/src/decide/control/checkpoint.rs
@@ -48,7 +48,7 @@
         if !old && self.records_since < CHECKPOINT_RECORDS {
             return false;
         }
-        let jitter_ms = turn.rng.random_range(0..=CHECKPOINT_JITTER_MS);
+        let jitter_ms = turn.sheet_rng.random_range(0..=CHECKPOINT_JITTER_MS);
         let due = *self.due.get_or_insert(turn.now.plus_ms(jitter_ms));
         if turn.now < due {
             return false;
