--- a/src/trial/fleet.rs
+++ b/src/trial/fleet.rs
@@ -4,7 +4,7 @@
 //! all its tasks at once and closes its sockets, as the loss of a VM does, and
 //! blocking its thread stops daemon and backend server as a paused process.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
+use rand::RngExt;
 use tokio::runtime::{Handle, Runtime};
 use tokio::sync::{mpsc, oneshot};
 
@@ -329,12 +330,18 @@
     }
 }
 
-/// Addresses on loopback that were free a moment ago, [`LISTENERS`] for each VM.
+/// Free addresses, [`LISTENERS`] for each VM. Every fleet has a loopback network of
+/// its own, drawn at random, and every VM an IP number in it, so that neither another
+/// trial nor the ports of outgoing connections get in the way between this look and
+/// the daemon's start.
 fn free_addresses(count: usize) -> Result<Vec<[SocketAddr; LISTENERS]>, CmdError> {
+    let mut rng = rand::rng();
+    let network: (u8, u8) = (rng.random_range(1..=254), rng.random_range(0..=255));
     let mut held = Vec::new();
     let mut addresses = Vec::new();
-    for _ in 0..count {
-        let mut of_vm = [SocketAddr::from(([127, 0, 0, 1], 0)); LISTENERS];
+    for index in 0..count {
+        let ip = Ipv4Addr::new(127, network.0, network.1, index as u8 + 1);
+        let mut of_vm = [SocketAddr::from((ip, 0)); LISTENERS];
         for address in &mut of_vm {
             let listener = TcpListener::bind(*address)?;
             *address = listener.local_addr()?;
--- a/tests/trial_run.rs
+++ b/tests/trial_run.rs
@@ -63,12 +63,17 @@
     fn check(&self) {
         let result = trial(self.deployment, self.faults.iter().copied().collect());
         let run = &result.report.runs[0];
-        assert_eq!(run.executed_twice, 0, "{self:?}");
-        assert_eq!(run.not_run_but_ran, 0, "{self:?}");
-        assert_eq!(run.wrong_answers, 0, "{self:?}");
+        assert_eq!(run.executed_twice, 0, "{}", self.name);
+        assert_eq!(run.not_run_but_ran, 0, "{}", self.name);
+        assert_eq!(run.wrong_answers, 0, "{}", self.name);
         let offered = run.classes.iter().all(|class| class.offered > 0);
-        assert!(offered, "{self:?}");
-        assert_eq!(result.report.faults.len(), self.faults.len(), "{self:?}");
+        assert!(offered, "{}", self.name);
+        assert_eq!(
+            result.report.faults.len(),
+            self.faults.len(),
+            "{}",
+            self.name
+        );
     }
 }
 
--- a/tests/workdir/running.rs
+++ b/tests/workdir/running.rs
@@ -31,14 +31,11 @@
             slots: 4,
             connections: 16,
             service_ms,
-            instant: Vec::new(),
-            seed: None,
-            deadlines: true,
             calls: BTreeMap::new(),
             daemon: settings.local_address,
             deadlines: true,
             instant: Vec::new(),
-            seed: 1,
+            seed: None,
         };
         let log = runtime.block_on(StandInLog::start(settings.log_address));
         let backend = runtime.block_on(StandInBackend::start(settings.backend_address, plan));
