--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -1,12 +1,15 @@
 //! A call on its way from this daemon to a backend server: attempts, retries, resolution.
 
 use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::evidence::NotRunEvidence;
-use super::message::{CallId, ExchangeId, ExecuteRequest, Priority};
+use super::message::{CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
 use super::node::ReplyTo;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use crate::model::{
-    CallContext, CallKey, NotRunReason, RequestName, ServiceName, TimeMs, WorkerId,
+    CallContext, CallKey, NotRunReason, Outcome, RequestName, ServiceName, TimeMs, WorkerId,
 };
 
 /// A call that this daemon moves, as its entry or as its home.
@@ -34,6 +37,17 @@
     pub state: DispatchState,
     /// Extra attempts that may still be made here or beneath.
     pub allowance: u32,
+    /// Extra attempts that were granted in all, which the allowance never exceeds.
+    pub granted: u32,
+    /// An attempt of an idempotent call may have run.
+    pub in_doubt: bool,
+    /// The executor that may still tell what became of the key.
+    pub doubt: Option<WorkerId>,
+    /// Those who waited were answered at the deadline; what is left of their
+    /// allowance belongs to nobody.
+    pub waiters_answered: bool,
+    /// The caller's acknowledgement, which travels to the home.
+    pub acknowledged_below: u64,
     /// Attempts made.
     pub attempts: u32,
     /// Workers that refused.
@@ -138,6 +152,10 @@
     ) -> ExecuteRequest {
         let granted = self.allowance / 2;
         self.allowance -= granted;
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::CopyAllowance) {
+            self.allowance += granted;
+        }
         ExecuteRequest {
             to,
             service: self.service.clone(),
@@ -155,6 +173,29 @@
         }
     }
 
+    /// The fingerprint of the request; `None` for a mere question about a key.
+    pub fn fingerprint(&self) -> Option<u64> {
+        let is_question = self.request.as_str().is_empty();
+        (!is_question).then(|| fingerprint(&self.request, &self.body))
+    }
+
+    /// Whether a reply can be the one that this call waits for: about its key,
+    /// and from the process start that was asked unless that one is gone.
+    pub fn is_answered_by(&self, reply: &PeerReply) -> bool {
+        if reply.key.is_some() && reply.key != self.key {
+            return false;
+        }
+        let asked = match &self.state {
+            DispatchState::Attempting { worker, .. } | DispatchState::Resolving { worker, .. } => {
+                *worker
+            }
+            _ => return true,
+        };
+        let gone = matches!(&reply.outcome, Outcome::NotRun(refusal)
+            if refusal.reason == NotRunReason::WrongIncarnation);
+        reply.from == asked || gone
+    }
+
     /// What a wake-up at `now` finds to be done.
     pub fn due(&self, now: TimeMs) -> Due {
         let expired = now >= self.deadline;
@@ -197,3 +238,8 @@
         }
     }
 }
+
+/// Tells whether two requests under one key are the same request.
+pub fn fingerprint(request: &RequestName, body: &Bytes) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64_with_seed(request.as_str().as_bytes(), 0))
+}
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -8,6 +8,8 @@
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
 use crate::decide::message::{Action, CallId, ExchangeId, PeerReply, PeerRequest, SendFailure};
+#[cfg(test)]
+use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
 use crate::model::{CallKey, NotRun, NotRunReason, Outcome, TimeMs, UnknownReason, WorkerId};
@@ -45,6 +47,15 @@
             .key
             .as_ref()
             .map_or(0, |key| self.home.lowest_open(key.ticket.id));
+        if let Some(key) = dispatch.key.clone() {
+            if !self.home.is_run_by(&key, call) {
+                self.breach(turn, "key_is_run_by_one_call", Some(&key));
+                let evidence = Unsent::no_byte_left().into();
+                let reason = NotRunReason::InvariantBreach;
+                return self.end_not_run(turn, call, dispatch, reason, 0, evidence);
+            }
+            self.home.sent_to(key.ticket.id, worker);
+        }
         let exchange = dispatch.next_exchange(call);
         let request = dispatch.execute_request(turn.now, worker, lowest_open);
         let local = (worker == self.settings.vm.worker).then(|| self.next_call());
@@ -113,12 +124,20 @@
     }
 
     pub(super) fn peer_replied(&self, turn: &mut Turn<'_>, exchange: ExchangeId, reply: PeerReply) {
+        if self.acks.confirmed(exchange.call) {
+            return;
+        }
         let dispatch = match self.take_waiting_for(exchange) {
             Taken::Nothing => return,
             Taken::Settling => return self.candidate_replied(turn, exchange, reply),
             Taken::Dispatch(dispatch) => *dispatch,
         };
         let call = exchange.call;
+        if !dispatch.is_answered_by(&reply) {
+            self.breach(turn, "reply_is_about_its_request", dispatch.key.as_ref());
+            self.dispatches.insert(call, dispatch);
+            return self.peer_failed(turn, exchange, SendFailure::Broken);
+        }
         match dispatch.state {
             DispatchState::Attempting { worker, .. } => {
                 self.router.ended(worker);
@@ -138,6 +157,9 @@
         exchange: ExchangeId,
         failure: SendFailure,
     ) {
+        if self.acks.failed(exchange.call) {
+            return;
+        }
         let dispatch = match self.take_waiting_for(exchange) {
             Taken::Nothing => return,
             Taken::Settling => return self.candidate_failed(turn, exchange),
@@ -160,12 +182,13 @@
     pub(super) fn dispatch_due(&self, turn: &mut Turn<'_>, call: CallId) {
         let (due, dispatch) = {
             let mut shard = self.dispatches.lock(&call);
-            let Some(dispatch) = shard.get(&call) else {
+            let Some(dispatch) = shard.get_mut(&call) else {
                 return;
             };
             match dispatch.due(turn.now) {
                 Due::Nothing => return,
                 Due::AnswerWaiters(key) => {
+                    dispatch.waiters_answered = true;
                     drop(shard);
                     return self.answer_waiters(turn, key);
                 }
@@ -221,13 +244,14 @@
         if matches!(outcome, Outcome::Done(_)) {
             self.budgets.succeeded(&dispatch.service);
         }
-        let credited = self.credit_parent(&mut dispatch);
+        let credited = self.credit_parent(turn, &mut dispatch);
         let mut reply = self.plain_reply(dispatch.key.clone(), outcome);
-        reply.allowance_left = if credited { 0 } else { dispatch.allowance };
+        let unowned = credited || dispatch.waiters_answered;
+        reply.allowance_left = if unowned { 0 } else { dispatch.allowance };
         reply.level = dispatch.level;
         reply.service_ms = dispatch.service_ms;
         let waiters = match (&dispatch.key, dispatch.reply_to) {
-            (Some(key), None) => self.home.end(key, &reply.outcome),
+            (Some(key), None) => self.end_at_home(key, &reply.outcome, dispatch.doubt),
             (_, reply_to) => reply_to.into_iter().collect(),
         };
         self.deliver_all(turn, &waiters, &reply);
@@ -243,6 +267,10 @@
         retry_after_ms: u64,
         evidence: NotRunEvidence,
     ) {
+        if dispatch.in_doubt {
+            let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
+            return self.end(turn, call, dispatch, outcome);
+        }
         let evidence = NotRunEvidence::of_every_attempt(evidence, dispatch.attempts);
         let outcome = not_run(reason, retry_after_ms, evidence);
         self.end(turn, call, dispatch, outcome);
@@ -292,7 +320,7 @@
         worker: WorkerId,
         reply: PeerReply,
     ) {
-        self.take_in_reply(turn.now, &mut dispatch, &reply);
+        self.take_in_reply(turn, &mut dispatch, &reply);
         match reply.outcome {
             Outcome::Done(_) => self.end(turn, call, dispatch, reply.outcome),
             Outcome::NotRun(refusal) => {
@@ -301,6 +329,7 @@
                 self.refused(turn, call, dispatch, refusal, retry);
             }
             Outcome::Unknown(_) => {
+                dispatch.in_doubt = true;
                 if dispatch.idempotent && self.may_retry(turn.now, &mut dispatch) {
                     return self.retry_later(turn, call, dispatch);
                 }
@@ -317,7 +346,7 @@
         worker: WorkerId,
         reply: PeerReply,
     ) {
-        self.take_in_reply(turn.now, &mut dispatch, &reply);
+        self.take_in_reply(turn, &mut dispatch, &reply);
         match reply.outcome {
             Outcome::NotRun(refusal) if refusal.reason == NotRunReason::WrongIncarnation => {
                 let outcome = Outcome::Unknown(UnknownReason::IncarnationGone);
@@ -367,10 +396,21 @@
             };
             return self.refused(turn, call, dispatch, refusal, AfterRefusal::Retry);
         }
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::NeverResolve) {
+            let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
+            return self.end(turn, call, dispatch, outcome);
+        }
+        #[cfg(test)]
+        if sabotage::is_on(Sabotage::RetryInDoubt) && !dispatch.idempotent {
+            dispatch.tried.push(worker);
+            return self.retry_later(turn, call, dispatch);
+        }
         if !dispatch.idempotent {
             return self.ask_for_record(turn, call, dispatch, worker);
         }
         dispatch.tried.push(worker);
+        dispatch.in_doubt = true;
         if self.may_retry(turn.now, &mut dispatch) {
             return self.retry_later(turn, call, dispatch);
         }
@@ -379,7 +419,7 @@
     }
 
     /// Asks the executor over a new connection what became of the key.
-    fn ask_for_record(
+    pub(super) fn ask_for_record(
         &self,
         turn: &mut Turn<'_>,
         call: CallId,
@@ -402,7 +442,11 @@
         };
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
         self.dispatches.insert(call, dispatch);
-        let message = PeerRequest::Settle { to: worker, key };
+        let message = PeerRequest::Settle {
+            to: worker,
+            key,
+            fingerprint: None,
+        };
         self.send(turn, exchange, message, true, timeout_ms);
     }
 
@@ -415,6 +459,7 @@
         tries: u32,
     ) {
         if tries >= RESOLVE_TRIES {
+            dispatch.doubt = Some(worker);
             let outcome = Outcome::Unknown(UnknownReason::ExecutorSilent);
             return self.end(turn, call, dispatch, outcome);
         }
@@ -428,8 +473,18 @@
         self.dispatches.insert(call, dispatch);
     }
 
-    fn take_in_reply(&self, now: TimeMs, dispatch: &mut Dispatch, reply: &PeerReply) {
-        dispatch.allowance += reply.allowance_left;
+    /// Takes back what a reply left of the allowance, never more than was granted.
+    pub(super) fn credit(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch, left: u32) {
+        let credited = dispatch.allowance.saturating_add(left);
+        if credited > dispatch.granted {
+            self.breach(turn, "allowance_never_grows", dispatch.key.as_ref());
+        }
+        dispatch.allowance = credited.min(dispatch.granted);
+    }
+
+    fn take_in_reply(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch, reply: &PeerReply) {
+        let now = turn.now;
+        self.credit(turn, dispatch, reply.allowance_left);
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
         self.levels
@@ -487,7 +542,7 @@
     }
 
     /// Hands what is left of the allowance back to the run beneath which the call was made.
-    fn credit_parent(&self, dispatch: &mut Dispatch) -> bool {
+    fn credit_parent(&self, turn: &mut Turn<'_>, dispatch: &mut Dispatch) -> bool {
         let Some(parent) = dispatch.parent else {
             return false;
         };
@@ -495,7 +550,11 @@
         let Some(execution) = shard.get_mut(&parent) else {
             return false;
         };
-        execution.allowance += std::mem::take(&mut dispatch.allowance);
+        let credited = execution.allowance + std::mem::take(&mut dispatch.allowance);
+        if credited > execution.granted {
+            self.breach(turn, "allowance_never_grows", execution.key.as_ref());
+        }
+        execution.allowance = credited.min(execution.granted);
         execution.level_beneath = execution.level_beneath.max(dispatch.level);
         execution.service_beneath_ms += dispatch.service_ms;
         true
--- a/src/net/daemon.rs
+++ b/src/net/daemon.rs
@@ -12,7 +12,7 @@
 use super::control::{ControlInputs, ControlLoop};
 use super::error::NetError;
 use super::lifecycle::Lifecycle;
-use super::listener::{ListenerPlan, Listeners};
+use super::listener::{ListenerPlan, Listeners, Stage};
 use super::local::LocalServer;
 use super::pump::{Pump, Wanted};
 use super::{callers, hop, http, listener, local, peer_control};
@@ -25,6 +25,8 @@
 
 /// Time between two ticks of the decisions, in milliseconds.
 const TICK_MS: u64 = 5;
+/// Longest silence of a connection to another daemon, in milliseconds.
+const SILENCE_MS: u64 = 1_000;
 /// Longest time to hear the log service or another daemon before serving by the built-in
 /// rules, in milliseconds.
 const JOIN_LIMIT_MS: u64 = 3_000;
@@ -44,7 +46,7 @@
     lifecycle: Arc<Lifecycle>,
     local_server: Arc<LocalServer>,
     listeners: Arc<Listeners>,
-    closing: watch::Sender<bool>,
+    stage: watch::Sender<Stage>,
     tasks: JoinSet<()>,
 }
 
@@ -71,7 +73,7 @@
             lifecycle: Arc::default(),
             local_server: Arc::new(LocalServer::new(announcement_sender)),
             listeners: Arc::default(),
-            closing: watch::Sender::new(false),
+            stage: watch::Sender::new(Stage::Open),
             tasks: JoinSet::new(),
         };
         daemon.open_listeners(announcements, wanted).await?;
@@ -125,9 +127,9 @@
         serving.iter().map(|counts| counts.open()).sum()
     }
 
-    /// Accepts no further connection; the open ones end after the answers due on them.
-    pub fn close_listeners(&self) {
-        self.closing.send_replace(true);
+    /// Moves the listeners on their way to close.
+    pub fn set_stage(&self, stage: Stage) {
+        self.stage.send_replace(stage);
     }
 
     async fn open_listeners(
@@ -201,7 +203,7 @@
         ListenerPlan {
             bounds,
             counts: Arc::clone(counts),
-            closing: self.closing.subscribe(),
+            stage: self.stage.subscribe(),
         }
     }
 
@@ -257,6 +259,7 @@
         },
         executor_records: settings.executor_records,
         reply_grace_ms: settings.reply_grace_ms,
+        silence_ms: SILENCE_MS,
         mechanisms,
         seed,
     }
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -15,11 +15,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
-use hyper::{Request, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use strum::{EnumCount, EnumIter, IntoStaticStr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -122,30 +123,45 @@
     pub bounds: ListenerBounds,
     /// Where refusals are counted.
     pub counts: Arc<ListenerCounts>,
-    /// Turns true when the listener is to close: no connection is accepted any more, and
-    /// each one open ends after the answers that are due on it.
-    pub closing: watch::Receiver<bool>,
+    /// Whether the listener is to close.
+    pub stage: watch::Receiver<Stage>,
+}
+
+/// How far a listener is on its way to close.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// It accepts connections and keeps them.
+    Open,
+    /// It accepts connections, answers one request on each and closes it, so that clients go
+    /// elsewhere.
+    Leaving,
+    /// It accepts no connection; each one open ends after the answers due on it.
+    Closed,
 }
 
 /// Serves a listener until it is closed, one task a connection.
-pub async fn serve<H, F>(listener: TcpListener, plan: ListenerPlan, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, plan: ListenerPlan, handler: H)
 where
     H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + From<Full<Bytes>> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     let ListenerPlan {
         bounds,
         counts,
-        closing,
+        stage,
     } = plan;
     let handler = Arc::new(handler);
     let connections = Arc::new(Semaphore::new(bounds.connections));
     let refusals = Arc::new(Semaphore::new(MAX_REFUSALS));
-    let mut closing_here = closing.clone();
+    let mut stage_here = stage.clone();
     loop {
+        // Clients that have connected are served before the stage is looked at.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
-            () = closed(&mut closing_here) => return,
+            () = closed(&mut stage_here) => return,
         };
         let Ok((stream, _)) = accepted else {
             tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
@@ -165,9 +181,9 @@
             waiting: AtomicBool::new(false),
         };
         let handler = Arc::clone(&handler);
-        let closing = closing.clone();
+        let stage = stage.clone();
         tokio::spawn(async move {
-            connection.serve(stream, closing, handler).await;
+            connection.serve(stream, stage, handler).await;
             drop(permit);
         });
     }
@@ -215,24 +231,35 @@
 }
 
 impl Connection {
-    async fn serve<H, F>(
+    async fn serve<H, F, B>(
         self,
         stream: TcpStream,
-        mut closing: watch::Receiver<bool>,
+        mut stage: watch::Receiver<Stage>,
         handler: Arc<H>,
     ) where
         H: Fn(Request<Bytes>) -> F + Send + Sync + 'static,
-        F: Future<Output = FullResponse> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + From<Full<Bytes>> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let this = &self;
+        let leaving = stage.clone();
         let service = service_fn(move |request| {
             let handler = Arc::clone(&handler);
             // Set here rather than in the future, which may never be polled if the
             // end of the stream has come along with the request.
             this.waiting.store(true, Ordering::Relaxed);
+            let leaving = leaving.clone();
             Box::pin(async move {
                 let _answering = AnsweringGuard::new(&this.open.counts);
-                let response = this.answer(request, &*handler).await;
+                let mut response = match this.whole(request).await {
+                    Ok(request) => handler(request).await,
+                    Err(refusal) => refusal.map(B::from),
+                };
+                if *leaving.borrow() != Stage::Open {
+                    let close = HeaderValue::from_static("close");
+                    response.headers_mut().insert(CONNECTION, close);
+                }
                 this.waiting.store(false, Ordering::Relaxed);
                 Ok::<_, Infallible>(response)
             })
@@ -244,7 +271,7 @@
             .serve_connection(TokioIo::new(stream), service);
         let ended = tokio::select! {
             ended = poll_fn(|context| connection.poll_without_shutdown(context)) => Some(ended),
-            () = closed(&mut closing) => None,
+            () = closed(&mut stage) => None,
         };
         let ended = match ended {
             Some(ended) => ended,
@@ -279,29 +306,26 @@
         }
     }
 
-    async fn answer<H, F>(&self, request: Request<Incoming>, handler: &H) -> FullResponse
-    where
-        H: Fn(Request<Bytes>) -> F,
-        F: Future<Output = FullResponse>,
-    {
+    /// Reads the whole request, or tells why it is refused.
+    async fn whole(&self, request: Request<Incoming>) -> Result<Request<Bytes>, FullResponse> {
         let (parts, body) = request.into_parts();
         if head_bytes(&parts) > self.bounds.header_bytes {
-            return self.head_too_large();
+            return Err(self.head_too_large());
         }
         let limit = self.bounds.body_bytes;
         if body.size_hint().lower() > limit as u64 {
-            return self.body_too_large();
+            return Err(self.body_too_large());
         }
         let reading = Limited::new(body, limit).collect();
         let timeout = Duration::from_millis(self.bounds.body_timeout_ms);
         let body = match tokio::time::timeout(timeout, reading).await {
             Ok(Ok(collected)) => collected.to_bytes(),
-            Ok(Err(error)) if is_length_error(error.as_ref()) => return self.body_too_large(),
+            Ok(Err(error)) if is_length_error(error.as_ref()) => return Err(self.body_too_large()),
             Ok(Err(_)) => {
                 self.count(Bound::Gone);
                 let message = "the body of the request broke off; send as many bytes as its \
                                content-length says";
-                return http::error(StatusCode::BAD_REQUEST, message);
+                return Err(http::error(StatusCode::BAD_REQUEST, message));
             }
             Err(_) => {
                 self.count(Bound::BodyTimeout);
@@ -309,10 +333,10 @@
                     "the body of the request did not arrive within {} ms; send it at once",
                     self.bounds.body_timeout_ms
                 );
-                return http::error(StatusCode::REQUEST_TIMEOUT, &message);
+                return Err(http::error(StatusCode::REQUEST_TIMEOUT, &message));
             }
         };
-        handler(Request::from_parts(parts, body)).await
+        Ok(Request::from_parts(parts, body))
     }
 
     fn count(&self, bound: Bound) {
@@ -353,8 +377,8 @@
     path + headers.sum::<usize>()
 }
 
-async fn closed(closing: &mut watch::Receiver<bool>) {
-    let _ = closing.wait_for(|closing| *closing).await;
+async fn closed(stage: &mut watch::Receiver<Stage>) {
+    let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
 }
 
 fn is_length_error(error: &(dyn Error + 'static)) -> bool {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 pub mod peer_control;
 pub mod process;
 pub mod pump;
+pub(crate) mod watch;
 
 pub use daemon::Daemon;
 pub use error::NetError;
