--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -1,6 +1,7 @@
 //! Publication of a sheet: from the operator's request to the zones that hold it.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
@@ -11,18 +12,22 @@
 use super::spread::{SheetDigest, SheetMessage, ZoneDirectory};
 use super::{ControlAction, ControlTurn};
 use crate::model::{
-    AuthorName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm, ZoneName,
+    AuthorName, ServiceName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm,
+    ZoneName,
 };
 
 /// Time after which an append without an effect is made again, in milliseconds.
 const APPEND_AGAIN_MS: u64 = 2_000;
 /// Longest wait for the record to stand in the log's order, in milliseconds.
-const SETTLE_WAIT_MS: u64 = 30_000;
+const SETTLE_WAIT_MS: u64 = 18_000;
 /// Longest wait for a daemon of each zone to hold the sheet, in milliseconds.
-const CONFIRM_WAIT_MS: u64 = 8_000;
+const CONFIRM_WAIT_MS: u64 = 10_000;
 /// Time after which the next daemon of a zone is asked, in milliseconds.
 const PROBE_INTERVAL_MS: u64 = 400;
 
+/// Largest sheet in canonical form, in bytes; a checkpoint holds a whole one.
+pub const MAX_SHEET_BYTES: usize = 2_000_000;
+
 /// An operator's request to publish a sheet.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PublishRequest {
@@ -69,6 +74,24 @@
     InForce(PublishReceipt),
 }
 
+impl fmt::Display for PublishStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PublishStatus::Refused { reason } => write!(f, "refused: {reason}"),
+            PublishStatus::Conflict {
+                version, author, ..
+            } => write!(
+                f,
+                "conflict: version {version} by {author} came first; look at the difference \
+                 from it with --dry-run and publish on top of it"
+            ),
+            PublishStatus::InDoubt { reason } => write!(f, "in doubt: {reason}"),
+            PublishStatus::Accepted(receipt) => write!(f, "{}", receipt_words(receipt)),
+            PublishStatus::InForce(receipt) => write!(f, "{}", receipt_words(receipt)),
+        }
+    }
+}
+
 /// Where a publication is in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -81,6 +104,8 @@
     pub zones_confirmed: Vec<ZoneName>,
     /// Zones of which no daemon could be reached.
     pub zones_missing: Vec<ZoneName>,
+    /// Whether these are all zones; not so while the daemon that published has just started.
+    pub zones_known: bool,
     /// Time from the request, in milliseconds.
     pub elapsed_ms: u64,
 }
@@ -120,6 +145,8 @@
 #[derive(Debug)]
 struct Running {
     request: PublishRequest,
+    /// The services that the publication changes; empty if also rules of any service or shares.
+    services: Vec<ServiceName>,
     started: TimeMs,
     stage: Stage,
 }
@@ -181,6 +208,7 @@
         }
         self.running.push(Running {
             request,
+            services: Vec::new(),
             started: turn.now,
             stage: Stage::Behind,
         });
@@ -331,12 +359,21 @@
             Some(_) => fold.sheet().content(),
             None => SheetContent::default(),
         };
+        let bytes = self.request.content.encoded_bytes();
+        if bytes > MAX_SHEET_BYTES {
+            let reason = format!(
+                "the sheet has {bytes} bytes in canonical form, more than {MAX_SHEET_BYTES}: \
+                 replace rules for single callers or requests by rules for any"
+            );
+            return Some(PublishStatus::Refused { reason });
+        }
         let change = SheetChange::between(&old, &self.request.content);
         if change.is_empty() && self.request.base.is_some() {
             let version = fold.base().version;
             let reason = format!("the sheet says the same as version {version}, which is in force");
             return Some(PublishStatus::Refused { reason });
         }
+        self.services = single_services(&change);
         let record = Publication {
             id: self.request.id.clone(),
             base: self.request.base.map(|_| fold.base()),
@@ -413,6 +450,7 @@
             offset: accepted.offset,
             zones_confirmed: named(true),
             zones_missing: named(false),
+            zones_known: view.zones.is_complete(),
             elapsed_ms: turn.now.since_ms(self.started),
         };
         Some(if waiting {
@@ -454,7 +492,7 @@
     }
 
     fn end(self, turn: &mut ControlTurn<'_>, status: PublishStatus) {
-        let entry = audit_entry(turn, &self.request, &status);
+        let entry = audit_entry(turn, &self.request, self.services, &status);
         turn.audits.push(entry);
         turn.actions
             .push(ControlAction::PublishEnded(PublishReport {
@@ -490,6 +528,15 @@
     });
 }
 
+/// The services of a change that is about single services only.
+fn single_services(change: &SheetChange) -> Vec<ServiceName> {
+    let services = change.services.iter().map(|rules| rules.service.clone());
+    let named: Option<Vec<ServiceName>> = services.collect();
+    named
+        .filter(|_| change.shares.is_none())
+        .unwrap_or_default()
+}
+
 fn conflict(winner: &Accepted) -> PublishStatus {
     PublishStatus::Conflict {
         version: winner.version,
@@ -506,6 +553,7 @@
 fn audit_entry(
     turn: &ControlTurn<'_>,
     request: &PublishRequest,
+    services: Vec<ServiceName>,
     status: &PublishStatus,
 ) -> AuditEntry {
     let (kind, to_version, detail) = match status {
@@ -527,7 +575,7 @@
         at_ms: turn.unix_ms,
         kind,
         author: request.author.clone(),
-        services: Vec::new(),
+        services,
         from_version: request.base,
         to_version,
         detail: format!("publication {}: {detail}", request.id),
@@ -536,6 +584,13 @@
 
 fn receipt_words(receipt: &PublishReceipt) -> String {
     let confirmed = receipt.zones_confirmed.len();
+    if !receipt.zones_known {
+        return format!(
+            "accepted as version {} and held in {confirmed} zones, but the daemon that published \
+             has not found all zones yet",
+            receipt.version
+        );
+    }
     if receipt.zones_missing.is_empty() {
         return format!(
             "in force in {confirmed} zones after {} ms",
@@ -544,7 +599,8 @@
     }
     let missing: Vec<&str> = receipt.zones_missing.iter().map(ZoneName::as_str).collect();
     format!(
-        "held in {confirmed} zones, not confirmed by {}",
+        "accepted as version {} and held in {confirmed} zones, not confirmed by {}",
+        receipt.version,
         missing.join(", ")
     )
 }
--- a/src/net/metrics.rs
+++ b/src/net/metrics.rs
@@ -59,6 +59,11 @@
             "Version of the sheet in force.",
             status.sheet.version.0,
         ),
+        (
+            "sheet_gap",
+            "Whether records of the log are missing behind the sheet.",
+            u64::from(status.sheet.gap),
+        ),
         ("workers", "Workers known.", status.workers as u64),
         (
             "concurrency_limit",
@@ -91,6 +96,12 @@
     for (name, help, value) in singles {
         page.gauge(&format!("burdockhall_{name}"), help, value as f64)?;
     }
+    let age_ms = status
+        .sheet
+        .age_ms
+        .map_or(f64::INFINITY, |age_ms| age_ms as f64);
+    let help = "Time since the sheet was known to be the newest, in milliseconds.";
+    page.gauge("burdockhall_sheet_age_ms", help, age_ms)?;
     for (name, value) in &status.counters {
         let help = format!("Count of `{name}` since the start.");
         page.counter(&format!("burdockhall_{name}_total"), &help, *value as f64)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod admin_audit;
 pub mod admin_auth;
+pub mod admin_sheets;
 pub mod admin_status;
 pub mod backend;
 pub mod callers;
