--- a/src/decide/control/mod.rs
+++ b/src/decide/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod interests;
 pub mod member_control;
 pub mod members;
+pub mod publication;
 pub mod publish;
 pub mod record;
 pub mod sheet_control;
--- a/src/decide/control/publish.rs
+++ b/src/decide/control/publish.rs
@@ -1,19 +1,17 @@
 //! Publication of a sheet: from the operator's request to the zones that hold it.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::net::SocketAddr;
 
-use serde::{Deserialize, Serialize};
-
 use super::audit::{AuditEntry, AuditKind};
 use super::fold::{SheetFold, first_version};
+use super::publication::receipt_words;
+pub use super::publication::{PublishReceipt, PublishReport, PublishRequest, PublishStatus};
 use super::record::{Accepted, LogRecord, Publication, SheetBase, Stream};
 use super::spread::{SheetDigest, SheetMessage, ZoneDirectory};
 use super::{ControlAction, ControlTurn};
 use crate::model::{
-    AuthorName, ServiceName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm,
-    ZoneName,
+    ServiceName, SheetChange, SheetContent, SheetHash, SheetVersion, TimeMs, Vm, ZoneName,
 };
 
 /// Time after which an append without an effect is made again, in milliseconds.
@@ -28,99 +26,6 @@
 /// Largest sheet in canonical form, in bytes; a checkpoint holds a whole one.
 pub const MAX_SHEET_BYTES: usize = 2_000_000;
 
-/// An operator's request to publish a sheet.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PublishRequest {
-    /// Chosen by the publisher; the same for each repetition.
-    pub id: String,
-    /// The version that the operator has seen; none starts a new history.
-    pub base: Option<SheetVersion>,
-    /// The chain hash that the operator has seen, if it is known.
-    pub base_chain: Option<SheetHash>,
-    /// Who publishes.
-    pub author: AuthorName,
-    /// When, in milliseconds since the Unix epoch.
-    pub published_ms: u64,
-    /// The sheet.
-    pub content: SheetContent,
-}
-
-/// How a publication stands.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", tag = "status")]
-pub enum PublishStatus {
-    /// Nothing was published.
-    Refused {
-        /// Why, and what to do about it.
-        reason: String,
-    },
-    /// Another publication on the same base came first; nothing was published.
-    Conflict {
-        /// The version of the winner.
-        version: SheetVersion,
-        /// Who published it.
-        author: AuthorName,
-        /// When, in milliseconds since the Unix epoch.
-        published_ms: u64,
-    },
-    /// Whether the publication took effect cannot be told yet.
-    InDoubt {
-        /// What to do about it.
-        reason: String,
-    },
-    /// The sheet is in force here and in all zones that could be reached, but not in all.
-    Accepted(PublishReceipt),
-    /// The sheet is in force in all zones.
-    InForce(PublishReceipt),
-}
-
-impl fmt::Display for PublishStatus {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            PublishStatus::Refused { reason } => write!(f, "refused: {reason}"),
-            PublishStatus::Conflict {
-                version, author, ..
-            } => write!(
-                f,
-                "conflict: version {version} by {author} came first; look at the difference \
-                 from it with --dry-run and publish on top of it"
-            ),
-            PublishStatus::InDoubt { reason } => write!(f, "in doubt: {reason}"),
-            PublishStatus::Accepted(receipt) => write!(f, "{}", receipt_words(receipt)),
-            PublishStatus::InForce(receipt) => write!(f, "{}", receipt_words(receipt)),
-        }
-    }
-}
-
-/// Where a publication is in force.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct PublishReceipt {
-    /// The version that the sheet has got.
-    pub version: SheetVersion,
-    /// The offset of the record, if it was read by this daemon.
-    pub offset: Option<u64>,
-    /// Zones of which a daemon holds the sheet.
-    pub zones_confirmed: Vec<ZoneName>,
-    /// Zones of which no daemon could be reached.
-    pub zones_missing: Vec<ZoneName>,
-    /// Whether these are all zones; not so while the daemon that published has just started.
-    pub zones_known: bool,
-    /// Time from the request, in milliseconds.
-    pub elapsed_ms: u64,
-}
-
-/// A publication with its id, as it ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct PublishReport {
-    /// The publisher's id.
-    pub id: String,
-    /// The hash of the sheet that was to be published.
-    pub content: SheetHash,
-    /// How it ended.
-    pub status: PublishStatus,
-}
-
 #[derive(Debug)]
 enum Stage {
     /// The operator's base is newer than the sheet here.
@@ -581,26 +486,3 @@
         detail: format!("publication {}: {detail}", request.id),
     }
 }
-
-fn receipt_words(receipt: &PublishReceipt) -> String {
-    let confirmed = receipt.zones_confirmed.len();
-    if !receipt.zones_known {
-        return format!(
-            "accepted as version {} and held in {confirmed} zones, but the daemon that published \
-             has not found all zones yet",
-            receipt.version
-        );
-    }
-    if receipt.zones_missing.is_empty() {
-        return format!(
-            "in force in {confirmed} zones after {} ms",
-            receipt.elapsed_ms
-        );
-    }
-    let missing: Vec<&str> = receipt.zones_missing.iter().map(ZoneName::as_str).collect();
-    format!(
-        "accepted as version {} and held in {confirmed} zones, not confirmed by {}",
-        receipt.version,
-        missing.join(", ")
-    )
-}
