--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -1,9 +1,9 @@
 //! Admission to the backend server beside this daemon: limit, queue and level.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::entry::LevelMeter;
+use super::level::LevelMeter;
 use super::limit::Limiter;
 use super::mechanisms::{LimitMode, Mechanisms};
 use super::message::{CallId, Priority};
@@ -13,6 +13,12 @@
 const QUEUE_BOUND_MS: u64 = 200;
 /// Requests that may wait, as a multiple of the limit.
 const QUEUE_FACTOR: usize = 4;
+/// Wait that a request refused for lack of room is told, in milliseconds.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 500;
+/// Bits of a priority that hold the rank.
+const RANK_BITS: u32 = 16;
+/// Mask of the rank in a priority.
+const RANK_MASK: u32 = 0xffff;
 /// Shortest wait that a refused caller is told, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
@@ -64,7 +70,8 @@
     since: TimeMs,
 }
 
-type Position = (Reverse<Priority>, Reverse<u64>, u64);
+/// Place in the queue: importance, sunk work, rank, order of arrival.
+type Position = (Reverse<u32>, Reverse<u32>, Reverse<u32>, u64);
 
 /// Admission of one backend server. Not for sharing: the daemon keeps it behind one short lock.
 #[derive(Debug)]
@@ -76,6 +83,9 @@
     in_flight: u32,
     in_flight_by_caller: HashMap<CallerName, u32>,
     queue: BTreeMap<Position, Waiting>,
+    positions: HashMap<CallId, Position>,
+    by_age: VecDeque<(TimeMs, CallId)>,
+    displaced: Vec<Released>,
     next_arrival: u64,
 }
 
@@ -90,6 +100,9 @@
             in_flight: 0,
             in_flight_by_caller: HashMap::new(),
             queue: BTreeMap::new(),
+            positions: HashMap::new(),
+            by_age: VecDeque::new(),
+            displaced: Vec::new(),
             next_arrival: 0,
         }
     }
@@ -123,35 +136,38 @@
     /// Decides on a request.
     pub fn offer(&mut self, now: TimeMs, offer: Offer) -> Verdict {
         if self.leaving {
-            return self.refuse(NotRunReason::Leaving, MIN_RETRY_AFTER_MS);
+            return refuse(NotRunReason::Leaving, MIN_RETRY_AFTER_MS);
         }
-        self.level.offered(now, offer.priority);
+        self.tick(now);
+        self.level.offered(offer.priority);
         if self.mechanisms.deadlines && !self.can_finish(now, &offer) {
-            return self.refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
+            return refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
         }
         if self.has_room(&offer) {
-            self.start(&offer);
+            self.level.started(0);
+            self.start(now, &offer);
             return Verdict::Start;
         }
-        if self.queue.len() >= self.queue_bound() && !self.displaces(&offer) {
+        if self.queue.len() >= self.queue_bound() && !self.displace_for(&offer) {
             self.level.refused();
-            return self.refuse(NotRunReason::Overloaded, QUEUE_BOUND_MS);
+            return refuse(NotRunReason::Overloaded, OVERLOADED_RETRY_AFTER_MS);
         }
         self.enqueue(now, offer);
         Verdict::Queued
     }
 
-    /// Takes in that a request which was started has ended.
-    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, service_ms: u64) {
+    /// Takes in that a request which was started has ended. `own_ms` is its time
+    /// at the backend server without the calls made beneath it.
+    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, own_ms: u64) {
         let saturated = self.in_flight >= self.limiter.limit();
-        self.start_undone(caller);
-        self.limiter.completed(now, service_ms, saturated);
-        self.level.completed();
+        self.start_undone(now, caller);
+        self.limiter.completed(now, own_ms, saturated);
     }
 
     /// Takes in that a request which was started has not been handed over after all.
-    pub fn start_undone(&mut self, caller: &CallerName) {
+    pub fn start_undone(&mut self, now: TimeMs, caller: &CallerName) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.level.in_flight(now, self.in_flight);
         if let Some(count) = self.in_flight_by_caller.get_mut(caller) {
             *count -= 1;
             if *count == 0 {
@@ -162,37 +178,38 @@
 
     /// Takes requests out of the queue: those to start, and those that waited too long.
     pub fn release(&mut self, now: TimeMs) -> Vec<Released> {
-        let mut released = Vec::new();
+        self.tick(now);
+        let mut released = std::mem::take(&mut self.displaced);
         self.refuse_stale(now, &mut released);
         while self.in_flight < self.limiter.limit() {
-            let Some(position) = self.first_with_share() else {
+            let Some(waiting) = self.first_with_share().and_then(|first| self.take(first)) else {
                 break;
             };
-            let Some(waiting) = self.queue.remove(&position) else {
-                break;
-            };
-            self.level.waited(now.since_ms(waiting.since));
-            self.start(&waiting.offer);
-            released.push(Released {
-                call: waiting.offer.call,
-                verdict: Verdict::Start,
-            });
+            let call = waiting.offer.call;
+            if self.mechanisms.deadlines && !self.can_finish(now, &waiting.offer) {
+                let verdict = refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
+                released.push(Released { call, verdict });
+                continue;
+            }
+            self.level.started(now.since_ms(waiting.since));
+            self.start(now, &waiting.offer);
+            let verdict = Verdict::Start;
+            released.push(Released { call, verdict });
         }
         released
     }
 
     /// Drops a request from the queue; false if it does not wait there.
     pub fn withdraw(&mut self, call: CallId) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|_, waiting| waiting.offer.call != call);
-        self.queue.len() < before
+        match self.positions.get(&call).copied() {
+            Some(position) => self.take(position).is_some(),
+            None => false,
+        }
     }
 
-    fn refuse(&self, reason: NotRunReason, retry_after_ms: u64) -> Verdict {
-        Verdict::Refused {
-            reason,
-            retry_after_ms,
-        }
+    fn tick(&mut self, now: TimeMs) {
+        let limit = self.limiter.limit();
+        self.level.tick(now, limit);
     }
 
     fn can_finish(&self, now: TimeMs, offer: &Offer) -> bool {
@@ -205,7 +222,8 @@
         if self.mechanisms.limit == LimitMode::None {
             return true;
         }
-        self.in_flight < self.limiter.limit() && self.queue.is_empty() && self.within_share(offer)
+        let free = self.in_flight < self.limiter.limit();
+        free && self.queue.is_empty() && self.within_share(offer)
     }
 
     fn within_share(&self, offer: &Offer) -> bool {
@@ -224,35 +242,60 @@
         (self.limiter.limit() as usize).saturating_mul(QUEUE_FACTOR)
     }
 
-    /// Whether the request goes before the last one that waits. The last one
-    /// then is refused as stale at the next release.
-    fn displaces(&mut self, offer: &Offer) -> bool {
+    /// Drops the last request that waits, if this one goes before it.
+    fn displace_for(&mut self, offer: &Offer) -> bool {
         if !self.mechanisms.ordered_queue {
             return false;
         }
-        let Some(mut last) = self.queue.last_entry() else {
+        let Some(&last) = self.queue.keys().next_back() else {
             return false;
         };
-        if last.get().offer.priority >= offer.priority {
+        if last <= self.position(offer) {
             return false;
         }
-        last.get_mut().since = TimeMs(0);
+        let Some(waiting) = self.take(last) else {
+            return false;
+        };
+        self.level.refused();
+        self.displaced.push(Released {
+            call: waiting.offer.call,
+            verdict: refuse(NotRunReason::Overloaded, OVERLOADED_RETRY_AFTER_MS),
+        });
         true
     }
 
+    fn position(&self, offer: &Offer) -> Position {
+        if !self.mechanisms.ordered_queue {
+            return (Reverse(0), Reverse(0), Reverse(0), self.next_arrival);
+        }
+        let importance = offer.priority.0 >> RANK_BITS;
+        let rank = offer.priority.0 & RANK_MASK;
+        let sunk = (offer.sunk_ms + 1).ilog2();
+        (
+            Reverse(importance),
+            Reverse(sunk),
+            Reverse(rank),
+            self.next_arrival,
+        )
+    }
+
     fn enqueue(&mut self, now: TimeMs, offer: Offer) {
-        let arrival = self.next_arrival;
+        let position = self.position(&offer);
         self.next_arrival += 1;
-        let position = if self.mechanisms.ordered_queue {
-            (Reverse(offer.priority), Reverse(offer.sunk_ms), arrival)
-        } else {
-            (Reverse(Priority::LOWEST), Reverse(0), arrival)
-        };
+        self.positions.insert(offer.call, position);
+        self.by_age.push_back((now, offer.call));
         self.queue.insert(position, Waiting { offer, since: now });
     }
 
-    fn start(&mut self, offer: &Offer) {
+    fn take(&mut self, position: Position) -> Option<Waiting> {
+        let waiting = self.queue.remove(&position)?;
+        self.positions.remove(&waiting.offer.call);
+        Some(waiting)
+    }
+
+    fn start(&mut self, now: TimeMs, offer: &Offer) {
         self.in_flight += 1;
+        self.level.in_flight(now, self.in_flight);
         *self
             .in_flight_by_caller
             .entry(offer.caller.clone())
@@ -260,24 +303,19 @@
     }
 
     fn refuse_stale(&mut self, now: TimeMs, released: &mut Vec<Released>) {
-        if !self.mechanisms.ordered_queue {
-            return;
-        }
-        let stale: Vec<Position> = self
-            .queue
-            .iter()
-            .filter(|(_, waiting)| now.since_ms(waiting.since) > QUEUE_BOUND_MS)
-            .map(|(position, _)| *position)
-            .collect();
-        for position in stale {
-            let Some(waiting) = self.queue.remove(&position) else {
+        while let Some(&(since, call)) = self.by_age.front() {
+            let waits = self.positions.contains_key(&call);
+            let stale = self.mechanisms.ordered_queue && now.since_ms(since) > QUEUE_BOUND_MS;
+            if waits && !stale {
+                break;
+            }
+            self.by_age.pop_front();
+            if !self.withdraw(call) {
                 continue;
-            };
+            }
             self.level.refused();
-            released.push(Released {
-                call: waiting.offer.call,
-                verdict: self.refuse(NotRunReason::QueueTimeout, QUEUE_BOUND_MS),
-            });
+            let verdict = refuse(NotRunReason::QueueTimeout, OVERLOADED_RETRY_AFTER_MS);
+            released.push(Released { call, verdict });
         }
     }
 
@@ -288,3 +326,10 @@
             .map(|(position, _)| *position)
     }
 }
+
+fn refuse(reason: NotRunReason, retry_after_ms: u64) -> Verdict {
+    Verdict::Refused {
+        reason,
+        retry_after_ms,
+    }
+}
--- a/src/decide/execution.rs
+++ b/src/decide/execution.rs
@@ -33,6 +33,44 @@
     pub level_beneath: Priority,
     /// Time that backend servers beneath this one spent, in milliseconds.
     pub service_beneath_ms: u64,
+    /// Calls made beneath this one that have not ended.
+    pub children: ChildClock,
+}
+
+/// How long a run has waited for calls made beneath it.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct ChildClock {
+    open: u32,
+    since: TimeMs,
+    waited_ms: u64,
+}
+
+impl ChildClock {
+    /// Takes in that a call beneath begins.
+    pub fn begin(&mut self, now: TimeMs) {
+        if self.open == 0 {
+            self.since = now;
+        }
+        self.open += 1;
+    }
+
+    /// Takes in that a call beneath has ended.
+    pub fn end(&mut self, now: TimeMs) {
+        if self.open == 1 {
+            self.waited_ms += now.since_ms(self.since);
+        }
+        self.open = self.open.saturating_sub(1);
+    }
+
+    /// Time with at least one call beneath open, in milliseconds.
+    pub fn waited_ms(&self, now: TimeMs) -> u64 {
+        let open_ms = if self.open > 0 {
+            now.since_ms(self.since)
+        } else {
+            0
+        };
+        self.waited_ms + open_ms
+    }
 }
 
 impl Execution {
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -1,18 +1,30 @@
 //! The adaptive concurrency limit of one backend server.
+//!
+//! The signal is the server's own time on a request, without the calls it makes
+//! beneath: a slow service beneath is no reason to send less work here. A window
+//! in which that time is inflated lowers the limit; if the time does not fall
+//! with it, the server is slower at any concurrency, so the new time becomes the
+//! baseline and the limit climbs back.
 
 use crate::decide::mechanisms::LimitMode;
 use crate::model::TimeMs;
 
 /// Length of the window over which completions are judged, in milliseconds.
 const WINDOW_MS: u64 = 100;
-/// Latency above the baseline by this factor counts as congestion.
-const CONGESTION_FACTOR: f64 = 2.0;
+/// Fewest completions that a window is judged by.
+const MIN_COMPLETIONS: u32 = 4;
+/// Own time above the baseline by this factor counts as congestion.
+const CONGESTION_FACTOR: f64 = 1.5;
+/// Inflation that is always allowed, in milliseconds.
+const SLACK_MS: f64 = 1.0;
 /// What a congested window leaves of the limit.
-const DECREASE_FACTOR: f64 = 0.9;
+const DECREASE_FACTOR: f64 = 0.8;
+/// Share of a decrease by which the own time has to fall for the decrease to count as a help.
+const HELP_SHARE: f64 = 0.4;
 /// What a clean, fully used window adds to the limit, as a share of it.
-const INCREASE_SHARE: f64 = 0.05;
-/// How fast the baseline follows a latency above it, for each window.
-const BASELINE_DRIFT: f64 = 0.02;
+const INCREASE_SHARE: f64 = 0.1;
+/// How fast the baseline follows a time above it, for each window.
+const BASELINE_DRIFT: f64 = 0.01;
 /// The limit never goes below this.
 const FLOOR: f64 = 2.0;
 
@@ -23,10 +35,23 @@
     slots: u32,
     limit: f64,
     baseline_ms: Option<f64>,
-    window_start: TimeMs,
-    window_count: u32,
-    window_sum_ms: f64,
-    window_saturated: bool,
+    before_decrease: Option<Judged>,
+    window: Window,
+}
+
+/// Own time at a limit.
+#[derive(Debug, Clone, Copy)]
+struct Judged {
+    limit: f64,
+    mean_ms: f64,
+}
+
+#[derive(Debug, Default)]
+struct Window {
+    start: TimeMs,
+    count: u32,
+    sum_ms: f64,
+    saturated: bool,
 }
 
 impl Limiter {
@@ -37,10 +62,8 @@
             slots,
             limit: f64::from(slots),
             baseline_ms: None,
-            window_start: TimeMs::default(),
-            window_count: 0,
-            window_sum_ms: 0.0,
-            window_saturated: false,
+            before_decrease: None,
+            window: Window::default(),
         }
     }
 
@@ -60,41 +83,72 @@
         }
         self.slots = slots;
         self.limit = self.ceiling();
+        self.before_decrease = None;
     }
 
-    /// Mean service time of late, in milliseconds, if any request has been completed.
+    /// The least own time of late, in milliseconds, if any request has been completed.
     pub fn expected_ms(&self) -> Option<f64> {
         self.baseline_ms
     }
 
-    /// Takes in one completion.
-    pub fn completed(&mut self, now: TimeMs, service_ms: u64, saturated: bool) {
-        self.window_count += 1;
-        self.window_sum_ms += service_ms as f64;
-        self.window_saturated |= saturated;
-        if now.since_ms(self.window_start) >= WINDOW_MS {
+    /// Takes in one completion with the server's own time on it.
+    pub fn completed(&mut self, now: TimeMs, own_ms: u64, saturated: bool) {
+        self.window.count += 1;
+        self.window.sum_ms += own_ms as f64;
+        self.window.saturated |= saturated;
+        let over = now.since_ms(self.window.start) >= WINDOW_MS;
+        if over && self.window.count >= MIN_COMPLETIONS {
             self.close_window(now);
         }
     }
 
     fn close_window(&mut self, now: TimeMs) {
-        let mean_ms = self.window_sum_ms / f64::from(self.window_count);
+        let mean_ms = self.window.sum_ms / f64::from(self.window.count);
         let baseline_ms = self.baseline_ms.unwrap_or(mean_ms);
-        let congested = mean_ms > baseline_ms * CONGESTION_FACTOR + 1.0;
-        if congested {
-            self.limit = (self.limit * DECREASE_FACTOR).max(FLOOR.min(self.ceiling()));
-        } else if self.window_saturated {
-            self.limit = (self.limit * (1.0 + INCREASE_SHARE) + 0.5).min(self.ceiling());
-        }
-        self.baseline_ms = Some(if mean_ms < baseline_ms {
-            mean_ms
+        let congested = mean_ms > baseline_ms * CONGESTION_FACTOR + SLACK_MS;
+        if congested && self.decrease_was_useless(mean_ms) {
+            self.baseline_ms = Some(mean_ms);
+            self.before_decrease = None;
+            self.increase();
+        } else if congested {
+            self.decrease(mean_ms);
+            self.baseline_ms = Some(baseline_ms + (mean_ms - baseline_ms) * BASELINE_DRIFT);
         } else {
-            baseline_ms + (mean_ms - baseline_ms) * BASELINE_DRIFT
+            self.before_decrease = None;
+            let drifted_ms = baseline_ms + (mean_ms - baseline_ms) * BASELINE_DRIFT;
+            self.baseline_ms = Some(mean_ms.min(drifted_ms));
+            if self.window.saturated {
+                self.increase();
+            }
+        }
+        self.window = Window {
+            start: now,
+            ..Window::default()
+        };
+    }
+
+    /// Whether the own time has not fallen although the limit has.
+    fn decrease_was_useless(&self, mean_ms: f64) -> bool {
+        let Some(before) = self.before_decrease else {
+            return false;
+        };
+        let cut = 1.0 - self.limit / before.limit;
+        let fall = 1.0 - mean_ms / before.mean_ms;
+        fall < cut * HELP_SHARE
+    }
+
+    fn decrease(&mut self, mean_ms: f64) {
+        self.before_decrease = Some(Judged {
+            limit: self.limit,
+            mean_ms,
         });
-        self.window_start = now;
-        self.window_count = 0;
-        self.window_sum_ms = 0.0;
-        self.window_saturated = false;
+        let floor = FLOOR.min(self.ceiling());
+        self.limit = (self.limit * DECREASE_FACTOR).max(floor);
+    }
+
+    fn increase(&mut self) {
+        let raised = self.limit * (1.0 + INCREASE_SHARE) + 0.5;
+        self.limit = raised.min(self.ceiling());
     }
 
     fn ceiling(&self) -> f64 {
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,7 +16,9 @@
 pub mod execution;
 pub mod executor;
 pub mod home;
+pub mod level;
 pub mod limit;
+pub mod link_budget;
 pub mod mechanisms;
 pub mod message;
 pub mod node;
@@ -24,6 +26,7 @@
 pub mod rules;
 pub mod sharded;
 pub mod timers;
+pub mod worker_stats;
 
 pub use control::{Control, ControlAction, ControlEvent};
 pub use counters::{Counter, Counters};
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -238,8 +238,13 @@
         }
         let context = &classified.context;
         let priority = Priority::new(context.importance, context.rank);
-        self.levels
-            .admits(now, &classified.service, &classified.request, priority)
+        self.levels.admits(
+            now,
+            &classified.service,
+            &classified.request,
+            &context.caller,
+            priority,
+        )
     }
 
     fn start_dispatch(
@@ -256,6 +261,11 @@
     }
 
     fn new_dispatch(&self, now: TimeMs, classified: Classified, key: Option<CallKey>) -> Dispatch {
+        if let Some(parent) = classified.parent
+            && let Some(execution) = self.executions.lock(&parent).get_mut(&parent)
+        {
+            execution.children.begin(now);
+        }
         Dispatch {
             service: classified.service,
             request: classified.request,
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -7,7 +7,9 @@
 use crate::decide::counters::Counter;
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
-use crate::decide::message::{Action, CallId, ExchangeId, PeerReply, PeerRequest, SendFailure};
+use crate::decide::message::{
+    Action, CallId, ExchangeId, PeerReply, PeerRequest, Priority, SendFailure,
+};
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
 use crate::model::{CallKey, NotRun, NotRunReason, Outcome, TimeMs, UnknownReason, WorkerId};
@@ -29,7 +31,7 @@
 impl Node {
     /// Sends a call to a worker that has not refused it.
     pub(super) fn attempt(&self, turn: &mut Turn<'_>, call: CallId, mut dispatch: Dispatch) {
-        let Some(worker) = self.choose_worker(&dispatch) else {
+        let Some(worker) = self.choose_worker(turn.now, &dispatch) else {
             let evidence = Unsent::no_byte_left().into();
             return self.end_not_run(turn, call, dispatch, NotRunReason::NoWorker, 0, evidence);
         };
@@ -46,7 +48,8 @@
             worker,
             local,
         };
-        self.router.sent(worker);
+        let bytes = dispatch.body.len() as u64;
+        self.router.sent(turn.now, worker, bytes);
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
         self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
         self.dispatches.insert(call, dispatch);
@@ -200,7 +203,7 @@
         if matches!(outcome, Outcome::Done(_)) {
             self.budgets.succeeded(&dispatch.service);
         }
-        let credited = self.credit_parent(&mut dispatch);
+        let credited = self.credit_parent(turn.now, &mut dispatch);
         let mut reply = self.plain_reply(dispatch.key.clone(), outcome);
         reply.allowance_left = if credited { 0 } else { dispatch.allowance };
         reply.level = dispatch.level;
@@ -249,17 +252,17 @@
             })
     }
 
-    fn choose_worker(&self, dispatch: &Dispatch) -> Option<WorkerId> {
+    fn choose_worker(&self, now: TimeMs, dispatch: &Dispatch) -> Option<WorkerId> {
         let mut rng = lock(&self.rng);
         match &dispatch.key {
             Some(key) => {
                 let candidates = &key.ticket.candidates;
                 self.router
-                    .choose_candidate(candidates, &dispatch.tried, &mut *rng)
+                    .choose_candidate(now, candidates, &dispatch.tried, &mut *rng)
             }
             None => self
                 .router
-                .choose(&dispatch.service, &dispatch.tried, &mut *rng),
+                .choose(now, &dispatch.service, &dispatch.tried, &mut *rng),
         }
     }
 
@@ -272,11 +275,12 @@
         reply: PeerReply,
     ) {
         self.take_in_reply(turn.now, &mut dispatch, &reply);
+        self.router.answered(worker);
         match reply.outcome {
             Outcome::Done(_) => self.end(turn, call, dispatch, reply.outcome),
             Outcome::NotRun(refusal) => {
-                let retry = dispatch.after_refusal(refusal.reason);
                 dispatch.tried.push(worker);
+                let retry = self.after_refusal(turn.now, &dispatch, worker, refusal.reason);
                 self.refused(turn, call, dispatch, refusal, retry);
             }
             Outcome::Unknown(_) => {
@@ -288,6 +292,41 @@
         }
     }
 
+    /// A worker that is full marks itself; another one is tried only if it has
+    /// room and the service as a whole admits this priority.
+    fn after_refusal(
+        &self,
+        now: TimeMs,
+        dispatch: &Dispatch,
+        worker: WorkerId,
+        reason: NotRunReason,
+    ) -> AfterRefusal {
+        let full = matches!(
+            reason,
+            NotRunReason::Overloaded | NotRunReason::QueueTimeout
+        );
+        if !full {
+            return dispatch.after_refusal(reason);
+        }
+        self.router.saturated(now, worker);
+        if !self.settings.mechanisms.shared_allowance {
+            return AfterRefusal::Retry;
+        }
+        let context = &dispatch.context;
+        let level = self
+            .levels
+            .level(now, &dispatch.service, &dispatch.request, &context.caller);
+        let admitted = Priority::new(context.importance, context.rank) >= level;
+        if admitted
+            && self
+                .router
+                .has_room(now, &dispatch.service, &dispatch.tried)
+        {
+            return AfterRefusal::Retry;
+        }
+        AfterRefusal::GiveUp
+    }
+
     fn record_replied(
         &self,
         turn: &mut Turn<'_>,
@@ -337,6 +376,7 @@
         worker: WorkerId,
         failure: SendFailure,
     ) {
+        self.router.failed(turn.now, worker);
         if failure == SendFailure::NoByteSent {
             dispatch.tried.push(worker);
             let refusal = NotRun {
@@ -411,8 +451,13 @@
         dispatch.allowance += reply.allowance_left;
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
-        self.levels
-            .heard(now, &dispatch.service, &dispatch.request, reply.level);
+        self.levels.heard(
+            now,
+            &dispatch.service,
+            &dispatch.request,
+            &dispatch.context.caller,
+            reply.level,
+        );
     }
 
     fn may_retry(&self, now: TimeMs, dispatch: &mut Dispatch) -> bool {
@@ -466,7 +511,7 @@
     }
 
     /// Hands what is left of the allowance back to the run beneath which the call was made.
-    fn credit_parent(&self, dispatch: &mut Dispatch) -> bool {
+    fn credit_parent(&self, now: TimeMs, dispatch: &mut Dispatch) -> bool {
         let Some(parent) = dispatch.parent else {
             return false;
         };
@@ -477,6 +522,7 @@
         execution.allowance += std::mem::take(&mut dispatch.allowance);
         execution.level_beneath = execution.level_beneath.max(dispatch.level);
         execution.service_beneath_ms += dispatch.service_ms;
+        execution.children.end(now);
         true
     }
 }
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -5,7 +5,7 @@
 use crate::decide::admission::{Offer, Verdict};
 use crate::decide::counters::Counter;
 use crate::decide::evidence::{Refusal, Unsent};
-use crate::decide::execution::Execution;
+use crate::decide::execution::{ChildClock, Execution};
 use crate::decide::executor::Received;
 use crate::decide::message::{
     Action, CallId, ExchangeId, ExecuteRequest, PeerReply, PeerRequest, Priority, SendFailure,
@@ -160,6 +160,7 @@
             started: None,
             level_beneath: Priority::LOWEST,
             service_beneath_ms: 0,
+            children: ChildClock::default(),
         };
         self.executions.insert(call, execution);
         let verdict = lock(&self.admission).offer(turn.now, offer);
@@ -185,7 +186,7 @@
             && !self.executor.hand_over(key)
         {
             // Its record was dropped by an acknowledgement, so nobody waits for it.
-            lock(&self.admission).start_undone(&execution.context.caller);
+            lock(&self.admission).start_undone(turn.now, &execution.context.caller);
             shard.remove(&call);
             return;
         }
@@ -202,7 +203,8 @@
         let started = execution.started.unwrap_or(turn.now);
         let service_ms = turn.now.since_ms(started);
         let caller = &execution.context.caller;
-        lock(&self.admission).finished(turn.now, caller, service_ms);
+        let own_ms = service_ms.saturating_sub(execution.children.waited_ms(turn.now));
+        lock(&self.admission).finished(turn.now, caller, own_ms);
         let mut reply = self.plain_reply(execution.key.clone(), outcome);
         reply.allowance_left = execution.allowance;
         reply.level = execution.level_beneath.max(lock(&self.admission).level());
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -229,7 +229,7 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.router.learn(&workers),
+            Event::WorkersLearned(workers) => self.router.learn(turn.now, &workers),
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
             Event::Tick => self.tick(turn),
         }
--- a/src/decide/route.rs
+++ b/src/decide/route.rs
@@ -1,13 +1,24 @@
 //! Which worker gets a call: two choices by own requests in flight, near workers first.
+//!
+//! A further tier is used only when no nearer worker has room, and another region
+//! only when the paid link has room too. What a worker reports is a hint: own
+//! calls in flight, refusals and failures overrule it.
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwap;
 use rand::{Rng, RngExt};
 
-use crate::model::{Announcement, Distance, Place, ServerState, ServiceName, WorkerId};
+use super::link_budget::LinkBudgets;
+use super::worker_stats::WorkerStats;
+use crate::model::{
+    Announcement, Distance, Link, Place, ServerState, ServiceName, TimeMs, WorkerId,
+};
+
+/// Most of a service's workers that may be ejected at once, in percent.
+const MAX_EJECTED_PERCENT: usize = 34;
 
 /// A worker as this daemon sees it.
 #[derive(Debug)]
@@ -16,14 +27,8 @@
     pub announcement: Announcement,
     /// How far it is from here.
     pub distance: Distance,
-    /// Calls of this daemon that it has not answered.
-    pub in_flight: Arc<AtomicU32>,
-}
-
-impl Worker {
-    fn load(&self) -> u32 {
-        self.in_flight.load(Ordering::Relaxed)
-    }
+    /// What this daemon's own calls have shown.
+    pub stats: Arc<WorkerStats>,
 }
 
 /// Workers by service, nearest first.
@@ -33,12 +38,15 @@
     by_id: HashMap<WorkerId, Arc<Worker>>,
 }
 
-/// Chooses workers. The table is replaced as a whole; choosing takes no lock.
+/// Chooses workers. The table is replaced as a whole; choosing takes no lock
+/// but that of a link's budget.
 #[derive(Debug)]
 pub struct Router {
     place: Place,
     balanced: bool,
     table: ArcSwap<WorkerTable>,
+    links: ArcSwap<LinkBudgets>,
+    latest_ms: AtomicU64,
 }
 
 impl Router {
@@ -48,11 +56,25 @@
             place,
             balanced,
             table: ArcSwap::default(),
+            links: ArcSwap::default(),
+            latest_ms: AtomicU64::new(0),
         }
     }
 
-    /// Replaces the workers known; calls in flight go on counting.
-    pub fn learn(&self, announcements: &[Announcement]) {
+    /// Replaces the budgets of the links to other regions.
+    pub fn set_links(&self, links: &[Link]) {
+        let budgets = LinkBudgets::new(&self.place.region, links);
+        self.links.store(Arc::new(budgets));
+    }
+
+    /// The latest time that a call was sent.
+    pub fn latest(&self) -> TimeMs {
+        TimeMs(self.latest_ms.load(Ordering::Relaxed))
+    }
+
+    /// Replaces the workers known; what own calls have shown is kept. A worker
+    /// that joins others of its service starts cold.
+    pub fn learn(&self, now: TimeMs, announcements: &[Announcement]) {
         let old = self.table.load();
         let mut table = WorkerTable::default();
         for announcement in announcements {
@@ -60,15 +82,17 @@
                 continue;
             }
             let id = announcement.vm.worker;
-            let in_flight = old
-                .by_id
-                .get(&id)
-                .map(|worker| Arc::clone(&worker.in_flight))
-                .unwrap_or_default();
+            let stats = match old.by_id.get(&id) {
+                Some(worker) => Arc::clone(&worker.stats),
+                None if old.services.contains_key(&announcement.service) => {
+                    Arc::new(WorkerStats::cold(now))
+                }
+                None => Arc::default(),
+            };
             let worker = Arc::new(Worker {
                 announcement: announcement.clone(),
                 distance: Distance::between(&self.place, &announcement.vm.place),
-                in_flight,
+                stats,
             });
             table.by_id.insert(id, Arc::clone(&worker));
             let workers = table.services.entry(announcement.service.clone());
@@ -88,43 +112,29 @@
     /// Chooses a worker of the service outside `tried`.
     pub fn choose(
         &self,
+        now: TimeMs,
         service: &ServiceName,
         tried: &[WorkerId],
         rng: &mut impl Rng,
     ) -> Option<WorkerId> {
         let table = self.table.load();
         let workers = table.services.get(service)?;
-        let open: Vec<&Arc<Worker>> = workers
-            .iter()
-            .filter(|worker| !tried.contains(&worker.announcement.vm.worker))
-            .collect();
-        if !self.balanced {
-            return pick(&open, rng).map(|worker| worker.announcement.vm.worker);
-        }
-        let near = self.nearest_with_room(&open);
-        let one = pick(near, rng)?;
-        let two = pick(near, rng)?;
-        let better = if one.load() <= two.load() { one } else { two };
-        Some(better.announcement.vm.worker)
+        self.choose_among(now, workers.iter(), tried, rng)
     }
 
-    /// Chooses among the candidates of a ticket, in their order but for those tried or unknown.
+    /// Chooses among the candidates of a ticket.
     pub fn choose_candidate(
         &self,
+        now: TimeMs,
         candidates: &[WorkerId],
         tried: &[WorkerId],
         rng: &mut impl Rng,
     ) -> Option<WorkerId> {
         let table = self.table.load();
-        let open: Vec<&Arc<Worker>> = candidates
+        let workers = candidates
             .iter()
-            .filter(|candidate| !tried.contains(candidate))
-            .filter_map(|candidate| table.by_id.get(candidate))
-            .collect();
-        let one = pick(&open, rng)?;
-        let two = pick(&open, rng)?;
-        let better = if one.load() <= two.load() { one } else { two };
-        Some(better.announcement.vm.worker)
+            .filter_map(|candidate| table.by_id.get(candidate));
+        self.choose_among(now, workers, tried, rng)
     }
 
     /// Candidates for a new ticket, at most `count`.
@@ -134,9 +144,10 @@
         count: usize,
         rng: &mut impl Rng,
     ) -> Vec<WorkerId> {
+        let now = self.latest();
         let mut candidates = Vec::new();
         while candidates.len() < count {
-            match self.choose(service, &candidates, rng) {
+            match self.choose(now, service, &candidates, rng) {
                 Some(worker) => candidates.push(worker),
                 None => break,
             }
@@ -144,39 +155,142 @@
         candidates
     }
 
-    /// Counts a call as sent.
-    pub fn sent(&self, worker: WorkerId) {
-        if let Some(worker) = self.table.load().by_id.get(&worker) {
-            worker.in_flight.fetch_add(1, Ordering::Relaxed);
+    /// Whether a worker outside `tried` has room.
+    pub fn has_room(&self, now: TimeMs, service: &ServiceName, tried: &[WorkerId]) -> bool {
+        let table = self.table.load();
+        let Some(workers) = table.services.get(service) else {
+            return false;
+        };
+        workers
+            .iter()
+            .any(|worker| !tried.contains(&worker.id()) && worker.has_room(now))
+    }
+
+    /// Counts a call of `bytes` as sent.
+    pub fn sent(&self, now: TimeMs, worker: WorkerId, bytes: u64) {
+        self.latest_ms.fetch_max(now.0, Ordering::Relaxed);
+        let table = self.table.load();
+        let Some(worker) = table.by_id.get(&worker) else {
+            return;
+        };
+        worker.stats.sent();
+        if worker.distance == Distance::OtherRegion {
+            let region = &worker.announcement.vm.place.region;
+            self.links.load().spend(now, region, bytes);
         }
     }
 
     /// Counts a call as answered or given up.
     pub fn ended(&self, worker: WorkerId) {
+        self.with_stats(worker, WorkerStats::ended);
+    }
+
+    /// Takes in that the worker answered, with whatever outcome.
+    pub fn answered(&self, worker: WorkerId) {
+        self.with_stats(worker, WorkerStats::answered);
+    }
+
+    /// Takes in that the worker refused for lack of room.
+    pub fn saturated(&self, now: TimeMs, worker: WorkerId) {
+        self.with_stats(worker, |stats| stats.saturated(now));
+    }
+
+    /// Takes in that a call failed on the way; failures in a row eject the worker,
+    /// unless too many of its service are ejected already.
+    pub fn failed(&self, now: TimeMs, worker: WorkerId) {
+        let table = self.table.load();
+        let Some(worker) = table.by_id.get(&worker) else {
+            return;
+        };
+        if !worker.stats.failed() {
+            return;
+        }
+        let Some(workers) = table.services.get(&worker.announcement.service) else {
+            return;
+        };
+        let ejected = workers.iter().filter(|w| w.stats.is_ejected(now)).count();
+        if (ejected + 1) * 100 <= workers.len() * MAX_EJECTED_PERCENT {
+            worker.stats.eject(now);
+        }
+    }
+
+    /// Calls in flight to a worker, if it is known.
+    pub fn in_flight(&self, worker: WorkerId) -> Option<u32> {
+        let table = self.table.load();
+        table
+            .by_id
+            .get(&worker)
+            .map(|worker| worker.stats.in_flight())
+    }
+
+    fn with_stats(&self, worker: WorkerId, change: impl FnOnce(&WorkerStats)) {
         if let Some(worker) = self.table.load().by_id.get(&worker) {
-            let decrease = |count: u32| Some(count.saturating_sub(1));
-            let _ = worker
-                .in_flight
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, decrease);
+            change(&worker.stats);
         }
     }
 
-    /// The workers of the nearest distance at which one has a free slot; all if none has.
-    fn nearest_with_room<'a, 'b>(&self, workers: &'a [&'b Arc<Worker>]) -> &'a [&'b Arc<Worker>] {
-        let mut start = 0;
-        while start < workers.len() {
-            let distance = workers[start].distance;
-            let length = workers[start..]
-                .iter()
-                .take_while(|worker| worker.distance == distance)
-                .count();
-            let tier = &workers[start..start + length];
-            if tier.iter().any(|w| w.load() < w.announcement.slots) {
-                return tier;
-            }
-            start += length;
+    fn choose_among<'a>(
+        &self,
+        now: TimeMs,
+        workers: impl Iterator<Item = &'a Arc<Worker>>,
+        tried: &[WorkerId],
+        rng: &mut impl Rng,
+    ) -> Option<WorkerId> {
+        let mut open: Vec<&Arc<Worker>> = workers
+            .filter(|worker| !tried.contains(&worker.id()))
+            .collect();
+        if !self.balanced {
+            return pick(&open, rng).map(|worker| worker.id());
         }
-        workers
+        if open.iter().any(|worker| !worker.stats.is_ejected(now)) {
+            open.retain(|worker| !worker.stats.is_ejected(now));
+        }
+        open.sort_by_key(|worker| worker.distance);
+        let tier = self.nearest_with_room(now, &open);
+        let one = pick(tier, rng)?;
+        let two = pick(tier, rng)?;
+        let better = if one.load(now) <= two.load(now) {
+            one
+        } else {
+            two
+        };
+        Some(better.id())
+    }
+
+    /// The workers of the nearest distance at which one has room and the way
+    /// there is open; the very nearest if there is none.
+    fn nearest_with_room<'a, 'b>(
+        &self,
+        now: TimeMs,
+        workers: &'a [&'b Arc<Worker>],
+    ) -> &'a [&'b Arc<Worker>] {
+        let mut tiers = workers.chunk_by(|one, two| one.distance == two.distance);
+        let nearest = tiers.clone().next().unwrap_or(workers);
+        tiers
+            .find(|tier| {
+                tier.iter()
+                    .any(|worker| worker.has_room(now) && self.way_open(now, worker))
+            })
+            .unwrap_or(nearest)
+    }
+
+    fn way_open(&self, now: TimeMs, worker: &Worker) -> bool {
+        let region = &worker.announcement.vm.place.region;
+        worker.distance != Distance::OtherRegion || self.links.load().has_room(now, region)
+    }
+}
+
+impl Worker {
+    fn id(&self) -> WorkerId {
+        self.announcement.vm.worker
+    }
+
+    fn has_room(&self, now: TimeMs) -> bool {
+        self.stats.has_room(now, self.announcement.slots)
+    }
+
+    fn load(&self, now: TimeMs) -> f64 {
+        self.stats.load(now, self.announcement.slots)
     }
 }
 
--- /dev/null
+++ b/tests/load_goodput.rs
@@ -0,0 +1,71 @@
+//! Goodput of whole requests under three times the offered load, under the virtual clock.
+
+mod support;
+
+use burdockhall::decide::Mechanisms;
+use burdockhall::model::{Importance, TimeMs};
+
+use support::load::{Clients, Deployment, Drive, HARD, PATIENT, levy, tantuvan};
+
+/// Share of the bottleneck's capacity that critical requests keep, in percent.
+const CRITICAL_PERCENT: f64 = 95.0;
+/// Share of the backend servers' work that belongs to requests that end well, in percent.
+const USEFUL_PERCENT: f64 = 90.0;
+const WARM_MS: u64 = 1_000;
+const OVERLOAD_MS: u64 = 4_000;
+
+struct Case {
+    name: &'static str,
+    deployment: fn() -> Deployment,
+    clients: Clients,
+    seed: u64,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "levy, patient clients",
+        deployment: levy,
+        clients: PATIENT,
+        seed: 11,
+    },
+    Case {
+        name: "levy, clients that retry hard",
+        deployment: levy,
+        clients: HARD,
+        seed: 12,
+    },
+    Case {
+        name: "tantuvan, patient clients",
+        deployment: tantuvan,
+        clients: PATIENT,
+        seed: 13,
+    },
+    Case {
+        name: "tantuvan, clients that retry hard",
+        deployment: tantuvan,
+        clients: HARD,
+        seed: 14,
+    },
+];
+
+#[test]
+fn critical_requests_keep_the_bottleneck_busy() {
+    let mut missed = Vec::new();
+    for case in &CASES {
+        let deployment = (case.deployment)();
+        let mut drive = Drive::new(case.seed, Mechanisms::ALL, &deployment, case.clients);
+        drive.run(WARM_MS + OVERLOAD_MS, 3.0);
+        let to = drive.world.now;
+        let from = TimeMs(to.0 - OVERLOAD_MS);
+        let done = drive.goodput_per_s(Some(Importance::Critical), from, to);
+        let critical_percent = 100.0 * done / deployment.capacity_per_s;
+        let useful_percent = 100.0 * drive.useful_work();
+        if critical_percent < CRITICAL_PERCENT || useful_percent < USEFUL_PERCENT {
+            missed.push(format!(
+                "{} (seed {}): critical {critical_percent:.1} %, useful {useful_percent:.1} %, {:?}",
+                case.name, case.seed, drive.outcomes(),
+            ));
+        }
+    }
+    assert!(missed.is_empty(), "{missed:#?}");
+}
--- /dev/null
+++ b/tests/load_recovery.rs
@@ -0,0 +1,101 @@
+//! Recovery after a deep service was slow during a surge, under the virtual clock.
+
+mod support;
+
+use burdockhall::decide::Mechanisms;
+use burdockhall::model::Importance;
+
+use support::load::{Deployment, Drive, HARD, levy, tantuvan};
+
+/// Longest time from the end of the trigger until goodput is back, in milliseconds.
+const RECOVERY_MS: u64 = 2_000;
+/// Share of the goodput before that counts as back.
+const BACK_SHARE: f64 = 0.95;
+/// Load before and after the surge, as a share of the capacity.
+const CALM: f64 = 0.8;
+const TRIGGER_MS: u64 = 10_000;
+
+struct Case {
+    name: &'static str,
+    deployment: fn() -> Deployment,
+    seed: u64,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        name: "levy",
+        deployment: levy,
+        seed: 21,
+    },
+    Case {
+        name: "levy again",
+        deployment: levy,
+        seed: 22,
+    },
+    Case {
+        name: "tantuvan",
+        deployment: tantuvan,
+        seed: 23,
+    },
+    Case {
+        name: "tantuvan again",
+        deployment: tantuvan,
+        seed: 24,
+    },
+];
+
+#[test]
+fn goodput_is_back_within_two_seconds() {
+    for case in &CASES {
+        let deployment = (case.deployment)();
+        let mut drive = Drive::new(case.seed, Mechanisms::ALL, &deployment, HARD);
+        let before = drive.measure(4_000, CALM);
+        drive.slow(deployment.deep, 10);
+        drive.run(TRIGGER_MS, 3.0);
+        drive.slow(deployment.deep, 1);
+        drive.run(RECOVERY_MS, CALM);
+        let after = drive.measure(4_000, CALM);
+        assert!(
+            after >= before * BACK_SHARE,
+            "{} (seed {}): {after:.0} after {before:.0} requests a second, levels {:?}",
+            case.name,
+            case.seed,
+            drive.levels(deployment.deep)
+        );
+    }
+}
+
+/// No class is left out once the overload is over: every level is back at the lowest.
+#[test]
+fn levels_fall_back_after_the_overload() {
+    for case in &CASES {
+        let deployment = (case.deployment)();
+        let mut drive = Drive::new(case.seed, Mechanisms::ALL, &deployment, HARD);
+        drive.run(4_000, 3.0);
+        drive.run(3_000, 0.5);
+        for service in &deployment.services {
+            let levels = drive.levels(service.name);
+            let lowest = levels.iter().all(|level| *level == 0.0);
+            assert!(lowest, "{}: {} {levels:?}", case.name, service.name);
+        }
+        let from = drive.world.now;
+        drive.run(2_000, 0.5);
+        let shed = drive.goodput_per_s(Some(Importance::Sheddable), from, drive.world.now);
+        let offered = 0.5 * 0.25 * deployment.capacity_per_s;
+        assert!(shed >= offered * BACK_SHARE * 0.95, "{}: {shed}", case.name);
+    }
+}
+
+/// Without the mechanisms the same trigger leaves a collapse behind.
+#[test]
+fn without_mechanisms_the_collapse_stays() {
+    let deployment = tantuvan();
+    let mut drive = Drive::new(31, Mechanisms::NONE, &deployment, HARD);
+    let before = drive.measure(1_000, CALM);
+    drive.slow(deployment.deep, 10);
+    drive.run(2_000, 3.0);
+    drive.slow(deployment.deep, 1);
+    drive.run(RECOVERY_MS, CALM);
+    let after = drive.measure(1_000, CALM);
+    assert!(after < before * 0.5, "{after:.0} after {before:.0}");
+}
--- /dev/null
+++ b/tests/load_tables.rs
@@ -0,0 +1,163 @@
+//! Prints the comparison tables of docs/decisions. Run with
+//! `cargo test --release --test load_tables -- --ignored --nocapture`.
+
+mod support;
+
+use burdockhall::decide::Mechanisms;
+use burdockhall::model::Importance;
+
+use support::load::{Clients, Deployment, Drive, HARD, PATIENT, levy, tantuvan};
+
+const SEEDS: [u64; 5] = [1, 2, 3, 4, 5];
+const WARM_MS: u64 = 1_000;
+const OVERLOAD_MS: u64 = 5_000;
+const TRIGGER_MS: u64 = 10_000;
+
+struct Version {
+    name: &'static str,
+    mechanisms: Mechanisms,
+    seeds: &'static [u64],
+}
+
+/// The baselines come last: they multiply the messages.
+const VERSIONS: [Version; 3] = [
+    Version {
+        name: "burdockhall",
+        mechanisms: Mechanisms::ALL,
+        seeds: &SEEDS,
+    },
+    Version {
+        name: "none",
+        mechanisms: Mechanisms::NONE,
+        seeds: &[1],
+    },
+    Version {
+        name: "fixed",
+        mechanisms: Mechanisms::FIXED,
+        seeds: &[1],
+    },
+];
+
+#[test]
+#[ignore = "prints a table"]
+fn goodput() {
+    for version in &VERSIONS {
+        for deployment in [levy(), tantuvan()] {
+            goodput_row(&deployment, version, PATIENT);
+            goodput_row(&deployment, version, HARD);
+        }
+    }
+}
+
+#[test]
+#[ignore = "prints a table"]
+fn recovery() {
+    for version in &VERSIONS {
+        for deployment in [levy(), tantuvan()] {
+            recovery_row(&deployment, version);
+        }
+    }
+}
+
+#[test]
+#[ignore = "prints a trace"]
+fn trace() {
+    for deployment in [levy(), tantuvan()] {
+        let mut drive = Drive::new(1, Mechanisms::ALL, &deployment, HARD);
+        let show = |drive: &mut Drive, factor: f64| {
+            let from = drive.world.now;
+            drive.run(250, factor);
+            let now = drive.world.now;
+            let front = deployment.streams[0].chain[0];
+            println!(
+                "{:6} all {:6.0} critical {:6.0} {front} {:.1?} {:?} {} {:.1?} {:?}",
+                now.0,
+                drive.goodput_per_s(None, from, now),
+                drive.goodput_per_s(Some(Importance::Critical), from, now),
+                drive.levels(front),
+                drive.limits(front),
+                deployment.deep,
+                drive.levels(deployment.deep),
+                drive.limits(deployment.deep),
+            );
+        };
+        for _ in 0..8 {
+            show(&mut drive, 0.8);
+        }
+        drive.slow(deployment.deep, 10);
+        for _ in 0..20 {
+            show(&mut drive, 3.0);
+        }
+        drive.slow(deployment.deep, 1);
+        for _ in 0..12 {
+            show(&mut drive, 0.8);
+        }
+        println!("{:?}", drive.outcomes());
+    }
+}
+
+fn goodput_row(deployment: &Deployment, version: &Version, clients: Clients) {
+    let mut critical = Vec::new();
+    let mut useful = Vec::new();
+    let mut outcomes = String::new();
+    for &seed in version.seeds {
+        let mut drive = Drive::new(seed, version.mechanisms, deployment, clients);
+        drive.run(WARM_MS + OVERLOAD_MS, 3.0);
+        let to = drive.world.now;
+        let from = burdockhall::model::TimeMs(to.0 - OVERLOAD_MS);
+        let done = drive.goodput_per_s(Some(Importance::Critical), from, to);
+        critical.push(100.0 * done / deployment.capacity_per_s);
+        useful.push(100.0 * drive.useful_work());
+        outcomes = format!("{:?}", drive.outcomes());
+    }
+    println!(
+        "{:9} {:12} retries {} critical {}  useful {}\n    {outcomes}",
+        deployment.name,
+        version.name,
+        clients.retries,
+        spread(critical),
+        spread(useful)
+    );
+}
+
+fn recovery_row(deployment: &Deployment, version: &Version) {
+    let mut before = Vec::new();
+    let mut after = Vec::new();
+    let mut later = Vec::new();
+    for &seed in version.seeds {
+        let mut drive = Drive::new(seed, version.mechanisms, deployment, HARD);
+        drive.run(WARM_MS, 0.8);
+        let from = drive.world.now;
+        drive.run(2_000, 0.8);
+        before.push(drive.goodput_per_s(None, from, drive.world.now));
+        drive.slow(deployment.deep, 10);
+        drive.run(TRIGGER_MS, 3.0);
+        drive.slow(deployment.deep, 1);
+        drive.run(2_000, 0.8);
+        let from = drive.world.now;
+        drive.run(1_000, 0.8);
+        after.push(drive.goodput_per_s(None, from, drive.world.now));
+        drive.run(5_000, 0.8);
+        let from = drive.world.now;
+        drive.run(1_000, 0.8);
+        later.push(drive.goodput_per_s(None, from, drive.world.now));
+    }
+    println!(
+        "{:9} {:12} before {}  2-3 s after {}  8-9 s after {}",
+        deployment.name,
+        version.name,
+        spread(before),
+        spread(after),
+        spread(later)
+    );
+}
+
+fn spread(mut values: Vec<f64>) -> String {
+    values.sort_by(f64::total_cmp);
+    let median = values[values.len() / 2];
+    format!(
+        "{median:6.1} ({:.1}..{:.1})",
+        values[0],
+        values[values.len() - 1]
+    )
+}
--- a/tests/support/backend.rs
+++ b/tests/support/backend.rs
@@ -33,6 +33,8 @@
     /// Runs that ended well, and milliseconds of work spent in all.
     pub finished: u64,
     pub worked_ms: u64,
+    /// Milliseconds of work by the body of the request.
+    pub worked_ms_by_body: HashMap<bytes::Bytes, u64>,
     busy: u32,
     waiting: VecDeque<CallId>,
     runs: HashMap<CallId, Run>,
@@ -48,6 +50,7 @@
             leaving: false,
             finished: 0,
             worked_ms: 0,
+            worked_ms_by_body: HashMap::new(),
             busy: 0,
             waiting: VecDeque::new(),
             runs: HashMap::new(),
@@ -112,11 +115,13 @@
             let Some(call) = self.waiting.pop_front() else {
                 break;
             };
+            let work_ms = self.service_ms * self.slowdown;
             if let Some(run) = self.runs.get_mut(&call) {
                 run.started = true;
+                let body = run.run.body.clone();
+                *self.worked_ms_by_body.entry(body).or_default() += work_ms;
             }
             self.busy += 1;
-            let work_ms = self.service_ms * self.slowdown;
             self.worked_ms += work_ms;
             steps.push((work_ms, BackendStep::Worked(call)));
         }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub mod backend;
+pub mod load;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -96,6 +97,7 @@
 pub struct ClientCall {
     pub host: Host,
     pub incarnation: Incarnation,
+    pub call: CallId,
     pub key: Option<CallKey>,
     pub body: bytes::Bytes,
     pub made: TimeMs,
@@ -167,6 +169,7 @@
         self.calls.push(ClientCall {
             host,
             incarnation,
+            call,
             key: request.key.clone(),
             body: request.body.clone(),
             made: self.now,
@@ -178,6 +181,14 @@
         index
     }
 
+    /// The client of a call goes away without waiting for its answer.
+    pub fn abandon(&mut self, index: usize) {
+        let client = &self.calls[index];
+        let (host, incarnation, call) = (client.host, client.incarnation, client.call);
+        self.waiting_clients.remove(&(host, incarnation, call));
+        self.deliver_later(host, incarnation, 0, Event::CallAbandoned { call });
+    }
+
     /// Asks a host what became of a key.
     pub fn query(&mut self, host: Host, key: CallKey) -> usize {
         let node = &self.hosts[host].node;
@@ -187,6 +198,7 @@
         self.calls.push(ClientCall {
             host,
             incarnation,
+            call,
             key: Some(key.clone()),
             body: bytes::Bytes::new(),
             made: self.now,
