--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -334,6 +334,8 @@
         /// Whether it takes no new work.
         leaving: bool,
     },
+    /// This daemon is stopping: refuse new root requests and finish the rest.
+    Draining,
     /// Time has passed.
     Tick,
 }
@@ -385,6 +387,11 @@
         /// The version.
         version: SheetVersion,
     },
+    /// A service is called of which all workers should be known.
+    WantWorkers {
+        /// The service.
+        service: ServiceName,
+    },
     /// A decision changed in a way that operators want to see.
     Note(Note),
 }
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,6 +17,7 @@
 pub mod executor;
 pub mod home;
 pub mod level;
+pub mod life;
 pub mod limit;
 pub mod link_budget;
 pub mod mechanisms;
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -5,9 +5,10 @@
 mod executing;
 mod parking;
 mod settling;
+mod wanting;
 
 use std::collections::VecDeque;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwap;
@@ -15,6 +16,7 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 use self::parking::Parked;
+use self::wanting::{CalledServices, WaitingCall};
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -99,7 +101,10 @@
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
+    draining: AtomicBool,
     counters: Counters,
+    called: CalledServices,
+    waiting_calls: Mutex<Vec<WaitingCall>>,
 }
 
 /// One call of [`Node::handle`]: the time, the work left and the actions found.
@@ -137,7 +142,10 @@
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
+            draining: AtomicBool::new(false),
             counters: Counters::default(),
+            called: CalledServices::default(),
+            waiting_calls: Mutex::default(),
             settings,
         }
     }
@@ -152,9 +160,17 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if the table of tickets is full.
+    /// A ticket for keys of a service; `None` if no worker of it is known yet, the
+    /// table of tickets is full or this daemon is stopping.
     pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
+        if self.is_draining() {
+            return None;
+        }
+        self.called.note(service);
         let candidates = self.candidates(service);
+        if candidates.is_empty() {
+            return None;
+        }
         self.home.issue(service, candidates)
     }
 
@@ -168,6 +184,9 @@
         while let Some(work) = turn.work.pop_front() {
             self.step(&mut turn, work);
         }
+        for service in self.called.take_new() {
+            turn.actions.push(Action::WantWorkers { service });
+        }
     }
 
     /// When [`Event::Tick`] should be handled next, if anything waits for it.
@@ -182,7 +201,12 @@
 
     /// Calls that somebody still waits for or that run on the local backend server.
     pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len()
+        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
+    }
+
+    /// Whether this daemon is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
     }
 
     /// What this node has counted since it started.
@@ -229,8 +253,12 @@
                 retry_after_ms,
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
-            Event::WorkersLearned(workers) => self.router.learn(turn.now, &workers),
+            Event::WorkersLearned(workers) => {
+                self.router.learn(turn.now, &workers);
+                self.resume_waiting(turn);
+            }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
+            Event::Draining => self.drain(turn),
             Event::Tick => self.tick(turn),
         }
     }
@@ -288,6 +316,7 @@
             }
         }
         self.expire_parked(turn);
+        self.resume_waiting(turn);
         self.release_queue(turn);
         self.note_limit(turn);
     }
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -1,16 +1,17 @@
 //! Drives the control decisions: the log service, peers, announcements, ticks.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::{Mutex, mpsc};
 
 use super::local::BackendAnnouncement;
 use super::peer_control::{self, Arrived};
-use super::pump::Pump;
+use super::pump::{Pump, Wanted};
 use crate::decide::control::record::{LogRecord, Stream};
 use crate::decide::{Control, ControlAction, ControlEvent, Event};
-use crate::model::{Announcement, ServerState, Sheet, SheetVersion};
+use crate::model::{Announcement, ServerState, Sheet};
 use crate::platform::log::LogClient;
 
 /// Time between two ticks, in milliseconds.
@@ -23,8 +24,8 @@
     pub announcements: mpsc::Receiver<BackendAnnouncement>,
     /// Messages from other daemons.
     pub arrived: mpsc::Receiver<Arrived>,
-    /// Versions that calls carried.
-    pub wanted: mpsc::UnboundedReceiver<SheetVersion>,
+    /// What the decisions about calls want to know.
+    pub wanted: mpsc::UnboundedReceiver<Wanted>,
 }
 
 /// The control decisions of one daemon with what they act upon.
@@ -34,6 +35,7 @@
     pump: Arc<Pump>,
     log: LogClient,
     started_ms: u64,
+    heard: AtomicBool,
 }
 
 impl ControlLoop {
@@ -46,9 +48,15 @@
             pump,
             log,
             started_ms,
+            heard: AtomicBool::new(false),
         })
     }
 
+    /// Whether the log service or another daemon has been heard since the start.
+    pub fn has_heard(&self) -> bool {
+        self.heard.load(Ordering::Relaxed)
+    }
+
     /// The sheet in force here.
     pub async fn sheet(&self) -> Arc<Sheet> {
         Arc::clone(self.control.lock().await.sheets().sheet())
@@ -68,9 +76,13 @@
             let event = tokio::select! {
                 _ = ticks.tick() => ControlEvent::Tick,
                 Some(Arrived { from, message }) = inputs.arrived.recv() => {
+                    self.heard.store(true, Ordering::Relaxed);
                     ControlEvent::PeerSaid { from, message }
                 }
-                Some(version) = inputs.wanted.recv() => ControlEvent::SheetWanted { version },
+                Some(wanted) = inputs.wanted.recv() => match wanted {
+                    Wanted::Sheet(version) => ControlEvent::SheetWanted { version },
+                    Wanted::Workers(service) => ControlEvent::ServiceCalled { service },
+                },
                 Some(announced) = inputs.announcements.recv() => {
                     if last.as_ref() == Some(&announced) {
                         continue;
@@ -114,12 +126,28 @@
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
                     let event = match this.log.read(stream, from_offset).await {
+                        Ok(batch) => {
+                            this.heard.store(true, Ordering::Relaxed);
+                            ControlEvent::LogRead { stream, batch }
+                        }
+                        Err(_) => ControlEvent::LogFailed { stream },
+                    };
+                    this.feed(event).await;
+                });
+            }
+            ControlAction::ReadLogTail { stream, records } => {
+                let this = Arc::clone(self);
+                tokio::spawn(async move {
+                    let event = match this.log.read_tail(stream, records).await {
                         Ok(batch) => ControlEvent::LogRead { stream, batch },
                         Err(_) => ControlEvent::LogFailed { stream },
                     };
                     this.feed(event).await;
                 });
             }
+            ControlAction::WorkerGone { worker, voters } => {
+                spdlog::warn!("worker {} is gone, found by {:?}", worker, voters);
+            }
             ControlAction::Append { stream, record } => {
                 let this = Arc::clone(self);
                 tokio::spawn(async move {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
+use crate::config::AnswerBounds;
 use crate::decide::control::record::{LogBatch, LogEntry, LogRecord, Stream};
 use crate::net::NetError;
 use crate::net::http::{self, HttpClient};
@@ -79,6 +80,12 @@
         }
     }
 
+    /// The same client with bounds on what the log service answers.
+    pub fn with_bounds(mut self, bounds: AnswerBounds) -> LogClient {
+        self.client = http::bounded_client(IDLE_CONNECTIONS, bounds);
+        self
+    }
+
     /// Appends a record and returns its offset.
     pub async fn append(&self, stream: Stream, record: &LogRecord) -> Result<u64, LogError> {
         let data = serde_json::to_vec(record).map_err(malformed)?;
@@ -93,10 +100,16 @@
 
     /// Reads records from an offset. Records that are not ours are passed over.
     pub async fn read(&self, stream: Stream, from_offset: u64) -> Result<LogBatch, LogError> {
-        let uri = format!(
-            "http://{}/streams/{stream}/records?from={from_offset}",
-            self.address
-        );
+        self.read_page(stream, &format!("from={from_offset}")).await
+    }
+
+    /// Reads the newest records, at most `records`.
+    pub async fn read_tail(&self, stream: Stream, records: u32) -> Result<LogBatch, LogError> {
+        self.read_page(stream, &format!("tail={records}")).await
+    }
+
+    async fn read_page(&self, stream: Stream, query: &str) -> Result<LogBatch, LogError> {
+        let uri = format!("http://{}/streams/{stream}/records?{query}", self.address);
         let request = Request::get(uri)
             .body(Full::new(Bytes::new()))
             .map_err(malformed)?;
