Give a copied request no allowance, and bound extra attempts over random trees

Cause: a request to execute that the network doubled ran twice, each copy with the allowance granted. Change: requests are numbered by the sender's process start; a number that is not provably new runs with allowance zero. Property test over trees up to 7 deep and 4 wide with lost, doubled and late messages and restarts.

--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 
 use super::evidence::NotRunEvidence;
-use super::message::{CallId, ExchangeId, ExecuteRequest, Priority};
+use super::message::{AttemptId, CallId, ExchangeId, ExecuteRequest, Priority};
 use super::node::ReplyTo;
 use crate::model::{
     CallContext, CallKey, NotRunReason, RequestName, ServiceName, TimeMs, WorkerId,
@@ -135,6 +135,7 @@
         now: TimeMs,
         to: WorkerId,
         lowest_open: u64,
+        attempt: AttemptId,
     ) -> ExecuteRequest {
         let granted = self.allowance / 2;
         self.allowance -= granted;
@@ -151,6 +152,7 @@
             idempotent: self.idempotent,
             key: self.key.clone(),
             lowest_open,
+            attempt,
             body: self.body.clone(),
         }
     }
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -8,8 +8,8 @@
 use crate::model::sheet::Sheet;
 use crate::model::vm::WorkerId;
 use crate::model::{
-    Announcement, Answer, CallContext, CallKey, CallerName, Importance, NotRun, NotRunReason,
-    Outcome, RequestName, ServiceName, SheetVersion, TicketId, UnknownReason,
+    Announcement, Answer, CallContext, CallKey, CallerName, Importance, Incarnation, NotRun,
+    NotRunReason, Outcome, RequestName, ServiceName, SheetVersion, TicketId, UnknownReason,
 };
 
 /// Identifies a call that somebody waits for at this daemon.
@@ -91,11 +91,23 @@
     pub key: Option<CallKey>,
     /// All keys of the ticket below this one are closed at their home.
     pub lowest_open: u64,
+    /// Which of the sender's requests this is.
+    pub attempt: AttemptId,
     /// Body.
     #[serde(skip)]
     pub body: Bytes,
 }
 
+/// Numbers a request among all that one process start sends; copies have the same number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AttemptId {
+    /// The process start that sends it.
+    pub sender: Incarnation,
+    /// Counts the sender's requests.
+    pub number: u64,
+}
+
 /// A message to another daemon that expects a [`PeerReply`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -23,6 +23,7 @@
 pub mod mechanisms;
 pub mod message;
 pub mod node;
+pub mod replay;
 pub mod route;
 pub mod rules;
 pub mod sharded;
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -48,7 +48,7 @@
             .as_ref()
             .map_or(0, |key| self.home.lowest_open(key.ticket.id));
         let exchange = dispatch.next_exchange(call);
-        let request = dispatch.execute_request(turn.now, worker, lowest_open);
+        let request = dispatch.execute_request(turn.now, worker, lowest_open, self.next_attempt());
         let local = (worker == self.settings.vm.worker).then(|| self.next_call());
         dispatch.attempts += 1;
         dispatch.state = DispatchState::Attempting {
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -27,8 +27,13 @@
         turn: &mut Turn<'_>,
         call: CallId,
         reply_to: ReplyTo,
-        request: ExecuteRequest,
+        mut request: ExecuteRequest,
     ) {
+        let attempt = request.attempt;
+        if !self.replays.is_first(attempt.sender, attempt.number) {
+            // A copy would spend the same allowance a second time.
+            request.context.allowance = 0;
+        }
         let granted = request.context.allowance;
         if request.to != self.settings.vm.worker {
             return self.refuse_foreign(turn, reply_to, request.key, granted);
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -26,7 +26,8 @@
 use super::executor::ExecutorTable;
 use super::home::{HomeBounds, HomeTable};
 use super::mechanisms::Mechanisms;
-use super::message::{Action, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
+use super::message::{Action, AttemptId, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
+use super::replay::ReplayWindows;
 use super::route::Router;
 use super::rules::RuleTable;
 use super::sharded::{Sharded, lock};
@@ -102,6 +103,8 @@
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
     draining: AtomicBool,
+    attempts: AtomicU64,
+    replays: ReplayWindows,
     counters: Counters,
     called: CalledServices,
     waiting_calls: Mutex<Vec<WaitingCall>>,
@@ -143,6 +146,8 @@
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
             draining: AtomicBool::new(false),
+            attempts: AtomicU64::new(0),
+            replays: ReplayWindows::default(),
             counters: Counters::default(),
             called: CalledServices::default(),
             waiting_calls: Mutex::default(),
@@ -366,6 +371,13 @@
         }
     }
 
+    fn next_attempt(&self) -> AttemptId {
+        AttemptId {
+            sender: self.settings.vm.worker.incarnation,
+            number: self.attempts.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     fn candidates(&self, service: &ServiceName) -> Vec<crate::model::WorkerId> {
         let mut rng = lock(&self.rng);
         self.router.candidates(service, MAX_CANDIDATES, &mut *rng)
--- a/src/decide/node/settling.rs
+++ b/src/decide/node/settling.rs
@@ -50,7 +50,7 @@
     ) {
         let exchange = dispatch.next_exchange(call);
         let granted = std::mem::take(&mut dispatch.allowance);
-        let mut request = dispatch.execute_request(turn.now, home, 0);
+        let mut request = dispatch.execute_request(turn.now, home, 0, self.next_attempt());
         request.context.allowance = granted;
         dispatch.state = DispatchState::AtHome {
             number: exchange.number,
--- /dev/null
+++ b/tests/load_retries.rs
@@ -0,0 +1,203 @@
+//! Extra attempts over a random tree of calls never exceed the allowance of the root request.
+
+mod support;
+
+use burdockhall::decide::{CallerRequest, Mechanisms};
+use burdockhall::model::sheet::{Rule, Sheet};
+use burdockhall::model::{CallKey, Contract, Importance, Place, SheetVersion};
+use proptest::prelude::*;
+
+use support::{HostPlan, NetworkFaults, World};
+
+const MAX_DEPTH: usize = 7;
+const MAX_FAN_OUT: usize = 4;
+/// Most calls of one tree, so that a case stays small.
+const MAX_CALLS: usize = 60;
+const ROOTS: usize = 5;
+const DEADLINE_MS: u64 = 3_000;
+
+#[derive(Debug, Clone)]
+struct Plan {
+    seed: u64,
+    /// Children of each call, in the order in which the tree is filled.
+    fan_out: Vec<usize>,
+    allowance: u32,
+    keyed: bool,
+    faults: NetworkFaults,
+    /// Hosts that are replaced, and when.
+    restarts: Vec<(usize, u64)>,
+}
+
+fn plan() -> impl Strategy<Value = Plan> {
+    let faults = (0.0..0.15, 0.0..0.3, 0.0..0.3, 0_u64..40).prop_map(
+        |(lose_request, lose_reply, double_request, extra_delay_ms)| NetworkFaults {
+            lose_request,
+            lose_reply,
+            double_request,
+            extra_delay_ms,
+        },
+    );
+    (
+        any::<u64>(),
+        prop::collection::vec(0..=MAX_FAN_OUT, 1..MAX_CALLS),
+        0_u32..12,
+        any::<bool>(),
+        faults,
+        prop::collection::vec((0_usize..2 * MAX_DEPTH, 0_u64..1_500), 0..4),
+    )
+        .prop_map(|(seed, fan_out, allowance, keyed, faults, restarts)| Plan {
+            seed,
+            fan_out,
+            allowance,
+            keyed,
+            faults,
+            restarts,
+        })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 150,
+        rng_seed: prop::test_runner::RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn extra_attempts_stay_within_the_allowance(plan in plan()) {
+        let mut world = world(&plan);
+        for root in 0..ROOTS {
+            call(&mut world, &plan, root);
+        }
+        let mut restarts = plan.restarts.clone();
+        restarts.sort_by_key(|(_, at_ms)| *at_ms);
+        let start = world.now;
+        for (host, at_ms) in restarts {
+            world.run_until(start.plus_ms(at_ms));
+            world.replace(host);
+        }
+        world.run_until(start.plus_ms(2 * DEADLINE_MS));
+        for (root, attempts) in &world.attempts {
+            let first = world.attempted_calls[root].len() as u32;
+            let extra = attempts - first;
+            prop_assert!(extra <= plan.allowance, "{extra} extra attempts beyond {first}");
+        }
+    }
+}
+
+/// The bound is worth something only if retries are made at all.
+#[test]
+fn a_lost_reply_is_tried_again() {
+    let plan = Plan {
+        seed: 3,
+        fan_out: vec![2, 2, 2],
+        allowance: 8,
+        keyed: false,
+        faults: NetworkFaults {
+            lose_reply: 0.3,
+            ..NetworkFaults::default()
+        },
+        restarts: Vec::new(),
+    };
+    let mut world = world(&plan);
+    for root in 0..ROOTS {
+        call(&mut world, &plan, root);
+    }
+    world.run_for(2 * DEADLINE_MS);
+    let attempts: u32 = world.attempts.values().sum();
+    let first: usize = world
+        .attempted_calls
+        .values()
+        .map(|calls| calls.len())
+        .sum();
+    assert!(
+        attempts as usize > first,
+        "{attempts} attempts, {first} calls"
+    );
+}
+
+fn world(plan: &Plan) -> World {
+    let contract = Contract {
+        importance: Importance::Normal,
+        idempotent: !plan.keyed,
+        deadline_ms: DEADLINE_MS,
+        retry_allowance: plan.allowance,
+    };
+    let sheet = Sheet {
+        version: SheetVersion(1),
+        author: "planner".into(),
+        published_ms: 0,
+        rules: vec![Rule {
+            service: None,
+            request: None,
+            caller: None,
+            contract,
+        }],
+        shares: Vec::new(),
+    };
+    let layers = (0..MAX_DEPTH).flat_map(|depth| [layer(depth), layer(depth)]);
+    let hosts = layers.chain(["edge".to_owned()]).map(|service| HostPlan {
+        place: Place {
+            region: "cork".into(),
+            zone: "cork-a".into(),
+        },
+        service: service.as_str().into(),
+        slots: 20,
+        service_ms: 2,
+    });
+    let mut world = World::new(plan.seed, Mechanisms::ALL, sheet, hosts.collect());
+    world.faults = plan.faults;
+    plant(&mut world, &plan.fan_out);
+    world
+}
+
+/// Lays the tree out, layer by layer; every call is a kind of request of its own.
+fn plant(world: &mut World, fan_out: &[usize]) {
+    let mut layer_calls = vec![0];
+    let mut next = 1;
+    let mut fan_out = fan_out.iter();
+    for depth in 0..MAX_DEPTH - 1 {
+        let mut beneath = Vec::new();
+        for call in layer_calls {
+            let children = fan_out.next().copied().unwrap_or(0);
+            let numbers: Vec<usize> = (next..next + children).collect();
+            next += children;
+            let called = numbers
+                .iter()
+                .map(|number| (layer(depth + 1).as_str().into(), request(*number)));
+            let caller = (layer(depth).as_str().into(), request(call));
+            world.children.insert(caller, called.collect());
+            beneath.extend(numbers);
+        }
+        layer_calls = beneath;
+    }
+}
+
+fn call(world: &mut World, plan: &Plan, root: usize) {
+    let edge = world.hosts.len() - 1;
+    let service = layer(0).as_str().into();
+    let ticket = world.hosts[edge].node.issue_ticket(&service);
+    let key = plan.keyed.then(|| CallKey {
+        ticket: ticket.unwrap(),
+        sequence: 0,
+    });
+    let request = CallerRequest {
+        service,
+        request: request(0).as_str().into(),
+        caller: "employer".into(),
+        key,
+        acknowledged_below: None,
+        time_left_ms: None,
+        parent: None,
+        body: format!("{root}").into(),
+    };
+    world.call(edge, request);
+}
+
+fn layer(depth: usize) -> String {
+    format!("layer-{depth}")
+}
+
+fn request(number: usize) -> String {
+    format!("call-{number}")
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -113,8 +113,10 @@
     pub calls: Vec<ClientCall>,
     /// Runs of each key, wherever they were made.
     pub executions: HashMap<String, u32>,
-    /// Extra attempts made for each root request, over the whole tree.
+    /// Requests to execute that were sent for each root request, over the whole tree.
     pub attempts: HashMap<u64, u32>,
+    /// Calls for which at least one of them was sent.
+    pub attempted_calls: HashMap<u64, HashSet<(Host, Incarnation, CallId)>>,
     pub notes: Vec<(TimeMs, Host, Note)>,
     pub rng: Xoshiro256PlusPlus,
     pub children: BTreeMap<(ServiceName, String), Vec<(ServiceName, String)>>,
@@ -139,6 +141,7 @@
             calls: Vec::new(),
             executions: HashMap::new(),
             attempts: HashMap::new(),
+            attempted_calls: HashMap::new(),
             notes: Vec::new(),
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             children: BTreeMap::new(),
@@ -454,7 +457,7 @@
         message: PeerRequest,
         timeout_ms: u64,
     ) {
-        self.count_attempt(&message, exchange);
+        self.count_attempt(&message, (from, incarnation, exchange.call));
         let to = host_of(message.to().address);
         let silent = Event::PeerFailed {
             exchange,
@@ -491,9 +494,11 @@
         self.schedule(delay_ms, request);
     }
 
-    fn count_attempt(&mut self, message: &PeerRequest, _exchange: ExchangeId) {
+    fn count_attempt(&mut self, message: &PeerRequest, call: (Host, Incarnation, CallId)) {
         if let PeerRequest::Execute(request) = message {
-            *self.attempts.entry(request.context.root.0).or_default() += 1;
+            let root = request.context.root.0;
+            *self.attempts.entry(root).or_default() += 1;
+            self.attempted_calls.entry(root).or_default().insert(call);
         }
     }
 
