--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
+use super::lanes::Lanes;
 use super::level::LevelMeter;
 use super::limit::Limiter;
 use super::mechanisms::{LimitMode, Mechanisms};
@@ -68,6 +69,8 @@
 struct Waiting {
     offer: Offer,
     since: TimeMs,
+    /// It waits for its own lane, not for the backend server.
+    lane_full: bool,
 }
 
 /// Place in the queue: importance, sunk work, rank, order of arrival.
@@ -81,7 +84,7 @@
     level: LevelMeter,
     leaving: bool,
     in_flight: u32,
-    in_flight_by_caller: HashMap<CallerName, u32>,
+    lanes: Lanes,
     queue: BTreeMap<Position, Waiting>,
     positions: HashMap<CallId, Position>,
     by_age: VecDeque<(TimeMs, CallId)>,
@@ -98,7 +101,7 @@
             level: LevelMeter::default(),
             leaving: false,
             in_flight: 0,
-            in_flight_by_caller: HashMap::new(),
+            lanes: Lanes::default(),
             queue: BTreeMap::new(),
             positions: HashMap::new(),
             by_age: VecDeque::new(),
@@ -145,40 +148,40 @@
         }
         self.tick(now);
         self.level.offered(offer.priority);
+        self.lanes.seen(now, &offer.caller, offer.priority);
         if self.mechanisms.deadlines && !self.can_finish(now, &offer) {
             return refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
         }
-        if self.has_room(&offer) {
+        if self.has_room(now, &offer) {
             self.level.started(0);
             self.start(now, &offer);
             return Verdict::Start;
         }
+        let lane_full = !self.within_share(now, &offer);
+        if lane_full && self.lanes.queue_full(&offer.caller, self.queue_bound()) {
+            return refuse(NotRunReason::ShareExhausted, OVERLOADED_RETRY_AFTER_MS);
+        }
         if self.queue.len() >= self.queue_bound() && !self.displace_for(&offer) {
             self.level.refused();
             return refuse(NotRunReason::Overloaded, OVERLOADED_RETRY_AFTER_MS);
         }
-        self.enqueue(now, offer);
+        self.enqueue(now, offer, lane_full);
         Verdict::Queued
     }
 
     /// Takes in that a request which was started has ended. `own_ms` is its time
-    /// at the backend server without the calls made beneath it.
-    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, own_ms: u64) {
+    /// at the backend server without the calls made beneath it, `held_ms` with them.
+    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, own_ms: u64, held_ms: u64) {
         let saturated = self.in_flight >= self.limiter.limit();
-        self.start_undone(now, caller);
+        self.start_undone(now, caller, held_ms);
         self.limiter.completed(now, own_ms, saturated);
     }
 
-    /// Takes in that a request which was started has not been handed over after all.
-    pub fn start_undone(&mut self, now: TimeMs, caller: &CallerName) {
+    /// Takes in that a request which was started has given its slot back after `held_ms`.
+    pub fn start_undone(&mut self, now: TimeMs, caller: &CallerName, held_ms: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.level.in_flight(now, self.in_flight);
-        if let Some(count) = self.in_flight_by_caller.get_mut(caller) {
-            *count -= 1;
-            if *count == 0 {
-                self.in_flight_by_caller.remove(caller);
-            }
-        }
+        self.lanes.ended(now, caller, held_ms);
     }
 
     /// Takes requests out of the queue: those to start, and those that waited too long.
@@ -187,7 +190,10 @@
         let mut released = std::mem::take(&mut self.displaced);
         self.refuse_stale(now, &mut released);
         while self.in_flight < self.limiter.limit() {
-            let Some(waiting) = self.first_with_share().and_then(|first| self.take(first)) else {
+            let Some(waiting) = self
+                .first_with_share(now)
+                .and_then(|first| self.take(first))
+            else {
                 break;
             };
             let call = waiting.offer.call;
@@ -196,7 +202,12 @@
                 released.push(Released { call, verdict });
                 continue;
             }
-            self.level.started(now.since_ms(waiting.since));
+            let wait_ms = if waiting.lane_full {
+                0
+            } else {
+                now.since_ms(waiting.since)
+            };
+            self.level.started(wait_ms);
             self.start(now, &waiting.offer);
             let verdict = Verdict::Start;
             released.push(Released { call, verdict });
@@ -213,6 +224,7 @@
     }
 
     fn tick(&mut self, now: TimeMs) {
+        self.lanes.tick(now);
         let limit = self.limiter.limit();
         self.level.tick(now, limit);
     }
@@ -223,24 +235,21 @@
         left_ms > 0 && left_ms as f64 >= needed_ms
     }
 
-    fn has_room(&self, offer: &Offer) -> bool {
+    fn has_room(&self, now: TimeMs, offer: &Offer) -> bool {
         if self.mechanisms.limit == LimitMode::None {
             return true;
         }
         let free = self.in_flight < self.limiter.limit();
-        free && self.queue.is_empty() && self.within_share(offer)
+        free && self.queue.is_empty() && self.within_share(now, offer)
     }
 
-    fn within_share(&self, offer: &Offer) -> bool {
-        let Some(percent) = offer.share_percent else {
-            return true;
-        };
+    fn within_share(&self, now: TimeMs, offer: &Offer) -> bool {
         if !self.mechanisms.caller_shares {
             return true;
         }
-        let bound = (u64::from(self.limiter.limit()) * u64::from(percent)).div_ceil(100);
-        let used = self.in_flight_by_caller.get(&offer.caller).copied();
-        u64::from(used.unwrap_or(0)) < bound.max(1)
+        let limit = self.limiter.limit();
+        self.lanes
+            .has_slot(now, &offer.caller, limit, offer.share_percent)
     }
 
     fn queue_bound(&self) -> usize {
@@ -284,27 +293,31 @@
         )
     }
 
-    fn enqueue(&mut self, now: TimeMs, offer: Offer) {
+    fn enqueue(&mut self, now: TimeMs, offer: Offer, lane_full: bool) {
         let position = self.position(&offer);
         self.next_arrival += 1;
         self.positions.insert(offer.call, position);
         self.by_age.push_back((now, offer.call));
-        self.queue.insert(position, Waiting { offer, since: now });
+        self.lanes.queued(&offer.caller);
+        let waiting = Waiting {
+            offer,
+            since: now,
+            lane_full,
+        };
+        self.queue.insert(position, waiting);
     }
 
     fn take(&mut self, position: Position) -> Option<Waiting> {
         let waiting = self.queue.remove(&position)?;
         self.positions.remove(&waiting.offer.call);
+        self.lanes.unqueued(&waiting.offer.caller);
         Some(waiting)
     }
 
     fn start(&mut self, now: TimeMs, offer: &Offer) {
         self.in_flight += 1;
         self.level.in_flight(now, self.in_flight);
-        *self
-            .in_flight_by_caller
-            .entry(offer.caller.clone())
-            .or_default() += 1;
+        self.lanes.started(now, &offer.caller);
     }
 
     fn refuse_stale(&mut self, now: TimeMs, released: &mut Vec<Released>) {
@@ -315,19 +328,25 @@
                 break;
             }
             self.by_age.pop_front();
-            if !self.withdraw(call) {
+            let position = self.positions.get(&call).copied();
+            let Some(waiting) = position.and_then(|position| self.take(position)) else {
                 continue;
-            }
-            self.level.refused();
-            let verdict = refuse(NotRunReason::QueueTimeout, OVERLOADED_RETRY_AFTER_MS);
+            };
+            let reason = if waiting.lane_full {
+                NotRunReason::ShareExhausted
+            } else {
+                self.level.refused();
+                NotRunReason::QueueTimeout
+            };
+            let verdict = refuse(reason, OVERLOADED_RETRY_AFTER_MS);
             released.push(Released { call, verdict });
         }
     }
 
-    fn first_with_share(&self) -> Option<Position> {
+    fn first_with_share(&self, now: TimeMs) -> Option<Position> {
         self.queue
             .iter()
-            .find(|(_, waiting)| self.within_share(&waiting.offer))
+            .find(|(_, waiting)| self.within_share(now, &waiting.offer))
             .map(|(position, _)| *position)
     }
 }
--- a/src/decide/counters.rs
+++ b/src/decide/counters.rs
@@ -25,6 +25,8 @@
     Retries,
     /// Keys that had to be resolved over a new connection.
     Resolved,
+    /// Requests refused because their caller's lane was full.
+    LaneFull,
     /// Invariants that would have been broken.
     Breaches,
 }
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -425,6 +425,13 @@
         /// The level now.
         to: Priority,
     },
+    /// A caller holds all the slots of its lane, because its runs wait for a resource.
+    LaneFull {
+        /// The caller whose lane it is.
+        lane: CallerName,
+        /// The service that its runs wait for, or this one if they wait for none beneath.
+        resource: ServiceName,
+    },
     /// An invariant would have been broken; the request was refused.
     Breach {
         /// The invariant, by its name in the metrics.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod execution;
 pub mod executor;
 pub mod home;
+pub mod lanes;
 pub mod level;
 pub mod life;
 pub mod limit;
@@ -28,6 +29,7 @@
 pub mod rules;
 pub mod sharded;
 pub mod timers;
+pub mod waits;
 pub mod worker_stats;
 
 pub use control::{Control, ControlAction, ControlEvent};
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -279,6 +279,8 @@
             && let Some(execution) = self.executions.lock(&parent).get_mut(&parent)
         {
             execution.children.begin(now);
+            self.waits
+                .begin(&classified.context.caller, &classified.service);
         }
         Dispatch {
             service: classified.service,
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -536,6 +536,7 @@
         let Some(parent) = dispatch.parent else {
             return false;
         };
+        self.waits.end(&dispatch.context.caller, &dispatch.service);
         let mut shard = self.executions.lock(&parent);
         let Some(execution) = shard.get_mut(&parent) else {
             return false;
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -10,7 +10,7 @@
 use crate::decide::execution::{ChildClock, Execution};
 use crate::decide::executor::Received;
 use crate::decide::message::{
-    Action, CallId, ExchangeId, ExecuteRequest, PeerReply, PeerRequest, Priority, SendFailure,
+    Action, CallId, ExchangeId, ExecuteRequest, Note, PeerReply, PeerRequest, Priority, SendFailure,
 };
 use crate::decide::sharded::lock;
 use crate::decide::timers::Wakeup;
@@ -200,7 +200,7 @@
             && !self.executor.hand_over(key)
         {
             // Its record was dropped by an acknowledgement, so nobody waits for it.
-            lock(&self.admission).start_undone(turn.now, &execution.context.caller);
+            lock(&self.admission).start_undone(turn.now, &execution.context.caller, 0);
             shard.remove(&call);
             return;
         }
@@ -218,7 +218,7 @@
         let service_ms = turn.now.since_ms(started);
         let caller = &execution.context.caller;
         let own_ms = service_ms.saturating_sub(execution.children.waited_ms(turn.now));
-        lock(&self.admission).finished(turn.now, caller, own_ms);
+        lock(&self.admission).finished(turn.now, caller, own_ms, service_ms);
         let mut reply = self.plain_reply(execution.key.clone(), outcome);
         reply.allowance_left = execution.allowance;
         reply.level = execution.level_beneath.max(lock(&self.admission).level());
@@ -246,6 +246,9 @@
         let Some(execution) = self.executions.remove(&call) else {
             return;
         };
+        if reason == NotRunReason::ShareExhausted {
+            self.note_full_lane(turn, &execution);
+        }
         let granted = execution.allowance;
         let Some(key) = &execution.key else {
             let reply_to = execution.reply_to;
@@ -263,6 +266,19 @@
         self.deliver_all(turn, &waiters, &reply);
     }
 
+    fn note_full_lane(&self, turn: &mut Turn<'_>, execution: &Execution) {
+        self.counters.add(Counter::LaneFull);
+        let lane = &execution.context.caller;
+        let resource = self
+            .waits
+            .resource_to_note(turn.now, lane, &execution.service);
+        if let Some(resource) = resource {
+            let lane = lane.clone();
+            turn.actions
+                .push(Action::Note(Note::LaneFull { lane, resource }));
+        }
+    }
+
     fn refuse_unkeyed(
         &self,
         turn: &mut Turn<'_>,
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -32,6 +32,7 @@
 use super::rules::RuleTable;
 use super::sharded::{Sharded, lock};
 use super::timers::{Timers, Wakeup};
+use super::waits::Waits;
 use crate::model::key::MAX_CANDIDATES;
 use crate::model::{Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs, Vm};
 
@@ -105,6 +106,7 @@
     draining: AtomicBool,
     attempts: AtomicU64,
     replays: ReplayWindows,
+    waits: Waits,
     counters: Counters,
     called: CalledServices,
     waiting_calls: Mutex<Vec<WaitingCall>>,
@@ -148,6 +150,7 @@
             draining: AtomicBool::new(false),
             attempts: AtomicU64::new(0),
             replays: ReplayWindows::default(),
+            waits: Waits::default(),
             counters: Counters::default(),
             called: CalledServices::default(),
             waiting_calls: Mutex::default(),
--- /dev/null
+++ b/src/decide/waits.rs
@@ -0,0 +1,67 @@
+//! Which services the runs of each caller wait for, so that a full lane is put
+//! down to the resource and not to a caller that only waited.
+
+use std::collections::HashMap;
+
+use super::sharded::Sharded;
+use crate::model::{CallerName, ServiceName, TimeMs};
+
+/// Least time between two notes about one lane, in milliseconds.
+const NOTE_INTERVAL_MS: u64 = 1_000;
+
+/// Calls open beneath the runs of each caller, by called service.
+#[derive(Debug, Default)]
+pub struct Waits {
+    callers: Sharded<CallerName, CallerWaits>,
+}
+
+#[derive(Debug, Default)]
+struct CallerWaits {
+    open: HashMap<ServiceName, u32>,
+    noted: Option<TimeMs>,
+}
+
+impl Waits {
+    /// Takes in that a run of the caller calls a service.
+    pub fn begin(&self, caller: &CallerName, service: &ServiceName) {
+        let mut shard = self.callers.lock(caller);
+        let waits = shard.entry(caller.clone()).or_default();
+        *waits.open.entry(service.clone()).or_default() += 1;
+    }
+
+    /// Takes in that such a call has ended.
+    pub fn end(&self, caller: &CallerName, service: &ServiceName) {
+        let mut shard = self.callers.lock(caller);
+        let Some(waits) = shard.get_mut(caller) else {
+            return;
+        };
+        if let Some(count) = waits.open.get_mut(service) {
+            *count -= 1;
+            if *count == 0 {
+                waits.open.remove(service);
+            }
+        }
+        if waits.open.is_empty() {
+            shard.remove(caller);
+        }
+    }
+
+    /// The service that most runs of the caller wait for, or `own` if they wait
+    /// for none. `None` if the lane has been noted a short while ago.
+    pub fn resource_to_note(
+        &self,
+        now: TimeMs,
+        caller: &CallerName,
+        own: &ServiceName,
+    ) -> Option<ServiceName> {
+        let mut shard = self.callers.lock(caller);
+        let waits = shard.entry(caller.clone()).or_default();
+        let recent = |noted| now.since_ms(noted) < NOTE_INTERVAL_MS;
+        if waits.noted.is_some_and(recent) {
+            return None;
+        }
+        waits.noted = Some(now);
+        let most = waits.open.iter().max_by_key(|(_, count)| **count);
+        Some(most.map_or_else(|| own.clone(), |(service, _)| service.clone()))
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -44,6 +44,10 @@
             let (from, to) = (from.0, to.0);
             spdlog::info!("the admission level has changed", kv: { from, to });
         }
+        Note::LaneFull { lane, resource } => {
+            let (lane, resource) = (lane.as_str(), resource.as_str());
+            spdlog::warn!("a caller's lane is full", kv: { lane, resource });
+        }
         Note::Breach { invariant, key } => {
             let invariant = *invariant;
             let key = key.as_ref().map(ToString::to_string).unwrap_or_default();
--- /dev/null
+++ b/tests/load_isolation.rs
@@ -0,0 +1,110 @@
+//! One provider's slow eligibility lookup leaves another provider's requests alone.
+
+mod support;
+
+use burdockhall::decide::{Mechanisms, Note};
+use burdockhall::model::Importance;
+
+use support::load::{Deployment, Drive, PATIENT, ServicePlan, Stream};
+
+/// What the 99th percentile of the other provider may rise by, in percent.
+const RISE_PERCENT: f64 = 10.0;
+const WARM_MS: u64 = 2_000;
+const MEASURED_MS: u64 = 8_000;
+
+#[derive(Debug)]
+struct Case {
+    name: &'static str,
+    slowdown: u64,
+    seed: u64,
+}
+
+const CASES: [Case; 2] = [
+    Case {
+        name: "ten times slower",
+        slowdown: 10,
+        seed: 41,
+    },
+    Case {
+        name: "fifty times slower",
+        slowdown: 50,
+        seed: 42,
+    },
+];
+
+#[test]
+fn a_slow_lookup_is_felt_by_its_own_provider_only() {
+    for case in &CASES {
+        let calm = p99_ms(&mut drive(case.seed), 1);
+        let mut drive = drive(case.seed);
+        let slow = p99_ms(&mut drive, case.slowdown);
+        let bound = calm * (1.0 + RISE_PERCENT / 100.0);
+        assert!(
+            slow <= bound,
+            "{}: p99 {calm} ms, then {slow} ms",
+            case.name
+        );
+        let mut named = 0;
+        for (_, _, note) in &drive.world.notes {
+            if let Note::LaneFull { lane, resource } = note {
+                assert_eq!(lane.as_str(), "provider-a", "{}", case.name);
+                assert_ne!(resource.as_str(), "eligibility-b", "{}", case.name);
+                named += u32::from(resource.as_str() == "eligibility-a");
+            }
+        }
+        assert!(
+            named > 0,
+            "{}: nothing was put down to the slow service",
+            case.name
+        );
+    }
+}
+
+fn p99_ms(drive: &mut Drive, slowdown: u64) -> f64 {
+    drive.run(WARM_MS, 1.0);
+    drive.slow("eligibility-a", slowdown);
+    let from = drive.world.now;
+    drive.run(MEASURED_MS, 1.0);
+    let latencies = drive.latencies_ms("provider-b", from);
+    let offered = drive.offered("provider-b", from);
+    assert!(
+        latencies.len() * 100 >= offered * 98,
+        "{} of {offered}",
+        latencies.len()
+    );
+    latencies[latencies.len() * 99 / 100] as f64
+}
+
+/// Both providers share redemptions; each has its own eligibility service behind it.
+fn drive(seed: u64) -> Drive {
+    let service = |name, slots, service_ms| ServicePlan {
+        name,
+        slots,
+        service_ms,
+    };
+    let stream = |request, caller, chain| Stream {
+        request,
+        chain,
+        caller,
+        importance: Importance::Critical,
+        keyed: false,
+        per_s: 300.0,
+    };
+    let deployment = Deployment {
+        name: "eligibility",
+        regions: ["dublin", "cork", "galway"],
+        services: vec![
+            service("redemptions", 20, 10),
+            service("eligibility-a", 20, 20),
+            service("eligibility-b", 20, 20),
+        ],
+        streams: vec![
+            stream("redeem-a", "provider-a", &["redemptions", "eligibility-a"]),
+            stream("redeem-b", "provider-b", &["redemptions", "eligibility-b"]),
+        ],
+        shares: Vec::new(),
+        capacity_per_s: 4_000.0,
+        deep: "eligibility-a",
+    };
+    Drive::new(seed, Mechanisms::ALL, &deployment, PATIENT)
+}
--- a/tests/load_retries.rs
+++ b/tests/load_retries.rs
@@ -29,7 +29,7 @@
 }
 
 fn plan() -> impl Strategy<Value = Plan> {
-    let faults = (0.0..0.15, 0.0..0.3, 0.0..0.3, 0_u64..40).prop_map(
+    let faults = (0.0..0.3, 0.0..0.9, 0.0..1.0, 0_u64..40).prop_map(
         |(lose_request, lose_reply, double_request, extra_delay_ms)| NetworkFaults {
             lose_request,
             lose_reply,
@@ -85,6 +85,37 @@
     }
 }
 
+/// Chains in which nearly every reply is lost spend all they are granted, and every request is doubled.
+#[test]
+fn copies_spend_no_allowance_of_their_own() {
+    for seed in 0..40 {
+        let plan = Plan {
+            seed,
+            fan_out: vec![1; MAX_DEPTH],
+            allowance: 8,
+            keyed: false,
+            faults: NetworkFaults {
+                lose_reply: 0.9,
+                double_request: 1.0,
+                ..NetworkFaults::default()
+            },
+            restarts: Vec::new(),
+        };
+        let mut world = world(&plan);
+        for root in 0..ROOTS {
+            call(&mut world, &plan, root);
+        }
+        world.run_for(2 * DEADLINE_MS);
+        for (root, attempts) in &world.attempts {
+            let extra = attempts - world.attempted_calls[root].len() as u32;
+            assert!(
+                extra <= plan.allowance,
+                "seed {seed}: {extra} extra attempts"
+            );
+        }
+    }
+}
+
 /// The bound is worth something only if retries are made at all.
 #[test]
 fn a_lost_reply_is_tried_again() {
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -170,6 +170,14 @@
         latencies
     }
 
+    /// Requests that a caller's clients made.
+    pub fn offered(&self, caller: &str, from: TimeMs) -> usize {
+        let users = self.users.iter();
+        users
+            .filter(|user| self.streams[user.stream].caller == caller && user.made >= from)
+            .count()
+    }
+
     /// Share of the backend servers' work that belongs to attempts that ended well.
     pub fn useful_work(&self) -> f64 {
         let mut useful_ms = 0;
