--- /dev/null
+++ b/tests/load_bad_days.rs
@@ -0,0 +1,136 @@
+//! Bad days: reports that mislead, cold zones, lost zones, and two faults at once.
+
+mod support;
+
+use burdockhall::decide::Mechanisms;
+
+use support::load::{Deployment, Drive, HARD, levy, tantuvan};
+
+/// Load as a share of the capacity; five of six zones carry it.
+const LOAD: f64 = 0.65;
+/// Share of the goodput before that has to be reached again.
+const BACK_SHARE: f64 = 0.95;
+const SETTLE_MS: u64 = 2_000;
+const MEASURED_MS: u64 = 3_000;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    /// One worker of the deep service has a third of the slots that it announces.
+    MisleadingReport,
+    /// All of a zone starts anew and is five times slower for a while.
+    ColdZone,
+    /// All of a zone is gone.
+    LostZone,
+    /// A zone is gone, and a worker elsewhere has fewer slots than it announces.
+    LostZoneAndMisleadingReport,
+}
+
+#[derive(Debug)]
+struct Case {
+    fault: Fault,
+    deployment: fn() -> Deployment,
+    seed: u64,
+}
+
+const CASES: [Case; 8] = [
+    Case {
+        fault: Fault::MisleadingReport,
+        deployment: levy,
+        seed: 51,
+    },
+    Case {
+        fault: Fault::ColdZone,
+        deployment: levy,
+        seed: 52,
+    },
+    Case {
+        fault: Fault::LostZone,
+        deployment: levy,
+        seed: 53,
+    },
+    Case {
+        fault: Fault::LostZoneAndMisleadingReport,
+        deployment: levy,
+        seed: 54,
+    },
+    Case {
+        fault: Fault::MisleadingReport,
+        deployment: tantuvan,
+        seed: 55,
+    },
+    Case {
+        fault: Fault::ColdZone,
+        deployment: tantuvan,
+        seed: 56,
+    },
+    Case {
+        fault: Fault::LostZone,
+        deployment: tantuvan,
+        seed: 57,
+    },
+    Case {
+        fault: Fault::LostZoneAndMisleadingReport,
+        deployment: tantuvan,
+        seed: 58,
+    },
+];
+
+#[test]
+fn goodput_stays_on_a_bad_day() {
+    let mut missed = Vec::new();
+    for case in &CASES {
+        let deployment = (case.deployment)();
+        let mut drive = Drive::new(case.seed, Mechanisms::ALL, &deployment, HARD);
+        drive.run(1_000, LOAD);
+        let before = drive.measure(MEASURED_MS, LOAD);
+        case.fault.strike(&mut drive, &deployment);
+        drive.run(SETTLE_MS, LOAD);
+        let after = drive.measure(MEASURED_MS, LOAD);
+        if after < before * BACK_SHARE {
+            let outcomes = drive.outcomes();
+            missed.push(format!(
+                "{case:?}: {before:.0}, then {after:.0}; {outcomes:?}"
+            ));
+        }
+    }
+    assert!(missed.is_empty(), "{missed:#?}");
+}
+
+impl Fault {
+    fn strike(self, drive: &mut Drive, deployment: &Deployment) {
+        let zone = 0..deployment.services.len();
+        match self {
+            Fault::MisleadingReport => mislead(drive, deployment),
+            Fault::ColdZone => {
+                for host in zone.clone() {
+                    drive.world.replace(host);
+                    drive.world.hosts[host].backend.slowdown = 5;
+                }
+                drive.forget_tickets();
+                drive.run(1_500, LOAD);
+                for host in zone {
+                    drive.world.hosts[host].backend.slowdown = 1;
+                }
+            }
+            Fault::LostZone => lose(drive, zone),
+            Fault::LostZoneAndMisleadingReport => {
+                lose(drive, zone);
+                mislead(drive, deployment);
+            }
+        }
+    }
+}
+
+fn mislead(drive: &mut Drive, deployment: &Deployment) {
+    let mut hosts = drive.world.hosts.iter_mut().rev();
+    let deep = hosts.find(|host| host.plan.service.as_str() == deployment.deep);
+    let backend = &mut deep.expect("the deployment has its deep service").backend;
+    backend.slots = (backend.slots / 3).max(1);
+}
+
+fn lose(drive: &mut Drive, zone: std::ops::Range<usize>) {
+    for host in zone {
+        drive.world.kill(host);
+    }
+}
--- a/tests/load_isolation.rs
+++ b/tests/load_isolation.rs
@@ -35,8 +35,8 @@
 #[test]
 fn a_slow_lookup_is_felt_by_its_own_provider_only() {
     for case in &CASES {
-        let calm = p99_ms(&mut drive(case.seed), 1);
-        let mut drive = drive(case.seed);
+        let calm = p99_ms(&mut drive(case.seed, Mechanisms::ALL), 1);
+        let mut drive = drive(case.seed, Mechanisms::ALL);
         let slow = p99_ms(&mut drive, case.slowdown);
         let bound = calm * (1.0 + RISE_PERCENT / 100.0);
         assert!(
@@ -60,6 +60,25 @@
     }
 }
 
+/// The lanes are what does it: without them the other provider waits too.
+#[test]
+fn without_lanes_the_other_provider_waits() {
+    let mechanisms = Mechanisms {
+        caller_shares: false,
+        ..Mechanisms::ALL
+    };
+    let mut drive = drive(41, mechanisms);
+    drive.run(WARM_MS, 1.0);
+    drive.slow("eligibility-a", 50);
+    let from = drive.world.now;
+    drive.run(MEASURED_MS, 1.0);
+    let latencies = drive.latencies_ms("provider-b", from);
+    let p99_ms = latencies[latencies.len() * 99 / 100];
+    let lost = drive.offered("provider-b", from) - latencies.len();
+    println!("p99 {p99_ms} ms, {lost} lost");
+    assert!(p99_ms > 100 || lost > 100, "p99 {p99_ms} ms, {lost} lost");
+}
+
 fn p99_ms(drive: &mut Drive, slowdown: u64) -> f64 {
     drive.run(WARM_MS, 1.0);
     drive.slow("eligibility-a", slowdown);
@@ -76,7 +95,7 @@
 }
 
 /// Both providers share redemptions; each has its own eligibility service behind it.
-fn drive(seed: u64) -> Drive {
+fn drive(seed: u64, mechanisms: Mechanisms) -> Drive {
     let service = |name, slots, service_ms| ServicePlan {
         name,
         slots,
@@ -106,5 +125,5 @@
         capacity_per_s: 4_000.0,
         deep: "eligibility-a",
     };
-    Drive::new(seed, Mechanisms::ALL, &deployment, PATIENT)
+    Drive::new(seed, mechanisms, &deployment, PATIENT)
 }
--- a/tests/load_tables.rs
+++ b/tests/load_tables.rs
@@ -3,8 +3,8 @@
 
 mod support;
 
-use burdockhall::decide::Mechanisms;
-use burdockhall::model::Importance;
+use burdockhall::decide::{LimitMode, Mechanisms};
+use burdockhall::model::{Importance, TimeMs};
 
 use support::load::{Clients, Deployment, Drive, HARD, PATIENT, levy, tantuvan};
 
@@ -96,6 +96,155 @@
     }
 }
 
+/// Each mechanism off in turn, under clients that retry hard.
+#[test]
+#[ignore = "prints a table"]
+fn ablation() {
+    const ALL: Mechanisms = Mechanisms::ALL;
+    let off = |name, mechanisms| Version {
+        name,
+        mechanisms,
+        seeds: &[1, 2],
+    };
+    let versions = [
+        off("all on", ALL),
+        off(
+            "fixed limit",
+            Mechanisms {
+                limit: LimitMode::Fixed,
+                ..ALL
+            },
+        ),
+        off(
+            "queue by arrival",
+            Mechanisms {
+                ordered_queue: false,
+                ..ALL
+            },
+        ),
+        off(
+            "no shedding at entry",
+            Mechanisms {
+                entry_shedding: false,
+                ..ALL
+            },
+        ),
+        off(
+            "no deadlines",
+            Mechanisms {
+                deadlines: false,
+                ..ALL
+            },
+        ),
+        off(
+            "retries per layer",
+            Mechanisms {
+                shared_allowance: false,
+                retries_per_layer: 3,
+                ..ALL
+            },
+        ),
+        off(
+            "random routing",
+            Mechanisms {
+                balanced_routing: false,
+                ..ALL
+            },
+        ),
+        off(
+            "no lanes",
+            Mechanisms {
+                caller_shares: false,
+                ..ALL
+            },
+        ),
+    ];
+    std::thread::scope(|scope| {
+        for version in &versions {
+            scope.spawn(move || {
+                for deployment in [levy(), tantuvan()] {
+                    ablation_row(&deployment, version);
+                }
+            });
+        }
+    });
+}
+
+/// Each column as a median with its range over the seeds; docs/decisions/shedding.md explains them.
+fn ablation_row(deployment: &Deployment, version: &Version) {
+    let mut columns = [const { Vec::new() }; 7];
+    for &seed in version.seeds {
+        let new = || Drive::new(seed, version.mechanisms, deployment, HARD);
+        let mut drive = new();
+        columns[0].push(critical_percent(&mut drive, deployment));
+        columns[1].push(100.0 * drive.useful_work());
+
+        let mut drive = misreporting(seed, version, deployment);
+        columns[2].push(critical_percent(&mut drive, deployment));
+        let latencies = drive.latencies_ms(deployment.streams[0].caller, TimeMs(1_000));
+        let p99_ms = latencies.get(latencies.len() * 99 / 100).copied();
+        columns[3].push(p99_ms.unwrap_or(0) as f64);
+
+        let mut drive = new();
+        drive.run(WARM_MS, 0.8);
+        let before = drive.measure(2_000, 0.8);
+        drive.slow(deployment.deep, 10);
+        drive.run(3_000, 3.0);
+        drive.slow(deployment.deep, 1);
+        drive.run(2_000, 0.8);
+        columns[4].push(100.0 * drive.measure(2_000, 0.8) / before);
+
+        let mut drive = Drive::new(seed, version.mechanisms, deployment, PATIENT);
+        drive.run(WARM_MS, 0.8);
+        let from = drive.world.now;
+        drive.run(1_000, 1.8);
+        drive.run(1_000, 0.0);
+        let caller = deployment.streams[0].caller;
+        let done = drive.latencies_ms(caller, from).len();
+        columns[5].push(100.0 * done as f64 / drive.offered(caller, from) as f64);
+
+        let mut drive = new();
+        drive.slow(deployment.deep, 60);
+        drive.run(4_000, 0.8);
+        columns[6].push(100.0 * drive.useful_work());
+    }
+    let columns: Vec<String> = columns.into_iter().map(spread).collect();
+    println!(
+        "{:9} {:21} {}",
+        deployment.name,
+        version.name,
+        columns.join(" | ")
+    );
+}
+
+/// The deep service announces eight times the slots that it has.
+fn misreporting(seed: u64, version: &Version, deployment: &Deployment) -> Drive {
+    let mut announced = match deployment.name {
+        "levy" => levy(),
+        _ => tantuvan(),
+    };
+    for service in &mut announced.services {
+        if service.name == deployment.deep {
+            service.slots *= 8;
+        }
+    }
+    let mut drive = Drive::new(seed, version.mechanisms, &announced, HARD);
+    for host in &mut drive.world.hosts {
+        if host.plan.service.as_str() == deployment.deep {
+            host.backend.slots /= 8;
+        }
+    }
+    drive
+}
+
+fn critical_percent(drive: &mut Drive, deployment: &Deployment) -> f64 {
+    drive.run(WARM_MS, 3.0);
+    let from = drive.world.now;
+    drive.run(3_000, 3.0);
+    let done = drive.goodput_per_s(Some(Importance::Critical), from, drive.world.now);
+    100.0 * done / deployment.capacity_per_s
+}
+
 fn goodput_row(deployment: &Deployment, version: &Version, clients: Clients) {
     let mut critical = Vec::new();
     let mut useful = Vec::new();
@@ -104,7 +253,7 @@
         let mut drive = Drive::new(seed, version.mechanisms, deployment, clients);
         drive.run(WARM_MS + OVERLOAD_MS, 3.0);
         let to = drive.world.now;
-        let from = burdockhall::model::TimeMs(to.0 - OVERLOAD_MS);
+        let from = TimeMs(to.0 - OVERLOAD_MS);
         let done = drive.goodput_per_s(Some(Importance::Critical), from, to);
         critical.push(100.0 * done / deployment.capacity_per_s);
         useful.push(100.0 * drive.useful_work());
--- a/tests/support/load.rs
+++ b/tests/support/load.rs
@@ -198,6 +198,11 @@
         &self.outcomes
     }
 
+    /// Clients ask for new tickets, as after a daemon was replaced.
+    pub fn forget_tickets(&mut self) {
+        self.tickets.clear();
+    }
+
     /// Slows every backend server of a service.
     pub fn slow(&mut self, service: &str, slowdown: u64) {
         for host in &mut self.world.hosts {
