--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -231,6 +231,10 @@
 
     fn can_finish(&self, now: TimeMs, offer: &Offer) -> bool {
         let left_ms = offer.deadline.since_ms(now);
+        if self.in_flight == 0 {
+            // Only a run can show that the server has become faster.
+            return left_ms > 0;
+        }
         let needed_ms = self.limiter.expected_ms().unwrap_or(0.0);
         left_ms > 0 && left_ms as f64 >= needed_ms
     }
