--- a/examples/drive.rs
+++ b/examples/drive.rs
@@ -34,6 +34,7 @@
         },
         executor_records: 1_000,
         reply_grace_ms: 500,
+        silence_ms: 1_000,
         mechanisms: Mechanisms::ALL,
         seed: 11,
     });
--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -5,6 +5,7 @@
 
 use crate::config::SettingsError;
 use crate::config::client::ClientError;
+use crate::decide::control::publish::PublishStatus;
 use crate::decide::life::CutReason;
 use crate::net::NetError;
 use crate::net::drain::Unfinished;
@@ -19,6 +20,13 @@
 /// Exit code for a graceful shutdown that was cut short.
 pub const EXIT_CUT_SHORT: u8 = 4;
 
+/// Exit code for a publication that has lost against another.
+pub const EXIT_CONFLICT: u8 = 5;
+/// Exit code for a sheet that was accepted while zones are missing.
+pub const EXIT_ZONES_MISSING: u8 = 6;
+/// Exit code for a publication of which it cannot be told whether it took effect.
+pub const EXIT_IN_DOUBT: u8 = 7;
+
 /// What goes wrong in a command.
 #[derive(Debug, Error)]
 pub enum CmdError {
@@ -31,6 +39,23 @@
         /// How many.
         count: usize,
     },
+    /// A sheet that cannot be read.
+    #[error("cannot read the sheet {path}: {source}")]
+    SheetFile {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A sheet with errors that have been printed already.
+    #[error("the sheet has {count} errors; nothing was published")]
+    SheetChecked {
+        /// How many.
+        count: usize,
+    },
+    /// A publication that is not in force in all zones.
+    #[error("{0}")]
+    Publication(PublishStatus),
     /// A daemon's administration API.
     #[error("the daemon has not done what was asked")]
     Client(#[from] ClientError),
@@ -63,6 +88,8 @@
     /// The exit code that stands for the error.
     pub fn exit_code(&self) -> u8 {
         match self {
+            CmdError::SheetFile { .. } | CmdError::SheetChecked { .. } => EXIT_INPUT,
+            CmdError::Publication(status) => publication_code(status),
             CmdError::Settings(_) | CmdError::SettingsChecked { .. } => EXIT_INPUT,
             CmdError::Client(error) if error.is_input() => EXIT_INPUT,
             CmdError::Client(_) => EXIT_REFUSED,
@@ -81,3 +108,13 @@
         contexts.collect::<Vec<_>>().join("\n  because: ")
     }
 }
+
+fn publication_code(status: &PublishStatus) -> u8 {
+    match status {
+        PublishStatus::Refused { .. } => EXIT_REFUSED,
+        PublishStatus::Conflict { .. } => EXIT_CONFLICT,
+        PublishStatus::InDoubt { .. } => EXIT_IN_DOUBT,
+        PublishStatus::Accepted(_) => EXIT_ZONES_MISSING,
+        PublishStatus::InForce(_) => 0,
+    }
+}
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -4,7 +4,7 @@
 
 use super::CmdError;
 use crate::config::client::Config;
-use crate::net::admin_status::Status;
+use crate::net::admin_status::{SheetStatus, Status};
 use crate::util;
 
 /// Usage.
@@ -65,13 +65,7 @@
         ("version", status.version.clone()),
         ("phase", status.phase.to_string()),
         ("backend server", backend_server),
-        (
-            "sheet",
-            format!(
-                "version {} by {}",
-                status.sheet.version, status.sheet.author
-            ),
-        ),
+        ("sheet", sheet_words(&status.sheet)),
         ("workers known", status.workers.to_string()),
         (
             "running",
@@ -95,3 +89,19 @@
         }
     }
 }
+
+fn sheet_words(sheet: &SheetStatus) -> String {
+    let age = match sheet.age_ms {
+        Some(age_ms) => format!("known to be the newest {age_ms} ms ago"),
+        None => "never known to be the newest".to_owned(),
+    };
+    if sheet.built_in {
+        return format!("none: the built-in safe rules hold; {age}");
+    }
+    let gap = if sheet.gap {
+        "; waits for a checkpoint"
+    } else {
+        ""
+    };
+    format!("version {} by {}; {age}{gap}", sheet.version, sheet.author)
+}
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -124,6 +124,9 @@
     /// Takes in one completion with the server's own time on it.
     pub fn completed(&mut self, now: TimeMs, own_ms: u64, saturated: bool) {
         self.least.take(now, own_ms as f64);
+        if self.mode != LimitMode::Adaptive {
+            return;
+        }
         self.window.count += 1;
         self.window.sum_ms += own_ms as f64;
         self.window.saturated |= saturated;
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -5,9 +5,11 @@
 mod executing;
 mod parking;
 mod settling;
+mod tickets;
 mod wanting;
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -17,6 +19,7 @@
 
 use self::parking::Parked;
 use self::wanting::{CalledServices, WaitingCall};
+use super::acks::Acknowledgements;
 use super::admission::Admission;
 use super::budget::RetryBudgets;
 use super::counters::{Counter, Counters};
@@ -30,11 +33,15 @@
 use super::replay::ReplayWindows;
 use super::route::Router;
 use super::rules::RuleTable;
+#[cfg(test)]
+use super::sabotage::{self, Sabotage};
 use super::sharded::{Sharded, lock};
 use super::timers::{Timers, Wakeup};
 use super::waits::Waits;
 use crate::model::key::MAX_CANDIDATES;
-use crate::model::{Outcome, ServiceName, Sheet, SheetVersion, Ticket, TimeMs, Vm};
+use crate::model::{
+    Announcement, CallKey, Incarnation, Outcome, ServiceName, Sheet, SheetVersion, TimeMs, Vm,
+};
 
 /// What a [`Node`] is made from.
 #[derive(Debug, Clone)]
@@ -49,6 +56,9 @@
     pub executor_records: usize,
     /// Longest wait for an executor's or home's reply beyond the deadline, in milliseconds.
     pub reply_grace_ms: u64,
+    /// Longest silence of a connection to another daemon before it is abandoned
+    /// and its call is resolved over a new one, in milliseconds.
+    pub silence_ms: u64,
     /// Which mechanisms are on.
     pub mechanisms: Mechanisms,
     /// Seed of the random choices.
@@ -99,6 +109,8 @@
     admission: Mutex<Admission>,
     home: HomeTable,
     executor: ExecutorTable,
+    acks: Acknowledgements,
+    last_run_end: AtomicU64,
     timers: Timers,
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
@@ -143,6 +155,8 @@
             admission: Mutex::new(Admission::new(mechanisms)),
             home: HomeTable::new(settings.vm.worker, settings.home),
             executor: ExecutorTable::new(settings.executor_records),
+            acks: Acknowledgements::default(),
+            last_run_end: AtomicU64::new(0),
             timers: Timers::default(),
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
@@ -163,25 +177,16 @@
         &self.settings.vm
     }
 
+    /// Longest silence of a connection to another daemon, in milliseconds.
+    pub fn silence_ms(&self) -> u64 {
+        self.settings.silence_ms
+    }
+
     /// A number for a call that is about to arrive.
     pub fn next_call(&self) -> CallId {
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
-    /// A ticket for keys of a service; `None` if no worker of it is known yet, the
-    /// table of tickets is full or this daemon is stopping.
-    pub fn issue_ticket(&self, service: &ServiceName) -> Option<Ticket> {
-        if self.is_draining() {
-            return None;
-        }
-        self.called.note(service);
-        let candidates = self.candidates(service);
-        if candidates.is_empty() {
-            return None;
-        }
-        self.home.issue(service, candidates)
-    }
-
     /// Takes in an event and appends the actions that follow from it.
     pub fn handle(&self, now: TimeMs, event: Event, actions: &mut Vec<Action>) {
         let mut turn = Turn {
@@ -207,16 +212,6 @@
         self.rules.load().version()
     }
 
-    /// Calls that somebody still waits for or that run on the local backend server.
-    pub fn unfinished(&self) -> usize {
-        self.dispatches.len() + self.executions.len() + lock(&self.parked).len()
-    }
-
-    /// Whether this daemon is stopping.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Acquire)
-    }
-
     /// What this node has counted since it started.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -262,7 +257,7 @@
             } => self.backend_refused(turn, call, retry_after_ms),
             Event::SheetLearned(sheet) => self.sheet_learned(turn, &sheet),
             Event::WorkersLearned(workers) => {
-                self.router.learn(turn.now, &workers);
+                self.workers_learned(turn.now, &workers);
                 self.resume_waiting(turn);
             }
             Event::LocalServer { slots, leaving } => self.local_server(turn, slots, leaving),
@@ -294,12 +289,14 @@
         match message {
             PeerRequest::Execute(request) => self.execute(turn, call, reply_to, request),
             PeerRequest::Submit(request) => self.submit(turn, call, reply_to, request),
-            PeerRequest::Settle { to, key } => self.settle(turn, reply_to, to, key),
-            PeerRequest::Acknowledge {
+            PeerRequest::Settle {
                 to,
-                ticket,
-                lowest_open,
-            } => self.acknowledged(turn, reply_to, to, ticket, lowest_open),
+                key,
+                fingerprint,
+            } => self.settle(turn, reply_to, to, key, fingerprint),
+            PeerRequest::Acknowledge { to, home, closings } => {
+                self.acknowledged(turn, reply_to, to, home, &closings)
+            }
         }
     }
 
@@ -316,6 +313,42 @@
         self.unpark(turn);
     }
 
+    fn workers_learned(&self, now: TimeMs, workers: &[Announcement]) {
+        #[cfg(test)]
+        let workers = &Node::with_leaving_ignored(workers);
+        self.router.learn(now, workers);
+        let present: HashMap<SocketAddr, Incarnation> = workers
+            .iter()
+            .map(|announcement| announcement.vm.worker)
+            .map(|worker| (worker.address, worker.incarnation))
+            .collect();
+        self.executor.homes_seen(now, &present);
+        self.acks.retain(|executor| {
+            let incarnation = present.get(&executor.address);
+            incarnation.is_none_or(|incarnation| *incarnation == executor.incarnation)
+        });
+    }
+
+    #[cfg(test)]
+    fn with_leaving_ignored(workers: &[Announcement]) -> Vec<Announcement> {
+        let mut workers = workers.to_vec();
+        if sabotage::is_on(Sabotage::IgnoreLeaving) {
+            for worker in &mut workers {
+                worker.state = crate::model::ServerState::Serving;
+            }
+        }
+        workers
+    }
+
+    /// Reports that an invariant would have been broken. The caller refuses the request.
+    fn breach(&self, turn: &mut Turn<'_>, invariant: &'static str, key: Option<&CallKey>) {
+        self.counters.add(Counter::Breaches);
+        turn.actions.push(Action::Note(Note::Breach {
+            invariant,
+            key: key.cloned(),
+        }));
+    }
+
     fn tick(&self, turn: &mut Turn<'_>) {
         for wakeup in self.timers.due(turn.now) {
             match wakeup {
@@ -324,6 +357,8 @@
             }
         }
         self.expire_parked(turn);
+        self.executor.expire_gone_homes(turn.now);
+        self.send_acknowledgements(turn);
         self.resume_waiting(turn);
         self.release_queue(turn);
         self.note_limit(turn);
@@ -366,6 +401,10 @@
     /// Delivers one outcome to all who wait; only the first gets the allowance back.
     fn deliver_all(&self, turn: &mut Turn<'_>, waiters: &[ReplyTo], reply: &PeerReply) {
         for (index, waiter) in waiters.iter().enumerate() {
+            #[cfg(test)]
+            if index > 0 && sabotage::is_on(Sabotage::AnswerFirstOnly) {
+                break;
+            }
             let mut reply = reply.clone();
             if index > 0 {
                 reply.allowance_left = 0;
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -10,6 +10,7 @@
 
 use super::admin_audit::{self, Refusal};
 use super::admin_auth::{AuthError, Team, Tokens, Wish};
+use super::admin_sheets::{self, Asked};
 use super::admin_status::{self, Status};
 use super::control::ControlLoop;
 use super::http::{self, FullResponse};
@@ -22,7 +23,7 @@
 use crate::decide::life::Phase;
 
 const ROUTES: &str = "no such route; there are GET /v1/status, GET /v1/workers, POST /v1/drain, \
-                      GET /metrics, GET /health/live and GET /health/ready";
+                      GET and POST /v1/sheet, GET /v1/sheet/history, GET /v1/audit, GET /metrics, GET /health/live and GET /health/ready";
 
 /// What the administration API looks into.
 #[derive(Debug)]
@@ -81,18 +82,21 @@
         let name = team.as_ref().ok().map(|team| team.name.clone());
         let checked = team.and_then(|team| team.check(wish).map(|()| team));
         checked.inspect_err(|error| {
-            admin_audit::refused(Refusal {
-                team: name.as_deref(),
-                request,
-                error,
-            });
+            admin_audit::refused(
+                &self.parts.control,
+                Refusal {
+                    team: name.as_deref(),
+                    request,
+                    error,
+                },
+            );
         })
     }
 }
 
 /// Answers one request of an operator.
 pub async fn handle(admin: Arc<Admin>, request: Request<Bytes>) -> FullResponse {
-    let (parts, _body) = request.into_parts();
+    let (parts, body) = request.into_parts();
     let path = parts.uri.path().to_owned();
     let line = format!("{} {path}", parts.method);
     let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
@@ -113,6 +117,19 @@
             }
         }
         (Method::POST, ["v1", "drain"]) => drain(&admin, &parts.headers, &line),
+        (method, ["v1", "sheet" | "audit", ..]) => {
+            let query = parts.uri.query();
+            let asked = Asked {
+                method: &method,
+                segments: &segments,
+                query,
+                headers: &parts.headers,
+                line: &line,
+                body: &body,
+            };
+            let answer = admin_sheets::handle(&admin, asked).await;
+            answer.unwrap_or_else(|| http::error(StatusCode::NOT_FOUND, ROUTES))
+        }
         _ => http::error(StatusCode::NOT_FOUND, ROUTES),
     }
 }
@@ -152,6 +169,7 @@
         Ok(team) => {
             let team = team.name.as_str();
             spdlog::info!("an operator has asked for the drain", kv: { team });
+            admin_audit::drained(&admin.parts.control, team);
             admin.parts.lifecycle.ask_stop();
             let phase = Phase::Draining;
             http::json(StatusCode::ACCEPTED, &Health { phase })
@@ -160,7 +178,7 @@
     }
 }
 
-fn refusal(error: &AuthError) -> FullResponse {
+pub(super) fn refusal(error: &AuthError) -> FullResponse {
     let status = match error {
         AuthError::Missing | AuthError::Unknown => StatusCode::UNAUTHORIZED,
         AuthError::Forbidden { .. } => StatusCode::FORBIDDEN,
--- a/src/net/admin_status.rs
+++ b/src/net/admin_status.rs
@@ -53,6 +53,16 @@
     pub author: String,
     /// When, in milliseconds since the Unix epoch.
     pub published_ms: u64,
+    /// Whether no sheet is known, so that the built-in safe rules hold.
+    pub built_in: bool,
+    /// Time since this was known to be the newest sheet, in milliseconds; none if it never was.
+    pub age_ms: Option<u64>,
+    /// Whether records of the log are missing, so that a checkpoint is waited for.
+    pub gap: bool,
+    /// Whether this daemon reads the log for its zone.
+    pub reader: bool,
+    /// Whether its last read of the log failed.
+    pub log_failing: bool,
 }
 
 /// What a daemon holds now.
@@ -91,7 +101,7 @@
 pub async fn collect(parts: &AdminParts) -> Status {
     let node = &parts.pump.node;
     let gauges = node.gauges();
-    let sheet = parts.control.sheet().await;
+    let sheet = parts.control.sheet_status().await;
     let listeners = parts.listeners.by_name();
     Status {
         version: env!("CARGO_PKG_VERSION").to_owned(),
@@ -100,9 +110,14 @@
         place: node.vm().place.clone(),
         backend_server: parts.local_server.last(),
         sheet: SheetStatus {
-            version: sheet.version,
+            version: sheet.base.version,
             author: sheet.author.to_string(),
             published_ms: sheet.published_ms,
+            built_in: sheet.built_in,
+            age_ms: sheet.age_ms,
+            gap: sheet.gap,
+            reader: sheet.reader,
+            log_failing: sheet.log_failing,
         },
         heard: parts.control.has_heard(),
         workers: parts.control.workers().await.len(),
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -46,10 +46,12 @@
 }
 
 /// Serves a listener until the task is aborted, one task a connection.
-pub async fn serve<H, F>(listener: TcpListener, handler: H)
+pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
-    F: Future<Output = FullResponse> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
@@ -94,6 +96,19 @@
     }
 }
 
+/// Sends a request and waits for the head of its response.
+pub async fn start(
+    client: &HttpClient,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<Response<Incoming>, NetError> {
+    client
+        .client
+        .request(request)
+        .await
+        .map_err(|error| client_error(address, &error))
+}
+
 /// Sends a request and reads the whole response.
 pub async fn exchange(
     client: &HttpClient,
@@ -102,11 +117,7 @@
     timeout_ms: u64,
 ) -> Result<(StatusCode, HeaderMap, Bytes), NetError> {
     let whole = async {
-        let response = client
-            .client
-            .request(request)
-            .await
-            .map_err(|error| client_error(address, &error))?;
+        let response = start(client, address, request).await?;
         let (parts, body) = response.into_parts();
         let collected = Limited::new(body, client.body_bytes).collect().await;
         let body = collected.map_err(|error| answer_error(address, client, error.as_ref()))?;
@@ -197,6 +208,44 @@
     NetError::Broken { address, message }
 }
 
+/// A value of a query with its `%XX` and `+` turned back into text.
+pub fn percent_decoded(text: &str) -> Result<String, String> {
+    let malformed = || format!("`{text}` is not percent-encoded text");
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'+' => b' ',
+            b'%' => {
+                let digits = [rest.next(), rest.next()];
+                let [Some(high), Some(low)] = digits else {
+                    return Err(malformed());
+                };
+                hex_digit(high)
+                    .zip(hex_digit(low))
+                    .map(|(high, low)| 16 * high + low)
+                    .ok_or_else(malformed)?
+            }
+            other => other,
+        });
+    }
+    String::from_utf8(bytes).map_err(|_| malformed())
+}
+
+/// Text as a value of a query.
+pub fn percent_encoded(text: &str) -> String {
+    let plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let encoded = text.bytes().map(|byte| match plain(byte) {
+        true => char::from(byte).to_string(),
+        false => format!("%{byte:02X}"),
+    });
+    encoded.collect()
+}
+
+fn hex_digit(byte: u8) -> Option<u8> {
+    char::from(byte).to_digit(16).map(|digit| digit as u8)
+}
+
 fn root_cause(error: &dyn std::error::Error) -> String {
     let mut cause = error;
     while let Some(source) = cause.source() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod admin_audit;
 pub mod admin_auth;
+pub mod admin_sheets;
 pub mod admin_status;
 pub mod backend;
 pub mod callers;
@@ -19,6 +20,7 @@
 pub mod peer_control;
 pub mod process;
 pub mod pump;
+pub(crate) mod watch;
 
 pub use daemon::Daemon;
 pub use error::NetError;
--- a/tests/load_retries.rs
+++ b/tests/load_retries.rs
@@ -78,7 +78,7 @@
         }
         world.run_until(start.plus_ms(2 * DEADLINE_MS));
         for (root, attempts) in &world.attempts {
-            let first = world.attempted_calls[root].len() as u32;
+            let first = world.callers_of_root[root].len() as u32;
             let extra = attempts - first;
             prop_assert!(extra <= plan.allowance, "{extra} extra attempts beyond {first}");
         }
@@ -107,7 +107,7 @@
         }
         world.run_for(2 * DEADLINE_MS);
         for (root, attempts) in &world.attempts {
-            let extra = attempts - world.attempted_calls[root].len() as u32;
+            let extra = attempts - world.callers_of_root[root].len() as u32;
             assert!(
                 extra <= plan.allowance,
                 "seed {seed}: {extra} extra attempts"
@@ -137,7 +137,7 @@
     world.run_for(2 * DEADLINE_MS);
     let attempts: u32 = world.attempts.values().sum();
     let first: usize = world
-        .attempted_calls
+        .callers_of_root
         .values()
         .map(|calls| calls.len())
         .sum();
