--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -5,8 +5,8 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::Request;
-use hyper::header::CONTENT_TYPE;
+use hyper::header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Request, StatusCode};
 use thiserror::Error;
 use tokio::sync::Semaphore;
 
@@ -86,6 +86,14 @@
                 retry_after_ms: retry_after_ms.unwrap_or(0),
             });
         }
+        if !tells_its_end(status, &headers) {
+            return Err(BackendError::Net(NetError::Broken {
+                address: self.address,
+                message: "the answer tells neither its length nor its end, so it may be cut \
+                          short; send content-length or chunks"
+                    .to_owned(),
+            }));
+        }
         let content_type = http::header(&headers, CONTENT_TYPE.as_str());
         Ok(Answer {
             status: status.as_u16(),
@@ -117,3 +125,9 @@
             .map_err(|error| NetError::Malformed(error.to_string()))
     }
 }
+
+/// Whether an answer's end can be told from a connection that broke off.
+fn tells_its_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_no_body = matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    has_no_body || headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
--- a/src/net/callers.rs
+++ b/src/net/callers.rs
@@ -13,7 +13,7 @@
 use super::pump::{Ended, Pump};
 use crate::decide::message::ParentCall;
 use crate::decide::{CallerRequest, Event};
-use crate::model::{CallKey, NotRunReason, Outcome, UnknownReason};
+use crate::model::{CallKey, NotRunReason, Outcome, Ticket, UnknownReason};
 
 /// All answers of the key's ticket below this counter are acknowledged.
 pub const ACKNOWLEDGED_HEADER: &str = "burdockhall-acknowledged-below";
@@ -23,6 +23,11 @@
     ticket: String,
 }
 
+#[derive(Debug, Serialize)]
+struct ClosedBody {
+    closed: bool,
+}
+
 #[derive(Debug, Serialize)]
 struct OutcomeBody {
     outcome: &'static str,
@@ -35,10 +40,14 @@
 /// Answers one request of a caller.
 pub async fn handle(pump: Arc<Pump>, request: Request<Bytes>) -> FullResponse {
     let (parts, body) = request.into_parts();
-    let path = parts.uri.path().to_owned();
-    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let Some(segments) = path_segments(parts.uri.path()) else {
+        let message = "the path is not percent-encoded UTF-8; write # as %23 and ~ as ~ or %7E";
+        return http::error(StatusCode::BAD_REQUEST, message);
+    };
+    let segments: Vec<&str> = segments.iter().map(String::as_str).collect();
     match (parts.method, segments.as_slice()) {
         (Method::POST, ["ticket", service]) => issue_ticket(&pump, service),
+        (Method::DELETE, ["ticket", ticket]) => close_ticket(&pump, ticket),
         (Method::GET, ["key", key]) => query_key(&pump, key).await,
         (_, ["call", service, name]) => {
             match caller_request(&parts.headers, service, name, None, body) {
@@ -48,7 +57,8 @@
         }
         _ => http::error(
             StatusCode::NOT_FOUND,
-            "no such route; there are /call/{service}/{request}, /ticket/{service}, /key/{key}",
+            "no such route; there are /call/{service}/{request}, POST /ticket/{service}, \
+             DELETE /ticket/{ticket} and GET /key/{key}",
         ),
     }
 }
@@ -107,11 +117,22 @@
     }
 }
 
+fn close_ticket(pump: &Arc<Pump>, text: &str) -> FullResponse {
+    let ticket = match text.parse::<Ticket>() {
+        Ok(ticket) => ticket,
+        Err(error) => return http::error(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    if pump.node.close_ticket(&ticket) {
+        return http::json(StatusCode::OK, &ClosedBody { closed: true });
+    }
+    http::error(
+        StatusCode::CONFLICT,
+        "the ticket is not open at this daemon, or one of its calls is still running; \
+         ask the daemon that issued it, after the last answer",
+    )
+}
+
 async fn query_key(pump: &Arc<Pump>, text: &str) -> FullResponse {
-    let text = text
-        .replace("%23", "#")
-        .replace("%7E", "~")
-        .replace("%3A", ":");
     let key = match text.parse::<CallKey>() {
         Ok(key) => key,
         Err(error) => return http::error(StatusCode::BAD_REQUEST, &error.to_string()),
@@ -122,6 +143,31 @@
     respond(ended)
 }
 
+/// The parts of a path between slashes, decoded; `None` if one is malformed.
+fn path_segments(path: &str) -> Option<Vec<String>> {
+    path.trim_matches('/').split('/').map(decode).collect()
+}
+
+/// Undoes percent-encoding.
+fn decode(text: &str) -> Option<String> {
+    let mut decoded = Vec::with_capacity(text.len());
+    let mut rest = text.as_bytes();
+    while let [first, after @ ..] = rest {
+        if *first != b'%' {
+            decoded.push(*first);
+            rest = after;
+            continue;
+        }
+        let digits = std::str::from_utf8(after.get(..2)?).ok()?;
+        if !digits.bytes().all(|digit| digit.is_ascii_hexdigit()) {
+            return None;
+        }
+        decoded.push(u8::from_str_radix(digits, 16).ok()?);
+        rest = &after[2..];
+    }
+    String::from_utf8(decoded).ok()
+}
+
 fn number_header(headers: &HeaderMap, name: &str) -> Result<Option<u64>, String> {
     let Some(text) = http::header(headers, name) else {
         return Ok(None);
