--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -19,6 +19,7 @@
 use tokio::runtime::Runtime;
 use tokio::time::Instant;
 
+use burdockhall::decide::message::AttemptId;
 use burdockhall::decide::{ExecuteRequest, Mechanisms, PeerRequest};
 use burdockhall::net::http;
 use burdockhall::prelude::*;
@@ -196,6 +197,10 @@
         candidates: vec![worker(7_012), worker(7_022), worker(7_032)],
     };
     PeerRequest::Execute(ExecuteRequest {
+        attempt: AttemptId {
+            sender: Incarnation(1),
+            number: 0,
+        },
         to: worker(7_012),
         service: "redemptions".into(),
         request: "redemption".into(),
--- a/src/decide/admission.rs
+++ b/src/decide/admission.rs
@@ -1,9 +1,10 @@
 //! Admission to the backend server beside this daemon: limit, queue and level.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
-use super::entry::LevelMeter;
+use super::lanes::Lanes;
+use super::level::LevelMeter;
 use super::limit::Limiter;
 use super::mechanisms::{LimitMode, Mechanisms};
 use super::message::{CallId, Priority};
@@ -13,6 +14,12 @@
 const QUEUE_BOUND_MS: u64 = 200;
 /// Requests that may wait, as a multiple of the limit.
 const QUEUE_FACTOR: usize = 4;
+/// Wait that a request refused for lack of room is told, in milliseconds.
+const OVERLOADED_RETRY_AFTER_MS: u64 = 500;
+/// Bits of a priority that hold the rank.
+const RANK_BITS: u32 = 16;
+/// Mask of the rank in a priority.
+const RANK_MASK: u32 = 0xffff;
 /// Shortest wait that a refused caller is told, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
@@ -62,9 +69,12 @@
 struct Waiting {
     offer: Offer,
     since: TimeMs,
+    /// It waits for its own lane, not for the backend server.
+    lane_full: bool,
 }
 
-type Position = (Reverse<Priority>, Reverse<u64>, u64);
+/// Place in the queue: importance, sunk work, rank, order of arrival.
+type Position = (Reverse<u32>, Reverse<u32>, Reverse<u32>, u64);
 
 /// Admission of one backend server. Not for sharing: the daemon keeps it behind one short lock.
 #[derive(Debug)]
@@ -74,8 +84,11 @@
     level: LevelMeter,
     leaving: bool,
     in_flight: u32,
-    in_flight_by_caller: HashMap<CallerName, u32>,
+    lanes: Lanes,
     queue: BTreeMap<Position, Waiting>,
+    positions: HashMap<CallId, Position>,
+    by_age: VecDeque<(TimeMs, CallId)>,
+    displaced: Vec<Released>,
     next_arrival: u64,
 }
 
@@ -88,8 +101,11 @@
             level: LevelMeter::default(),
             leaving: false,
             in_flight: 0,
-            in_flight_by_caller: HashMap::new(),
+            lanes: Lanes::default(),
             queue: BTreeMap::new(),
+            positions: HashMap::new(),
+            by_age: VecDeque::new(),
+            displaced: Vec::new(),
             next_arrival: 0,
         }
     }
@@ -128,168 +144,220 @@
     /// Decides on a request.
     pub fn offer(&mut self, now: TimeMs, offer: Offer) -> Verdict {
         if self.leaving {
-            return self.refuse(NotRunReason::Leaving, MIN_RETRY_AFTER_MS);
+            return refuse(NotRunReason::Leaving, MIN_RETRY_AFTER_MS);
         }
-        self.level.offered(now, offer.priority);
+        self.tick(now);
+        self.level.offered(offer.priority);
+        self.lanes.seen(now, &offer.caller, offer.priority);
         if self.mechanisms.deadlines && !self.can_finish(now, &offer) {
-            return self.refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
+            return refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
         }
-        if self.has_room(&offer) {
-            self.start(&offer);
+        if self.has_room(now, &offer) {
+            self.level.started(0);
+            self.start(now, &offer);
             return Verdict::Start;
         }
-        if self.queue.len() >= self.queue_bound() && !self.displaces(&offer) {
+        let lane_full = !self.within_share(now, &offer);
+        if lane_full && self.lanes.queue_full(&offer.caller, self.queue_bound()) {
+            return refuse(NotRunReason::ShareExhausted, OVERLOADED_RETRY_AFTER_MS);
+        }
+        if self.queue.len() >= self.queue_bound() && !self.displace_for(&offer) {
             self.level.refused();
-            return self.refuse(NotRunReason::Overloaded, QUEUE_BOUND_MS);
+            return refuse(NotRunReason::Overloaded, OVERLOADED_RETRY_AFTER_MS);
         }
-        self.enqueue(now, offer);
+        self.enqueue(now, offer, lane_full);
         Verdict::Queued
     }
 
-    /// Takes in that a request which was started has ended.
-    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, service_ms: u64) {
+    /// Takes in that a request which was started has ended. `own_ms` is its time
+    /// at the backend server without the calls made beneath it, `held_ms` with them.
+    pub fn finished(&mut self, now: TimeMs, caller: &CallerName, own_ms: u64, held_ms: u64) {
         let saturated = self.in_flight >= self.limiter.limit();
-        self.start_undone(caller);
-        self.limiter.completed(now, service_ms, saturated);
-        self.level.completed();
+        self.start_undone(now, caller, held_ms);
+        self.limiter.completed(now, own_ms, saturated);
     }
 
-    /// Takes in that a request which was started has not been handed over after all.
-    pub fn start_undone(&mut self, caller: &CallerName) {
+    /// Takes in that a request which was started has given its slot back after `held_ms`.
+    pub fn start_undone(&mut self, now: TimeMs, caller: &CallerName, held_ms: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        if let Some(count) = self.in_flight_by_caller.get_mut(caller) {
-            *count -= 1;
-            if *count == 0 {
-                self.in_flight_by_caller.remove(caller);
-            }
-        }
+        self.level.in_flight(now, self.in_flight);
+        self.lanes.ended(now, caller, held_ms);
     }
 
     /// Takes requests out of the queue: those to start, and those that waited too long.
     pub fn release(&mut self, now: TimeMs) -> Vec<Released> {
-        let mut released = Vec::new();
+        self.tick(now);
+        let mut released = std::mem::take(&mut self.displaced);
         self.refuse_stale(now, &mut released);
         while self.in_flight < self.limiter.limit() {
-            let Some(position) = self.first_with_share() else {
+            let Some(waiting) = self
+                .first_with_share(now)
+                .and_then(|first| self.take(first))
+            else {
                 break;
             };
-            let Some(waiting) = self.queue.remove(&position) else {
-                break;
+            let call = waiting.offer.call;
+            if self.mechanisms.deadlines && !self.can_finish(now, &waiting.offer) {
+                let verdict = refuse(NotRunReason::DeadlineTooShort, MIN_RETRY_AFTER_MS);
+                released.push(Released { call, verdict });
+                continue;
+            }
+            let wait_ms = if waiting.lane_full {
+                0
+            } else {
+                now.since_ms(waiting.since)
             };
-            self.level.waited(now.since_ms(waiting.since));
-            self.start(&waiting.offer);
-            released.push(Released {
-                call: waiting.offer.call,
-                verdict: Verdict::Start,
-            });
+            self.level.started(wait_ms);
+            self.start(now, &waiting.offer);
+            let verdict = Verdict::Start;
+            released.push(Released { call, verdict });
         }
         released
     }
 
     /// Drops a request from the queue; false if it does not wait there.
     pub fn withdraw(&mut self, call: CallId) -> bool {
-        let before = self.queue.len();
-        self.queue.retain(|_, waiting| waiting.offer.call != call);
-        self.queue.len() < before
+        match self.positions.get(&call).copied() {
+            Some(position) => self.take(position).is_some(),
+            None => false,
+        }
     }
 
-    fn refuse(&self, reason: NotRunReason, retry_after_ms: u64) -> Verdict {
-        Verdict::Refused {
-            reason,
-            retry_after_ms,
-        }
+    fn tick(&mut self, now: TimeMs) {
+        self.lanes.tick(now);
+        let limit = self.limiter.limit();
+        self.level.tick(now, limit);
     }
 
     fn can_finish(&self, now: TimeMs, offer: &Offer) -> bool {
         let left_ms = offer.deadline.since_ms(now);
+        if self.in_flight == 0 {
+            // Only a run can show that the server has become faster.
+            return left_ms > 0;
+        }
         let needed_ms = self.limiter.expected_ms().unwrap_or(0.0);
         left_ms > 0 && left_ms as f64 >= needed_ms
     }
 
-    fn has_room(&self, offer: &Offer) -> bool {
+    fn has_room(&self, now: TimeMs, offer: &Offer) -> bool {
         if self.mechanisms.limit == LimitMode::None {
             return true;
         }
-        self.in_flight < self.limiter.limit() && self.queue.is_empty() && self.within_share(offer)
+        let free = self.in_flight < self.limiter.limit();
+        free && self.queue.is_empty() && self.within_share(now, offer)
     }
 
-    fn within_share(&self, offer: &Offer) -> bool {
-        let Some(percent) = offer.share_percent else {
-            return true;
-        };
+    fn within_share(&self, now: TimeMs, offer: &Offer) -> bool {
         if !self.mechanisms.caller_shares {
             return true;
         }
-        let bound = (u64::from(self.limiter.limit()) * u64::from(percent)).div_ceil(100);
-        let used = self.in_flight_by_caller.get(&offer.caller).copied();
-        u64::from(used.unwrap_or(0)) < bound.max(1)
+        let limit = self.limiter.limit();
+        self.lanes
+            .has_slot(now, &offer.caller, limit, offer.share_percent)
     }
 
     fn queue_bound(&self) -> usize {
         (self.limiter.limit() as usize).saturating_mul(QUEUE_FACTOR)
     }
 
-    /// Whether the request goes before the last one that waits. The last one
-    /// then is refused as stale at the next release.
-    fn displaces(&mut self, offer: &Offer) -> bool {
+    /// Drops the last request that waits, if this one goes before it.
+    fn displace_for(&mut self, offer: &Offer) -> bool {
         if !self.mechanisms.ordered_queue {
             return false;
         }
-        let Some(mut last) = self.queue.last_entry() else {
+        let Some(&last) = self.queue.keys().next_back() else {
             return false;
         };
-        if last.get().offer.priority >= offer.priority {
+        if last <= self.position(offer) {
             return false;
         }
-        last.get_mut().since = TimeMs(0);
+        let Some(waiting) = self.take(last) else {
+            return false;
+        };
+        self.level.refused();
+        self.displaced.push(Released {
+            call: waiting.offer.call,
+            verdict: refuse(NotRunReason::Overloaded, OVERLOADED_RETRY_AFTER_MS),
+        });
         true
     }
 
-    fn enqueue(&mut self, now: TimeMs, offer: Offer) {
-        let arrival = self.next_arrival;
+    fn position(&self, offer: &Offer) -> Position {
+        if !self.mechanisms.ordered_queue {
+            return (Reverse(0), Reverse(0), Reverse(0), self.next_arrival);
+        }
+        let importance = offer.priority.0 >> RANK_BITS;
+        let rank = offer.priority.0 & RANK_MASK;
+        let sunk = (offer.sunk_ms + 1).ilog2();
+        (
+            Reverse(importance),
+            Reverse(sunk),
+            Reverse(rank),
+            self.next_arrival,
+        )
+    }
+
+    fn enqueue(&mut self, now: TimeMs, offer: Offer, lane_full: bool) {
+        let position = self.position(&offer);
         self.next_arrival += 1;
-        let position = if self.mechanisms.ordered_queue {
-            (Reverse(offer.priority), Reverse(offer.sunk_ms), arrival)
-        } else {
-            (Reverse(Priority::LOWEST), Reverse(0), arrival)
+        self.positions.insert(offer.call, position);
+        self.by_age.push_back((now, offer.call));
+        self.lanes.queued(&offer.caller);
+        let waiting = Waiting {
+            offer,
+            since: now,
+            lane_full,
         };
-        self.queue.insert(position, Waiting { offer, since: now });
+        self.queue.insert(position, waiting);
+    }
+
+    fn take(&mut self, position: Position) -> Option<Waiting> {
+        let waiting = self.queue.remove(&position)?;
+        self.positions.remove(&waiting.offer.call);
+        self.lanes.unqueued(&waiting.offer.caller);
+        Some(waiting)
     }
 
-    fn start(&mut self, offer: &Offer) {
+    fn start(&mut self, now: TimeMs, offer: &Offer) {
         self.in_flight += 1;
-        *self
-            .in_flight_by_caller
-            .entry(offer.caller.clone())
-            .or_default() += 1;
+        self.level.in_flight(now, self.in_flight);
+        self.lanes.started(now, &offer.caller);
     }
 
     fn refuse_stale(&mut self, now: TimeMs, released: &mut Vec<Released>) {
-        if !self.mechanisms.ordered_queue {
-            return;
-        }
-        let stale: Vec<Position> = self
-            .queue
-            .iter()
-            .filter(|(_, waiting)| now.since_ms(waiting.since) > QUEUE_BOUND_MS)
-            .map(|(position, _)| *position)
-            .collect();
-        for position in stale {
-            let Some(waiting) = self.queue.remove(&position) else {
+        while let Some(&(since, call)) = self.by_age.front() {
+            let waits = self.positions.contains_key(&call);
+            let stale = self.mechanisms.ordered_queue && now.since_ms(since) > QUEUE_BOUND_MS;
+            if waits && !stale {
+                break;
+            }
+            self.by_age.pop_front();
+            let position = self.positions.get(&call).copied();
+            let Some(waiting) = position.and_then(|position| self.take(position)) else {
                 continue;
             };
-            self.level.refused();
-            released.push(Released {
-                call: waiting.offer.call,
-                verdict: self.refuse(NotRunReason::QueueTimeout, QUEUE_BOUND_MS),
-            });
+            let reason = if waiting.lane_full {
+                NotRunReason::ShareExhausted
+            } else {
+                self.level.refused();
+                NotRunReason::QueueTimeout
+            };
+            let verdict = refuse(reason, OVERLOADED_RETRY_AFTER_MS);
+            released.push(Released { call, verdict });
         }
     }
 
-    fn first_with_share(&self) -> Option<Position> {
+    fn first_with_share(&self, now: TimeMs) -> Option<Position> {
         self.queue
             .iter()
-            .find(|(_, waiting)| self.within_share(&waiting.offer))
+            .find(|(_, waiting)| self.within_share(now, &waiting.offer))
             .map(|(position, _)| *position)
     }
 }
+
+fn refuse(reason: NotRunReason, retry_after_ms: u64) -> Verdict {
+    Verdict::Refused {
+        reason,
+        retry_after_ms,
+    }
+}
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::evidence::NotRunEvidence;
-use super::message::{CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
+use super::message::{AttemptId, CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
 use super::node::ReplyTo;
 #[cfg(test)]
 use super::sabotage::{self, Sabotage};
@@ -149,6 +149,7 @@
         now: TimeMs,
         to: WorkerId,
         lowest_open: u64,
+        attempt: AttemptId,
     ) -> ExecuteRequest {
         let granted = self.allowance / 2;
         self.allowance -= granted;
@@ -169,6 +170,7 @@
             idempotent: self.idempotent,
             key: self.key.clone(),
             lowest_open,
+            attempt,
             body: self.body.clone(),
         }
     }
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -11,8 +11,8 @@
 use crate::model::sheet::Sheet;
 use crate::model::vm::WorkerId;
 use crate::model::{
-    Announcement, Answer, CallContext, CallKey, CallerName, Importance, NotRun, NotRunReason,
-    Outcome, RequestName, ServiceName, SheetVersion, UnknownReason,
+    Announcement, Answer, CallContext, CallKey, CallerName, Importance, Incarnation, NotRun,
+    NotRunReason, Outcome, RequestName, ServiceName, SheetVersion, UnknownReason,
 };
 
 /// Identifies a call that somebody waits for at this daemon.
@@ -94,11 +94,23 @@
     pub key: Option<CallKey>,
     /// All keys of the ticket below this one are closed at their home.
     pub lowest_open: u64,
+    /// Which of the sender's requests this is.
+    pub attempt: AttemptId,
     /// Body.
     #[serde(skip)]
     pub body: Bytes,
 }
 
+/// Numbers a request among all that one process start sends; copies have the same number.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AttemptId {
+    /// The process start that sends it.
+    pub sender: Incarnation,
+    /// Counts the sender's requests.
+    pub number: u64,
+}
+
 /// A message to another daemon that expects a [`PeerReply`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize, IntoStaticStr)]
 #[serde(rename_all = "snake_case")]
@@ -430,6 +442,13 @@
         /// The level now.
         to: Priority,
     },
+    /// A caller holds all the slots of its lane, because its runs wait for a resource.
+    LaneFull {
+        /// The caller whose lane it is.
+        lane: CallerName,
+        /// The service that its runs wait for, or this one if they wait for none beneath.
+        resource: ServiceName,
+    },
     /// An invariant would have been broken; the request was refused.
     Breach {
         /// The invariant, by its name in the metrics.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -17,18 +17,24 @@
 pub mod execution;
 pub mod executor;
 pub mod home;
+pub mod lanes;
+pub mod level;
 pub mod life;
 pub mod limit;
+pub mod link_budget;
 pub mod mechanisms;
 pub mod message;
 pub mod node;
 pub(crate) mod record;
+pub mod replay;
 pub mod route;
 pub mod rules;
 #[cfg(test)]
 pub mod sabotage;
 pub mod sharded;
 pub mod timers;
+pub mod waits;
+pub mod worker_stats;
 
 pub use control::{Control, ControlAction, ControlEvent};
 pub use counters::{Counter, Counters};
--- a/src/decide/node/arrive.rs
+++ b/src/decide/node/arrive.rs
@@ -282,9 +282,13 @@
             return None;
         }
         let priority = Priority::new(context.importance, context.rank);
-        let admitted = self
-            .levels
-            .admits(now, &classified.service, &classified.request, priority);
+        let admitted = self.levels.admits(
+            now,
+            &classified.service,
+            &classified.request,
+            &context.caller,
+            priority,
+        );
         (!admitted).then_some(NotRunReason::ShedAtEntry)
     }
 
@@ -302,6 +306,13 @@
     }
 
     fn new_dispatch(&self, now: TimeMs, classified: Classified, key: Option<CallKey>) -> Dispatch {
+        if let Some(parent) = classified.parent
+            && let Some(execution) = self.executions.lock(&parent).get_mut(&parent)
+        {
+            execution.children.begin(now);
+            self.waits
+                .begin(&classified.context.caller, &classified.service);
+        }
         Dispatch {
             service: classified.service,
             request: classified.request,
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -7,7 +7,9 @@
 use crate::decide::counters::Counter;
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
-use crate::decide::message::{Action, CallId, ExchangeId, PeerReply, PeerRequest, SendFailure};
+use crate::decide::message::{
+    Action, CallId, ExchangeId, PeerReply, PeerRequest, Priority, SendFailure,
+};
 #[cfg(test)]
 use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
@@ -36,7 +38,7 @@
     /// Sends a call to a worker that has not refused it.
     pub(super) fn attempt(&self, turn: &mut Turn<'_>, call: CallId, mut dispatch: Dispatch) {
         self.called.called(turn.now, &dispatch.service);
-        let Some(worker) = self.choose_worker(&dispatch) else {
+        let Some(worker) = self.choose_worker(turn.now, &dispatch) else {
             if self.may_learn_workers(turn.now, &dispatch) {
                 return self.wait_for_workers(turn, call, dispatch);
             }
@@ -57,7 +59,7 @@
             self.home.sent_to(key.ticket.id, worker);
         }
         let exchange = dispatch.next_exchange(call);
-        let request = dispatch.execute_request(turn.now, worker, lowest_open);
+        let request = dispatch.execute_request(turn.now, worker, lowest_open, self.next_attempt());
         let local = (worker == self.settings.vm.worker).then(|| self.next_call());
         dispatch.attempts += 1;
         dispatch.state = DispatchState::Attempting {
@@ -65,7 +67,8 @@
             worker,
             local,
         };
-        self.router.sent(worker);
+        let bytes = dispatch.body.len() as u64;
+        self.router.sent(turn.now, worker, bytes);
         let timeout_ms = self.reply_timeout_ms(turn.now, &dispatch);
         self.timers.set(dispatch.deadline, Wakeup::Dispatch(call));
         self.dispatches.insert(call, dispatch);
@@ -298,17 +301,17 @@
             })
     }
 
-    fn choose_worker(&self, dispatch: &Dispatch) -> Option<WorkerId> {
+    fn choose_worker(&self, now: TimeMs, dispatch: &Dispatch) -> Option<WorkerId> {
         let mut rng = lock(&self.rng);
         match &dispatch.key {
             Some(key) => {
                 let candidates = &key.ticket.candidates;
                 self.router
-                    .choose_candidate(candidates, &dispatch.tried, &mut *rng)
+                    .choose_candidate(now, candidates, &dispatch.tried, &mut *rng)
             }
             None => self
                 .router
-                .choose(&dispatch.service, &dispatch.tried, &mut *rng),
+                .choose(now, &dispatch.service, &dispatch.tried, &mut *rng),
         }
     }
 
@@ -321,11 +324,12 @@
         reply: PeerReply,
     ) {
         self.take_in_reply(turn, &mut dispatch, &reply);
+        self.router.answered(worker);
         match reply.outcome {
             Outcome::Done(_) => self.end(turn, call, dispatch, reply.outcome),
             Outcome::NotRun(refusal) => {
-                let retry = dispatch.after_refusal(refusal.reason);
                 dispatch.tried.push(worker);
+                let retry = self.after_refusal(turn.now, &dispatch, worker, refusal.reason);
                 self.refused(turn, call, dispatch, refusal, retry);
             }
             Outcome::Unknown(_) => {
@@ -338,6 +342,41 @@
         }
     }
 
+    /// A worker that is full marks itself; another one is tried only if it has
+    /// room and the service as a whole admits this priority.
+    fn after_refusal(
+        &self,
+        now: TimeMs,
+        dispatch: &Dispatch,
+        worker: WorkerId,
+        reason: NotRunReason,
+    ) -> AfterRefusal {
+        let full = matches!(
+            reason,
+            NotRunReason::Overloaded | NotRunReason::QueueTimeout
+        );
+        if !full {
+            return dispatch.after_refusal(reason);
+        }
+        self.router.saturated(now, worker);
+        if !self.settings.mechanisms.shared_allowance {
+            return AfterRefusal::Retry;
+        }
+        let context = &dispatch.context;
+        let level = self
+            .levels
+            .level(now, &dispatch.service, &dispatch.request, &context.caller);
+        let admitted = Priority::new(context.importance, context.rank) >= level;
+        if admitted
+            && self
+                .router
+                .has_room(now, &dispatch.service, &dispatch.tried)
+        {
+            return AfterRefusal::Retry;
+        }
+        AfterRefusal::GiveUp
+    }
+
     fn record_replied(
         &self,
         turn: &mut Turn<'_>,
@@ -387,6 +426,7 @@
         worker: WorkerId,
         failure: SendFailure,
     ) {
+        self.router.failed(turn.now, worker);
         if failure == SendFailure::NoByteSent {
             dispatch.tried.push(worker);
             let refusal = NotRun {
@@ -487,8 +527,13 @@
         self.credit(turn, dispatch, reply.allowance_left);
         dispatch.service_ms += reply.service_ms;
         dispatch.level = dispatch.level.max(reply.level);
-        self.levels
-            .heard(now, &dispatch.service, &dispatch.request, reply.level);
+        self.levels.heard(
+            now,
+            &dispatch.service,
+            &dispatch.request,
+            &dispatch.context.caller,
+            reply.level,
+        );
     }
 
     fn may_retry(&self, now: TimeMs, dispatch: &mut Dispatch) -> bool {
@@ -546,6 +591,7 @@
         let Some(parent) = dispatch.parent else {
             return false;
         };
+        self.waits.end(&dispatch.context.caller, &dispatch.service);
         let mut shard = self.executions.lock(&parent);
         let Some(execution) = shard.get_mut(&parent) else {
             return false;
@@ -557,6 +603,7 @@
         execution.allowance = credited.min(execution.granted);
         execution.level_beneath = execution.level_beneath.max(dispatch.level);
         execution.service_beneath_ms += dispatch.service_ms;
+        execution.children.end(turn.now);
         true
     }
 }
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -8,9 +8,11 @@
 use crate::decide::counters::Counter;
 use crate::decide::dispatch::fingerprint;
 use crate::decide::evidence::{Refusal, Unsent};
-use crate::decide::execution::Execution;
+use crate::decide::execution::{ChildClock, Execution};
 use crate::decide::executor::{HandOver, Received};
-use crate::decide::message::{Action, CallId, ExecuteRequest, PeerReply, Priority, SendFailure};
+use crate::decide::message::{
+    Action, CallId, ExecuteRequest, Note, PeerReply, Priority, SendFailure,
+};
 #[cfg(test)]
 use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
@@ -26,8 +28,13 @@
         turn: &mut Turn<'_>,
         call: CallId,
         reply_to: ReplyTo,
-        request: ExecuteRequest,
+        mut request: ExecuteRequest,
     ) {
+        let attempt = request.attempt;
+        if !self.replays.is_first(attempt.sender, attempt.number) {
+            // A copy would spend the same allowance a second time.
+            request.context.allowance = 0;
+        }
         let granted = request.context.allowance;
         let is_foreign = request.to != self.settings.vm.worker;
         #[cfg(test)]
@@ -205,6 +212,7 @@
             started: None,
             level_beneath: Priority::LOWEST,
             service_beneath_ms: 0,
+            children: ChildClock::default(),
         };
         self.executions.insert(call, execution);
         let verdict = lock(&self.admission).offer(turn.now, offer);
@@ -229,7 +237,7 @@
         if let Some(key) = execution.key.clone() {
             let verdict = self.executor.hand_over(&key);
             if verdict != HandOver::Granted {
-                lock(&self.admission).start_undone(&execution.context.caller);
+                lock(&self.admission).start_undone(turn.now, &execution.context.caller, 0);
                 shard.remove(&call);
                 drop(shard);
                 if verdict == HandOver::Repeated {
@@ -252,7 +260,8 @@
         let started = execution.started.unwrap_or(turn.now);
         let service_ms = turn.now.since_ms(started);
         let caller = &execution.context.caller;
-        lock(&self.admission).finished(turn.now, caller, service_ms);
+        let own_ms = service_ms.saturating_sub(execution.children.waited_ms(turn.now));
+        lock(&self.admission).finished(turn.now, caller, own_ms, service_ms);
         let mut reply = self.plain_reply(execution.key.clone(), outcome);
         reply.allowance_left = execution.allowance;
         reply.level = execution.level_beneath.max(lock(&self.admission).level());
@@ -280,6 +289,9 @@
         let Some(execution) = self.executions.remove(&call) else {
             return;
         };
+        if reason == NotRunReason::ShareExhausted {
+            self.note_full_lane(turn, &execution);
+        }
         let granted = execution.allowance;
         let Some(key) = &execution.key else {
             let reply_to = execution.reply_to;
@@ -297,6 +309,19 @@
         self.deliver_all(turn, &waiters, &reply);
     }
 
+    fn note_full_lane(&self, turn: &mut Turn<'_>, execution: &Execution) {
+        self.counters.add(Counter::LaneFull);
+        let lane = &execution.context.caller;
+        let resource = self
+            .waits
+            .resource_to_note(turn.now, lane, &execution.service);
+        if let Some(resource) = resource {
+            let lane = lane.clone();
+            turn.actions
+                .push(Action::Note(Note::LaneFull { lane, resource }));
+        }
+    }
+
     pub(super) fn refuse_unkeyed(
         &self,
         turn: &mut Turn<'_>,
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -29,13 +29,15 @@
 use super::executor::ExecutorTable;
 use super::home::{HomeBounds, HomeTable};
 use super::mechanisms::Mechanisms;
-use super::message::{Action, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
+use super::message::{Action, AttemptId, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
+use super::replay::ReplayWindows;
 use super::route::Router;
 use super::rules::RuleTable;
 #[cfg(test)]
 use super::sabotage::{self, Sabotage};
 use super::sharded::{Sharded, lock};
 use super::timers::{Timers, Wakeup};
+use super::waits::Waits;
 use crate::model::key::MAX_CANDIDATES;
 use crate::model::{
     Announcement, CallKey, Incarnation, Outcome, ServiceName, Sheet, SheetVersion, TimeMs, Vm,
@@ -114,6 +116,9 @@
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
     draining: AtomicBool,
+    attempts: AtomicU64,
+    replays: ReplayWindows,
+    waits: Waits,
     counters: Counters,
     called: CalledServices,
     waiting_calls: Mutex<Vec<WaitingCall>>,
@@ -157,6 +162,9 @@
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
             draining: AtomicBool::new(false),
+            attempts: AtomicU64::new(0),
+            replays: ReplayWindows::default(),
+            waits: Waits::default(),
             counters: Counters::default(),
             called: CalledServices::default(),
             waiting_calls: Mutex::default(),
@@ -308,7 +316,7 @@
     fn workers_learned(&self, now: TimeMs, workers: &[Announcement]) {
         #[cfg(test)]
         let workers = &Node::with_leaving_ignored(workers);
-        self.router.learn(workers);
+        self.router.learn(now, workers);
         let present: HashMap<SocketAddr, Incarnation> = workers
             .iter()
             .map(|announcement| announcement.vm.worker)
@@ -405,6 +413,13 @@
         }
     }
 
+    fn next_attempt(&self) -> AttemptId {
+        AttemptId {
+            sender: self.settings.vm.worker.incarnation,
+            number: self.attempts.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     fn candidates(&self, service: &ServiceName) -> Vec<crate::model::WorkerId> {
         let mut rng = lock(&self.rng);
         self.router.candidates(service, MAX_CANDIDATES, &mut *rng)
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -6,6 +6,7 @@
 #![allow(dead_code)]
 
 pub mod backend;
+pub mod load;
 pub mod once;
 
 use std::cmp::Reverse;
@@ -99,6 +100,7 @@
 pub struct ClientCall {
     pub host: Host,
     pub incarnation: Incarnation,
+    pub call: CallId,
     pub key: Option<CallKey>,
     pub body: bytes::Bytes,
     pub made: TimeMs,
@@ -126,7 +128,7 @@
     pub calls: Vec<ClientCall>,
     /// Runs of each key, wherever they were made.
     pub executions: HashMap<String, u32>,
-    /// Extra attempts made for each root request, over the whole tree.
+    /// Requests to execute that were sent for each root request, over the whole tree.
     pub attempts: HashMap<u64, u32>,
     pub notes: Vec<(TimeMs, Host, Note)>,
     /// Every request handed to a backend server.
@@ -195,6 +197,7 @@
         self.calls.push(ClientCall {
             host,
             incarnation,
+            call,
             key: request.key.clone(),
             body: request.body.clone(),
             made: self.now,
@@ -206,6 +209,14 @@
         index
     }
 
+    /// The client of a call goes away without waiting for its answer.
+    pub fn abandon(&mut self, index: usize) {
+        let client = &self.calls[index];
+        let (host, incarnation, call) = (client.host, client.incarnation, client.call);
+        self.waiting_clients.remove(&(host, incarnation, call));
+        self.deliver_later(host, incarnation, 0, Event::CallAbandoned { call });
+    }
+
     /// Asks a host what became of a key.
     pub fn query(&mut self, host: Host, key: CallKey) -> usize {
         let node = &self.hosts[host].node;
@@ -215,6 +226,7 @@
         self.calls.push(ClientCall {
             host,
             incarnation,
+            call,
             key: Some(key.clone()),
             body: bytes::Bytes::new(),
             made: self.now,
