Spend an allowance once, however often its message arrives

Cause: a late copy of a call without a key runs again and brought its allowance again, so that a root request made three extra attempts of two (long run).

Change: a message names its sender, call and number; an executor remembers those that brought an allowance for ten seconds at least and gives copies none.

--- a/benches/hop.rs
+++ b/benches/hop.rs
@@ -19,7 +19,8 @@
 use tokio::runtime::Runtime;
 use tokio::time::Instant;
 
-use burdockhall::decide::{ExecuteRequest, Mechanisms, PeerRequest};
+use burdockhall::decide::message::MessageId;
+use burdockhall::decide::{CallId, ExecuteRequest, Mechanisms, PeerRequest};
 use burdockhall::net::http;
 use burdockhall::prelude::*;
 use burdockhall::trial::deployment::{Deployment, DeploymentName, PROBE};
@@ -197,6 +198,11 @@
     };
     PeerRequest::Execute(ExecuteRequest {
         to: worker(7_012),
+        message: MessageId {
+            from: Incarnation(0x0fed_cba9_8765_4321),
+            call: CallId(123_456),
+            number: 0,
+        },
         service: "redemptions".into(),
         request: "redemption".into(),
         context: CallContext {
--- a/src/decide/dispatch.rs
+++ b/src/decide/dispatch.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::evidence::NotRunEvidence;
-use super::message::{CallId, ExchangeId, ExecuteRequest, PeerReply, Priority};
+use super::message::{CallId, ExchangeId, ExecuteRequest, MessageId, PeerReply, Priority};
 use super::node::ReplyTo;
 #[cfg(test)]
 use super::sabotage::{self, Sabotage};
@@ -148,6 +148,7 @@
         &mut self,
         now: TimeMs,
         to: WorkerId,
+        message: MessageId,
         lowest_open: u64,
     ) -> ExecuteRequest {
         let granted = self.allowance / 2;
@@ -158,6 +159,7 @@
         }
         ExecuteRequest {
             to,
+            message,
             service: self.service.clone(),
             request: self.request.clone(),
             context: CallContext {
--- a/src/decide/message.rs
+++ b/src/decide/message.rs
@@ -9,7 +9,7 @@
 use super::evidence::WireEvidence;
 use crate::model::key::TICKET_SERIES;
 use crate::model::sheet::Sheet;
-use crate::model::vm::WorkerId;
+use crate::model::vm::{Incarnation, WorkerId};
 use crate::model::{
     Announcement, Answer, CallContext, CallKey, CallerName, Importance, NotRun, NotRunReason,
     Outcome, RequestName, ServiceName, SheetVersion, UnknownReason,
@@ -76,12 +76,26 @@
     pub ordinal: u32,
 }
 
+/// Identifies one message among all daemons.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct MessageId {
+    /// The process start that sends it.
+    pub from: Incarnation,
+    /// The call that it is sent for.
+    pub call: CallId,
+    /// Counts the messages of that call.
+    pub number: u32,
+}
+
 /// A request to a backend server, as one daemon sends it to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct ExecuteRequest {
     /// The daemon meant; any other refuses.
     pub to: WorkerId,
+    /// Tells copies of this message from others.
+    pub message: MessageId,
     /// The service.
     pub service: ServiceName,
     /// The kind of request.
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -16,6 +16,7 @@
 pub mod evidence;
 pub mod execution;
 pub mod executor;
+pub mod grants;
 pub mod home;
 pub mod life;
 pub mod limit;
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -7,7 +7,9 @@
 use crate::decide::counters::Counter;
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
 use crate::decide::evidence::{NotRunEvidence, Unsent};
-use crate::decide::message::{Action, CallId, ExchangeId, PeerReply, PeerRequest, SendFailure};
+use crate::decide::message::{
+    Action, CallId, ExchangeId, MessageId, PeerReply, PeerRequest, SendFailure,
+};
 #[cfg(test)]
 use crate::decide::sabotage::{self, Sabotage};
 use crate::decide::sharded::lock;
@@ -57,7 +59,8 @@
             self.home.sent_to(key.ticket.id, worker);
         }
         let exchange = dispatch.next_exchange(call);
-        let request = dispatch.execute_request(turn.now, worker, lowest_open);
+        let request =
+            dispatch.execute_request(turn.now, worker, self.message_id(exchange), lowest_open);
         let local = (worker == self.settings.vm.worker).then(|| self.next_call());
         dispatch.attempts += 1;
         dispatch.state = DispatchState::Attempting {
@@ -93,6 +96,14 @@
         self.dispatches.insert(call, dispatch);
     }
 
+    pub(super) fn message_id(&self, exchange: ExchangeId) -> MessageId {
+        MessageId {
+            from: self.settings.vm.worker.incarnation,
+            call: exchange.call,
+            number: exchange.number,
+        }
+    }
+
     /// Longest wait for a reply to a message about this call, in milliseconds.
     pub(super) fn reply_timeout_ms(&self, now: TimeMs, dispatch: &Dispatch) -> u64 {
         dispatch.deadline.since_ms(now) + self.settings.reply_grace_ms
--- a/src/decide/node/executing.rs
+++ b/src/decide/node/executing.rs
@@ -57,6 +57,11 @@
                 return self.answer_received(turn, reply_to, key.clone(), received, granted);
             }
         }
+        let mut request = request;
+        let context = &mut request.context;
+        if context.allowance > 0 && !self.grants.is_first(turn.now, request.message) {
+            context.allowance = 0;
+        }
         self.admit(turn, call, reply_to, request);
     }
 
--- a/src/decide/node/mod.rs
+++ b/src/decide/node/mod.rs
@@ -27,6 +27,7 @@
 use super::entry::EntryLevels;
 use super::execution::Execution;
 use super::executor::ExecutorTable;
+use super::grants::Grants;
 use super::home::{HomeBounds, HomeTable};
 use super::mechanisms::Mechanisms;
 use super::message::{Action, CallId, Event, ExchangeId, Note, PeerReply, PeerRequest};
@@ -113,6 +114,7 @@
     rng: Mutex<Xoshiro256PlusPlus>,
     noted_limit: Mutex<u32>,
     parked: Mutex<Vec<Parked>>,
+    grants: Grants,
     draining: AtomicBool,
     counters: Counters,
     called: CalledServices,
@@ -156,6 +158,7 @@
             rng: Mutex::new(Xoshiro256PlusPlus::seed_from_u64(settings.seed)),
             noted_limit: Mutex::new(0),
             parked: Mutex::default(),
+            grants: Grants::default(),
             draining: AtomicBool::new(false),
             counters: Counters::default(),
             called: CalledServices::default(),
--- a/src/decide/node/settling.rs
+++ b/src/decide/node/settling.rs
@@ -58,7 +58,8 @@
         let exchange = dispatch.next_exchange(call);
         let granted = std::mem::take(&mut dispatch.allowance);
         let below = dispatch.acknowledged_below;
-        let mut request = dispatch.execute_request(turn.now, home, below);
+        let mut request =
+            dispatch.execute_request(turn.now, home, self.message_id(exchange), below);
         request.context.allowance = granted;
         dispatch.state = DispatchState::AtHome {
             number: exchange.number,
--- a/tests/once_random.rs
+++ b/tests/once_random.rs
@@ -17,6 +17,16 @@
     assert!(stats.done > 0 && stats.not_run > 0 && stats.unknown > 0);
 }
 
+/// Seeds of the long run that have failed once.
+const FAILED_ONCE: [u64; 4] = [1_000_208, 1_000_248, 1_005_414, 1_007_229];
+
+#[test]
+fn seeds_that_failed_once_hold() {
+    for seed in FAILED_ONCE {
+        check_seed(seed, true).unwrap();
+    }
+}
+
 #[test]
 fn a_seed_gives_the_same_run_every_time() {
     for seed in 1..=50 {
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -499,6 +499,7 @@
             Action::CancelPeer { exchange } => {
                 let arrived = self.arrived_as.remove(&(host, incarnation, exchange));
                 if let Some((to, to_incarnation, call)) = arrived {
+                    self.waiting_peers.remove(&(to, to_incarnation, call));
                     let delay_ms = self.delay_ms(host, to);
                     let event = Event::CallAbandoned { call };
                     self.deliver_later(to, to_incarnation, delay_ms, event);
