--- a/tests/once_random.rs
+++ b/tests/once_random.rs
@@ -5,11 +5,15 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 
-use support::once::{Stats, check_seed};
+use burdockhall::model::Outcome;
+use support::once::{Driver, Stats, check_seed};
 
 const CI_SCHEDULES: u64 = 400;
 const LONG_SCHEDULES: u64 = 100_000;
 const THREADS: u64 = 3;
+/// Worlds in which a VM is lost, and calls under way at its home.
+const MEASURED_SEEDS: u64 = 600;
+const CALLS_BEFORE_LOSS: usize = 6;
 
 #[test]
 fn fixed_seeds_keep_every_invariant() {
@@ -44,6 +48,39 @@
     println!("{count} schedules from seed {first}: {stats:?}");
 }
 
+/// Prints what becomes of the keys of a VM that is lost while its calls are under way.
+/// Without candidates in the ticket every one of these keys would stay unknown.
+#[test]
+#[ignore = "a measurement: prints a table"]
+fn measure_keys_of_a_lost_vm() {
+    for (lost, role) in [(6, "home only"), (0, "home and candidate")] {
+        let (mut done, mut not_run, mut unknown) = (0, 0, 0);
+        for seed in 0..MEASURED_SEEDS {
+            let mut driver = Driver::new(seed);
+            driver.new_ticket(0, lost);
+            (0..CALLS_BEFORE_LOSS).for_each(|_| driver.call(0, lost));
+            driver.run_for(seed % 60);
+            let keys = driver.keys(0);
+            driver.world.kill(lost);
+            let asked: Vec<usize> = keys
+                .into_iter()
+                .map(|key| driver.world.query(7, key))
+                .collect();
+            driver.run_for(6_000);
+            for index in asked {
+                match &driver.world.calls[index].ended {
+                    Some((_, Outcome::Done(_))) => done += 1,
+                    Some((_, Outcome::NotRun(_))) => not_run += 1,
+                    _ => unknown += 1,
+                }
+            }
+        }
+        let all = f64::from(done + not_run + unknown);
+        let share = 100.0 * f64::from(unknown) / all;
+        println!("{role}: {done} done, {not_run} not-run, {unknown} unknown ({share:.1} %)");
+    }
+}
+
 fn run_seeds(first: u64, count: u64) -> Stats {
     let next = AtomicU64::new(first);
     let worker = || {
--- a/tests/support/once.rs
+++ b/tests/support/once.rs
@@ -338,6 +338,11 @@
             .find(|host| self.world.hosts[*host].alive)
     }
 
+    /// All keys that a client has used.
+    pub fn keys(&self, client: usize) -> Vec<CallKey> {
+        self.clients[client].keys.clone()
+    }
+
     fn key(&self, client: usize, key: usize) -> Option<CallKey> {
         let keys = &self.clients[client].keys;
         keys.iter().rev().nth(key).cloned()
