Let the trial's callers give up by time, not by the number of submissions

Cause: callers submitted five times. Where a policy answers at once, that was over after half a second; where it lets requests wait, after eight: the same caller was sixteen times as patient with the baselines. Change: a caller goes on for 4 s from its first submission, whatever the policy.

--- a/src/trial/caller.rs
+++ b/src/trial/caller.rs
@@ -20,8 +20,8 @@
 use crate::net::callers::ACKNOWLEDGED_HEADER;
 use crate::net::http::{self, HttpClient};
 
-/// Times that a caller submits a request before it gives up.
-const SUBMISSIONS: u32 = 5;
+/// Time from the first submission after which a caller gives up, in milliseconds.
+const GIVE_UP_MS: u64 = 4_000;
 /// Wait before a request is submitted again, in milliseconds, whatever the answer asks for.
 const RESUBMIT_MS: u64 = 50;
 /// What a caller waits beyond the deadline of its class, in milliseconds.
@@ -119,8 +119,12 @@
         let mut end = RootEnd::Failed;
         let mut key = None;
         let mut attempt_of_body = 0;
-        for submission in 0..SUBMISSIONS {
-            let draw = arrival.draw.rotate_right(7 * submission);
+        let give_up = at + Duration::from_millis(GIVE_UP_MS);
+        for submission in 0.. {
+            if Instant::now() >= give_up {
+                break;
+            }
+            let draw = arrival.draw.rotate_right(7 * (submission % 64));
             if submission > 0 {
                 let wait_ms = RESUBMIT_MS + draw % RESUBMIT_MS;
                 tokio::time::sleep(Duration::from_millis(wait_ms)).await;
@@ -134,7 +138,7 @@
             }
             let body = format!("{}:{index}:{attempt_of_body}", class.name);
             let submitted = self
-                .submit(entry, class, arrival, key.as_ref(), &body)
+                .submit(entry, class, arrival, key.as_ref(), &body, give_up)
                 .await;
             end = match submitted {
                 Submitted::Whole => RootEnd::Done,
@@ -168,6 +172,7 @@
         arrival: Arrival,
         key: Option<&OpenKey>,
         body: &str,
+        give_up: Instant,
     ) -> Submitted {
         let callers = self.deployment.callers;
         let caller = callers[(arrival.draw >> 32) as usize % callers.len()];
@@ -181,7 +186,10 @@
         let Ok(request) = request.body(Full::new(Bytes::from(body.to_owned()))) else {
             return Submitted::NoAnswer;
         };
-        let timeout_ms = class.deadline_ms + PATIENCE_MS;
+        let left_ms = give_up
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
+        let timeout_ms = (class.deadline_ms + PATIENCE_MS).min(left_ms);
         match http::exchange(&self.client, entry, request, timeout_ms).await {
             Ok((status, headers, answer)) => self.judge(status, &headers, &answer, body),
             Err(_) => Submitted::NoAnswer,
