--- a/benches/capacity.rs
+++ b/benches/capacity.rs
@@ -97,8 +97,10 @@
         .iter()
         .map(|host| traffic(*host))
         .fold(0.0, f64::max);
-    let all_bytes_per_s = (bytes + log_bytes as f64) / per_daemon_s;
-    let sheet = publications(&mut world, all_bytes_per_s);
+    let steady_bytes_per_s: Vec<f64> = (0..workers)
+        .map(|host| (traffic(host) + world.hosts[host].log_bytes as f64) / seconds)
+        .collect();
+    let sheet = publications(&mut world, &steady_bytes_per_s);
     let bytes_per_restart = restarts(&mut world, bytes / per_daemon_s);
     let (zone_restart_bytes, zone_restart_appends_per_s) = zone_restart(&mut world);
     Row {
@@ -148,7 +150,7 @@
 }
 
 /// Publishes a sheet with rules for every service, then changes of one rule each.
-fn publications(world: &mut ControlWorld, steady_bytes_per_s: f64) -> SheetCost {
+fn publications(world: &mut ControlWorld, steady_bytes_per_s: &[f64]) -> SheetCost {
     let services = ((world.hosts.len() as f64 / WORKERS_PER_SERVICE) as usize).max(1);
     let mut content = sheet_content(services, 0);
     let mut fold = SheetFold::default();
@@ -169,11 +171,12 @@
         slowest_ms = slowest_ms.max(publish(world, &mut fold, publication));
     }
     let seconds = (CHANGES * CHANGE_MS) as f64 / 1_000.0;
-    let per_change = |host: &ControlHost| {
+    let per_change = |(host, steady): (&ControlHost, &f64)| {
         let bytes = (host.sent_bytes + host.received_bytes + host.log_bytes) as f64;
-        ((bytes - steady_bytes_per_s * seconds) / CHANGES as f64).max(0.0)
+        ((bytes - steady * seconds) / CHANGES as f64).max(0.0)
     };
-    let all: Vec<f64> = world.hosts.iter().map(per_change).collect();
+    let hosts = world.hosts.iter().zip(steady_bytes_per_s);
+    let all: Vec<f64> = hosts.map(per_change).collect();
     SheetCost {
         bytes_per_change: all.iter().sum::<f64>() / all.len() as f64,
         busiest_bytes_per_change: all.iter().copied().fold(0.0, f64::max),
--- a/src/decide/limit.rs
+++ b/src/decide/limit.rs
@@ -16,7 +16,7 @@
 /// Length of the window over which completions are judged, in milliseconds.
 const WINDOW_MS: u64 = 100;
 /// Fewest completions that a window is judged by.
-const MIN_COMPLETIONS: u32 = 4;
+const MIN_COMPLETIONS: u32 = 24;
 /// Own time above the baseline by this factor counts as congestion.
 const CONGESTION_FACTOR: f64 = 1.5;
 /// Inflation that is always allowed, in milliseconds.
@@ -24,7 +24,7 @@
 /// What a congested window leaves of the limit.
 const DECREASE_FACTOR: f64 = 0.8;
 /// Share of a decrease by which the own time has to fall for the decrease to count as a help.
-const HELP_SHARE: f64 = 0.4;
+const HELP_SHARE: f64 = 0.6;
 /// What a clean, fully used window adds to the limit, as a share of it.
 const INCREASE_SHARE: f64 = 0.1;
 /// How fast the baseline follows a time above it, for each window.
