Split membership by what it does: compare, push, doubt

Cause: member_control.rs had grown to 863 lines with four jobs. Change: comparing, pushing and asking others about a silent worker are modules of their own; no behaviour changes. tests/members.rs passes.

--- /dev/null
+++ b/src/decide/control/member_control/doubts.rs
@@ -0,0 +1,77 @@
+//! Asking others whether they reach a worker that is silent here.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::seq::IndexedRandom;
+
+use super::{MemberControl, MemberMessage, send};
+use crate::decide::control::verdict::{AnnouncementVersion, QUORUM};
+use crate::decide::control::{ControlAction, ControlTurn};
+use crate::model::{Announcement, ServerState};
+
+impl MemberControl {
+    pub(super) fn ask_others(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        worker: SocketAddr,
+        version: AnnouncementVersion,
+    ) {
+        let mut others = self.zone_peers();
+        others.retain(|other| *other != worker);
+        if others.len() < QUORUM {
+            others = self.other_zone_peers(worker);
+        }
+        for other in others.sample(turn.rng, QUORUM + 1) {
+            send(turn, *other, MemberMessage::Doubt { worker, version });
+        }
+    }
+
+    /// All daemons known; a zone with fewer than a quorum needs others to vote.
+    pub(super) fn other_zone_peers(&self, worker: SocketAddr) -> Vec<SocketAddr> {
+        self.members
+            .all()
+            .filter(|known| known.state != ServerState::Gone)
+            .map(|known| known.vm.control_address)
+            .filter(|address| *address != worker && *address != self.vm.control_address)
+            .collect()
+    }
+
+    pub(super) fn voted(
+        &mut self,
+        turn: &mut ControlTurn<'_>,
+        from: SocketAddr,
+        worker: SocketAddr,
+        version: AnnouncementVersion,
+    ) {
+        let Some(voters) = self.verdicts.vote(turn.now, worker, version, from) else {
+            return;
+        };
+        let Some(known) = self.members.get_by_control(worker).cloned() else {
+            return;
+        };
+        if known.version() != version {
+            return;
+        }
+        let gone = Announcement {
+            state: ServerState::Gone,
+            ..Announcement::clone(&known)
+        };
+        turn.actions.push(ControlAction::WorkerGone {
+            worker: known.vm.worker,
+            voters: voters.into_iter().collect(),
+        });
+        self.learn(turn, &Arc::new(gone));
+    }
+}
+
+pub(super) fn vote_on(
+    turn: &mut ControlTurn<'_>,
+    worker: SocketAddr,
+    errands: &[(SocketAddr, AnnouncementVersion)],
+) {
+    for (asker, version) in errands {
+        let version = *version;
+        send(turn, *asker, MemberMessage::Vote { worker, version });
+    }
+}
--- a/src/decide/control/member_control.rs
+++ b/src/decide/control/member_control/mod.rs
@@ -3,19 +3,24 @@
 //! Every daemon keeps the workers of its own zone, and those of other zones
 //! whose services it calls. A few daemons of each zone, the gateways, keep all.
 
+mod compare;
+mod doubts;
+mod push;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use rand::RngExt;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use serde::{Deserialize, Serialize};
 
+use self::doubts::vote_on;
 use super::gateways::gateways;
 use super::interests::Interests;
-use super::members::{BUCKETS, BucketDigests, Members, Rank, rank};
+use super::members::{Members, Rank, rank};
 use super::record::{LogBatch, LogRecord, Stream};
-use super::verdict::{AnnouncementVersion, QUORUM, Verdicts};
+use super::verdict::{AnnouncementVersion, Verdicts};
 use super::{ControlAction, ControlMessage, ControlTurn};
 use crate::model::{Announcement, ServerState, ServiceName, TimeMs, Vm, ZoneName};
 
@@ -467,291 +472,6 @@
         }
     }
 
-    fn probed(&mut self, turn: &mut ControlTurn<'_>, from: SocketAddr, digest: Option<u64>) {
-        let zone = self.vm.place.zone.clone();
-        if digest.is_some_and(|digest| digest != self.members.zone_digest(&zone)) {
-            self.send_buckets(turn, from, zone);
-        }
-    }
-
-    fn compare_zones(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        from: SocketAddr,
-        digests: &[(ZoneName, u64)],
-    ) {
-        if !self.gateway {
-            return;
-        }
-        for (zone, digest) in digests {
-            if self.members.zone_digest(zone) != *digest {
-                self.send_buckets(turn, from, zone.clone());
-            }
-        }
-    }
-
-    fn send_buckets(&mut self, turn: &mut ControlTurn<'_>, to: SocketAddr, zone: ZoneName) {
-        let last = self.compared.get(&zone).copied();
-        if last.is_some_and(|last| turn.now.since_ms(last) < BUCKETS_INTERVAL_MS) {
-            return;
-        }
-        self.compared.insert(zone.clone(), turn.now);
-        let digests = self.members.zone_buckets(&zone).to_vec();
-        send(turn, to, MemberMessage::Buckets { zone, digests });
-    }
-
-    fn compare_buckets(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        from: SocketAddr,
-        zone: ZoneName,
-        theirs: &[u64],
-    ) {
-        if !self.gateway && zone != self.vm.place.zone {
-            return;
-        }
-        let ours = self.members.zone_buckets(&zone);
-        let Some(differs) = differing(&ours, theirs) else {
-            return;
-        };
-        let buckets = (0..BUCKETS as u8)
-            .filter(|bucket| differs[usize::from(*bucket)])
-            .collect();
-        let versions = self
-            .members
-            .in_buckets(&zone, &differs)
-            .iter()
-            .map(|known| (known.vm.worker.address, rank(known)))
-            .collect();
-        let message = MemberMessage::Differing {
-            zone,
-            buckets,
-            versions,
-        };
-        send(turn, from, message);
-    }
-
-    fn settle_difference(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        from: SocketAddr,
-        zone: &ZoneName,
-        buckets: &[u8],
-        theirs: &[(SocketAddr, Rank)],
-    ) {
-        let mut differs = [false; BUCKETS];
-        for bucket in buckets {
-            if let Some(flag) = differs.get_mut(usize::from(*bucket)) {
-                *flag = true;
-            }
-        }
-        let sent: BTreeMap<SocketAddr, Rank> = theirs.iter().copied().collect();
-        let mut better = self.members.in_buckets(zone, &differs);
-        better.retain(|ours| {
-            let theirs = sent.get(&ours.vm.worker.address);
-            theirs.is_none_or(|theirs| rank(ours) > *theirs)
-        });
-        if !better.is_empty() {
-            send(turn, from, MemberMessage::Known(better));
-        }
-        let worse: Vec<SocketAddr> = theirs
-            .iter()
-            .filter(|(address, theirs)| {
-                let ours = self.members.get(*address);
-                ours.is_none_or(|ours| rank(ours) < *theirs)
-            })
-            .map(|(address, _)| *address)
-            .collect();
-        if !worse.is_empty() {
-            send(turn, from, MemberMessage::Want(worse));
-        }
-    }
-
-    /// A gateway compares all zones with a gateway of another zone.
-    fn compare_with_another_zone(&mut self, turn: &mut ControlTurn<'_>) {
-        if !self.gateway {
-            return;
-        }
-        let zones: Vec<&ZoneName> = self.members.zones().collect();
-        let others: Vec<&ZoneName> = zones
-            .iter()
-            .copied()
-            .filter(|zone| **zone != self.vm.place.zone)
-            .collect();
-        let Some(other) = others.choose(turn.rng) else {
-            return;
-        };
-        let Some(to) = gateways(&self.members, other).choose(turn.rng).copied() else {
-            return;
-        };
-        let digests = zones
-            .iter()
-            .map(|zone| ((*zone).clone(), self.members.zone_digest(zone)))
-            .collect();
-        send(turn, to, MemberMessage::ZoneDigests(digests));
-    }
-
-    /// Compares what is known of the called services with an own gateway.
-    fn ask_gateway(&mut self, turn: &mut ControlTurn<'_>) {
-        if self.gateway {
-            return;
-        }
-        let zone = &self.vm.place.zone;
-        let services: Vec<(ServiceName, u64)> = self
-            .interests
-            .services()
-            .map(|service| (service.clone(), self.members.service_digest(service, zone)))
-            .collect();
-        if services.is_empty() {
-            return;
-        }
-        if let Some(to) = gateways(&self.members, zone).choose(turn.rng).copied() {
-            send(turn, to, MemberMessage::Interest(services));
-        }
-    }
-
-    fn answer_interest(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        from: SocketAddr,
-        services: &[(ServiceName, u64)],
-    ) {
-        let zone = self.vm.place.zone.clone();
-        let mut known = Vec::new();
-        for (service, digest) in services {
-            self.interests.subscribe(turn.now, service, from);
-            if self.members.service_digest(service, &zone) != *digest {
-                known.extend(self.members.of_service_outside(service, &zone).cloned());
-            }
-        }
-        if !known.is_empty() {
-            send(turn, from, MemberMessage::Known(known));
-        }
-    }
-
-    fn ask_others(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        worker: SocketAddr,
-        version: AnnouncementVersion,
-    ) {
-        let mut others = self.zone_peers();
-        others.retain(|other| *other != worker);
-        if others.len() < QUORUM {
-            others = self.other_zone_peers(worker);
-        }
-        for other in others.sample(turn.rng, QUORUM + 1) {
-            send(turn, *other, MemberMessage::Doubt { worker, version });
-        }
-    }
-
-    /// All daemons known; a zone with fewer than a quorum needs others to vote.
-    fn other_zone_peers(&self, worker: SocketAddr) -> Vec<SocketAddr> {
-        self.members
-            .all()
-            .filter(|known| known.state != ServerState::Gone)
-            .map(|known| known.vm.control_address)
-            .filter(|address| *address != worker && *address != self.vm.control_address)
-            .collect()
-    }
-
-    fn voted(
-        &mut self,
-        turn: &mut ControlTurn<'_>,
-        from: SocketAddr,
-        worker: SocketAddr,
-        version: AnnouncementVersion,
-    ) {
-        let Some(voters) = self.verdicts.vote(turn.now, worker, version, from) else {
-            return;
-        };
-        let Some(known) = self.members.get_by_control(worker).cloned() else {
-            return;
-        };
-        if known.version() != version {
-            return;
-        }
-        let gone = Announcement {
-            state: ServerState::Gone,
-            ..Announcement::clone(&known)
-        };
-        turn.actions.push(ControlAction::WorkerGone {
-            worker: known.vm.worker,
-            voters: voters.into_iter().collect(),
-        });
-        self.learn(turn, &Arc::new(gone));
-    }
-
-    /// Pushes what is new to zone peers, gateways and subscribers.
-    fn push_news(&mut self, turn: &mut ControlTurn<'_>) {
-        if self.news.is_empty() {
-            return;
-        }
-        let news = std::mem::take(&mut self.news);
-        let (own_zone, elsewhere): (Vec<_>, Vec<_>) = news
-            .into_iter()
-            .partition(|known| known.vm.place.zone == self.vm.place.zone);
-        if !own_zone.is_empty() {
-            self.push_own_zone(turn, &own_zone);
-        }
-        if self.gateway && !elsewhere.is_empty() {
-            self.push_to_gateways(turn, &elsewhere);
-            self.push_to_subscribers(turn, &elsewhere);
-        }
-    }
-
-    fn push_own_zone(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
-        let zone = self.vm.place.zone.clone();
-        let fanout = if news.len() < BULK_NEWS {
-            PUSH_FANOUT
-        } else {
-            1
-        };
-        let mut targets: Vec<SocketAddr> = self
-            .zone_peers()
-            .sample(turn.rng, fanout)
-            .copied()
-            .collect();
-        let me = self.vm.worker.address;
-        if news.iter().any(|known| known.vm.worker.address == me) {
-            targets.extend(gateways(&self.members, &zone));
-        }
-        if self.gateway {
-            let others: Vec<ZoneName> = self.members.zones().cloned().collect();
-            for other in others.iter().filter(|other| **other != zone) {
-                targets.extend(gateways(&self.members, other).choose(turn.rng));
-            }
-        }
-        targets.sort_unstable();
-        targets.dedup();
-        targets.retain(|target| *target != self.vm.control_address);
-        for target in targets {
-            send(turn, target, MemberMessage::Known(news.to_vec()));
-        }
-    }
-
-    /// News of another zone reach one gateway of this zone, which tells the others.
-    fn push_to_gateways(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
-        let mut others = gateways(&self.members, &self.vm.place.zone);
-        others.retain(|other| *other != self.vm.control_address);
-        for other in others {
-            send(turn, other, MemberMessage::Known(news.to_vec()));
-        }
-    }
-
-    fn push_to_subscribers(&mut self, turn: &mut ControlTurn<'_>, news: &[Arc<Announcement>]) {
-        let mut by_subscriber: BTreeMap<SocketAddr, Vec<Arc<Announcement>>> = BTreeMap::new();
-        for known in news {
-            for subscriber in self.interests.subscribers(&known.service) {
-                let wanted = by_subscriber.entry(subscriber).or_default();
-                wanted.push(Arc::clone(known));
-            }
-        }
-        for (subscriber, wanted) in by_subscriber {
-            send(turn, subscriber, MemberMessage::Known(wanted));
-        }
-    }
-
     /// Gateways follow the log; others look for a peer at its end while they know none.
     fn read_log(&mut self, turn: &mut ControlTurn<'_>) {
         self.due.log = turn.now.plus_ms(LOG_INTERVAL_MS);
@@ -816,17 +536,6 @@
     }
 }
 
-fn vote_on(
-    turn: &mut ControlTurn<'_>,
-    worker: SocketAddr,
-    errands: &[(SocketAddr, AnnouncementVersion)],
-) {
-    for (asker, version) in errands {
-        let version = *version;
-        send(turn, *asker, MemberMessage::Vote { worker, version });
-    }
-}
-
 fn send(turn: &mut ControlTurn<'_>, to: SocketAddr, message: MemberMessage) {
     turn.actions.push(ControlAction::Send {
         to,
@@ -849,15 +558,3 @@
         .random_range(RENEW_INTERVAL_MS * 4 / 5..=RENEW_INTERVAL_MS * 6 / 5);
     turn.now.plus_ms(wait_ms)
 }
-
-/// Which buckets differ; `None` if the other side's digests have another shape.
-fn differing(ours: &BucketDigests, theirs: &[u64]) -> Option<[bool; BUCKETS]> {
-    if theirs.len() != BUCKETS {
-        return None;
-    }
-    let mut differs = [false; BUCKETS];
-    for (flag, (ours, theirs)) in differs.iter_mut().zip(ours.iter().zip(theirs)) {
-        *flag = ours != theirs;
-    }
-    Some(differs)
-}
