Keep one bound for the wait for a service's first workers

Cause: the read-through found the bound of 500 ms twice, for root and for child calls, and a method of MemberControl that did nothing. Change: one constant serves both; the method is gone.

--- a/src/decide/control/member_control/mod.rs
+++ b/src/decide/control/member_control/mod.rs
@@ -240,9 +240,6 @@
         }
     }
 
-    /// The log could not be read; a later tick tries again.
-    pub fn log_failed(&mut self, _turn: &mut ControlTurn<'_>) {}
-
     /// An announcement could not be put on the log: try again later.
     pub fn append_failed(&mut self, turn: &mut ControlTurn<'_>) {
         let wait_ms = turn.rng.random_range(0..=2 * JOIN_SPREAD_MS);
--- a/src/decide/control/mod.rs
+++ b/src/decide/control/mod.rs
@@ -233,8 +233,8 @@
             },
             ControlEvent::LogFailed { stream } => match stream {
                 Stream::Sheets => self.sheets.log_failed(turn),
-                Stream::Members => self.members.log_failed(turn),
-                Stream::Audit => {}
+                // A later tick reads the members again; the audit trail is never read here.
+                Stream::Members | Stream::Audit => {}
             },
             ControlEvent::Appended { stream, offset } => match stream {
                 Stream::Sheets => self.sheets.appended(turn, offset),
--- a/src/decide/node/dispatching.rs
+++ b/src/decide/node/dispatching.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 
 use super::arrive::not_run;
+use super::wanting::WORKER_WAIT_MS;
 use super::{Node, ReplyTo, Turn, Work};
 use crate::decide::counters::Counter;
 use crate::decide::dispatch::{AfterRefusal, Dispatch, DispatchState, Due, NO_MESSAGE};
@@ -18,9 +19,7 @@
 
 /// Mean wait before another attempt, in milliseconds; the wait is drawn from zero to twice this.
 const RETRY_WAIT_MS: u64 = 5;
-/// Longest wait for the workers of a service that was not called before, in milliseconds.
-const WORKER_WAIT_MS: u64 = 500;
-/// Time between two looks whether they are known, in milliseconds.
+/// Time between two looks whether the workers of a new service are known, in milliseconds.
 const WORKER_POLL_MS: u64 = 20;
 /// Times that an executor is asked for a record before it counts as silent.
 const RESOLVE_TRIES: u32 = 3;
--- a/src/decide/node/wanting.rs
+++ b/src/decide/node/wanting.rs
@@ -11,8 +11,8 @@
 /// A service that goes on being called is reported again after this time, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 600_000;
 
-/// Longest wait of a child call for the first workers of its service, in milliseconds.
-const WORKER_WAIT_MS: u64 = 500;
+/// Longest wait of a call for the first workers of its service, in milliseconds.
+pub(super) const WORKER_WAIT_MS: u64 = 500;
 
 /// A child call that waits until candidates for its key are known.
 #[derive(Debug)]
