--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -74,6 +74,12 @@
     /// The daemon's own log lines.
     #[error("the daemon's log lines cannot be written")]
     Logs(#[from] spdlog::Error),
+    /// A relay's shutdown that did not answer everything.
+    #[error("the shutdown was cut short: {unfinished} requests had no answer")]
+    RelayCutShort {
+        /// How many.
+        unfinished: usize,
+    },
     /// A shutdown that did not finish everything.
     #[error("the shutdown was cut short ({reason}): {unfinished}")]
     CutShort {
@@ -93,7 +99,7 @@
             CmdError::Settings(_) | CmdError::SettingsChecked { .. } => EXIT_INPUT,
             CmdError::Client(error) if error.is_input() => EXIT_INPUT,
             CmdError::Client(_) => EXIT_REFUSED,
-            CmdError::CutShort { .. } => EXIT_CUT_SHORT,
+            CmdError::CutShort { .. } | CmdError::RelayCutShort { .. } => EXIT_CUT_SHORT,
             _ => EXIT_FAILURE,
         }
     }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod drain;
 pub mod error;
+pub mod relay;
 pub mod settings;
 pub mod sheet;
 pub mod standin;
@@ -57,6 +58,7 @@
         .arg_required_else_help(true)
         .after_help(EXIT_CODES)
         .subcommand(daemon::command())
+        .subcommand(relay::command())
         .subcommand(settings::command())
         .subcommand(sheet::command())
         .subcommand(audit::command())
@@ -71,6 +73,7 @@
 fn run(matches: &ArgMatches) -> Result<(), CmdError> {
     match matches.subcommand() {
         Some(("daemon", matches)) => daemon::run(matches),
+        Some(("relay", matches)) => relay::run(matches),
         Some(("settings", matches)) => settings::run(matches),
         Some(("sheet", matches)) => sheet::run(matches),
         Some(("audit", matches)) => audit::run(matches),
--- a/src/config/check.rs
+++ b/src/config/check.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::{Map, Value};
 
-use super::schema::{Field, Kind, SETTINGS};
-use super::{Settings, rules};
+use super::schema::{Field, Kind, RELAY, SETTINGS};
+use super::{RelaySettings, Settings, rules};
 use crate::util;
 
 /// Port of the example that stands in for wrong or missing values during the check.
@@ -52,16 +53,7 @@
 /// A wrong value is replaced by the example's for the rest of the check, so that one
 /// error does not hide another.
 pub fn settings(value: Value) -> Result<Settings, Vec<Finding>> {
-    let mut checker = Checker::default();
-    let defaults = serde_json::to_value(Settings::example(DEFAULTS_PORT)).unwrap_or_default();
-    let repaired = checker.group("", SETTINGS, value, &defaults);
-    let parsed: Settings = match serde_json::from_value(repaired) {
-        Ok(parsed) => parsed,
-        Err(error) => {
-            checker.add("", None, &error.to_string(), "correct the value");
-            return Err(checker.findings);
-        }
-    };
+    let (parsed, mut checker) = parse(value, SETTINGS, &Settings::example(DEFAULTS_PORT))?;
     for broken in rules::broken(&parsed) {
         let path = &broken.finding.path;
         if !checker.has_error_at(path) && !checker.has_error_at(&broken.other) {
@@ -74,6 +66,34 @@
     Err(checker.findings)
 }
 
+/// Turns the JSON of a relay's settings file into settings, or into every error in it.
+pub fn relay(value: Value) -> Result<RelaySettings, Vec<Finding>> {
+    let example = RelaySettings::example(DEFAULTS_PORT);
+    let (parsed, checker) = parse(value, RELAY, &example)?;
+    if checker.findings.is_empty() {
+        return Ok(parsed);
+    }
+    Err(checker.findings)
+}
+
+/// The settings with every wrong value replaced by the example's, and the errors found.
+fn parse<T: Serialize + DeserializeOwned>(
+    value: Value,
+    fields: &[Field],
+    example: &T,
+) -> Result<(T, Checker), Vec<Finding>> {
+    let mut checker = Checker::default();
+    let defaults = serde_json::to_value(example).unwrap_or_default();
+    let repaired = checker.group("", fields, value, &defaults);
+    match serde_json::from_value(repaired) {
+        Ok(parsed) => Ok((parsed, checker)),
+        Err(error) => {
+            checker.add("", None, &error.to_string(), "correct the value");
+            Err(checker.findings)
+        }
+    }
+}
+
 #[derive(Debug, Default)]
 struct Checker {
     findings: Vec<Finding>,
@@ -206,6 +226,17 @@
                 format!("write a number from {min} to {max} without quotes"),
             ),
         },
+        Kind::Decimal { min, max } => match value.as_f64() {
+            Some(number) if (*min..=*max).contains(&number) => Ok(()),
+            Some(_) => wrong(
+                "this is out of bounds",
+                format!("use a number from {min} to {max}"),
+            ),
+            None => wrong(
+                "this must be a number",
+                format!("write a number from {min} to {max} without quotes"),
+            ),
+        },
         Kind::Choice(names) => match value.as_str() {
             Some(name) if names.contains(&name) => Ok(()),
             _ => wrong(
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -43,6 +43,7 @@
         Kind::Address { loopback: true } => "`IP:PORT` on loopback".to_owned(),
         Kind::Flag => "`true` or `false`".to_owned(),
         Kind::Number { min, max } => format!("{min} to {max}"),
+        Kind::Decimal { min, max } => format!("{min} to {max}, with a fraction"),
         Kind::Choice(names) => format!("`{}`", names.join("`, `")),
         Kind::Group(_) => "object".to_owned(),
         Kind::List(Kind::Group(_)) => "array of objects".to_owned(),
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod client;
 pub mod document;
+pub mod relay;
 pub mod rules;
 pub mod schema;
 
@@ -14,6 +15,7 @@
 use thiserror::Error;
 
 pub use self::check::Finding;
+pub use self::relay::{RelayBounds, RelaySettings};
 use crate::model::{Place, ServiceName};
 
 /// Settings of one daemon.
@@ -253,20 +255,13 @@
 impl Settings {
     /// Reads settings from a file and checks them as a whole.
     pub fn read(path: &Path) -> Result<Settings, SettingsError> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: name.clone(),
-            source,
-        })?;
+        let (name, text) = read_file(path)?;
         Settings::parse(&name, &text)
     }
 
     /// Takes settings from JSON text; `path` names it in errors.
     pub fn parse(path: &str, text: &str) -> Result<Settings, SettingsError> {
-        let value = serde_json::from_str(text).map_err(|source| SettingsError::Parse {
-            path: path.to_owned(),
-            source,
-        })?;
+        let value = json(path, text)?;
         check::settings(value).map_err(|findings| SettingsError::Invalid {
             path: path.to_owned(),
             findings,
@@ -306,6 +301,23 @@
     }
 }
 
+/// A file's name and text.
+fn read_file(path: &Path) -> Result<(String, String), SettingsError> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok((name, text)),
+        Err(source) => Err(SettingsError::Read { path: name, source }),
+    }
+}
+
+/// JSON text as a value; `path` names it in errors.
+fn json(path: &str, text: &str) -> Result<serde_json::Value, SettingsError> {
+    serde_json::from_str(text).map_err(|source| SettingsError::Parse {
+        path: path.to_owned(),
+        source,
+    })
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Bounds {
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -39,6 +39,13 @@
         /// Largest value.
         max: u64,
     },
+    /// A number, with or without a fraction.
+    Decimal {
+        /// Smallest value.
+        min: f64,
+        /// Largest value.
+        max: f64,
+    },
     /// One of some names.
     Choice(&'static [&'static str]),
     /// An object.
@@ -317,3 +324,80 @@
     required("admin", Kind::Group(ADMIN), "The administration API."),
     optional("drain", Kind::Group(DRAIN), "The graceful shutdown."),
 ];
+
+/// A span of an agreement between daemons and operators, in seconds.
+const SPAN_S: Kind = Kind::Decimal {
+    min: 0.1,
+    max: 3_600.0,
+};
+
+const RELAY_BOUNDS: &[Field] = &[
+    required(
+        "drain_s",
+        SPAN_S,
+        "Time after which a backend server that leaves gets no request any more.",
+    ),
+    required("grace_s", SPAN_S, "Time between SIGTERM and SIGKILL."),
+    required(
+        "retry_ratio",
+        Kind::Decimal { min: 0.0, max: 1.0 },
+        "Repeats of requests for a service, as a share of these requests, by all daemons.",
+    ),
+    required(
+        "retry_window_s",
+        SPAN_S,
+        "Window in which repeats are counted.",
+    ),
+    required(
+        "retry_slack",
+        Kind::Decimal {
+            min: 0.0,
+            max: 1e6,
+        },
+        "Repeats that are allowed beyond the share, by all daemons together.",
+    ),
+];
+
+/// The whole file of a relay.
+pub const RELAY: &[Field] = &[
+    required("vm", TEXT, "Name of the VM in log lines."),
+    required("place", Kind::Group(PLACE), "Where the VM stands."),
+    required(
+        "service",
+        TEXT,
+        "The service whose backend server stands on this VM.",
+    ),
+    required(
+        "callers_address",
+        ADDRESS,
+        "Listener for callers on this VM and for the backend server's own calls.",
+    ),
+    required("hop_address", ADDRESS, "Listener for other daemons."),
+    required(
+        "local_address",
+        ADDRESS,
+        "Listener for the backend server's heartbeats.",
+    ),
+    required(
+        "ready_address",
+        ADDRESS,
+        "Listener for the question whether this daemon is ready.",
+    ),
+    required("metrics_address", ADDRESS, "Listener for metrics."),
+    required(
+        "backend_address",
+        ADDRESS,
+        "The backend server on this VM.",
+    ),
+    required("log_address", ADDRESS, "The platform's log service."),
+    optional(
+        "logging",
+        Kind::Group(LOGGING),
+        "What the daemon writes about itself, to standard output.",
+    ),
+    required(
+        "bounds",
+        Kind::Group(RELAY_BOUNDS),
+        "What all daemons of a deployment have agreed on with its operators.",
+    ),
+];
--- a/src/decide/mod.rs
+++ b/src/decide/mod.rs
@@ -26,6 +26,7 @@
 pub mod message;
 pub mod node;
 pub(crate) mod record;
+pub mod relay;
 pub mod replay;
 pub mod route;
 pub mod rules;
--- a/src/model/clock.rs
+++ b/src/model/clock.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Instant;
 
+use nix::time::{ClockId, clock_gettime};
 use serde::{Deserialize, Serialize};
 
 /// A point in time, in milliseconds since the origin of the [`Clock`] that gave it.
@@ -35,6 +36,8 @@
         /// Where this clock counts from.
         origin: Instant,
     },
+    /// The system's clock that also counts the time in which the VM was suspended.
+    Boot,
     /// A clock that only moves when it is told to, for simulations and tests.
     Manual(Arc<AtomicU64>),
 }
@@ -56,6 +59,7 @@
     pub fn now(&self) -> TimeMs {
         match self {
             Clock::System { origin } => TimeMs(origin.elapsed().as_millis() as u64),
+            Clock::Boot => boot_time(),
             Clock::Manual(at_ms) => TimeMs(at_ms.load(Ordering::Acquire)),
         }
     }
@@ -67,3 +71,11 @@
         }
     }
 }
+
+/// Milliseconds since boot. The clock has been part of Linux since 2.6.39, so reading it
+/// cannot fail; a failure would read as the time of boot.
+fn boot_time() -> TimeMs {
+    clock_gettime(ClockId::CLOCK_BOOTTIME).map_or(TimeMs(0), |time| {
+        TimeMs(time.tv_sec() as u64 * 1_000 + time.tv_nsec() as u64 / 1_000_000)
+    })
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 pub mod peer_control;
 pub mod process;
 pub mod pump;
+pub mod relay;
 pub(crate) mod watch;
 
 pub use daemon::Daemon;
--- /dev/null
+++ b/src/net/relay/body.rs
@@ -0,0 +1,214 @@
+//! The bodies that the relay passes on: streamed, with at most one buffered part in front.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::client::conn::http1::SendRequest;
+use thiserror::Error;
+
+use super::pool::{Pool, PoolKey};
+
+/// Why a body ended early.
+#[derive(Debug, Error)]
+pub enum BodyError {
+    /// The other side broke off.
+    #[error("the body broke off: {0}")]
+    Broken(#[from] hyper::Error),
+    /// The body is larger than the configuration allows.
+    #[error("the body is larger than {limit_bytes} bytes")]
+    TooLarge {
+        /// The bound.
+        limit_bytes: u64,
+    },
+}
+
+/// A body on its way through the relay.
+#[derive(Debug, Default)]
+pub enum RelayBody {
+    /// No body.
+    #[default]
+    Empty,
+    /// A body that is whole.
+    Full(Bytes),
+    /// A body that is still arriving.
+    Streamed(Streamed),
+}
+
+/// A body that is still arriving, with what was read of it already.
+#[derive(Debug)]
+pub struct Streamed {
+    prefix: Option<Bytes>,
+    incoming: Incoming,
+    left_bytes: u64,
+    limit_bytes: u64,
+    connection: Option<Lent>,
+}
+
+/// A connection that goes back to its pool once the body has been read to its end.
+#[derive(Debug)]
+pub struct Lent {
+    /// Where it goes back to.
+    pub pool: Arc<Pool>,
+    /// The other side.
+    pub key: PoolKey,
+    /// The connection.
+    pub sender: SendRequest<RelayBody>,
+    /// How long the other side keeps it unused, in milliseconds.
+    pub keep_ms: u64,
+}
+
+impl Lent {
+    fn give_back(self) {
+        let pool = Arc::clone(&self.pool);
+        pool.put(self);
+    }
+}
+
+impl RelayBody {
+    /// An answer's body; its connection goes back to the pool at the end.
+    pub fn answer(incoming: Incoming, connection: Option<Lent>) -> RelayBody {
+        if incoming.is_end_stream() {
+            if let Some(connection) = connection {
+                connection.give_back();
+            }
+            return RelayBody::Empty;
+        }
+        RelayBody::Streamed(Streamed {
+            prefix: None,
+            incoming,
+            left_bytes: u64::MAX,
+            limit_bytes: u64::MAX,
+            connection,
+        })
+    }
+
+    /// A request's body: whole if it has at most `buffer_bytes`, else streamed.
+    pub async fn request(
+        mut incoming: Incoming,
+        buffer_bytes: usize,
+        limit_bytes: u64,
+    ) -> Result<RelayBody, BodyError> {
+        if incoming.is_end_stream() {
+            return Ok(RelayBody::Empty);
+        }
+        let length = incoming.size_hint().exact();
+        let mut buffer = BytesMut::new();
+        if length.is_none_or(|length| length <= buffer_bytes as u64) {
+            while buffer.len() <= buffer_bytes {
+                let Some(frame) = incoming.frame().await else {
+                    return Ok(RelayBody::Full(buffer.freeze()));
+                };
+                if let Ok(data) = frame?.into_data() {
+                    buffer.extend_from_slice(&data);
+                }
+            }
+        }
+        let read_bytes = buffer.len() as u64;
+        Ok(RelayBody::Streamed(Streamed {
+            prefix: (!buffer.is_empty()).then(|| buffer.freeze()),
+            incoming,
+            left_bytes: limit_bytes.saturating_sub(read_bytes),
+            limit_bytes,
+            connection: None,
+        }))
+    }
+
+    /// A body that another request may carry too; none for one that is still arriving.
+    pub fn copy(&self) -> Option<RelayBody> {
+        match self {
+            RelayBody::Empty => Some(RelayBody::Empty),
+            RelayBody::Full(bytes) => Some(RelayBody::Full(bytes.clone())),
+            RelayBody::Streamed(_) => None,
+        }
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        match self.get_mut() {
+            RelayBody::Empty => Poll::Ready(None),
+            RelayBody::Full(bytes) => {
+                let bytes = std::mem::take(bytes);
+                Poll::Ready((!bytes.is_empty()).then(|| Ok(Frame::data(bytes))))
+            }
+            RelayBody::Streamed(streamed) => streamed.poll(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            RelayBody::Empty => true,
+            RelayBody::Full(bytes) => bytes.is_empty(),
+            RelayBody::Streamed(streamed) => {
+                streamed.prefix.is_none() && streamed.incoming.is_end_stream()
+            }
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            RelayBody::Empty => SizeHint::with_exact(0),
+            RelayBody::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            RelayBody::Streamed(streamed) => {
+                let rest = streamed.incoming.size_hint().exact();
+                let prefix = streamed.prefix.as_ref().map_or(0, |bytes| bytes.len() as u64);
+                rest.map_or_else(SizeHint::default, |rest| {
+                    SizeHint::with_exact(rest + prefix)
+                })
+            }
+        }
+    }
+}
+
+impl Streamed {
+    fn poll(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if let Some(prefix) = self.prefix.take() {
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
+        let Some(frame) = frame else {
+            if let Some(connection) = self.connection.take() {
+                connection.give_back();
+            }
+            return Poll::Ready(None);
+        };
+        let frame = frame.map_err(BodyError::Broken);
+        let length = frame
+            .as_ref()
+            .ok()
+            .and_then(|frame| frame.data_ref())
+            .map_or(0, |data| data.len() as u64);
+        if length > self.left_bytes {
+            return Poll::Ready(Some(Err(BodyError::TooLarge {
+                limit_bytes: self.limit_bytes,
+            })));
+        }
+        self.left_bytes -= length;
+        Poll::Ready(Some(frame))
+    }
+}
+
+impl Drop for Streamed {
+    fn drop(&mut self) {
+        // hyper does not poll a body of known length to its end once all of it has passed.
+        if self.prefix.is_none()
+            && self.incoming.is_end_stream()
+            && let Some(connection) = self.connection.take()
+        {
+            connection.give_back();
+        }
+    }
+}
--- /dev/null
+++ b/src/net/relay/executor.rs
@@ -0,0 +1,468 @@
+//! Runs requests on the backend server beside this daemon, the only way to it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use tokio::sync::oneshot;
+
+use super::body::{Lent, RelayBody};
+use super::hop::{HopRequest, plain, strip_connection_headers};
+use super::pool::{ExchangeError, Exchanged};
+use super::state::{Relay, RunningRequest, Stage, Tables, millis};
+use crate::decide::relay::admission::Verdict;
+use crate::decide::relay::{Offer, Offered, RootMark, TicketNo};
+use crate::model::{NotRunReason, ServiceName, TimeMs, UnknownReason};
+
+/// Part of the drain time for which a leaving backend server still gets what is under way.
+const DRAIN_SHARE: f64 = 0.4;
+/// Time that the backend server gets beyond the deadline to say so itself, in milliseconds.
+const ANSWER_GRACE_MS: u64 = 100;
+/// Least time left that is worth handing over, in milliseconds.
+const MIN_LEFT_MS: u64 = 5;
+/// Time to come back if the backend server beside this daemon is leaving or gone, in
+/// milliseconds: about two heartbeats.
+const LEAVING_RETRY_MS: u64 = 500;
+/// Time for which a backend server that could not be reached is not tried, in milliseconds.
+const LOST_MS: u64 = 400;
+/// Time for which an unused connection is kept if the backend server does not say, in
+/// milliseconds.
+const DEFAULT_KEEP_MS: u64 = 3_000;
+/// Part of the announced time for which an unused connection is kept.
+const KEEP_SHARE: f64 = 0.75;
+/// Longest time since its last use of a connection that takes a non-idempotent request, in
+/// milliseconds: the backend server may close it just then, and the outcome would be unknown.
+const ONCE_IDLE_MS: u64 = 1_500;
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// One request for the backend server beside this daemon.
+#[derive(Debug)]
+pub struct Order {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers, without those that concern one connection.
+    pub headers: HeaderMap,
+    /// What the entry says about it.
+    pub hop: HopRequest,
+    /// When its answer is worthless.
+    pub deadline: TimeMs,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+}
+
+/// How an order ends.
+#[derive(Debug)]
+pub enum Executed {
+    /// The backend server has answered.
+    Done(Response<RelayBody>),
+    /// It has not run and will not.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether the backend server was asked at all.
+        arrived: bool,
+    },
+    /// It may have run.
+    Unknown {
+        /// Why this is all that is known.
+        reason: UnknownReason,
+    },
+}
+
+impl Executed {
+    /// A refusal before the backend server was asked.
+    pub fn not_run(reason: NotRunReason, retry_after_ms: u64) -> Executed {
+        Executed::NotRun {
+            reason,
+            retry_after_ms,
+            arrived: false,
+        }
+    }
+}
+
+impl Order {
+    /// The order that another daemon has sent.
+    pub fn from_hop(relay: &Relay, parts: Parts, hop: HopRequest) -> Order {
+        let mut headers = parts.headers;
+        strip_connection_headers(&mut headers);
+        Order {
+            method: parts.method,
+            uri: parts.uri,
+            headers,
+            deadline: relay.clock.now().plus_ms(hop.left_ms),
+            idempotent: hop.key.is_none(),
+            hop,
+        }
+    }
+
+    fn request_id<'a>(&'a self, relay: &Relay) -> &'a str {
+        let id = self.headers.get(&relay.dialect.request_id);
+        id.and_then(|id| id.to_str().ok()).unwrap_or_default()
+    }
+}
+
+/// Admits the order, runs it and waits for the head of the answer. Dropping the future
+/// gives up the order: it leaves the queue, or its connection is closed.
+pub async fn run(relay: &Arc<Relay>, order: Order, body: RelayBody) -> Executed {
+    let started = relay.clock.now();
+    let executed = match admit(relay, &order).await {
+        Ok(slot) => exchange(relay, order, body, slot).await,
+        Err(refused) => {
+            log_refusal(relay, &order, &refused, started);
+            refused
+        }
+    };
+    relay.metrics.executed(&executed, relay.clock.now().since_ms(started));
+    executed
+}
+
+/// A slot of the backend server, free again when it is dropped.
+struct Slot {
+    relay: Arc<Relay>,
+    route: ServiceName,
+    request_id: String,
+    started: TimeMs,
+    took_ms: Option<u64>,
+}
+
+impl Slot {
+    fn new(relay: &Arc<Relay>, order: &Order, tables: &mut Tables) -> Slot {
+        let request_id = order.request_id(relay).to_owned();
+        let running = RunningRequest {
+            mark: order.hop.root.clone(),
+            is_repeat: order.hop.is_repeat,
+        };
+        tables.running.insert(request_id.clone(), running);
+        Slot {
+            relay: Arc::clone(relay),
+            route: order.hop.route.clone(),
+            request_id,
+            started: relay.clock.now(),
+            took_ms: None,
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut tables = self.relay.tables();
+        tables.running.remove(&self.request_id);
+        tables.admission.finished(&self.route, self.took_ms);
+        start_waiting(&self.relay, &mut tables);
+    }
+}
+
+/// Starts or refuses waiting requests as far as there is room.
+fn start_waiting(relay: &Relay, tables: &mut Tables) {
+    let now = relay.clock.now();
+    while let Some(verdict) = tables.admission.next(now) {
+        let ticket = match verdict {
+            Verdict::Start(ticket) | Verdict::Refuse { ticket, .. } => ticket,
+        };
+        let waiter = tables.waiting.remove(&ticket);
+        let told = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
+        if !told && let Verdict::Start(_) = verdict {
+            tables.admission.finished(&ServiceName::from(""), None);
+        }
+    }
+}
+
+/// A place in the queue, given up when it is dropped.
+struct Place {
+    relay: Arc<Relay>,
+    ticket: TicketNo,
+    receiver: oneshot::Receiver<Verdict>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let mut tables = self.relay.tables();
+        tables.waiting.remove(&self.ticket);
+        if tables.admission.cancel(self.ticket) {
+            return;
+        }
+        // The verdict may have been sent and not been received.
+        if let Ok(Verdict::Start(_)) = self.receiver.try_recv() {
+            tables.admission.finished(&ServiceName::from(""), None);
+            start_waiting(&self.relay, &mut tables);
+        }
+    }
+}
+
+async fn admit(relay: &Arc<Relay>, order: &Order) -> Result<Slot, Executed> {
+    let mut place = {
+        let mut tables = relay.tables();
+        let tables = &mut *tables;
+        let now = relay.clock.now();
+        check_worker(relay, tables, order, now)?;
+        let expected_ms = tables.admission.expected_ms(&order.hop.route);
+        if order.hop.is_first {
+            tables.worker_shares.arrived(&order.hop.root, expected_ms);
+        }
+        let offer = Offer {
+            route: &order.hop.route,
+            priority: order.hop.root.priority,
+            is_call: order.hop.is_call,
+            deadline: order.deadline,
+        };
+        match tables.admission.offer(now, offer) {
+            Offered::Run => return Ok(Slot::new(relay, order, tables)),
+            Offered::Refuse { retry_after_ms } => {
+                return Err(Executed::not_run(NotRunReason::Overloaded, retry_after_ms));
+            }
+            Offered::Wait(ticket) => {
+                let (sender, receiver) = oneshot::channel();
+                tables.waiting.insert(ticket, sender);
+                Place {
+                    relay: Arc::clone(relay),
+                    ticket,
+                    receiver,
+                }
+            }
+        }
+    };
+    let wait_ms = order.deadline.since_ms(relay.clock.now());
+    let waited = tokio::time::timeout(Duration::from_millis(wait_ms), &mut place.receiver).await;
+    match waited {
+        Ok(Ok(Verdict::Start(_))) => {
+            let mut tables = relay.tables();
+            let now = relay.clock.now();
+            // Made first, so that the slot is free again if the worker has left meanwhile.
+            let slot = Slot::new(relay, order, &mut tables);
+            let checked = check_worker(relay, &mut tables, order, now);
+            drop(tables);
+            checked.map(|()| slot)
+        }
+        Ok(Ok(Verdict::Refuse { retry_after_ms, .. })) => {
+            Err(Executed::not_run(NotRunReason::QueueTimeout, retry_after_ms))
+        }
+        _ => Err(Executed::not_run(NotRunReason::QueueTimeout, 0)),
+    }
+}
+
+/// Whether the backend server that the order names is the one beside this daemon, and takes work.
+fn check_worker(
+    relay: &Relay,
+    tables: &mut Tables,
+    order: &Order,
+    now: TimeMs,
+) -> Result<(), Executed> {
+    let drain_ms = millis(relay.settings.load().bounds.drain_s * DRAIN_SHARE);
+    let refuse = |reason| Err(Executed::not_run(reason, LEAVING_RETRY_MS));
+    if *relay.stage.borrow() > Stage::Serving {
+        return refuse(NotRunReason::Leaving);
+    }
+    let Some(worker) = &tables.worker else {
+        return refuse(NotRunReason::NoWorker);
+    };
+    if worker.heartbeat.instance != order.hop.instance {
+        return refuse(NotRunReason::WrongIncarnation);
+    }
+    if !worker.takes_work(now, drain_ms) {
+        return refuse(NotRunReason::Leaving);
+    }
+    if tables.worker_lost.is_some_and(|at| now.since_ms(at) < LOST_MS) {
+        return refuse(NotRunReason::BackendUnreachable);
+    }
+    if order.deadline.since_ms(now) < MIN_LEFT_MS {
+        return Err(Executed::not_run(NotRunReason::DeadlineTooShort, 0));
+    }
+    Ok(())
+}
+
+async fn exchange(relay: &Arc<Relay>, order: Order, body: RelayBody, mut slot: Slot) -> Executed {
+    let address = relay.settings.load().backend_address;
+    let request_id = order.request_id(relay).to_owned();
+    let (deadline, idempotent) = (order.deadline, order.idempotent);
+    let left_ms = deadline.since_ms(relay.clock.now());
+    let max_idle_ms = if idempotent { u64::MAX } else { ONCE_IDLE_MS };
+    let request = worker_request(relay, order, body, left_ms);
+    let timeout = Duration::from_millis(left_ms + ANSWER_GRACE_MS);
+    let exchange = relay.pool.exchange(address, request, max_idle_ms);
+    let result = match tokio::time::timeout(timeout, exchange).await {
+        Ok(result) => result,
+        Err(_) => {
+            return unknown(relay, &request_id, UnknownReason::DeadlinePassed, "no answer in time");
+        }
+    };
+    match result {
+        Ok(exchanged) => {
+            relay.tables().worker_lost = None;
+            let executed = judge(relay, &request_id, exchanged);
+            if let Executed::Done(_) = executed {
+                slot.took_ms = Some(relay.clock.now().since_ms(slot.started));
+            }
+            executed
+        }
+        Err(ExchangeError::NotSent { message, .. }) => {
+            relay.tables().worker_lost = Some(relay.clock.now());
+            spdlog::warn!("the backend server cannot be reached", kv: { request_id, message });
+            Executed::not_run(NotRunReason::BackendUnreachable, LOST_MS)
+        }
+        Err(ExchangeError::Broken { message, .. }) => {
+            unknown(relay, &request_id, UnknownReason::BackendBroke, &message)
+        }
+    }
+}
+
+fn unknown(relay: &Relay, request_id: &str, reason: UnknownReason, message: &str) -> Executed {
+    let outcome = "unknown";
+    let reason_name = <&str>::from(reason);
+    let config = relay.config_version();
+    spdlog::warn!("the outcome of a request is unknown", kv: {
+        request_id, outcome, reason_name, message, config
+    });
+    Executed::Unknown { reason }
+}
+
+fn worker_request(relay: &Relay, order: Order, body: RelayBody, left_ms: u64) -> Request<RelayBody> {
+    let mut request = Request::new(body);
+    *request.method_mut() = order.method;
+    *request.uri_mut() = order.uri;
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = order.headers;
+    let dialect = &relay.dialect;
+    let headers = request.headers_mut();
+    headers.insert(dialect.time_left_ms.clone(), HeaderValue::from(left_ms));
+    if let Ok(instance) = HeaderValue::try_from(order.hop.instance) {
+        headers.insert(dialect.expected_instance.clone(), instance);
+    }
+    request
+}
+
+/// What an answer of the backend server proves.
+fn judge(relay: &Relay, request_id: &str, exchanged: Exchanged) -> Executed {
+    let Exchanged { response, sender } = exchanged;
+    let dialect = &relay.dialect;
+    let headers = response.headers();
+    let status = response.status();
+    // An answer to another request would be late or doubled: this one's may still come.
+    let echoed = headers.get(&dialect.request_id).map(HeaderValue::as_bytes);
+    if echoed.is_some_and(|echoed| echoed != request_id.as_bytes()) {
+        return unknown(relay, request_id, UnknownReason::BackendBroke, "answer to another request");
+    }
+    let has_refused = headers.contains_key(&dialect.not_run);
+    if has_refused || status == StatusCode::MISDIRECTED_REQUEST {
+        let retry_after_ms = LOST_MS;
+        let reason = if status == StatusCode::MISDIRECTED_REQUEST {
+            NotRunReason::WrongIncarnation
+        } else {
+            NotRunReason::Overloaded
+        };
+        give_back(relay, response, sender);
+        return Executed::NotRun {
+            reason,
+            retry_after_ms,
+            arrived: true,
+        };
+    }
+    let is_signed = headers.contains_key(&dialect.signature);
+    if !is_signed && (status.is_success() || is_promise(status) || echoed.is_none()) {
+        let message = format!("status {status} without a signature");
+        return unknown(relay, request_id, UnknownReason::BackendBroke, &message);
+    }
+    Executed::Done(answer(relay, response, sender))
+}
+
+/// Statuses by which a caller is promised that its request has not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+fn answer(
+    relay: &Relay,
+    response: Response<Incoming>,
+    sender: hyper::client::conn::http1::SendRequest<RelayBody>,
+) -> Response<RelayBody> {
+    let (mut parts, incoming) = response.into_parts();
+    let lent = Lent {
+        pool: Arc::clone(&relay.pool),
+        key: relay.settings.load().backend_address,
+        sender,
+        keep_ms: keep_ms(&parts.headers),
+    };
+    strip_connection_headers(&mut parts.headers);
+    parts.headers.remove(&relay.dialect.load);
+    Response::from_parts(parts, RelayBody::answer(incoming, Some(lent)))
+}
+
+/// Gives a connection back whose answer has a body that nobody needs, if the body is short.
+fn give_back(
+    relay: &Relay,
+    response: Response<Incoming>,
+    sender: hyper::client::conn::http1::SendRequest<RelayBody>,
+) {
+    let (_, body) = answer(relay, response, sender).into_parts();
+    if let RelayBody::Streamed(_) = body {
+        tokio::spawn(async move {
+            // A body that breaks off ends its connection, which is all there is to do.
+            let _ = http_body_util::BodyExt::collect(body).await;
+        });
+    }
+}
+
+/// How long the backend server's connection is kept unused, in milliseconds.
+fn keep_ms(headers: &HeaderMap) -> u64 {
+    let closes = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
+    if closes.is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return 0;
+    }
+    let announced = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
+    let timeout_s = announced.and_then(|value| {
+        let mut parts = value.split(',');
+        parts.find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
+    });
+    timeout_s.map_or(DEFAULT_KEEP_MS, |timeout_s| {
+        (timeout_s as f64 * 1_000.0 * KEEP_SHARE) as u64
+    })
+}
+
+fn log_refusal(relay: &Relay, order: &Order, refused: &Executed, started: TimeMs) {
+    let Executed::NotRun {
+        reason,
+        retry_after_ms,
+        ..
+    } = refused
+    else {
+        return;
+    };
+    let request_id = order.request_id(relay);
+    let (reason, retry_after_ms) = (<&str>::from(*reason), *retry_after_ms);
+    let (running, waiting, limit) = {
+        let tables = relay.tables();
+        let admission = &tables.admission;
+        (admission.running(), admission.waiting() as u64, admission.limit())
+    };
+    let now = relay.clock.now();
+    let left_ms = order.deadline.since_ms(now);
+    let waited_ms = now.since_ms(started);
+    let route = order.hop.route.as_str();
+    let RootMark { priority, .. } = order.hop.root;
+    let priority = u64::from(priority);
+    spdlog::info!("a request was refused beside its backend server", kv: {
+        request_id, route, reason, retry_after_ms, running, waiting, limit, left_ms, waited_ms,
+        priority
+    });
+}
+
+/// The answer that stands for a refusal or an unknown outcome towards another daemon.
+pub fn stand_in(executed: Executed) -> Response<RelayBody> {
+    match executed {
+        Executed::Done(response) => response,
+        Executed::NotRun { .. } => plain(StatusCode::SERVICE_UNAVAILABLE),
+        Executed::Unknown { .. } => plain(StatusCode::BAD_GATEWAY),
+    }
+}
--- /dev/null
+++ b/src/net/relay/follow.rs
@@ -0,0 +1,177 @@
+//! Follows the log: the configuration and the records of daemons. While the log is away the
+//! last of both stay in force.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::RngExt;
+
+use super::record_log::{KeyedRecord, RecordLog, RecordLogError};
+use super::state::Relay;
+use crate::decide::relay::{Member, RouteTable};
+
+/// Topic of the records of daemons.
+pub const MEMBERS_TOPIC: &str = "keyed.burdockhall-members";
+/// Longest wait for news in one call, in milliseconds.
+const WAIT_MS: u64 = 20_000;
+/// First and longest pause after a failed call, in milliseconds.
+const PAUSE_MS: (u64, u64) = (100, 1_000);
+/// Pause between two reads of members, in milliseconds, so that many changes take one call.
+const MEMBERS_PAUSE_MS: u64 = 100;
+
+/// Where the configuration stands, and how it is read.
+#[derive(Debug, Clone, Copy)]
+pub struct ConfigSource {
+    /// The topic.
+    pub topic: &'static str,
+    /// The key.
+    pub key: &'static str,
+    /// Reads a record.
+    pub decode: fn(&[u8]) -> Result<RouteTable, String>,
+}
+
+impl ConfigSource {
+    /// Puts a configuration in force if it can be read and is newer.
+    pub fn install(&self, relay: &Relay, raw: &[u8], source: &'static str) -> bool {
+        match (self.decode)(raw) {
+            Ok(table) => relay.install(table, Bytes::copy_from_slice(raw), source),
+            Err(error) => {
+                let config = relay.config_version();
+                spdlog::warn!("a configuration cannot be used; the last one stays in force", kv: {
+                    error, config, source
+                });
+                false
+            }
+        }
+    }
+}
+
+/// Follows the configuration for good.
+pub async fn follow_config<L: RecordLog>(relay: Arc<Relay>, log: L, source: ConfigSource) {
+    let take = |record: &KeyedRecord| {
+        if record.key == source.key
+            && let Some(value) = &record.value
+        {
+            source.install(&relay, value, "log");
+        }
+    };
+    follow(&relay, &log, source.topic, 0, take).await;
+}
+
+/// Follows the records of daemons for good.
+pub async fn follow_members<L: RecordLog>(relay: Arc<Relay>, log: L) {
+    let take = |record: &KeyedRecord| match &record.value {
+        Some(value) => match serde_json::from_slice::<Member>(value) {
+            Ok(member) => {
+                relay.merge_members(vec![member], "log");
+            }
+            Err(error) => {
+                let (key, error) = (record.key.as_str(), error.to_string());
+                spdlog::warn!("a member's record cannot be read", kv: { key, error });
+            }
+        },
+        None => {
+            if let Ok(address) = record.key.parse() {
+                relay.remove_member(address, "log");
+            }
+        }
+    };
+    follow(&relay, &log, MEMBERS_TOPIC, MEMBERS_PAUSE_MS, take).await;
+}
+
+async fn follow<L: RecordLog>(
+    relay: &Relay,
+    log: &L,
+    topic: &str,
+    pause_ms: u64,
+    take: impl Fn(&KeyedRecord),
+) {
+    let mut failures = 0;
+    let mut next_offset: Option<u64> = None;
+    loop {
+        let read = match next_offset {
+            None => log.newest(topic).await.map(|snapshot| (snapshot.records, snapshot.next_offset)),
+            Some(from) => {
+                let tail = log.tail(topic, from, WAIT_MS).await;
+                tail.map(|tail| (tail.records, tail.next_offset))
+            }
+        };
+        match read {
+            Ok((records, next)) => {
+                failures = 0;
+                next_offset = Some(next);
+                regained(relay, topic);
+                records.iter().for_each(&take);
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+            Err(RecordLogError::Expired { first_offset }) => {
+                spdlog::warn!("records have expired unread; reading the newest of each key", kv: {
+                    topic, first_offset
+                });
+                next_offset = None;
+            }
+            Err(error) => {
+                failures += 1;
+                lost(relay, topic, &error);
+                pause(relay, failures).await;
+            }
+        }
+    }
+}
+
+/// Publishes this daemon's record whenever it changes, until it is acknowledged.
+pub async fn publish<L: RecordLog>(relay: Arc<Relay>, log: L) {
+    loop {
+        relay.record_changed.notified().await;
+        let mut failures = 0;
+        while let Some(member) = relay.own_member() {
+            let revision = member.revision;
+            let Ok(value) = serde_json::to_vec(&member) else {
+                spdlog::error!("this daemon's record cannot be written");
+                break;
+            };
+            let key = member.address.to_string();
+            match log.put(MEMBERS_TOPIC, &key, Some(&value)).await {
+                Ok(()) => {
+                    let is_newest = relay.own_member().is_none_or(|now| now.revision == revision);
+                    spdlog::info!("this daemon's record is published", kv: { revision });
+                    if is_newest {
+                        break;
+                    }
+                }
+                Err(error) => {
+                    failures += 1;
+                    lost(&relay, MEMBERS_TOPIC, &error);
+                    if failures == 1 {
+                        super::peers::push_record(&relay, &member).await;
+                    }
+                    pause(&relay, failures).await;
+                }
+            }
+        }
+    }
+}
+
+fn lost(relay: &Relay, topic: &str, error: &RecordLogError) {
+    if !relay.log_lost.swap(true, Ordering::Relaxed) {
+        let error = error.to_string();
+        spdlog::warn!("the log service is lost", kv: { topic, error });
+        relay.peer_is_newer.notify_one();
+    }
+}
+
+fn regained(relay: &Relay, topic: &str) {
+    if relay.log_lost.swap(false, Ordering::Relaxed) {
+        spdlog::info!("the log service is regained", kv: { topic });
+    }
+}
+
+/// Waits longer after each failure, and not in step with other daemons.
+async fn pause(relay: &Relay, failures: u32) {
+    let (first_ms, longest_ms) = PAUSE_MS;
+    let base_ms = (first_ms << failures.min(8)).min(longest_ms);
+    let wait_ms = relay.tables().rng.random_range(base_ms / 2..=base_ms);
+    tokio::time::sleep(Duration::from_millis(wait_ms)).await;
+}
--- /dev/null
+++ b/src/net/relay/hop.rs
@@ -0,0 +1,209 @@
+//! Calls between daemons: the caller's request with one header more, the answer with one more.
+
+use std::sync::Arc;
+
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, HeaderMap, HeaderName, HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+
+use super::body::RelayBody;
+use super::executor::{self, Executed, Order};
+use super::state::Relay;
+use super::{peers, settle};
+use crate::decide::relay::{RootMark, ShareReport};
+use crate::model::{NotRunReason, ServiceName};
+
+/// Carries [`HopRequest`] as JSON.
+pub const HOP_HEADER: HeaderName = HeaderName::from_static("burdockhall-hop");
+/// Carries [`HopReply`] as JSON.
+pub const REPLY_HEADER: HeaderName = HeaderName::from_static("burdockhall-reply");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// What the entry says about a request.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HopRequest {
+    /// Identifies the hop of a non-idempotent request, so that its outcome can be asked for.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub key: Option<String>,
+    /// The run of the backend server that may run it.
+    pub instance: String,
+    /// Route, by which the time it takes is expected.
+    pub route: ServiceName,
+    /// Time left, in milliseconds.
+    pub left_ms: u64,
+    /// The root request above it.
+    pub root: RootMark,
+    /// Whether it is a call beneath a running request.
+    pub is_call: bool,
+    /// Whether its run would repeat another.
+    pub is_repeat: bool,
+    /// Whether it was not offered to another daemon before.
+    pub is_first: bool,
+    /// Version of the entry's configuration.
+    pub config: u64,
+}
+
+/// What became of a request at the daemon beside the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, strum::IntoStaticStr)]
+#[serde(rename_all = "snake_case")]
+#[strum(serialize_all = "snake_case")]
+pub enum HopOutcome {
+    /// The backend server has answered.
+    Done,
+    /// It has not run and will not.
+    NotRun {
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+        /// Whether the backend server was asked at all.
+        arrived: bool,
+    },
+    /// It may have run.
+    Unknown,
+}
+
+/// What the daemon beside the backend server says with its answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HopReply {
+    /// The outcome.
+    pub outcome: HopOutcome,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that may run at a time.
+    pub limit: u32,
+    /// Mean time of a request, in milliseconds.
+    pub mean_ms: u32,
+    /// Shares at scarce services.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<ShareReport>,
+    /// Version of this daemon's configuration.
+    pub config: u64,
+}
+
+/// Answers other daemons.
+pub async fn handle(relay: Arc<Relay>, mut request: Request<Incoming>) -> Response<RelayBody> {
+    let Some(header) = request.headers_mut().remove(HOP_HEADER) else {
+        return match request.uri().path() {
+            peers::STATE_PATH => peers::answer_state(&relay),
+            peers::RECORD_PATH => peers::take_record(&relay, request).await,
+            settle::PATH => settle::answer(&relay, request).await,
+            _ => plain(StatusCode::NOT_FOUND),
+        };
+    };
+    let hop: HopRequest = match serde_json::from_slice(header.as_bytes()) {
+        Ok(hop) => hop,
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::warn!("a hop could not be read", kv: { error });
+            return plain(StatusCode::BAD_REQUEST);
+        }
+    };
+    if hop.config > relay.config_version() {
+        relay.peer_is_newer.notify_one();
+    }
+    let (parts, incoming) = request.into_parts();
+    let order = Order::from_hop(&relay, parts, hop);
+    let body = RelayBody::answer(incoming, None);
+    let executed = match order.hop.key.clone() {
+        Some(key) => settle::run(&relay, order, body, &key).await,
+        None => executor::run(&relay, order, body).await,
+    };
+    let outcome = HopOutcome::from(&executed);
+    let mut response = executor::stand_in(executed);
+    relay.attach_reply(&mut response, outcome);
+    response
+}
+
+impl From<&Executed> for HopOutcome {
+    fn from(executed: &Executed) -> HopOutcome {
+        match executed {
+            Executed::Done(_) => HopOutcome::Done,
+            Executed::NotRun {
+                reason,
+                retry_after_ms,
+                arrived,
+            } => HopOutcome::NotRun {
+                reason: *reason,
+                retry_after_ms: *retry_after_ms,
+                arrived: *arrived,
+            },
+            Executed::Unknown { .. } => HopOutcome::Unknown,
+        }
+    }
+}
+
+impl Relay {
+    /// Adds what this daemon says with an answer.
+    pub fn attach_reply(&self, response: &mut Response<RelayBody>, outcome: HopOutcome) {
+        match serde_json::to_vec(&self.reply(outcome)).map(HeaderValue::try_from) {
+            Ok(Ok(value)) => {
+                response.headers_mut().insert(REPLY_HEADER, value);
+            }
+            // Without the header the entry takes the outcome as unknown, which is always true.
+            _ => spdlog::error!("a reply could not be written"),
+        }
+    }
+
+    /// The reply of this daemon, with what it knows about its load.
+    pub fn reply(&self, outcome: HopOutcome) -> HopReply {
+        let now = self.clock.now();
+        let config = self.config_version();
+        let mut tables = self.tables();
+        let tables = &mut *tables;
+        let mut shares = tables.entry_shares.reports(now);
+        let limit = tables.admission.limit();
+        if let Some(worker) = &tables.worker {
+            let service = &worker.heartbeat.service;
+            if let Some(own) = tables.worker_shares.report(now, limit, service) {
+                shares.retain(|report| report.service != own.service);
+                shares.push(own);
+            }
+        }
+        HopReply {
+            outcome,
+            running: tables.admission.running(),
+            waiting: tables.admission.waiting() as u32,
+            limit,
+            mean_ms: tables.admission.mean_ms() as u32,
+            shares,
+            config,
+        }
+    }
+}
+
+/// An answer without a body.
+pub fn plain(status: StatusCode) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Empty);
+    *response.status_mut() = status;
+    response
+}
+
+/// Drops the headers that concern one connection only.
+pub fn strip_connection_headers(headers: &mut HeaderMap) {
+    if let Some(connection) = headers.remove(CONNECTION) {
+        let named = connection.to_str().unwrap_or_default().split(',');
+        for name in named {
+            headers.remove(name.trim());
+        }
+    }
+    for name in [
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        PROXY_AUTHENTICATE,
+        PROXY_AUTHORIZATION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+    ] {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/src/net/relay/mod.rs
@@ -0,0 +1,22 @@
+//! The relay: carries requests from the callers on this VM to the backend servers of a
+//! deployment, through the daemon beside each.
+
+pub mod body;
+pub mod dialect;
+pub mod entry;
+pub mod executor;
+pub mod follow;
+pub mod hop;
+pub mod listen;
+pub mod peers;
+pub mod pool;
+pub mod record_log;
+pub mod relay_metrics;
+pub mod settle;
+pub mod state;
+pub mod stop;
+
+pub use body::RelayBody;
+pub use dialect::Dialect;
+pub use record_log::{KeyedRecord, RecordLog, RecordLogError, Snapshot, Tail};
+pub use state::Relay;
--- /dev/null
+++ b/src/net/relay/pool.rs
@@ -0,0 +1,229 @@
+//! Connections to other daemons, to the backend server and to the log service.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
+use thiserror::Error;
+use tokio::net::TcpStream;
+
+use super::body::{Lent, RelayBody};
+use crate::model::{Clock, TimeMs};
+
+/// Longest time for a connection to be made, in milliseconds. Shorter than the time for which
+/// callers wait for a connection of their own, so that another worker can still be tried.
+const CONNECT_TIMEOUT_MS: u64 = 700;
+/// Time without traffic after which a connection is probed, and between two probes.
+const KEEPALIVE: Duration = Duration::from_secs(1);
+/// Probes without a reply after which a connection is dead.
+const KEEPALIVE_PROBES: u32 = 2;
+/// Longest time for sent bytes to be acknowledged. Finds connections that have gone silent.
+const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Largest buffer of a connection, in bytes; bounds the memory that a slow reader costs.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// The other side of a connection.
+pub type PoolKey = SocketAddr;
+
+/// Why an exchange has failed.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// No byte of the request was sent.
+    #[error("cannot reach {address}: {message}")]
+    NotSent {
+        /// The other side.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+        /// The request, if it can be sent again.
+        request: Option<Box<Request<RelayBody>>>,
+    },
+    /// The request may have arrived.
+    #[error("the exchange with {address} broke: {message}")]
+    Broken {
+        /// The other side.
+        address: SocketAddr,
+        /// The cause.
+        message: String,
+    },
+}
+
+#[derive(Debug)]
+struct Idle {
+    sender: SendRequest<RelayBody>,
+    since: TimeMs,
+    keep_ms: u64,
+}
+
+/// Idle connections by the other side's address.
+#[derive(Debug)]
+pub struct Pool {
+    clock: Clock,
+    idle: Mutex<HashMap<PoolKey, Vec<Idle>>>,
+}
+
+/// The head of a response, and the connection that its body arrives on.
+#[derive(Debug)]
+pub struct Exchanged {
+    /// The response.
+    pub response: Response<Incoming>,
+    /// The connection.
+    pub sender: SendRequest<RelayBody>,
+}
+
+impl Pool {
+    /// An empty pool.
+    pub fn new(clock: Clock) -> Arc<Pool> {
+        Arc::new(Pool {
+            clock,
+            idle: Mutex::default(),
+        })
+    }
+
+    /// Sends a request over an idle connection that was used at most `max_idle_ms` ago, or
+    /// over a new one, and waits for the head of the response.
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        mut request: Request<RelayBody>,
+        max_idle_ms: u64,
+    ) -> Result<Exchanged, ExchangeError> {
+        while let Some(sender) = self.take(address, max_idle_ms) {
+            match send(address, sender, request).await {
+                Err(ExchangeError::NotSent {
+                    request: Some(unsent),
+                    ..
+                }) => request = *unsent,
+                sent => return sent,
+            }
+        }
+        match connect(address).await {
+            Ok(sender) => send(address, sender, request).await,
+            Err(message) => Err(ExchangeError::NotSent {
+                address,
+                message,
+                request: Some(Box::new(request)),
+            }),
+        }
+    }
+
+    /// Takes a connection back.
+    pub fn put(&self, lent: Lent) {
+        if lent.sender.is_closed() || lent.keep_ms == 0 {
+            return;
+        }
+        let idle = Idle {
+            sender: lent.sender,
+            since: self.clock.now(),
+            keep_ms: lent.keep_ms,
+        };
+        self.lock().entry(lent.key).or_default().push(idle);
+    }
+
+    /// Closes all idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    /// Closes idle connections that the other side is about to close.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        for connections in idle.values_mut() {
+            connections.retain(|idle| {
+                !idle.sender.is_closed() && now.since_ms(idle.since) < idle.keep_ms
+            });
+        }
+        idle.retain(|_, connections| !connections.is_empty());
+    }
+
+    fn take(&self, address: SocketAddr, max_idle_ms: u64) -> Option<SendRequest<RelayBody>> {
+        let now = self.clock.now();
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        // The one used last is the least likely to be closed by the other side just now.
+        for index in (0..connections.len()).rev() {
+            let candidate = &connections[index];
+            let idle_ms = now.since_ms(candidate.since);
+            if candidate.sender.is_closed() || idle_ms >= candidate.keep_ms {
+                connections.swap_remove(index);
+            } else if idle_ms <= max_idle_ms && candidate.sender.is_ready() {
+                return Some(connections.remove(index).sender);
+            }
+        }
+        None
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<PoolKey, Vec<Idle>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn send(
+    address: SocketAddr,
+    mut sender: SendRequest<RelayBody>,
+    request: Request<RelayBody>,
+) -> Result<Exchanged, ExchangeError> {
+    if let Err(error) = sender.ready().await {
+        return Err(ExchangeError::NotSent {
+            address,
+            message: error.to_string(),
+            request: Some(Box::new(request)),
+        });
+    }
+    match sender.try_send_request(request).await {
+        Ok(response) => Ok(Exchanged { response, sender }),
+        Err(mut error) => {
+            let request = error.take_message().map(Box::new);
+            let message = error.into_error().to_string();
+            Err(match request {
+                Some(request) => ExchangeError::NotSent {
+                    address,
+                    message,
+                    request: Some(request),
+                },
+                None => ExchangeError::Broken { address, message },
+            })
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<SendRequest<RelayBody>, String> {
+    let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
+    let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+    let stream = match connected {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(error.to_string()),
+        Err(_) => return Err(format!("no connection within {CONNECT_TIMEOUT_MS} ms")),
+    };
+    tune(&stream).map_err(|error| error.to_string())?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
+    let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+    // Its end shows at the sender and at the body, so the result is not needed here.
+    tokio::spawn(async move {
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Sets what finds a connection that has gone silent.
+pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
--- /dev/null
+++ b/src/net/relay/relay_metrics.rs
@@ -0,0 +1,116 @@
+//! Counters and latency histograms of the relay, in the Prometheus text format.
+
+use hyper::StatusCode;
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, Opts, Registry, TextEncoder,
+};
+
+use super::executor::Executed;
+
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS_S: &[f64] = &[
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// The relay's metrics.
+#[derive(Debug)]
+pub struct RelayMetrics {
+    registry: Registry,
+    answers: IntCounterVec,
+    answer_seconds: Histogram,
+    executions: IntCounterVec,
+    execution_seconds: Histogram,
+    shed: IntCounter,
+}
+
+impl Default for RelayMetrics {
+    fn default() -> RelayMetrics {
+        let registry = Registry::new();
+        let metrics = RelayMetrics {
+            answers: counters(
+                "burdockhall_relay_answers_total",
+                "Answers to callers by status.",
+                "status",
+            ),
+            answer_seconds: histogram(
+                "burdockhall_relay_answer_seconds",
+                "Time from a caller's request to the head of its answer.",
+            ),
+            executions: counters(
+                "burdockhall_relay_executions_total",
+                "Requests for the backend server beside this daemon by outcome.",
+                "outcome",
+            ),
+            execution_seconds: histogram(
+                "burdockhall_relay_execution_seconds",
+                "Time that a request waited for and ran on the backend server.",
+            ),
+            shed: counter(
+                "burdockhall_relay_shed_total",
+                "Root requests shed at this entry before any work.",
+            ),
+            registry,
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl RelayMetrics {
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
+            Box::new(self.answers.clone()),
+            Box::new(self.answer_seconds.clone()),
+            Box::new(self.executions.clone()),
+            Box::new(self.execution_seconds.clone()),
+            Box::new(self.shed.clone()),
+        ];
+        for collector in collectors {
+            // The names are distinct constants, so that registering them cannot fail.
+            let registered = self.registry.register(collector);
+            debug_assert!(registered.is_ok());
+        }
+    }
+
+    /// Counts an answer to a caller.
+    pub fn answered(&self, status: StatusCode, took_ms: u64) {
+        self.answers.with_label_values(&[status.as_str()]).inc();
+        self.answer_seconds.observe(took_ms as f64 / 1_000.0);
+    }
+
+    /// Counts a request at the backend server beside this daemon.
+    pub fn executed(&self, executed: &Executed, took_ms: u64) {
+        let outcome = match executed {
+            Executed::Done(_) => "done",
+            Executed::NotRun { reason, .. } => reason.into(),
+            Executed::Unknown { .. } => "unknown",
+        };
+        self.executions.with_label_values(&[outcome]).inc();
+        self.execution_seconds.observe(took_ms as f64 / 1_000.0);
+    }
+
+    /// Counts a root request that was shed.
+    pub fn shed(&self) {
+        self.shed.inc();
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> Result<String, prometheus::Error> {
+        let mut page = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut page)?;
+        Ok(String::from_utf8_lossy(&page).into_owned())
+    }
+}
+
+fn counter(name: &str, help: &str) -> IntCounter {
+    IntCounter::new(name, help).expect("the name is valid")
+}
+
+fn counters(name: &str, help: &str, label: &str) -> IntCounterVec {
+    IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid")
+}
+
+fn histogram(name: &str, help: &str) -> Histogram {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
+    Histogram::with_opts(options).expect("the name is valid")
+}
--- /dev/null
+++ b/src/net/relay/settle.rs
@@ -0,0 +1,278 @@
+//! Settling: what became of a non-idempotent request whose hop broke.
+//!
+//! The daemon beside the backend server runs such a request apart from the connection it came
+//! on. If the connection breaks, the entry asks for the outcome over a new one. A request that
+//! was never received is fenced, so that a late copy of it cannot run.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use hyper::http::response::Parts;
+use hyper::{Request, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+
+use super::body::RelayBody;
+use super::executor::{self, Executed, Order};
+use super::hop::{HopOutcome, plain};
+use super::state::Relay;
+use crate::model::{NotRunReason, TimeMs, UnknownReason};
+
+/// Path of the question on the listener for hops.
+pub const PATH: &str = "/burdockhall/settle";
+/// Time for which a request goes on after its connection broke, in milliseconds. After that
+/// nobody is expected to ask any more, and its caller has most likely left.
+const ABANDON_MS: u64 = 400;
+/// Time for which outcomes and fences are kept, in milliseconds. No request is given as long.
+const KEEP_MS: u64 = 60_000;
+/// Largest answer that is kept for a second delivery, in bytes.
+const KEPT_BODY_BYTES: u64 = 128 * 1024;
+/// Most outcomes that are kept; beyond it, finished ones lose their answer first.
+const MAX_KEPT: usize = 4_096;
+
+/// The question.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SettleRequest {
+    /// Key of the hop.
+    pub key: String,
+    /// How long the answer is awaited, in milliseconds.
+    pub left_ms: u64,
+}
+
+/// A whole answer that can be given more than once.
+#[derive(Debug, Clone)]
+struct Kept {
+    outcome: HopOutcome,
+    answer: Option<(Arc<Parts>, Bytes)>,
+}
+
+#[derive(Debug, Clone)]
+struct Settlement {
+    since: TimeMs,
+    /// How many connections wait for it.
+    attached: watch::Sender<usize>,
+    finished: watch::Sender<Option<Kept>>,
+}
+
+/// Non-idempotent requests by the key of their hop.
+#[derive(Debug, Default)]
+pub struct Settlements {
+    by_key: Mutex<HashMap<String, Settlement>>,
+}
+
+impl Settlements {
+    fn lock(&self) -> MutexGuard<'_, HashMap<String, Settlement>> {
+        self.by_key.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts a key; none if it was started or fenced before.
+    fn start(&self, now: TimeMs, key: &str) -> Option<Settlement> {
+        let mut by_key = self.lock();
+        if by_key.contains_key(key) {
+            return None;
+        }
+        if by_key.len() >= MAX_KEPT {
+            by_key.retain(|_, settlement| {
+                now.since_ms(settlement.since) < KEEP_MS || settlement.finished.borrow().is_none()
+            });
+        }
+        let settlement = Settlement {
+            since: now,
+            attached: watch::Sender::new(0),
+            finished: watch::Sender::new(None),
+        };
+        by_key.insert(key.to_owned(), settlement.clone());
+        Some(settlement)
+    }
+
+    /// The settlement of a key; a key that was never received is fenced by this.
+    fn find_or_fence(&self, now: TimeMs, key: &str) -> Settlement {
+        if let Some(settlement) = self.start(now, key) {
+            settlement.finished.send_replace(Some(Kept {
+                outcome: HopOutcome::NotRun {
+                    reason: NotRunReason::Fenced,
+                    retry_after_ms: 0,
+                    arrived: false,
+                },
+                answer: None,
+            }));
+            return settlement;
+        }
+        let by_key = self.lock();
+        by_key.get(key).cloned().unwrap_or_else(|| Settlement {
+            since: now,
+            attached: watch::Sender::new(0),
+            finished: watch::Sender::new(Some(Kept {
+                outcome: HopOutcome::Unknown,
+                answer: None,
+            })),
+        })
+    }
+
+    /// Drops what nobody can ask for any more.
+    pub fn sweep(&self, now: TimeMs) {
+        self.lock()
+            .retain(|_, settlement| now.since_ms(settlement.since) < KEEP_MS);
+    }
+
+    /// How many outcomes are kept.
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether no outcome is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Counts a connection as attached while it lives.
+struct Attached(watch::Sender<usize>);
+
+impl Attached {
+    fn new(attached: &watch::Sender<usize>) -> Attached {
+        attached.send_modify(|count| *count += 1);
+        Attached(attached.clone())
+    }
+}
+
+impl Drop for Attached {
+    fn drop(&mut self) {
+        self.0.send_modify(|count| *count -= 1);
+    }
+}
+
+/// Runs a non-idempotent order apart from the connection that it came on.
+pub async fn run(relay: &Arc<Relay>, order: Order, body: RelayBody, key: &str) -> Executed {
+    let now = relay.clock.now();
+    let Some(settlement) = relay.settlements.start(now, key) else {
+        return Executed::not_run(NotRunReason::Fenced, 0);
+    };
+    let attached = Attached::new(&settlement.attached);
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    let task = {
+        let (relay, settlement) = (Arc::clone(relay), settlement.clone());
+        async move {
+            let executed = tokio::select! {
+                executed = executor::run(&relay, order, body) => executed,
+                () = abandoned(&settlement) => Executed::Unknown { reason: UnknownReason::Cancelled },
+            };
+            let (executed, kept) = keep(executed).await;
+            settlement.finished.send_replace(Some(kept));
+            // The connection may be gone; then the outcome is there to be asked for.
+            let _ = sender.send(executed);
+        }
+    };
+    tokio::spawn(task);
+    let executed = receiver.await;
+    drop(attached);
+    executed.unwrap_or(Executed::Unknown {
+        reason: UnknownReason::Cancelled,
+    })
+}
+
+/// Returns once nobody has waited for the outcome for a while.
+async fn abandoned(settlement: &Settlement) {
+    let mut attached = settlement.attached.subscribe();
+    loop {
+        if attached.wait_for(|count| *count == 0).await.is_err() {
+            return;
+        }
+        let back = async { attached.wait_for(|count| *count > 0).await.is_ok() };
+        let waited = tokio::time::timeout(Duration::from_millis(ABANDON_MS), back).await;
+        if waited.is_err() {
+            return;
+        }
+    }
+}
+
+/// Keeps a short answer for a second delivery; a longer one passes through.
+async fn keep(executed: Executed) -> (Executed, Kept) {
+    let outcome = HopOutcome::from(&executed);
+    let unknown = Kept {
+        outcome: HopOutcome::Unknown,
+        answer: None,
+    };
+    let response = match executed {
+        Executed::Done(response) => response,
+        other => {
+            let kept = Kept {
+                outcome,
+                answer: None,
+            };
+            return (other, kept);
+        }
+    };
+    let length = response.body().size_hint().exact();
+    if length.is_none_or(|length| length > KEPT_BODY_BYTES) {
+        return (Executed::Done(response), unknown);
+    }
+    let (parts, body) = response.into_parts();
+    match body.collect().await {
+        Ok(whole) => {
+            let bytes = whole.to_bytes();
+            let parts = Arc::new(parts);
+            let kept = Kept {
+                outcome,
+                answer: Some((Arc::clone(&parts), bytes.clone())),
+            };
+            (Executed::Done(rebuild(&parts, bytes)), kept)
+        }
+        Err(error) => {
+            let message = error.to_string();
+            spdlog::warn!("an answer broke off before it was whole", kv: { message });
+            let reason = UnknownReason::BackendBroke;
+            (Executed::Unknown { reason }, unknown)
+        }
+    }
+}
+
+fn rebuild(parts: &Parts, bytes: Bytes) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Full(bytes));
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = parts.headers.clone();
+    response
+}
+
+/// Answers the question of an entry.
+pub async fn answer(relay: &Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
+    let question = request.into_body().collect().await;
+    let question = question.ok().and_then(|whole| {
+        let bytes = whole.to_bytes();
+        serde_json::from_slice::<SettleRequest>(&bytes).ok()
+    });
+    let Some(question) = question else {
+        return plain(StatusCode::BAD_REQUEST);
+    };
+    let settlement = relay
+        .settlements
+        .find_or_fence(relay.clock.now(), &question.key);
+    let attached = Attached::new(&settlement.attached);
+    let mut finished = settlement.finished.subscribe();
+    let waited = tokio::time::timeout(
+        Duration::from_millis(question.left_ms),
+        finished.wait_for(Option::is_some),
+    );
+    let kept = match waited.await {
+        Ok(Ok(kept)) => kept.clone(),
+        _ => None,
+    };
+    drop(attached);
+    let kept = kept.unwrap_or(Kept {
+        outcome: HopOutcome::Unknown,
+        answer: None,
+    });
+    let key = question.key.as_str();
+    let outcome = <&str>::from(kept.outcome);
+    spdlog::info!("a broken hop was settled", kv: { key, outcome });
+    let mut response = match kept.answer {
+        Some((parts, bytes)) => rebuild(&parts, bytes),
+        None => plain(StatusCode::ACCEPTED),
+    };
+    relay.attach_reply(&mut response, kept.outcome);
+    response
+}
--- /dev/null
+++ b/src/net/relay/stop.rs
@@ -0,0 +1,50 @@
+//! The graceful shutdown: not ready at once, then nothing new, then the end once everything
+//! in flight has its answer.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use super::state::{Relay, Stage, millis};
+use crate::model::TimeMs;
+
+/// Time for which callers may still come, in milliseconds: two looks at the readiness, one
+/// second apart, and one more.
+const LEAVING_MS: u64 = 2_800;
+/// Part of the time allowed that the shutdown keeps to.
+const GRACE_SHARE: f64 = 0.95;
+/// Time between two looks at what is in flight, in milliseconds.
+const LOOK_MS: u64 = 50;
+/// Looks in a row that must find nothing in flight, so that written answers have been sent.
+const QUIET_LOOKS: u32 = 3;
+
+/// Shuts the relay down; returns how many requests have no answer.
+pub async fn stop(relay: &Arc<Relay>) -> usize {
+    let started = relay.clock.now();
+    let grace_ms = millis(relay.settings.load().bounds.grace_s * GRACE_SHARE);
+    relay.stage.send_replace(Stage::Leaving);
+    relay.announce_stop();
+    let open = relay.open_requests.load(Ordering::Relaxed) as u64;
+    spdlog::info!("the daemon stops; it is not ready any more", kv: { open, grace_ms });
+    let leaving_ms = LEAVING_MS.min(grace_ms / 2);
+    tokio::time::sleep(Duration::from_millis(leaving_ms)).await;
+    relay.stage.send_replace(Stage::Closing);
+    let mut quiet = 0;
+    while quiet < QUIET_LOOKS && spent_ms(relay, started) < grace_ms {
+        let open = in_flight(relay);
+        quiet = if open == 0 { quiet + 1 } else { 0 };
+        tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+    }
+    let open = in_flight(relay);
+    let (unfinished, took_ms) = (open as u64, spent_ms(relay, started));
+    spdlog::info!("the daemon has stopped", kv: { unfinished, took_ms });
+    open
+}
+
+fn spent_ms(relay: &Relay, started: TimeMs) -> u64 {
+    relay.clock.now().since_ms(started)
+}
+
+fn in_flight(relay: &Relay) -> usize {
+    relay.open_requests.load(Ordering::Relaxed) + relay.tables().running.len()
+}
--- /dev/null
+++ b/src/platform/local.rs
@@ -0,0 +1,147 @@
+//! What the VM itself asks of the daemon: heartbeats of the backend server, and whether the
+//! daemon is ready.
+
+use std::sync::Arc;
+
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONTENT_TYPE, HeaderValue};
+use hyper::{Method, Request, Response, StatusCode};
+use serde::Deserialize;
+
+use crate::decide::relay::{Heartbeat, HeartbeatOutcome};
+use crate::model::ServiceName;
+use crate::net::relay::hop::plain;
+use crate::net::relay::state::{Relay, Stage, millis};
+use crate::net::relay::RelayBody;
+
+/// Path of the backend server's calls; the query says which.
+const CALL_PATH: &str = "/rpc";
+const HEARTBEAT: &str = "instances.heartbeat";
+const DEREGISTER: &str = "instances.deregister";
+const READY_PATH: &str = "/ready";
+/// Largest heartbeat, in bytes.
+const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
+
+#[derive(Debug, Deserialize)]
+struct WireHeartbeat {
+    address: String,
+    info: WireInfo,
+    status: WireStatus,
+    /// Start of this run, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    born: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WireInfo {
+    service: String,
+    slots: u32,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireStatus {
+    state: WireState,
+    seq: u64,
+    /// How much longer it is slow after its start.
+    #[serde(default)]
+    cold_remaining_s: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    Draining,
+}
+
+/// Answers the backend server.
+pub async fn backend(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
+    if request.method() != Method::POST || request.uri().path() != CALL_PATH {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let query = request.uri().query().unwrap_or_default();
+    let of = parameter(query, "of").unwrap_or_default().to_owned();
+    match parameter(query, "call") {
+        Some(HEARTBEAT) => heartbeat(&relay, of, request).await,
+        Some(DEREGISTER) => {
+            let is_news = relay.leave(&of);
+            let instance = of.as_str();
+            spdlog::info!("the backend server leaves", kv: { instance, is_news: });
+            acknowledged()
+        }
+        _ => plain(StatusCode::NOT_FOUND),
+    }
+}
+
+async fn heartbeat(
+    relay: &Relay,
+    instance: String,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect().await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return malformed(&instance, &error.to_string()),
+    };
+    let wire: WireHeartbeat = match serde_json::from_slice(&body) {
+        Ok(wire) => wire,
+        Err(error) => return malformed(&instance, &error.to_string()),
+    };
+    if instance.is_empty() || wire.info.slots == 0 {
+        return malformed(&instance, "no instance or no slots");
+    }
+    let backend = relay.settings.load().backend_address.to_string();
+    if wire.address != backend {
+        return malformed(&instance, &format!("{} is not on this VM", wire.address));
+    }
+    let heartbeat = Heartbeat {
+        instance: instance.clone(),
+        born_unix_ms: wire.born,
+        sequence: wire.status.seq,
+        service: ServiceName::from(wire.info.service.as_str()),
+        slots: wire.info.slots,
+        draining: wire.status.state == WireState::Draining,
+        cold_ms: millis(wire.status.cold_remaining_s),
+    };
+    let sequence = heartbeat.sequence;
+    let outcome = relay.hear(heartbeat);
+    if outcome != HeartbeatOutcome::Refreshed {
+        let (instance, outcome) = (instance.as_str(), <&str>::from(outcome));
+        spdlog::info!("a heartbeat was taken in", kv: { instance, sequence, outcome });
+    }
+    acknowledged()
+}
+
+/// Answers whether callers may come.
+pub async fn ready(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
+    if request.uri().path() != READY_PATH {
+        return plain(StatusCode::NOT_FOUND);
+    }
+    let is_ready = *relay.stage.borrow() == Stage::Serving && relay.config_version() > 0;
+    plain(if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    })
+}
+
+fn acknowledged() -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::Full("{}".into()));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+fn malformed(instance: &str, problem: &str) -> Response<RelayBody> {
+    spdlog::warn!("a heartbeat cannot be used", kv: { instance, problem });
+    plain(StatusCode::BAD_REQUEST)
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,3 +1,11 @@
-//! Clients of what the platform gives.
+//! What the users' platform calls things, translated once: headers, the store, heartbeats and
+//! configurations. Nothing here decides.
 
+pub mod dialect;
+pub mod local;
 pub mod log;
+pub mod routing;
+pub mod store;
+
+pub use dialect::{CONFIG, dialect};
+pub use store::Store;
--- /dev/null
+++ b/src/platform/store.rs
@@ -0,0 +1,254 @@
+//! The client of the platform's store: a log with topics, of which those with keys keep the
+//! newest record of each.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD as BASE64;
+use bytes::{Buf, Bytes};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Method, Request, StatusCode};
+use serde::Deserialize;
+
+use crate::net::relay::body::Lent;
+use crate::net::relay::pool::{ExchangeError, Pool};
+use crate::net::relay::{
+    KeyedRecord, RecordLog, RecordLogError, RelayBody, Snapshot, Tail,
+};
+
+/// Longest wait for an answer beyond what the call itself asks for, in milliseconds.
+const TIMEOUT_MS: u64 = 2_000;
+/// How long a connection to the store is kept unused, in milliseconds.
+const KEEP_MS: u64 = 10_000;
+/// Largest answer, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 * 1024 * 1024;
+/// Bytes in front of the records of a read: the end and the first offset kept.
+const READ_HEAD_BYTES: usize = 16;
+/// Bytes in front of each record: its length.
+const LENGTH_BYTES: usize = 4;
+
+/// A client of the store.
+#[derive(Debug, Clone)]
+pub struct Store {
+    address: SocketAddr,
+    pool: Arc<Pool>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Page {
+    items: Vec<PageItem>,
+    has_more: bool,
+    /// The offset behind the last record.
+    end_key: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct PageItem {
+    key: String,
+    /// Base64.
+    value: String,
+    offset: u64,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct Expired {
+    first_offset: u64,
+}
+
+impl Store {
+    /// A client of the store at an address.
+    pub fn new(address: SocketAddr, pool: Arc<Pool>) -> Store {
+        Store { address, pool }
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: RelayBody,
+        timeout_ms: u64,
+    ) -> Result<(StatusCode, Bytes), RecordLogError> {
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", self.address.to_string())
+            .body(body)
+            .map_err(|error| RecordLogError::Malformed(error.to_string()))?;
+        let exchange = async {
+            let sent = self.pool.exchange(self.address, request, KEEP_MS).await;
+            let exchanged = sent.map_err(|error| silent(&error))?;
+            let status = exchanged.response.status();
+            let lent = Lent {
+                pool: Arc::clone(&self.pool),
+                key: self.address,
+                sender: exchanged.sender,
+                keep_ms: KEEP_MS,
+            };
+            let body = RelayBody::answer(exchanged.response.into_body(), Some(lent));
+            let whole = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
+            let whole = whole.map_err(|error| RecordLogError::Silent(error.to_string()))?;
+            Ok((status, whole.to_bytes()))
+        };
+        let timeout = Duration::from_millis(timeout_ms);
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(answered) => answered,
+            Err(_) => Err(RecordLogError::Silent(format!(
+                "nothing within {timeout_ms} ms"
+            ))),
+        }
+    }
+}
+
+impl RecordLog for Store {
+    async fn newest(&self, topic: &str) -> Result<Snapshot, RecordLogError> {
+        let mut snapshot = Snapshot::default();
+        let mut after = String::new();
+        let mut is_first = true;
+        loop {
+            let path = format!("/log-newest?topic={topic}&part=0{after}");
+            let (status, body) = self
+                .call(Method::GET, &path, RelayBody::Empty, TIMEOUT_MS)
+                .await?;
+            if status == StatusCode::NOT_FOUND {
+                return Ok(snapshot);
+            }
+            check(status, &body)?;
+            let page: Page = serde_json::from_slice(&body)
+                .map_err(|error| RecordLogError::Malformed(error.to_string()))?;
+            // Pages are no snapshot: what changes meanwhile stands behind the first page's end.
+            if is_first {
+                snapshot.next_offset = page.end_key;
+                is_first = false;
+            }
+            let last = page.items.last().map(|item| encode_query(&item.key));
+            for item in page.items {
+                let value = BASE64.decode(&item.value).map_err(|error| {
+                    RecordLogError::Malformed(format!("the value of {:?}: {error}", item.key))
+                })?;
+                snapshot.records.push(KeyedRecord {
+                    key: item.key,
+                    value: (!value.is_empty()).then_some(value),
+                    offset: item.offset,
+                });
+            }
+            match last {
+                Some(last) if page.has_more => after = format!("&after={last}"),
+                _ => return Ok(snapshot),
+            }
+        }
+    }
+
+    async fn tail(
+        &self,
+        topic: &str,
+        from_offset: u64,
+        wait_ms: u64,
+    ) -> Result<Tail, RecordLogError> {
+        let path = format!("/log-read?topic={topic}&part=0&from={from_offset}&waitMs={wait_ms}");
+        let timeout_ms = wait_ms + TIMEOUT_MS;
+        let (status, body) = self
+            .call(Method::GET, &path, RelayBody::Empty, timeout_ms)
+            .await?;
+        check(status, &body)?;
+        decode_records(body, from_offset)
+    }
+
+    async fn put(
+        &self,
+        topic: &str,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<(), RecordLogError> {
+        let record = encode_record(key, value.unwrap_or_default())?;
+        let path = format!("/log-append?topic={topic}&part=0");
+        let body = RelayBody::Full(record);
+        let (status, body) = self.call(Method::POST, &path, body, TIMEOUT_MS).await?;
+        check(status, &body)
+    }
+}
+
+fn silent(error: &ExchangeError) -> RecordLogError {
+    RecordLogError::Silent(error.to_string())
+}
+
+fn check(status: StatusCode, body: &[u8]) -> Result<(), RecordLogError> {
+    if status.is_success() {
+        return Ok(());
+    }
+    if status == StatusCode::GONE {
+        let expired: Expired = serde_json::from_slice(body)
+            .map_err(|error| RecordLogError::Malformed(error.to_string()))?;
+        return Err(RecordLogError::Expired {
+            first_offset: expired.first_offset,
+        });
+    }
+    Err(RecordLogError::Refused {
+        status: status.as_u16(),
+    })
+}
+
+/// One record of a topic with keys, with its length in front.
+pub fn encode_record(key: &str, value: &[u8]) -> Result<Bytes, RecordLogError> {
+    let key_bytes = u8::try_from(key.len())
+        .map_err(|_| RecordLogError::Malformed(format!("the key {key:?} is too long")))?;
+    let length = 1 + key.len() + value.len();
+    let mut record = Vec::with_capacity(LENGTH_BYTES + length);
+    record.extend_from_slice(&(length as u32).to_be_bytes());
+    record.push(key_bytes);
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value);
+    Ok(record.into())
+}
+
+/// The records of a read that began at `from_offset`.
+pub fn decode_records(mut body: Bytes, from_offset: u64) -> Result<Tail, RecordLogError> {
+    let malformed = |problem: &str| RecordLogError::Malformed(problem.to_owned());
+    if body.len() < READ_HEAD_BYTES {
+        return Err(malformed("the read is shorter than its head"));
+    }
+    body.advance(READ_HEAD_BYTES);
+    let mut tail = Tail {
+        records: Vec::new(),
+        next_offset: from_offset,
+    };
+    while body.len() >= LENGTH_BYTES {
+        let length = body.get_u32() as usize;
+        if body.len() < length {
+            return Err(malformed("the last record is cut short"));
+        }
+        let record = body.split_to(length);
+        let offset = tail.next_offset;
+        tail.next_offset += 1;
+        match decode_keyed(&record, offset) {
+            Some(record) => tail.records.push(record),
+            None => spdlog::warn!("a record has no key and is passed over", kv: { offset }),
+        }
+    }
+    Ok(tail)
+}
+
+fn decode_keyed(record: &[u8], offset: u64) -> Option<KeyedRecord> {
+    let (key_bytes, rest) = record.split_first()?;
+    let (key, value) = rest.split_at_checked(usize::from(*key_bytes))?;
+    Some(KeyedRecord {
+        key: String::from_utf8(key.to_vec()).ok()?,
+        value: (!value.is_empty()).then(|| value.to_vec()),
+        offset,
+    })
+}
+
+fn encode_query(text: &str) -> String {
+    let mut encoded = String::new();
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            encoded.push(char::from(byte));
+        } else {
+            encoded.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    encoded
+}
