--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -350,10 +350,7 @@
     ),
     required(
         "retry_slack",
-        Kind::Decimal {
-            min: 0.0,
-            max: 1e6,
-        },
+        Kind::Decimal { min: 0.0, max: 1e6 },
         "Repeats that are allowed beyond the share, by all daemons together.",
     ),
 ];
@@ -384,11 +381,7 @@
         "Listener for the question whether this daemon is ready.",
     ),
     required("metrics_address", ADDRESS, "Listener for metrics."),
-    required(
-        "backend_address",
-        ADDRESS,
-        "The backend server on this VM.",
-    ),
+    required("backend_address", ADDRESS, "The backend server on this VM."),
     required("log_address", ADDRESS, "The platform's log service."),
     optional(
         "logging",
--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -12,9 +12,10 @@
 /// Part of the slots that is used; backend servers may slow down when they are nearly full.
 const USED_SLOTS: f64 = 0.94;
 /// Part of the time left that a root request may spend in the queue.
-const ROOT_WAIT_SHARE: f64 = 0.3;
-/// Part of the time left that a call beneath a running request may spend in the queue.
-const CALL_WAIT_SHARE: f64 = 0.55;
+const ROOT_WAIT_SHARE: f64 = 0.2;
+/// Part of the time left that a call beneath a running request may spend in the queue. Small,
+/// since a request makes several calls one after the other and each may wait as long.
+const CALL_WAIT_SHARE: f64 = 0.15;
 /// Part of its expected time that must be left when a request starts.
 const LEFT_SHARE: f64 = 0.6;
 /// Weight of a completion in the mean times.
--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -111,6 +111,11 @@
             .filter_map(|address| self.members.get(address))
     }
 
+    /// How many members of a service take work.
+    pub fn ready_count(&self, service: &ServiceName) -> usize {
+        self.by_service.get(service).map_or(0, Vec::len)
+    }
+
     /// One member.
     pub fn get(&self, address: SocketAddr) -> Option<&Known> {
         self.members.get(&address)
--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -67,8 +67,8 @@
     /// Takes in a heartbeat.
     pub fn hear(&mut self, now: TimeMs, heartbeat: Heartbeat) -> HeartbeatOutcome {
         let known = &self.heartbeat;
-        let same_run = known.instance == heartbeat.instance
-            && known.born_unix_ms == heartbeat.born_unix_ms;
+        let same_run =
+            known.instance == heartbeat.instance && known.born_unix_ms == heartbeat.born_unix_ms;
         if !same_run {
             if heartbeat.born_unix_ms < known.born_unix_ms {
                 return HeartbeatOutcome::Stale;
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -17,4 +17,4 @@
 pub use placing::{Candidate, Placing, WorkerLoad};
 pub use retry_budget::RetryBudget;
 pub use routes::{Limits, Part, Route, RouteTable, ServiceRules};
-pub use shares::{EntryShares, RootMark, ShareReport, WorkerShares};
+pub use shares::{EntryShares, Reporter, RootMark, ShareReport, WorkerShares};
--- a/src/decide/relay/placing.rs
+++ b/src/decide/relay/placing.rs
@@ -1,23 +1,37 @@
 //! Placing: which worker gets a request.
 //!
-//! Near workers first, since bytes between availability zones and regions are paid for. A
-//! request spills over to a farther tier only while every nearer worker is full. Within a
-//! tier two random workers are compared by load, so that daemons with views of different age
-//! do not all choose the same one.
+//! Each worker has a cost in milliseconds: the wait expected there, part of the time that it
+//! takes, and what its distance is worth. Bytes between availability zones and regions are paid
+//! for, so a farther worker is taken only if it spares more waiting than its distance is worth.
+//!
+//! The load that this answers: zones whose workers differ in speed fill up one by one while
+//! others have room.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use rand::{Rng, RngExt};
 
-use crate::model::{Distance, TimeMs};
+use crate::model::{Distance, ServiceName, TimeMs};
 
-/// Load up to which a worker in the same zone is taken before the rest of the region.
-const ZONE_FULL: f64 = 0.8;
-/// Load up to which the own region is taken before others.
-const REGION_FULL: f64 = 1.0;
-/// Load up to which workers of other regions are taken at all, unless all are fuller.
-const REMOTE_FULL: f64 = 0.9;
+/// Load from which requests begin to wait for each other, as a part of the limit.
+const BUSY_LOAD: f64 = 0.75;
+/// Wait at a worker that is full but has no queue, in milliseconds.
+const BUSY_COST_MS: f64 = 5.0;
+/// What each multiple of the usual time on a request is worth, in milliseconds of waiting.
+const SLOW_COST_MS: f64 = 10.0;
+/// Time that a worker is taken to need before it has said, in milliseconds.
+const UNKNOWN_MEAN_MS: f64 = 20.0;
+/// What another VM of the availability zone is worth, in milliseconds of waiting.
+const OTHER_VM_COST_MS: f64 = 1.0;
+/// What another availability zone of the region is worth, in milliseconds of waiting.
+const REGION_COST_MS: f64 = 6.0;
+/// What another region is worth, in milliseconds of waiting: two crossings of the link and the
+/// bytes that are paid for.
+const REMOTE_COST_MS: f64 = 45.0;
+/// Spread of the costs between two daemons that see the same, so that they do not all choose
+/// the same worker.
+const JITTER: f64 = 0.2;
 /// Time in which a load that was reported halves, for want of newer news, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 500.0;
 /// First time for which a worker is avoided after a failure, in milliseconds.
@@ -33,8 +47,12 @@
 /// Time in which a failure rate halves, so that a worker that has recovered is tried again,
 /// in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 2_000.0;
-/// A worker that takes so many times as long as the quickest of its tier counts as slow.
-const SLOW_FACTOR: f64 = 4.0;
+/// A worker that takes so many times the usual time is taken only if no other has room.
+const SLOW_FACTOR: f64 = 3.0;
+/// Weight of one answer in the usual time of its route and in a worker's slowness.
+const TIME_WEIGHT: f64 = 0.1;
+/// Shortest usual time that slowness is measured against, in milliseconds.
+const MIN_USUAL_MS: f64 = 5.0;
 
 /// A worker that could take the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -72,6 +90,9 @@
     avoid_until: TimeMs,
     failure_rate: f64,
     judged: TimeMs,
+    /// Time on a request as a multiple of the usual one, less 1.
+    slowness: f64,
+    timed: TimeMs,
 }
 
 impl View {
@@ -87,6 +108,11 @@
         busy / f64::from(limit.max(1))
     }
 
+    fn slowness(&self, now: TimeMs) -> f64 {
+        let age_ms = now.since_ms(self.timed) as f64;
+        self.slowness * 0.5_f64.powf(age_ms / FAILURE_HALF_LIFE_MS)
+    }
+
     fn failure_rate(&self, now: TimeMs) -> f64 {
         let age_ms = now.since_ms(self.judged) as f64;
         self.failure_rate * 0.5_f64.powf(age_ms / FAILURE_HALF_LIFE_MS)
@@ -97,15 +123,10 @@
 #[derive(Debug, Default)]
 pub struct Placing {
     views: HashMap<SocketAddr, View>,
+    /// Usual time of a route's requests at any worker, in milliseconds.
+    usual_ms: HashMap<ServiceName, f64>,
 }
 
-/// The tiers in the order in which they fill.
-const TIERS: [(Distance, f64); 3] = [
-    (Distance::SameZone, ZONE_FULL),
-    (Distance::SameRegion, REGION_FULL),
-    (Distance::OtherRegion, REMOTE_FULL),
-];
-
 impl Placing {
     /// Chooses a worker that was not tried yet; none if there is none that may be tried.
     pub fn choose(
@@ -120,12 +141,14 @@
             .filter(|candidate| !tried.contains(&candidate.address))
             .map(|candidate| self.rate(now, candidate))
             .collect();
-        let sound: Vec<Rated> = open.iter().copied().filter(|rated| !rated.avoided).collect();
+        let sound: Vec<Rated> = open
+            .iter()
+            .copied()
+            .filter(|rated| !rated.avoided)
+            .collect();
         let rated = if sound.is_empty() { &open } else { &sound };
         let good: Vec<Rated> = without_outliers(rated);
-        choose_by_tier(&good, rng)
-            .or_else(|| least_loaded(rated, rng))
-            .map(|rated| rated.candidate)
+        cheapest(&good, rng).map(|rated| rated.candidate)
     }
 
     /// Takes in that a request was sent.
@@ -160,6 +183,22 @@
         view.judged = now;
     }
 
+    /// Takes in how long a worker took for a request. Workers are compared on the same route,
+    /// since routes of one service differ in the time they take.
+    pub fn took(&mut self, now: TimeMs, address: SocketAddr, route: &ServiceName, took_ms: u64) {
+        let took_ms = took_ms as f64;
+        let usual_ms = match self.usual_ms.get_mut(route) {
+            Some(usual_ms) => usual_ms,
+            None => self.usual_ms.entry(route.clone()).or_insert(took_ms),
+        };
+        let times = took_ms / usual_ms.max(MIN_USUAL_MS);
+        // One very slow worker must not pass for the usual.
+        *usual_ms += (took_ms.min(*usual_ms * 2.0 + MIN_USUAL_MS) - *usual_ms) * TIME_WEIGHT;
+        let view = self.views.entry(address).or_default();
+        view.slowness += (times - 1.0 - view.slowness) * TIME_WEIGHT;
+        view.timed = now;
+    }
+
     /// Takes in that the daemon could not be reached or has broken off; returns how long it
     /// is avoided, in milliseconds.
     pub fn unreachable(&mut self, now: TimeMs, address: SocketAddr) -> u64 {
@@ -200,6 +239,7 @@
             mean_ms: f64::from(view.load.mean_ms),
             avoided: now < view.avoid_until,
             grey: view.failure_rate(now) >= GREY_RATE,
+            slowness: view.slowness(now),
         }
     }
 }
@@ -211,14 +251,32 @@
     mean_ms: f64,
     avoided: bool,
     grey: bool,
+    slowness: f64,
+}
+
+impl Rated {
+    fn cost_ms(&self) -> f64 {
+        let mean_ms = if self.mean_ms > 0.0 {
+            self.mean_ms
+        } else {
+            UNKNOWN_MEAN_MS
+        };
+        let queued_ms = (self.load - 1.0).max(0.0) * mean_ms;
+        let busy = ((self.load - BUSY_LOAD) / (1.0 - BUSY_LOAD)).clamp(0.0, 1.0);
+        let distance_ms = match self.candidate.distance {
+            _ if self.candidate.is_own => 0.0,
+            Distance::SameZone => OTHER_VM_COST_MS,
+            Distance::SameRegion => REGION_COST_MS,
+            Distance::OtherRegion => REMOTE_COST_MS,
+        };
+        let slow_ms = self.slowness.max(0.0) * SLOW_COST_MS;
+        queued_ms + busy * BUSY_COST_MS + slow_ms + distance_ms
+    }
 }
 
 /// The workers but for the failing and the slow ones, unless that leaves fewer than half.
 fn without_outliers(rated: &[Rated]) -> Vec<Rated> {
-    let known = rated.iter().filter(|rated| rated.mean_ms > 0.0);
-    let quickest_ms = known.map(|rated| rated.mean_ms).fold(f64::MAX, f64::min);
-    let is_good =
-        |rated: &&Rated| !rated.grey && rated.mean_ms <= quickest_ms.max(1.0) * SLOW_FACTOR;
+    let is_good = |rated: &&Rated| !rated.grey && rated.slowness <= SLOW_FACTOR - 1.0;
     let good: Vec<Rated> = rated.iter().filter(is_good).copied().collect();
     if good.len() * 2 < rated.len() {
         return rated.to_vec();
@@ -226,55 +284,13 @@
     good
 }
 
-fn choose_by_tier(rated: &[Rated], rng: &mut impl Rng) -> Option<Rated> {
-    for (distance, full) in TIERS {
-        let tier: Vec<Rated> = rated
-            .iter()
-            .filter(|rated| rated.candidate.distance == distance && rated.load < full)
-            .copied()
-            .collect();
-        let own = tier.iter().find(|rated| rated.candidate.is_own);
-        if let Some(own) = own {
-            return Some(*own);
-        }
-        if let Some(chosen) = better_of_two(&tier, rng) {
-            return Some(chosen);
-        }
-    }
-    None
-}
-
-fn better_of_two(tier: &[Rated], rng: &mut impl Rng) -> Option<Rated> {
-    match tier {
-        [] => None,
-        [only] => Some(*only),
-        _ => {
-            let one = rng.random_range(0..tier.len());
-            let other = (one + rng.random_range(1..tier.len())) % tier.len();
-            let (one, other) = (tier[one], tier[other]);
-            Some(if one.load <= other.load { one } else { other })
+fn cheapest(rated: &[Rated], rng: &mut impl Rng) -> Option<Rated> {
+    let mut best: Option<(f64, Rated)> = None;
+    for rated in rated {
+        let cost_ms = rated.cost_ms() * (1.0 + JITTER * rng.random::<f64>());
+        if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
+            best = Some((cost_ms, *rated));
         }
     }
-}
-
-/// The least loaded of all, nearer ones a little ahead.
-fn least_loaded(rated: &[Rated], rng: &mut impl Rng) -> Option<Rated> {
-    let start = if rated.is_empty() {
-        0
-    } else {
-        rng.random_range(0..rated.len())
-    };
-    let turned = rated.iter().cycle().skip(start).take(rated.len());
-    turned
-        .min_by(|one, other| handicap(one).total_cmp(&handicap(other)))
-        .copied()
-}
-
-fn handicap(rated: &Rated) -> f64 {
-    let distance = match rated.candidate.distance {
-        Distance::SameZone => 0.0,
-        Distance::SameRegion => 0.05,
-        Distance::OtherRegion => 0.2,
-    };
-    rated.load + distance
+    best.map(|(_, rated)| rated)
 }
--- a/src/decide/relay/shares.rs
+++ b/src/decide/relay/shares.rs
@@ -13,13 +13,15 @@
 use crate::model::{ServiceName, TimeMs};
 
 /// Time over which demand is smoothed, in milliseconds.
-const DEMAND_TIME_MS: f64 = 800.0;
+const DEMAND_TIME_MS: f64 = 500.0;
 /// Time between two computations of the shares, in milliseconds.
 const INTERVAL_MS: u64 = 200;
 /// Part of the capacity that is given out; the rest absorbs what varies.
 const GIVEN_CAPACITY: f64 = 0.92;
 /// Part of each kind that is admitted before higher ranks get more, so that none starves.
 const FLOOR_SHARE: f64 = 0.35;
+/// Part of the capacity that the floors may take, so that the highest rank goes first.
+const FLOOR_CAPACITY: f64 = 0.4;
 /// Least share, so that news of free capacity keeps arriving.
 const MIN_SHARE: f64 = 0.05;
 /// Shares above this are not worth telling.
@@ -27,22 +29,29 @@
 /// Time for which the end of scarcity is told, in milliseconds.
 const LIFTED_MS: u64 = 1_500;
 /// Oldest report that is used or passed on, in milliseconds.
-const MAX_AGE_MS: u64 = 2_000;
-/// Weight of one report in an entry's estimate.
-const REPORT_WEIGHT: f64 = 0.2;
-/// Time without news after which a share begins to recover, in milliseconds.
-const RECOVER_AFTER_MS: u64 = 600;
-/// Time in which what is missing to a whole share halves without news, in milliseconds.
-const RECOVER_HALF_LIFE_MS: f64 = 500.0;
+const MAX_AGE_MS: u64 = 1_500;
+/// Most reports that are passed on with one message.
+const MAX_PASSED: usize = 8;
+/// What an interval with a standing queue or a refusal leaves of the capacity given out.
+const PRESSURE_DECREASE: f64 = 0.93;
+/// What an interval without one adds to it.
+const PRESSURE_INCREASE: f64 = 0.04;
+/// The capacity given out never falls below this part.
+const MIN_PRESSURE: f64 = 0.6;
+/// Requests that wait for each slot from which a queue counts as standing.
+const STANDING_QUEUE: f64 = 0.25;
 
 /// The root request beneath which a request is made.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RootMark {
     /// Route of the root request.
+    #[serde(rename = "r")]
     pub route: ServiceName,
     /// Rank of the root request.
+    #[serde(rename = "p")]
     pub priority: u8,
     /// Part of its kind that its entry admitted at the time.
+    #[serde(rename = "a")]
     pub admitted: f64,
 }
 
@@ -50,10 +59,16 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShareReport {
     /// The scarce service.
+    #[serde(rename = "s")]
     pub service: ServiceName,
+    /// Stands for the worker that reports.
+    #[serde(rename = "w")]
+    pub worker: u32,
     /// Age of the shares, in milliseconds.
+    #[serde(rename = "a")]
     pub age_ms: u64,
     /// Share by route of the root request.
+    #[serde(rename = "r")]
     pub shares: Vec<(ServiceName, f64)>,
 }
 
@@ -69,10 +84,37 @@
 }
 
 /// The demand for one backend server, and the shares that follow from it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct WorkerShares {
     demands: HashMap<ServiceName, Demand>,
     computed: TimeMs,
+    /// Part of the capacity that is given out, lowered while it proves too much.
+    pressure: f64,
+    refused: bool,
+}
+
+impl Default for WorkerShares {
+    fn default() -> WorkerShares {
+        WorkerShares {
+            demands: HashMap::new(),
+            computed: TimeMs(0),
+            pressure: 1.0,
+            refused: false,
+        }
+    }
+}
+
+/// The worker that reports, and what its queue looks like.
+#[derive(Debug, Clone, Copy)]
+pub struct Reporter<'a> {
+    /// Its service.
+    pub service: &'a ServiceName,
+    /// Stands for the worker.
+    pub worker: u32,
+    /// Requests that may run.
+    pub slots: u32,
+    /// Requests that wait.
+    pub waiting: usize,
 }
 
 impl WorkerShares {
@@ -91,9 +133,14 @@
         }
     }
 
-    /// The shares to tell, empty while nothing is scarce. `slots` is how many requests may run.
-    pub fn report(&mut self, now: TimeMs, slots: u32, service: &ServiceName) -> Option<ShareReport> {
-        self.compute(now, slots);
+    /// Takes in that a request was refused for want of room.
+    pub fn refused(&mut self) {
+        self.refused = true;
+    }
+
+    /// The shares to tell, none while nothing is scarce.
+    pub fn report(&mut self, now: TimeMs, reporter: Reporter<'_>) -> Option<ShareReport> {
+        self.compute(now, reporter);
         let told = self.demands.iter().filter(|(_, demand)| {
             let is_lifted = demand.lifted.is_some_and(|at| now.since_ms(at) < LIFTED_MS);
             demand.share < WHOLE_SHARE || is_lifted
@@ -102,13 +149,20 @@
             .map(|(route, demand)| (route.clone(), rounded(demand.share)))
             .collect();
         (!shares.is_empty()).then(|| ShareReport {
-            service: service.clone(),
+            service: reporter.service.clone(),
+            worker: reporter.worker,
             age_ms: now.since_ms(self.computed),
             shares,
         })
     }
 
-    fn compute(&mut self, now: TimeMs, slots: u32) {
+    /// Slots that all demand would fill, and the part of the capacity that is given out.
+    pub fn summary(&self) -> (f64, f64) {
+        let demand = self.demands.values().map(|demand| demand.slots).sum();
+        (demand, self.pressure)
+    }
+
+    fn compute(&mut self, now: TimeMs, reporter: Reporter<'_>) {
         let span_ms = now.since_ms(self.computed);
         if span_ms < INTERVAL_MS {
             return;
@@ -121,13 +175,20 @@
             demand.arrived_ms = 0.0;
         }
         self.demands.retain(|_, demand| demand.slots > 1e-4);
-        self.divide(f64::from(slots) * GIVEN_CAPACITY, now);
+        let slots = f64::from(reporter.slots);
+        let is_standing = reporter.waiting as f64 > slots * STANDING_QUEUE;
+        self.pressure = if is_standing || std::mem::take(&mut self.refused) {
+            (self.pressure * PRESSURE_DECREASE).max(MIN_PRESSURE)
+        } else {
+            (self.pressure + PRESSURE_INCREASE).min(1.0)
+        };
+        self.divide(slots * GIVEN_CAPACITY * self.pressure, now);
     }
 
     /// Divides the capacity: a floor for each kind, then what is left by rank.
     fn divide(&mut self, capacity: f64, now: TimeMs) {
         let total: f64 = self.demands.values().map(|demand| demand.slots).sum();
-        let floor = (capacity / total.max(1e-9)).min(FLOOR_SHARE);
+        let floor = (capacity * FLOOR_CAPACITY / total.max(1e-9)).min(FLOOR_SHARE);
         let mut left = (capacity - total * floor).max(0.0);
         let mut priorities: Vec<u8> = self.demands.values().map(|d| d.priority).collect();
         priorities.sort_unstable();
@@ -157,34 +218,25 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Estimate {
-    share: f64,
+/// What one worker has reported.
+#[derive(Debug, Clone)]
+struct Heard {
     at: TimeMs,
-}
-
-impl Estimate {
-    fn now(&self, now: TimeMs) -> f64 {
-        let silent_ms = now.since_ms(self.at);
-        if silent_ms <= RECOVER_AFTER_MS {
-            return self.share;
-        }
-        let over_ms = (silent_ms - RECOVER_AFTER_MS) as f64;
-        1.0 - (1.0 - self.share) * 0.5_f64.powf(over_ms / RECOVER_HALF_LIFE_MS)
-    }
+    shares: Vec<(ServiceName, f64)>,
 }
 
 /// What an entry has heard about scarce services, and the admission that follows.
 #[derive(Debug, Default)]
 pub struct EntryShares {
-    /// By scarce service, then by route of the root request.
-    heard: HashMap<ServiceName, HashMap<ServiceName, Estimate>>,
+    /// By scarce service, then by worker.
+    heard: HashMap<ServiceName, HashMap<u32, Heard>>,
     /// What each route has saved up towards its next admission.
     credits: HashMap<ServiceName, f64>,
 }
 
 impl EntryShares {
-    /// Takes in a report.
+    /// Takes in a report, also one that another daemon passes on. The newest of each worker
+    /// counts.
     pub fn heard(&mut self, now: TimeMs, report: &ShareReport) {
         if report.age_ms > MAX_AGE_MS {
             return;
@@ -193,57 +245,78 @@
         if !self.heard.contains_key(&report.service) {
             self.heard.insert(report.service.clone(), HashMap::new());
         }
-        let Some(routes) = self.heard.get_mut(&report.service) else {
+        let Some(workers) = self.heard.get_mut(&report.service) else {
             return;
         };
-        for (route, share) in &report.shares {
-            match routes.get_mut(route) {
-                Some(estimate) => {
-                    let known = estimate.now(now);
-                    estimate.share = known + (share - known) * REPORT_WEIGHT;
-                    estimate.at = estimate.at.max(at);
-                }
-                None => {
-                    let share = 1.0 + (share - 1.0) * REPORT_WEIGHT;
-                    routes.insert(route.clone(), Estimate { share, at });
-                }
-            }
+        let is_older = workers
+            .get(&report.worker)
+            .is_some_and(|known| known.at >= at);
+        if !is_older {
+            let shares = report.shares.clone();
+            workers.insert(report.worker, Heard { at, shares });
         }
     }
 
-    /// What to pass on to others.
+    /// What to pass on to others, newest first.
     pub fn reports(&mut self, now: TimeMs) -> Vec<ShareReport> {
         if self.heard.is_empty() {
             return Vec::new();
         }
-        self.heard.retain(|_, routes| {
-            routes.retain(|_, estimate| now.since_ms(estimate.at) <= MAX_AGE_MS);
-            !routes.is_empty()
+        self.heard.retain(|_, workers| {
+            workers.retain(|_, heard| now.since_ms(heard.at) <= MAX_AGE_MS);
+            !workers.is_empty()
         });
-        let reports = self.heard.iter().map(|(service, routes)| {
-            let newest = routes.values().map(|estimate| estimate.at).max();
-            ShareReport {
+        let mut reports: Vec<ShareReport> = Vec::new();
+        for (service, workers) in &self.heard {
+            reports.extend(workers.iter().map(|(worker, heard)| ShareReport {
                 service: service.clone(),
-                age_ms: now.since_ms(newest.unwrap_or(now)),
-                shares: routes
-                    .iter()
-                    .map(|(route, estimate)| (route.clone(), rounded(estimate.share)))
-                    .collect(),
-            }
-        });
-        reports.collect()
+                worker: *worker,
+                age_ms: now.since_ms(heard.at),
+                shares: heard.shares.clone(),
+            }));
+        }
+        reports.sort_by_key(|report| report.age_ms);
+        reports.truncate(MAX_PASSED);
+        reports
     }
 
-    /// The part of a route's root requests that is admitted now.
-    pub fn share(&self, now: TimeMs, route: &ServiceName) -> f64 {
-        let shares = self.heard.values().filter_map(|routes| routes.get(route));
-        let least = shares.map(|estimate| estimate.now(now)).fold(1.0, f64::min);
-        if least >= WHOLE_SHARE { 1.0 } else { least }
+    /// The part of a route's root requests that is admitted now: at each scarce service the
+    /// mean over its workers, of which `workers_of` tells the number; workers that report
+    /// nothing have room. The scarcest service decides.
+    pub fn share(
+        &self,
+        now: TimeMs,
+        route: &ServiceName,
+        workers_of: impl Fn(&ServiceName) -> usize,
+    ) -> f64 {
+        let mut least: f64 = 1.0;
+        for (service, workers) in &self.heard {
+            let fresh = workers
+                .values()
+                .filter(|heard| now.since_ms(heard.at) <= MAX_AGE_MS);
+            let missing: f64 = fresh
+                .flat_map(|heard| &heard.shares)
+                .filter(|(name, _)| name == route)
+                .map(|(_, share)| 1.0 - share)
+                .sum();
+            let count = workers_of(service).max(workers.len()) as f64;
+            least = least.min(1.0 - missing / count);
+        }
+        if least >= WHOLE_SHARE {
+            1.0
+        } else {
+            least.max(MIN_SHARE)
+        }
     }
 
     /// Decides about one root request: the share by which it was admitted, or none.
-    pub fn admit(&mut self, now: TimeMs, route: &ServiceName) -> Option<f64> {
-        let share = self.share(now, route);
+    pub fn admit(
+        &mut self,
+        now: TimeMs,
+        route: &ServiceName,
+        workers_of: impl Fn(&ServiceName) -> usize,
+    ) -> Option<f64> {
+        let share = self.share(now, route, workers_of);
         if share >= 1.0 {
             return Some(1.0);
         }
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -126,7 +126,10 @@
         let _ = output.write_all(gathered.bytes.as_bytes());
         if gathered.dropped > 0 {
             let dropped = gathered.dropped;
-            let _ = writeln!(output, r#"{{"message":"log lines were dropped","dropped":{dropped}}}"#);
+            let _ = writeln!(
+                output,
+                r#"{{"message":"log lines were dropped","dropped":{dropped}}}"#
+            );
         }
         let _ = output.flush();
         drop(output);
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -161,7 +161,10 @@
             RelayBody::Full(bytes) => SizeHint::with_exact(bytes.len() as u64),
             RelayBody::Streamed(streamed) => {
                 let rest = streamed.incoming.size_hint().exact();
-                let prefix = streamed.prefix.as_ref().map_or(0, |bytes| bytes.len() as u64);
+                let prefix = streamed
+                    .prefix
+                    .as_ref()
+                    .map_or(0, |bytes| bytes.len() as u64);
                 rest.map_or_else(SizeHint::default, |rest| {
                     SizeHint::with_exact(rest + prefix)
                 })
@@ -171,10 +174,7 @@
 }
 
 impl Streamed {
-    fn poll(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -13,8 +13,8 @@
 
 use super::body::{Lent, RelayBody};
 use super::executor::{self, Executed, Order};
-use super::hop::{HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain};
 use super::hop::strip_connection_headers;
+use super::hop::{HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain};
 use super::pool::{ExchangeError, Exchanged};
 use super::settle::{self, SettleRequest};
 use super::state::{Configuration, Relay, Stage};
@@ -61,11 +61,15 @@
         }
     };
     if let Some(id) = request_id {
-        response.headers_mut().insert(relay.dialect.request_id.clone(), id);
+        response
+            .headers_mut()
+            .insert(relay.dialect.request_id.clone(), id);
     }
     if *relay.stage.borrow() > Stage::Serving {
         let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(hyper::header::CONNECTION, close);
+        response
+            .headers_mut()
+            .insert(hyper::header::CONNECTION, close);
     }
     let took_ms = relay.clock.now().since_ms(started);
     relay.metrics.answered(response.status(), took_ms);
@@ -124,7 +128,10 @@
     let Ok(id) = request_id.to_str() else {
         return plain(StatusCode::BAD_REQUEST);
     };
-    let host = request.headers().get(HOST).and_then(|host| host.to_str().ok());
+    let host = request
+        .headers()
+        .get(HOST)
+        .and_then(|host| host.to_str().ok());
     let host = host.or(request.uri().host()).unwrap_or_default();
     let Some(route) = table.find(host, request.uri().path()) else {
         let (path, config) = (request.uri().path(), table.version);
@@ -148,7 +155,9 @@
     let left_ms = headers.get(&relay.dialect.time_left_ms);
     let left_ms = left_ms.and_then(|left| left.to_str().ok()?.trim().parse::<u64>().ok());
     let left_ms = left_ms.unwrap_or(DEFAULT_LEFT_MS);
-    let left_ms = route.timeout_ms.map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
+    let left_ms = route
+        .timeout_ms
+        .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
     let parent = parent_of(relay, id);
     let (is_call, parent_is_repeat) = match &parent {
         Some(parent) => (true, parent.is_repeat),
@@ -157,8 +166,7 @@
     let root = match parent {
         Some(parent) => parent.mark,
         None => {
-            let admitted = relay.tables().entry_shares.admit(started, &route.name);
-            let Some(admitted) = admitted else {
+            let Some(admitted) = relay.tables().admit(started, &route.name) else {
                 return shed(relay, id, route, table.version);
             };
             RootMark {
@@ -277,10 +285,16 @@
         tried.push(chosen.candidate.address);
         let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
         match executed {
-            Executed::Done(response) => {
+            Executed::Done { response, took_ms } => {
                 let failed = response.status().is_server_error();
                 let address = chosen.candidate.address;
-                relay.tables().placing.judged(now, address, !failed);
+                {
+                    let mut tables = relay.tables();
+                    tables.placing.judged(now, address, !failed);
+                    if !failed {
+                        tables.placing.took(now, address, &call.route.name, took_ms);
+                    }
+                }
                 if !failed {
                     log_answer(relay, call, "done", &tried, response.status());
                     return response;
@@ -338,13 +352,7 @@
 }
 
 /// Whether a request that has reached a backend server may go to another one.
-fn may_repeat(
-    relay: &Relay,
-    call: &Call<'_>,
-    now: TimeMs,
-    arrivals: u32,
-    left_ms: u64,
-) -> bool {
+fn may_repeat(relay: &Relay, call: &Call<'_>, now: TimeMs, arrivals: u32, left_ms: u64) -> bool {
     let min_left_ms = call.route.objective_ms as f64 * MIN_LEFT_SHARE;
     if arrivals >= call.route.max_attempts || (left_ms as f64) < min_left_ms {
         return false;
@@ -352,7 +360,7 @@
     let mut tables = relay.tables();
     let tables = &mut *tables;
     // More work for a service that is short of room would only move the failure.
-    if tables.entry_shares.share(now, &call.root.route) < 1.0 {
+    if tables.share(now, &call.root.route) < 1.0 {
         return false;
     }
     let daemons = tables.directory.peers().len() + 1;
@@ -429,7 +437,7 @@
             hop,
         };
         let executed = executor::run(relay, order, body).await;
-        let reply = relay.reply(HopOutcome::from(&executed));
+        let reply = relay.reply(HopOutcome::from(&executed), executed.took_ms());
         take_reply(relay, candidate.address, &reply);
         return executed;
     }
@@ -544,7 +552,10 @@
     };
     take_reply(relay, address, &reply);
     match reply.outcome {
-        HopOutcome::Done => Executed::Done(Response::from_parts(parts, body)),
+        HopOutcome::Done => Executed::Done {
+            response: Response::from_parts(parts, body),
+            took_ms: reply.took_ms,
+        },
         HopOutcome::NotRun {
             reason,
             retry_after_ms,
@@ -611,7 +622,13 @@
                 let spread = retry_after_ms / 2 + 1;
                 retry_after_ms + relay.tables().rng.random_range(0..spread)
             };
-            log_answer(relay, call, reason.into(), tried, StatusCode::SERVICE_UNAVAILABLE);
+            log_answer(
+                relay,
+                call,
+                reason.into(),
+                tried,
+                StatusCode::SERVICE_UNAVAILABLE,
+            );
             refusal(retry_after_ms)
         }
         Failure::Unknown(reason) => {
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -59,7 +59,12 @@
 #[derive(Debug)]
 pub enum Executed {
     /// The backend server has answered.
-    Done(Response<RelayBody>),
+    Done {
+        /// Its answer.
+        response: Response<RelayBody>,
+        /// Time that it took, in milliseconds.
+        took_ms: u64,
+    },
     /// It has not run and will not.
     NotRun {
         /// Why.
@@ -77,6 +82,14 @@
 }
 
 impl Executed {
+    /// Time that the backend server took, in milliseconds; 0 if it has not answered.
+    pub fn took_ms(&self) -> u64 {
+        match self {
+            Executed::Done { took_ms, .. } => *took_ms,
+            Executed::NotRun { .. } | Executed::Unknown { .. } => 0,
+        }
+    }
+
     /// A refusal before the backend server was asked.
     pub fn not_run(reason: NotRunReason, retry_after_ms: u64) -> Executed {
         Executed::NotRun {
@@ -119,7 +132,9 @@
             refused
         }
     };
-    relay.metrics.executed(&executed, relay.clock.now().since_ms(started));
+    relay
+        .metrics
+        .executed(&executed, relay.clock.now().since_ms(started));
     executed
 }
 
@@ -215,6 +230,7 @@
         match tables.admission.offer(now, offer) {
             Offered::Run => return Ok(Slot::new(relay, order, tables)),
             Offered::Refuse { retry_after_ms } => {
+                tables.worker_shares.refused();
                 return Err(Executed::not_run(NotRunReason::Overloaded, retry_after_ms));
             }
             Offered::Wait(ticket) => {
@@ -240,9 +256,10 @@
             drop(tables);
             checked.map(|()| slot)
         }
-        Ok(Ok(Verdict::Refuse { retry_after_ms, .. })) => {
-            Err(Executed::not_run(NotRunReason::QueueTimeout, retry_after_ms))
-        }
+        Ok(Ok(Verdict::Refuse { retry_after_ms, .. })) => Err(Executed::not_run(
+            NotRunReason::QueueTimeout,
+            retry_after_ms,
+        )),
         _ => Err(Executed::not_run(NotRunReason::QueueTimeout, 0)),
     }
 }
@@ -268,7 +285,10 @@
     if !worker.takes_work(now, drain_ms) {
         return refuse(NotRunReason::Leaving);
     }
-    if tables.worker_lost.is_some_and(|at| now.since_ms(at) < LOST_MS) {
+    if tables
+        .worker_lost
+        .is_some_and(|at| now.since_ms(at) < LOST_MS)
+    {
         return refuse(NotRunReason::BackendUnreachable);
     }
     if order.deadline.since_ms(now) < MIN_LEFT_MS {
@@ -289,15 +309,21 @@
     let result = match tokio::time::timeout(timeout, exchange).await {
         Ok(result) => result,
         Err(_) => {
-            return unknown(relay, &request_id, UnknownReason::DeadlinePassed, "no answer in time");
+            return unknown(
+                relay,
+                &request_id,
+                UnknownReason::DeadlinePassed,
+                "no answer in time",
+            );
         }
     };
     match result {
         Ok(exchanged) => {
             relay.tables().worker_lost = None;
-            let executed = judge(relay, &request_id, exchanged);
-            if let Executed::Done(_) = executed {
-                slot.took_ms = Some(relay.clock.now().since_ms(slot.started));
+            let took_ms = relay.clock.now().since_ms(slot.started);
+            let executed = judge(relay, &request_id, exchanged, took_ms);
+            if let Executed::Done { .. } = executed {
+                slot.took_ms = Some(took_ms);
             }
             executed
         }
@@ -322,7 +348,12 @@
     Executed::Unknown { reason }
 }
 
-fn worker_request(relay: &Relay, order: Order, body: RelayBody, left_ms: u64) -> Request<RelayBody> {
+fn worker_request(
+    relay: &Relay,
+    order: Order,
+    body: RelayBody,
+    left_ms: u64,
+) -> Request<RelayBody> {
     let mut request = Request::new(body);
     *request.method_mut() = order.method;
     *request.uri_mut() = order.uri;
@@ -338,7 +369,7 @@
 }
 
 /// What an answer of the backend server proves.
-fn judge(relay: &Relay, request_id: &str, exchanged: Exchanged) -> Executed {
+fn judge(relay: &Relay, request_id: &str, exchanged: Exchanged, took_ms: u64) -> Executed {
     let Exchanged { response, sender } = exchanged;
     let dialect = &relay.dialect;
     let headers = response.headers();
@@ -346,7 +377,12 @@
     // An answer to another request would be late or doubled: this one's may still come.
     let echoed = headers.get(&dialect.request_id).map(HeaderValue::as_bytes);
     if echoed.is_some_and(|echoed| echoed != request_id.as_bytes()) {
-        return unknown(relay, request_id, UnknownReason::BackendBroke, "answer to another request");
+        return unknown(
+            relay,
+            request_id,
+            UnknownReason::BackendBroke,
+            "answer to another request",
+        );
     }
     let has_refused = headers.contains_key(&dialect.not_run);
     if has_refused || status == StatusCode::MISDIRECTED_REQUEST {
@@ -368,7 +404,10 @@
         let message = format!("status {status} without a signature");
         return unknown(relay, request_id, UnknownReason::BackendBroke, &message);
     }
-    Executed::Done(answer(relay, response, sender))
+    Executed::Done {
+        response: answer(relay, response, sender),
+        took_ms,
+    }
 }
 
 /// Statuses by which a caller is promised that its request has not run.
@@ -416,11 +455,15 @@
 
 /// How long the backend server's connection is kept unused, in milliseconds.
 fn keep_ms(headers: &HeaderMap) -> u64 {
-    let closes = headers.get(CONNECTION).and_then(|value| value.to_str().ok());
+    let closes = headers
+        .get(CONNECTION)
+        .and_then(|value| value.to_str().ok());
     if closes.is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
         return 0;
     }
-    let announced = headers.get(KEEP_ALIVE).and_then(|value| value.to_str().ok());
+    let announced = headers
+        .get(KEEP_ALIVE)
+        .and_then(|value| value.to_str().ok());
     let timeout_s = announced.and_then(|value| {
         let mut parts = value.split(',');
         parts.find_map(|part| part.trim().strip_prefix("timeout=")?.parse::<u64>().ok())
@@ -444,7 +487,11 @@
     let (running, waiting, limit) = {
         let tables = relay.tables();
         let admission = &tables.admission;
-        (admission.running(), admission.waiting() as u64, admission.limit())
+        (
+            admission.running(),
+            admission.waiting() as u64,
+            admission.limit(),
+        )
     };
     let now = relay.clock.now();
     let left_ms = order.deadline.since_ms(now);
@@ -461,7 +508,7 @@
 /// The answer that stands for a refusal or an unknown outcome towards another daemon.
 pub fn stand_in(executed: Executed) -> Response<RelayBody> {
     match executed {
-        Executed::Done(response) => response,
+        Executed::Done { response, .. } => response,
         Executed::NotRun { .. } => plain(StatusCode::SERVICE_UNAVAILABLE),
         Executed::Unknown { .. } => plain(StatusCode::BAD_GATEWAY),
     }
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -92,7 +92,10 @@
     let mut next_offset: Option<u64> = None;
     loop {
         let read = match next_offset {
-            None => log.newest(topic).await.map(|snapshot| (snapshot.records, snapshot.next_offset)),
+            None => log
+                .newest(topic)
+                .await
+                .map(|snapshot| (snapshot.records, snapshot.next_offset)),
             Some(from) => {
                 let tail = log.tail(topic, from, WAIT_MS).await;
                 tail.map(|tail| (tail.records, tail.next_offset))
@@ -135,7 +138,9 @@
             let key = member.address.to_string();
             match log.put(MEMBERS_TOPIC, &key, Some(&value)).await {
                 Ok(()) => {
-                    let is_newest = relay.own_member().is_none_or(|now| now.revision == revision);
+                    let is_newest = relay
+                        .own_member()
+                        .is_none_or(|now| now.revision == revision);
                     spdlog::info!("this daemon's record is published", kv: { revision });
                     if is_newest {
                         break;
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -12,9 +12,9 @@
 
 use super::body::RelayBody;
 use super::executor::{self, Executed, Order};
-use super::state::Relay;
+use super::state::{Relay, Tables};
 use super::{peers, settle};
-use crate::decide::relay::{RootMark, ShareReport};
+use crate::decide::relay::{Reporter, RootMark, ShareReport};
 use crate::model::{NotRunReason, ServiceName};
 
 /// Carries [`HopRequest`] as JSON.
@@ -28,23 +28,31 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HopRequest {
     /// Identifies the hop of a non-idempotent request, so that its outcome can be asked for.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(rename = "k", default, skip_serializing_if = "Option::is_none")]
     pub key: Option<String>,
     /// The run of the backend server that may run it.
+    #[serde(rename = "i")]
     pub instance: String,
     /// Route, by which the time it takes is expected.
+    #[serde(rename = "r")]
     pub route: ServiceName,
     /// Time left, in milliseconds.
+    #[serde(rename = "l")]
     pub left_ms: u64,
     /// The root request above it.
+    #[serde(rename = "o")]
     pub root: RootMark,
     /// Whether it is a call beneath a running request.
+    #[serde(rename = "c")]
     pub is_call: bool,
     /// Whether its run would repeat another.
+    #[serde(rename = "p")]
     pub is_repeat: bool,
     /// Whether it was not offered to another daemon before.
+    #[serde(rename = "f")]
     pub is_first: bool,
     /// Version of the entry's configuration.
+    #[serde(rename = "v")]
     pub config: u64,
 }
 
@@ -72,19 +80,28 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HopReply {
     /// The outcome.
+    #[serde(rename = "o")]
     pub outcome: HopOutcome,
     /// Requests that run.
+    #[serde(rename = "r")]
     pub running: u32,
     /// Requests that wait.
+    #[serde(rename = "w")]
     pub waiting: u32,
     /// Requests that may run at a time.
+    #[serde(rename = "l")]
     pub limit: u32,
     /// Mean time of a request, in milliseconds.
+    #[serde(rename = "m")]
     pub mean_ms: u32,
+    /// Time that the backend server took for this request, in milliseconds; 0 if it has not run.
+    #[serde(rename = "t", default)]
+    pub took_ms: u64,
     /// Shares at scarce services.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub shares: Vec<ShareReport>,
     /// Version of this daemon's configuration.
+    #[serde(rename = "v")]
     pub config: u64,
 }
 
@@ -116,16 +133,16 @@
         Some(key) => settle::run(&relay, order, body, &key).await,
         None => executor::run(&relay, order, body).await,
     };
-    let outcome = HopOutcome::from(&executed);
+    let (outcome, took_ms) = (HopOutcome::from(&executed), executed.took_ms());
     let mut response = executor::stand_in(executed);
-    relay.attach_reply(&mut response, outcome);
+    relay.attach_reply(&mut response, outcome, took_ms);
     response
 }
 
 impl From<&Executed> for HopOutcome {
     fn from(executed: &Executed) -> HopOutcome {
         match executed {
-            Executed::Done(_) => HopOutcome::Done,
+            Executed::Done { .. } => HopOutcome::Done,
             Executed::NotRun {
                 reason,
                 retry_after_ms,
@@ -142,8 +159,13 @@
 
 impl Relay {
     /// Adds what this daemon says with an answer.
-    pub fn attach_reply(&self, response: &mut Response<RelayBody>, outcome: HopOutcome) {
-        match serde_json::to_vec(&self.reply(outcome)).map(HeaderValue::try_from) {
+    pub fn attach_reply(
+        &self,
+        response: &mut Response<RelayBody>,
+        outcome: HopOutcome,
+        took_ms: u64,
+    ) {
+        match serde_json::to_vec(&self.reply(outcome, took_ms)).map(HeaderValue::try_from) {
             Ok(Ok(value)) => {
                 response.headers_mut().insert(REPLY_HEADER, value);
             }
@@ -153,7 +175,7 @@
     }
 
     /// The reply of this daemon, with what it knows about its load.
-    pub fn reply(&self, outcome: HopOutcome) -> HopReply {
+    pub fn reply(&self, outcome: HopOutcome, took_ms: u64) -> HopReply {
         let now = self.clock.now();
         let config = self.config_version();
         let mut tables = self.tables();
@@ -161,9 +183,20 @@
         let mut shares = tables.entry_shares.reports(now);
         let limit = tables.admission.limit();
         if let Some(worker) = &tables.worker {
-            let service = &worker.heartbeat.service;
-            if let Some(own) = tables.worker_shares.report(now, limit, service) {
-                shares.retain(|report| report.service != own.service);
+            let reporter = Reporter {
+                service: &worker.heartbeat.service,
+                worker: self.worker_id,
+                slots: limit,
+                waiting: tables.admission.waiting(),
+            };
+            let own = tables.worker_shares.report(now, reporter);
+            if let Some(own) = own {
+                if own.age_ms == 0 {
+                    log_shares(tables, &own, limit);
+                }
+                // An entry, too, hears what this daemon says about its own worker.
+                tables.entry_shares.heard(now, &own);
+                shares.retain(|report| report.worker != own.worker);
                 shares.push(own);
             }
         }
@@ -173,12 +206,27 @@
             waiting: tables.admission.waiting() as u32,
             limit,
             mean_ms: tables.admission.mean_ms() as u32,
+            took_ms,
             shares,
             config,
         }
     }
 }
 
+/// Says what this daemon believes about the demand for its backend server.
+fn log_shares(tables: &Tables, own: &ShareReport, limit: u32) {
+    let (demand, pressure) = tables.worker_shares.summary();
+    let (demand, pressure) = (format!("{demand:.1}"), format!("{pressure:.2}"));
+    let running = tables.admission.running();
+    let waiting = tables.admission.waiting() as u64;
+    let service = own.service.as_str();
+    let shares = format!("{:?}", own.shares);
+    let mean_ms = tables.admission.mean_ms() as u64;
+    spdlog::info!("the backend server is scarce", kv: {
+        service, demand, limit, pressure, running, waiting, mean_ms, shares
+    });
+}
+
 /// An answer without a body.
 pub fn plain(status: StatusCode) -> Response<RelayBody> {
     let mut response = Response::new(RelayBody::Empty);
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -57,8 +57,14 @@
     H: Fn(Arc<Relay>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
+    let mut stage = relay.stage.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            // A connection that is refused tells a caller that nothing was read.
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 let relay = Arc::clone(&relay);
                 tokio::spawn(serve_connection(relay, stream, side, handler));
@@ -82,6 +88,7 @@
         spdlog::debug!("a connection cannot be tuned", kv: { error });
     }
     let mut builder = http1::Builder::new();
+    builder.auto_date_header(false);
     if side == Side::Callers {
         let configuration = relay.configuration.load();
         let limits = configuration.as_ref().map(|known| known.table.limits);
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -48,7 +48,12 @@
     let configuration = relay.configuration.load();
     let config = configuration.as_ref().map(|known| known.raw.clone());
     let config = config.and_then(|raw| String::from_utf8(raw.to_vec()).ok());
-    let members = relay.tables().directory.all().map(|known| known.member.clone()).collect();
+    let members = relay
+        .tables()
+        .directory
+        .all()
+        .map(|known| known.member.clone())
+        .collect();
     let state = State {
         config_version: relay.config_version(),
         config,
@@ -66,7 +71,9 @@
 
 /// Takes another daemon's record.
 pub async fn take_record(relay: &Relay, request: Request<Incoming>) -> Response<RelayBody> {
-    let body = Limited::new(request.into_body(), MAX_STATE_BYTES).collect().await;
+    let body = Limited::new(request.into_body(), MAX_STATE_BYTES)
+        .collect()
+        .await;
     let member = body
         .ok()
         .and_then(|whole| serde_json::from_slice::<Member>(&whole.to_bytes()).ok());
--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -137,9 +137,8 @@
         let now = self.clock.now();
         let mut idle = self.lock();
         for connections in idle.values_mut() {
-            connections.retain(|idle| {
-                !idle.sender.is_closed() && now.since_ms(idle.since) < idle.keep_ms
-            });
+            connections
+                .retain(|idle| !idle.sender.is_closed() && now.since_ms(idle.since) < idle.keep_ms);
         }
         idle.retain(|_, connections| !connections.is_empty());
     }
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -197,8 +197,8 @@
         outcome: HopOutcome::Unknown,
         answer: None,
     };
-    let response = match executed {
-        Executed::Done(response) => response,
+    let (response, took_ms) = match executed {
+        Executed::Done { response, took_ms } => (response, took_ms),
         other => {
             let kept = Kept {
                 outcome,
@@ -209,7 +209,7 @@
     };
     let length = response.body().size_hint().exact();
     if length.is_none_or(|length| length > KEPT_BODY_BYTES) {
-        return (Executed::Done(response), unknown);
+        return (Executed::Done { response, took_ms }, unknown);
     }
     let (parts, body) = response.into_parts();
     match body.collect().await {
@@ -220,7 +220,8 @@
                 outcome,
                 answer: Some((Arc::clone(&parts), bytes.clone())),
             };
-            (Executed::Done(rebuild(&parts, bytes)), kept)
+            let response = rebuild(&parts, bytes);
+            (Executed::Done { response, took_ms }, kept)
         }
         Err(error) => {
             let message = error.to_string();
@@ -273,6 +274,6 @@
         Some((parts, bytes)) => rebuild(&parts, bytes),
         None => plain(StatusCode::ACCEPTED),
     };
-    relay.attach_reply(&mut response, kept.outcome);
+    relay.attach_reply(&mut response, kept.outcome, 0);
     response
 }
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -21,7 +21,7 @@
     Admission, Directory, EntryShares, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
     MemberState, Placing, RetryBudget, RootMark, RouteTable, TicketNo, WorkerShares,
 };
-use crate::model::{Clock, TimeMs};
+use crate::model::{Clock, ServiceName, TimeMs};
 
 /// A configuration as it was read, and its routes.
 #[derive(Debug)]
@@ -81,6 +81,21 @@
     pub revision: u64,
 }
 
+impl Tables {
+    /// The part of a route's root requests that is admitted now.
+    pub fn share(&self, now: TimeMs, route: &ServiceName) -> f64 {
+        let workers_of = |service: &ServiceName| self.directory.ready_count(service);
+        self.entry_shares.share(now, route, workers_of)
+    }
+
+    /// Decides about a root request at this entry: the share by which it was admitted, or none.
+    pub fn admit(&mut self, now: TimeMs, route: &ServiceName) -> Option<f64> {
+        let directory = &self.directory;
+        let workers_of = |service: &ServiceName| directory.ready_count(service);
+        self.entry_shares.admit(now, route, workers_of)
+    }
+}
+
 /// One relay.
 #[derive(Debug)]
 pub struct Relay {
@@ -108,6 +123,8 @@
     pub log_lost: std::sync::atomic::AtomicBool,
     /// Offset of this daemon in low-discrepancy sequences.
     pub phase: f64,
+    /// Stands for this daemon's worker in reports of shares.
+    pub worker_id: u32,
     /// Identifies this start of the daemon.
     pub incarnation: u64,
     /// Numbers the hops of non-idempotent requests.
@@ -142,6 +159,8 @@
             metrics: RelayMetrics::default(),
             log_lost: std::sync::atomic::AtomicBool::new(false),
             phase,
+            worker_id: xxhash_rust::xxh3::xxh3_64(settings.hop_address.to_string().as_bytes())
+                as u32,
             incarnation,
             next_hop: AtomicU64::new(0),
             open_requests: std::sync::atomic::AtomicUsize::new(0),
@@ -176,7 +195,9 @@
     /// Version of the configuration in force, 0 for none.
     pub fn config_version(&self) -> u64 {
         let configuration = self.configuration.load();
-        configuration.as_ref().map_or(0, |known| known.table.version)
+        configuration
+            .as_ref()
+            .map_or(0, |known| known.table.version)
     }
 
     /// Puts a configuration in force if it is newer than the one known; true if it is.
--- a/src/net/relay/stop.rs
+++ b/src/net/relay/stop.rs
@@ -12,7 +12,7 @@
 /// second apart, and one more.
 const LEAVING_MS: u64 = 2_800;
 /// Part of the time allowed that the shutdown keeps to.
-const GRACE_SHARE: f64 = 0.95;
+const GRACE_SHARE: f64 = 0.9;
 /// Time between two looks at what is in flight, in milliseconds.
 const LOOK_MS: u64 = 50;
 /// Looks in a row that must find nothing in flight, so that written answers have been sent.
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -11,9 +11,9 @@
 
 use crate::decide::relay::{Heartbeat, HeartbeatOutcome};
 use crate::model::ServiceName;
+use crate::net::relay::RelayBody;
 use crate::net::relay::hop::plain;
 use crate::net::relay::state::{Relay, Stage, millis};
-use crate::net::relay::RelayBody;
 
 /// Path of the backend server's calls; the query says which.
 const CALL_PATH: &str = "/rpc";
@@ -80,7 +80,9 @@
     instance: String,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES).collect().await;
+    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
+        .collect()
+        .await;
     let body = match body {
         Ok(body) => body.to_bytes(),
         Err(error) => return malformed(&instance, &error.to_string()),
--- a/src/platform/routing.rs
+++ b/src/platform/routing.rs
@@ -132,7 +132,12 @@
             weight: 1.0,
         });
     }
-    let mut route = Route::new(&wire.name, &wire.host.to_ascii_lowercase(), &wire.path_prefix, "");
+    let mut route = Route::new(
+        &wire.name,
+        &wire.host.to_ascii_lowercase(),
+        &wire.path_prefix,
+        "",
+    );
     route.parts = parts;
     route.idempotent = wire.kind == WireKind::Safe;
     route.timeout_ms = wire.timeout_s.map(millis);
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -14,9 +14,7 @@
 
 use crate::net::relay::body::Lent;
 use crate::net::relay::pool::{ExchangeError, Pool};
-use crate::net::relay::{
-    KeyedRecord, RecordLog, RecordLogError, RelayBody, Snapshot, Tail,
-};
+use crate::net::relay::{KeyedRecord, RecordLog, RecordLogError, RelayBody, Snapshot, Tail};
 
 /// Longest wait for an answer beyond what the call itself asks for, in milliseconds.
 const TIMEOUT_MS: u64 = 2_000;
