Give out the whole limit; judge slow workers against the median; test the decisions

tests/relay_decisions.rs found that two equally frequent workers move the usual time so far that one five times as slow as the other passed for normal; it is now compared with the median.

--- a/src/decide/relay/placing.rs
+++ b/src/decide/relay/placing.rs
@@ -239,7 +239,7 @@
             mean_ms: f64::from(view.load.mean_ms),
             avoided: now < view.avoid_until,
             grey: view.failure_rate(now) >= GREY_RATE,
-            slowness: view.slowness(now),
+            times: 1.0 + view.slowness(now),
         }
     }
 }
@@ -251,11 +251,12 @@
     mean_ms: f64,
     avoided: bool,
     grey: bool,
-    slowness: f64,
+    /// Time on a request as a multiple of the usual one.
+    times: f64,
 }
 
 impl Rated {
-    fn cost_ms(&self) -> f64 {
+    fn cost_ms(&self, usual_times: f64) -> f64 {
         let mean_ms = if self.mean_ms > 0.0 {
             self.mean_ms
         } else {
@@ -269,14 +270,15 @@
             Distance::SameRegion => REGION_COST_MS,
             Distance::OtherRegion => REMOTE_COST_MS,
         };
-        let slow_ms = self.slowness.max(0.0) * SLOW_COST_MS;
+        let slow_ms = (self.times / usual_times - 1.0).max(0.0) * SLOW_COST_MS;
         queued_ms + busy * BUSY_COST_MS + slow_ms + distance_ms
     }
 }
 
 /// The workers but for the failing and the slow ones, unless that leaves fewer than half.
 fn without_outliers(rated: &[Rated]) -> Vec<Rated> {
-    let is_good = |rated: &&Rated| !rated.grey && rated.slowness <= SLOW_FACTOR - 1.0;
+    let usual = usual_times(rated);
+    let is_good = |rated: &&Rated| !rated.grey && rated.times <= usual * SLOW_FACTOR;
     let good: Vec<Rated> = rated.iter().filter(is_good).copied().collect();
     if good.len() * 2 < rated.len() {
         return rated.to_vec();
@@ -284,10 +286,21 @@
     good
 }
 
+/// The lower median of the workers' times, which a few slow ones do not move.
+fn usual_times(rated: &[Rated]) -> f64 {
+    let mut times: Vec<f64> = rated.iter().map(|rated| rated.times).collect();
+    times.sort_by(f64::total_cmp);
+    times
+        .get(times.len().saturating_sub(1) / 2)
+        .copied()
+        .unwrap_or(1.0)
+}
+
 fn cheapest(rated: &[Rated], rng: &mut impl Rng) -> Option<Rated> {
+    let usual = usual_times(rated);
     let mut best: Option<(f64, Rated)> = None;
     for rated in rated {
-        let cost_ms = rated.cost_ms() * (1.0 + JITTER * rng.random::<f64>());
+        let cost_ms = rated.cost_ms(usual) * (1.0 + JITTER * rng.random::<f64>());
         if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
             best = Some((cost_ms, *rated));
         }
--- a/src/decide/relay/shares.rs
+++ b/src/decide/relay/shares.rs
@@ -17,7 +17,7 @@
 /// Time between two computations of the shares, in milliseconds.
 const INTERVAL_MS: u64 = 200;
 /// Part of the capacity that is given out; the rest absorbs what varies.
-const GIVEN_CAPACITY: f64 = 0.92;
+const GIVEN_CAPACITY: f64 = 1.0;
 /// Part of each kind that is admitted before higher ranks get more, so that none starves.
 const FLOOR_SHARE: f64 = 0.35;
 /// Part of the capacity that the floors may take, so that the highest rank goes first.
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -41,7 +41,7 @@
 /// milliseconds. Shares follow a change of load within about this time.
 const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
 /// Longest time for which an idle connection to another daemon is used again, in milliseconds.
-const HOP_IDLE_MS: u64 = 20_000;
+const HOP_IDLE_MS: u64 = 4_000;
 /// Time for which a worker that says it takes no work is passed over, in milliseconds.
 const CLOSED_MS: u64 = 700;
 /// Part of the latency objective that must be left for another attempt to be worth it.
@@ -235,7 +235,7 @@
         retry_after_ms: u64,
     },
     Unknown(UnknownReason),
-    Answered(Response<RelayBody>),
+    Answered(Box<Response<RelayBody>>),
 }
 
 async fn attempt(
@@ -297,7 +297,7 @@
                 }
                 if !failed {
                     log_answer(relay, call, "done", &tried, response.status());
-                    return response;
+                    return *response;
                 }
                 arrivals += 1;
                 failure = Failure::Answered(response);
@@ -553,7 +553,7 @@
     take_reply(relay, address, &reply);
     match reply.outcome {
         HopOutcome::Done => Executed::Done {
-            response: Response::from_parts(parts, body),
+            response: Box::new(Response::from_parts(parts, body)),
             took_ms: reply.took_ms,
         },
         HopOutcome::NotRun {
@@ -612,7 +612,7 @@
     match failure {
         Failure::Answered(response) => {
             log_answer(relay, call, "failed", tried, response.status());
-            response
+            *response
         }
         Failure::NotRun {
             reason,
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -61,7 +61,7 @@
     /// The backend server has answered.
     Done {
         /// Its answer.
-        response: Response<RelayBody>,
+        response: Box<Response<RelayBody>>,
         /// Time that it took, in milliseconds.
         took_ms: u64,
     },
@@ -405,7 +405,7 @@
         return unknown(relay, request_id, UnknownReason::BackendBroke, &message);
     }
     Executed::Done {
-        response: answer(relay, response, sender),
+        response: Box::new(answer(relay, response, sender)),
         took_ms,
     }
 }
@@ -508,7 +508,7 @@
 /// The answer that stands for a refusal or an unknown outcome towards another daemon.
 pub fn stand_in(executed: Executed) -> Response<RelayBody> {
     match executed {
-        Executed::Done { response, .. } => response,
+        Executed::Done { response, .. } => *response,
         Executed::NotRun { .. } => plain(StatusCode::SERVICE_UNAVAILABLE),
         Executed::Unknown { .. } => plain(StatusCode::BAD_GATEWAY),
     }
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -220,7 +220,7 @@
                 outcome,
                 answer: Some((Arc::clone(&parts), bytes.clone())),
             };
-            let response = rebuild(&parts, bytes);
+            let response = Box::new(rebuild(&parts, bytes));
             (Executed::Done { response, took_ms }, kept)
         }
         Err(error) => {
--- /dev/null
+++ b/tests/relay_decisions.rs
@@ -0,0 +1,569 @@
+//! The relay's decisions, one table of cases each: routes, heartbeats, the queue beside a
+//! backend server, the retry budget and placing.
+
+use std::net::SocketAddr;
+
+use burdockhall::decide::relay::admission::Verdict;
+use burdockhall::decide::relay::{
+    Admission, Candidate, Heartbeat, HeartbeatOutcome, Limits, LocalWorker, MemberState, Offer,
+    Offered, Part, Placing, RetryBudget, Route, RouteTable, WorkerLoad,
+};
+use burdockhall::prelude::*;
+use rand::SeedableRng;
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+const LIMITS: Limits = Limits {
+    header_bytes: 16_384,
+    body_bytes: 1 << 20,
+    header_ms: 3_000,
+    idle_ms: 15_000,
+};
+
+fn table(routes: Vec<Route>) -> RouteTable {
+    RouteTable::new(1, routes, Vec::new(), LIMITS)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_decides() {
+    struct Case {
+        name: &'static str,
+        host: &'static str,
+        path: &'static str,
+        route: Option<&'static str>,
+    }
+    let table = table(vec![
+        Route::new("short", "a.example", "/x/", "s"),
+        Route::new("long", "a.example", "/x/y/", "s"),
+        Route::new("root", "b.example", "/", "s"),
+    ]);
+    let cases = [
+        Case {
+            name: "prefix",
+            host: "a.example",
+            path: "/x/1",
+            route: Some("short"),
+        },
+        Case {
+            name: "longer prefix",
+            host: "a.example",
+            path: "/x/y/1",
+            route: Some("long"),
+        },
+        Case {
+            name: "the prefix itself",
+            host: "a.example",
+            path: "/x/y/",
+            route: Some("long"),
+        },
+        Case {
+            name: "without its slash",
+            host: "a.example",
+            path: "/x/y",
+            route: Some("short"),
+        },
+        Case {
+            name: "no prefix",
+            host: "a.example",
+            path: "/z/1",
+            route: None,
+        },
+        Case {
+            name: "part of a segment",
+            host: "a.example",
+            path: "/xy/1",
+            route: None,
+        },
+        Case {
+            name: "port and case of the host",
+            host: "A.example:80",
+            path: "/x/1",
+            route: Some("short"),
+        },
+        Case {
+            name: "root of a host",
+            host: "b.example",
+            path: "/any/1",
+            route: Some("root"),
+        },
+        Case {
+            name: "unknown host",
+            host: "c.example",
+            path: "/x/1",
+            route: None,
+        },
+    ];
+    for case in cases {
+        let found = table.find(case.host, case.path);
+        let found = found.map(|route| route.name.as_str());
+        assert_eq!(found, case.route, "{}", case.name);
+    }
+}
+
+#[test]
+fn any_run_of_requests_comes_close_to_the_weights() {
+    for phase in [0.0, 0.3, 0.77] {
+        let mut route = Route::new("r", "h", "/", "a");
+        route.parts = [("a", 90.0), ("b", 10.0)]
+            .map(|(service, weight)| Part {
+                service: service.into(),
+                weight,
+            })
+            .to_vec();
+        let chosen: Vec<bool> = (0..1_000)
+            .map(|_| route.next_service(phase).as_str() == "b")
+            .collect();
+        for window in chosen.windows(100) {
+            let of_b = window.iter().filter(|is_b| **is_b).count();
+            assert!((6..=14).contains(&of_b), "{of_b} of 100 at phase {phase}");
+        }
+    }
+}
+
+fn heartbeat(instance: &str, born_unix_ms: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        instance: instance.to_owned(),
+        born_unix_ms,
+        sequence,
+        service: "s".into(),
+        slots: 10,
+        draining: false,
+        cold_ms: 0,
+    }
+}
+
+#[test]
+fn heartbeats_of_earlier_runs_and_late_ones_change_nothing() {
+    struct Case {
+        name: &'static str,
+        heartbeat: Heartbeat,
+        outcome: HeartbeatOutcome,
+        instance: &'static str,
+        takes_work: bool,
+    }
+    let draining = |sequence| Heartbeat {
+        draining: true,
+        ..heartbeat("i-2", 200, sequence)
+    };
+    let cases = [
+        Case {
+            name: "the next one",
+            heartbeat: heartbeat("i-2", 200, 6),
+            outcome: HeartbeatOutcome::Refreshed,
+            instance: "i-2",
+            takes_work: true,
+        },
+        Case {
+            name: "a late one",
+            heartbeat: heartbeat("i-2", 200, 4),
+            outcome: HeartbeatOutcome::Stale,
+            instance: "i-2",
+            takes_work: true,
+        },
+        Case {
+            name: "a late one that drains",
+            heartbeat: draining(4),
+            outcome: HeartbeatOutcome::Stale,
+            instance: "i-2",
+            takes_work: true,
+        },
+        Case {
+            name: "an earlier run",
+            heartbeat: heartbeat("i-1", 100, 900),
+            outcome: HeartbeatOutcome::Stale,
+            instance: "i-2",
+            takes_work: true,
+        },
+        Case {
+            name: "a later run of the same name",
+            heartbeat: heartbeat("i-2", 300, 1),
+            outcome: HeartbeatOutcome::Changed,
+            instance: "i-2",
+            takes_work: true,
+        },
+        Case {
+            name: "a later run",
+            heartbeat: heartbeat("i-3", 300, 1),
+            outcome: HeartbeatOutcome::Changed,
+            instance: "i-3",
+            takes_work: true,
+        },
+        Case {
+            name: "draining",
+            heartbeat: draining(6),
+            outcome: HeartbeatOutcome::Changed,
+            instance: "i-2",
+            takes_work: false,
+        },
+    ];
+    for case in cases {
+        let mut worker = LocalWorker::new(TimeMs(10), heartbeat("i-2", 200, 5));
+        let outcome = worker.hear(TimeMs(20), case.heartbeat);
+        assert_eq!(outcome, case.outcome, "{}", case.name);
+        assert_eq!(worker.heartbeat.instance, case.instance, "{}", case.name);
+        let takes_work = worker.takes_work(TimeMs(1_500), 1_000);
+        assert_eq!(takes_work, case.takes_work, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_run_that_leaves_gets_work_for_a_moment_and_does_not_come_back() {
+    let mut worker = LocalWorker::new(TimeMs(0), heartbeat("i-1", 100, 1));
+    assert!(!worker.leave(TimeMs(1_000), "i-0"), "another run");
+    assert!(worker.leave(TimeMs(1_000), "i-1"));
+    assert!(!worker.leave(TimeMs(1_100), "i-1"), "no news");
+    assert!(worker.takes_work(TimeMs(1_500), 800));
+    assert!(!worker.takes_work(TimeMs(1_800), 800));
+    worker.hear(TimeMs(1_900), heartbeat("i-1", 100, 2));
+    assert_eq!(worker.state, MemberState::Gone);
+    assert!(!worker.takes_work(TimeMs(2_000), 800));
+}
+
+fn offer(route: &ServiceName, priority: u8, is_call: bool, deadline_ms: u64) -> Offer<'_> {
+    Offer {
+        route,
+        priority,
+        is_call,
+        deadline: TimeMs(deadline_ms),
+    }
+}
+
+/// A queue in front of a worker that runs two requests of 100 ms at a time.
+fn full_admission(route: &ServiceName) -> Admission {
+    let mut admission = Admission::new(3);
+    for _ in 0..admission.limit() {
+        let offered = admission.offer(TimeMs(0), offer(route, 0, false, 60_000));
+        assert_eq!(offered, Offered::Run);
+    }
+    admission
+}
+
+#[test]
+fn the_queue_starts_rank_first_then_calls_then_the_earlier_deadline() {
+    let route = ServiceName::from("r");
+    let mut admission = full_admission(&route);
+    let offers = [
+        ("root of rank 2", offer(&route, 2, false, 20_000)),
+        ("root of rank 0, later", offer(&route, 0, false, 30_000)),
+        ("root of rank 0", offer(&route, 0, false, 20_000)),
+        ("call of rank 0", offer(&route, 0, true, 40_000)),
+        ("call of rank 2", offer(&route, 2, true, 20_000)),
+    ];
+    let mut names = std::collections::HashMap::new();
+    for (name, offer) in offers {
+        let Offered::Wait(ticket) = admission.offer(TimeMs(1), offer) else {
+            panic!("{name} does not wait");
+        };
+        names.insert(ticket, name);
+    }
+    assert_eq!(admission.next(TimeMs(2)), None, "all slots are taken");
+    let mut order = Vec::new();
+    while admission.waiting() > 0 {
+        admission.finished(&route, Some(100));
+        match admission.next(TimeMs(3)) {
+            Some(Verdict::Start(ticket)) => order.push(names[&ticket]),
+            other => panic!("{other:?}"),
+        }
+    }
+    let expected = [
+        "call of rank 0",
+        "root of rank 0",
+        "root of rank 0, later",
+        "call of rank 2",
+        "root of rank 2",
+    ];
+    assert_eq!(order, expected);
+}
+
+#[test]
+fn what_cannot_finish_in_time_is_refused_before_it_waits() {
+    struct Case {
+        name: &'static str,
+        waiting: u32,
+        is_call: bool,
+        left_ms: u64,
+        is_refused: bool,
+    }
+    // Two at a time, 100 ms each: one that waits takes 50 ms.
+    let cases = [
+        Case {
+            name: "short wait",
+            waiting: 0,
+            is_call: false,
+            left_ms: 1_000,
+            is_refused: false,
+        },
+        Case {
+            name: "wait too long for a root",
+            waiting: 5,
+            is_call: false,
+            left_ms: 1_000,
+            is_refused: true,
+        },
+        Case {
+            name: "wait too long for a call, whose parent makes more of them",
+            waiting: 4,
+            is_call: true,
+            left_ms: 1_000,
+            is_refused: true,
+        },
+        Case {
+            name: "no time to run after the wait",
+            waiting: 0,
+            is_call: false,
+            left_ms: 90,
+            is_refused: true,
+        },
+    ];
+    let route = ServiceName::from("r");
+    for case in cases {
+        let mut admission = full_admission(&route);
+        for _ in 0..case.waiting {
+            admission.offer(TimeMs(0), offer(&route, 0, true, 60_000));
+        }
+        let offered = admission.offer(TimeMs(0), offer(&route, 1, case.is_call, case.left_ms));
+        let is_refused = matches!(offered, Offered::Refuse { .. });
+        assert_eq!(is_refused, case.is_refused, "{}: {offered:?}", case.name);
+    }
+}
+
+#[test]
+fn a_waiting_request_whose_time_has_run_out_is_refused_and_takes_no_slot() {
+    let route = ServiceName::from("r");
+    let mut admission = full_admission(&route);
+    let offered = admission.offer(TimeMs(0), offer(&route, 0, false, 400));
+    let Offered::Wait(late) = offered else {
+        panic!("{offered:?}");
+    };
+    admission.finished(&route, Some(100));
+    let verdict = admission.next(TimeMs(390));
+    let is_refused = matches!(verdict, Some(Verdict::Refuse { ticket, .. }) if ticket == late);
+    assert!(is_refused, "{verdict:?}");
+    assert_eq!(admission.running(), admission.limit() - 1);
+    assert!(!admission.cancel(late), "it does not wait any more");
+}
+
+#[test]
+fn repeats_stay_within_the_share_in_any_window() {
+    struct Case {
+        name: &'static str,
+        requests_per_s: u64,
+        daemons: usize,
+    }
+    let cases = [
+        Case {
+            name: "one daemon",
+            requests_per_s: 100,
+            daemons: 1,
+        },
+        Case {
+            name: "one of many",
+            requests_per_s: 100,
+            daemons: 24,
+        },
+        Case {
+            name: "few requests",
+            requests_per_s: 1,
+            daemons: 24,
+        },
+    ];
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 48.0;
+    const WINDOW_MS: u64 = 10_000;
+    let service = ServiceName::from("s");
+    for case in cases {
+        let mut budget = RetryBudget::new(RATIO, WINDOW_MS, SLACK);
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for number in 0..40 * case.requests_per_s {
+            let now = TimeMs(number * 1_000 / case.requests_per_s);
+            budget.sent(now, &service);
+            requests.push(now);
+            if budget.take(now, &service, case.daemons) {
+                repeats.push(now);
+            }
+        }
+        let within = |times: &[TimeMs], end: TimeMs| {
+            let from = end.0.saturating_sub(WINDOW_MS);
+            times
+                .iter()
+                .filter(|at| (from..=end.0).contains(&at.0))
+                .count() as f64
+        };
+        assert!(!repeats.is_empty(), "{}", case.name);
+        for end in &repeats {
+            let allowed = within(&requests, *end) * RATIO + SLACK / case.daemons as f64;
+            let sent = within(&repeats, *end);
+            assert!(sent <= allowed, "{}: {sent} of {allowed}", case.name);
+        }
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 80))
+}
+
+fn candidate(number: u8, distance: Distance) -> Candidate {
+    Candidate {
+        address: address(number),
+        distance,
+        slots: 10,
+        is_own: false,
+    }
+}
+
+#[test]
+fn a_request_leaves_its_zone_only_for_as_much_waiting_as_that_is_worth() {
+    struct Case {
+        name: &'static str,
+        /// Requests at the worker of the zone, of the region, of another region.
+        at: [u32; 3],
+        chosen: u8,
+    }
+    let cases = [
+        Case {
+            name: "all idle",
+            at: [0, 0, 0],
+            chosen: 1,
+        },
+        Case {
+            name: "the zone is busy and has room",
+            at: [7, 0, 0],
+            chosen: 1,
+        },
+        Case {
+            name: "the zone queues",
+            at: [14, 0, 0],
+            chosen: 2,
+        },
+        Case {
+            name: "the region queues a little",
+            at: [14, 11, 0],
+            chosen: 2,
+        },
+        Case {
+            name: "the region queues long",
+            at: [40, 40, 0],
+            chosen: 3,
+        },
+        Case {
+            name: "all queue long",
+            at: [40, 60, 60],
+            chosen: 1,
+        },
+    ];
+    let candidates = [
+        candidate(1, Distance::SameZone),
+        candidate(2, Distance::SameRegion),
+        candidate(3, Distance::OtherRegion),
+    ];
+    for case in cases {
+        for seed in 0..20 {
+            let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
+            let mut placing = Placing::default();
+            for (number, requests) in (1..).zip(case.at) {
+                let load = WorkerLoad {
+                    running: requests.min(10),
+                    waiting: requests.saturating_sub(10),
+                    limit: 10,
+                    mean_ms: 50,
+                };
+                placing.reported(TimeMs(1_000), address(number), load);
+            }
+            let chosen = placing.choose(TimeMs(1_000), &candidates, &[], &mut rng);
+            let chosen = chosen.map(|chosen| chosen.address);
+            assert_eq!(chosen, Some(address(case.chosen)), "{}", case.name);
+        }
+    }
+}
+
+/// The load of a day on which a service has a quick route and a long one: a worker that gets
+/// more of the long one must not pass for a slow worker, or it would get ever less.
+#[test]
+fn a_worker_with_another_mix_of_routes_does_not_pass_for_slow() {
+    let (quick, long) = (ServiceName::from("quick"), ServiceName::from("long"));
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(1);
+    let mut placing = Placing::default();
+    let now = TimeMs(1_000);
+    for _ in 0..50 {
+        placing.took(now, address(1), &quick, 40);
+        placing.took(now, address(2), &quick, 40);
+        placing.took(now, address(2), &long, 640);
+    }
+    let full = WorkerLoad {
+        running: 10,
+        waiting: 10,
+        limit: 10,
+        mean_ms: 40,
+    };
+    placing.reported(now, address(1), full);
+    let idle = WorkerLoad {
+        running: 3,
+        waiting: 0,
+        limit: 10,
+        mean_ms: 600,
+    };
+    placing.reported(now, address(2), idle);
+    let candidates = [
+        candidate(1, Distance::SameZone),
+        candidate(2, Distance::SameRegion),
+    ];
+    let chosen = placing.choose(now, &candidates, &[], &mut rng);
+    assert_eq!(chosen.map(|chosen| chosen.address), Some(address(2)));
+}
+
+#[test]
+fn bad_workers_are_passed_over_while_others_are_left() {
+    struct Case {
+        name: &'static str,
+        spoil: fn(&mut Placing, SocketAddr),
+    }
+    let now = TimeMs(1_000);
+    let cases = [
+        Case {
+            name: "unreachable",
+            spoil: |placing, address| {
+                placing.unreachable(TimeMs(1_000), address);
+            },
+        },
+        Case {
+            name: "closed",
+            spoil: |placing, address| placing.closed(TimeMs(1_000), address, 500),
+        },
+        Case {
+            name: "failing every third request",
+            spoil: |placing, address| {
+                for number in 0..60 {
+                    placing.judged(TimeMs(1_000), address, number % 3 != 0);
+                }
+            },
+        },
+        Case {
+            name: "five times as slow",
+            spoil: |placing, address| {
+                let route = ServiceName::from("r");
+                for number in 0..200 {
+                    let other = SocketAddr::from(([10, 0, 0, 2 + number % 3], 80));
+                    placing.took(TimeMs(1_000), other, &route, 50);
+                    placing.took(TimeMs(1_000), address, &route, 250);
+                }
+            },
+        },
+    ];
+    let near = candidate(1, Distance::SameZone);
+    let others = [2, 3, 4].map(|number| candidate(number, Distance::OtherRegion));
+    for case in cases {
+        let mut rng = Xoshiro256PlusPlus::seed_from_u64(7);
+        let mut placing = Placing::default();
+        (case.spoil)(&mut placing, near.address);
+        let all = [near, others[0], others[1], others[2]];
+        for _ in 0..50 {
+            let chosen = placing.choose(now, &all, &[], &mut rng);
+            assert_ne!(chosen, Some(near), "{}", case.name);
+        }
+        let only = placing.choose(now, &[near], &[], &mut rng);
+        assert_eq!(only, Some(near), "{}: there is no other", case.name);
+        let later = TimeMs(1_000 + 60_000);
+        let chosen = placing.choose(later, &all, &[], &mut rng);
+        assert_eq!(chosen, Some(near), "{}: it is tried again", case.name);
+    }
+}
