--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -2,24 +2,15 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
 
 use clap::{Arg, ArgMatches, Command, value_parser};
-use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderValue};
-use hyper::{Request, Response, StatusCode};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::CmdError;
 use crate::config::RelaySettings;
 use crate::logs;
-use crate::net::relay::hop::plain;
-use crate::net::relay::listen::Side;
-use crate::net::relay::{Relay, RelayBody, entry, follow, hop, listen, peers, stop};
-use crate::platform::{CONFIG, Store, dialect, local};
-
-/// Time between two sweeps of what has grown old, in milliseconds.
-const SWEEP_MS: u64 = 1_000;
+use crate::net::relay::{Relay, stop};
+use crate::platform;
 
 const ABOUT: &str = "\
 Runs the daemon beside a backend server of the users' platform until it is stopped: takes the \
@@ -74,8 +65,8 @@
     async fn serve_until_stopped(&self, settings: RelaySettings) -> Result<(), CmdError> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut hangup = signal(SignalKind::hangup())?;
-        let relay = Relay::new(settings, dialect());
-        start(&relay).await?;
+        let relay = Relay::new(settings, platform::dialect());
+        platform::start(&relay).await?;
         loop {
             tokio::select! {
                 _ = terminate.recv() => break,
@@ -106,60 +97,3 @@
         }
     }
 }
-
-async fn start(relay: &Arc<Relay>) -> Result<(), CmdError> {
-    let settings = relay.settings.load_full();
-    let store = Store::new(settings.log_address, Arc::clone(&relay.pool));
-    let listen = |address, side| (Arc::clone(relay), address, side);
-    let (of, address, side) = listen(settings.hop_address, Side::Daemons);
-    listen::serve(of, address, side, hop::handle).await?;
-    let (of, address, side) = listen(settings.local_address, Side::Daemons);
-    listen::serve(of, address, side, local::backend).await?;
-    let (of, address, side) = listen(settings.ready_address, Side::Daemons);
-    listen::serve(of, address, side, local::ready).await?;
-    let (of, address, side) = listen(settings.metrics_address, Side::Daemons);
-    listen::serve(of, address, side, metrics).await?;
-    let (of, address, side) = listen(settings.callers_address, Side::Callers);
-    listen::serve(of, address, side, entry::handle).await?;
-    tokio::spawn(follow::follow_config(
-        Arc::clone(relay),
-        store.clone(),
-        CONFIG,
-    ));
-    tokio::spawn(follow::follow_members(Arc::clone(relay), store.clone()));
-    tokio::spawn(follow::publish(Arc::clone(relay), store));
-    tokio::spawn(peers::ask_others(Arc::clone(relay), CONFIG));
-    tokio::spawn(sweep(Arc::clone(relay)));
-    let (zone, service) = (settings.place.zone.as_str(), settings.service.as_str());
-    let callers = settings.callers_address;
-    let version = clap::crate_version!();
-    let vm = settings.vm.as_str();
-    spdlog::info!("the daemon has started", kv: { vm, zone, service, callers:, version });
-    Ok(())
-}
-
-async fn sweep(relay: Arc<Relay>) {
-    let mut interval = tokio::time::interval(Duration::from_millis(SWEEP_MS));
-    loop {
-        interval.tick().await;
-        relay.pool.sweep();
-        relay.settlements.sweep(relay.clock.now());
-    }
-}
-
-/// Answers the metrics as text.
-async fn metrics(relay: Arc<Relay>, _: Request<Incoming>) -> Response<RelayBody> {
-    match relay.metrics.render() {
-        Ok(page) => {
-            let mut response = Response::new(RelayBody::Full(page.into()));
-            let text = HeaderValue::from_static("text/plain; version=0.0.4");
-            response.headers_mut().insert(CONTENT_TYPE, text);
-            response
-        }
-        Err(error) => {
-            let error = error.to_string();
-            spdlog::error!("the metrics cannot be written", kv: { error });
-            plain(StatusCode::INTERNAL_SERVER_ERROR)
-        }
-    }
-}
--- a/src/standin/mod.rs
+++ b/src/standin/mod.rs
@@ -3,4 +3,5 @@
 pub mod backend;
 pub mod ledger;
 pub mod log;
+pub mod platform;
 pub mod switches;
--- /dev/null
+++ b/src/standin/platform/store.rs
@@ -0,0 +1,270 @@
+//! A stand-in of the platform's store: topics with keys, in one partition, kept in memory.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use base64::Engine;
+use base64::prelude::BASE64_STANDARD as BASE64;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::{Method, Request, Response, StatusCode};
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+
+use crate::decide::sharded::lock;
+use crate::net::NetError;
+use crate::net::http;
+use crate::net::relay::KeyedRecord;
+use crate::platform::store::{decode_records, encode_record};
+
+/// Bytes in front of the records of a read.
+const READ_HEAD_BYTES: usize = 16;
+/// Entries on one page of the newest records.
+const PAGE_ITEMS: usize = 100;
+
+/// Switches by which a test makes the store fail.
+#[derive(Debug, Default)]
+pub struct StoreFaults {
+    /// Refuse everything with 503.
+    pub down: AtomicBool,
+    /// Answer this much later, in milliseconds.
+    pub slow_ms: AtomicU64,
+    /// Lose the answers to this many appends after they took effect.
+    pub lose_answers: AtomicU64,
+}
+
+#[derive(Debug, Default)]
+struct Topic {
+    first_offset: u64,
+    records: Vec<KeyedRecord>,
+    newest: BTreeMap<String, KeyedRecord>,
+}
+
+impl Topic {
+    fn end(&self) -> u64 {
+        self.first_offset + self.records.len() as u64
+    }
+
+    fn append(&mut self, key: &str, value: Option<Vec<u8>>) -> u64 {
+        let record = KeyedRecord {
+            key: key.to_owned(),
+            value,
+            offset: self.end(),
+        };
+        let offset = record.offset;
+        if record.value.is_some() {
+            self.newest.insert(key.to_owned(), record.clone());
+        } else {
+            self.newest.remove(key);
+        }
+        self.records.push(record);
+        offset
+    }
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    topics: Mutex<BTreeMap<String, Topic>>,
+    changed: Notify,
+    faults: StoreFaults,
+}
+
+/// A running stand-in. Dropping it closes its listener.
+#[derive(Debug)]
+pub struct StandInStore {
+    /// Where it listens.
+    pub address: SocketAddr,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl StandInStore {
+    /// Starts a store; port zero takes any free one.
+    pub async fn start(address: SocketAddr) -> Result<StandInStore, NetError> {
+        let listener = http::listen(address).await?;
+        let address = listener.local_addr().unwrap_or(address);
+        let shared = Arc::new(Shared::default());
+        let task = {
+            let shared = Arc::clone(&shared);
+            tokio::spawn(http::serve(listener, move |request| {
+                handle(Arc::clone(&shared), request)
+            }))
+        };
+        Ok(StandInStore {
+            address,
+            shared,
+            task,
+        })
+    }
+
+    /// Its switches.
+    pub fn faults(&self) -> &StoreFaults {
+        &self.shared.faults
+    }
+
+    /// Writes a record as operators do.
+    pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> u64 {
+        let mut topics = lock(&self.shared.topics);
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let offset = topic.append(key, Some(value.to_vec()));
+        drop(topics);
+        self.shared.changed.notify_waiters();
+        offset
+    }
+
+    /// The newest value of a key.
+    pub fn newest(&self, topic: &str, key: &str) -> Option<Vec<u8>> {
+        let topics = lock(&self.shared.topics);
+        topics.get(topic)?.newest.get(key)?.value.clone()
+    }
+
+    /// Drops the history of a topic; the newest record of each key stays.
+    pub fn forget_history(&self, topic: &str) {
+        let mut topics = lock(&self.shared.topics);
+        if let Some(topic) = topics.get_mut(topic) {
+            topic.first_offset = topic.end();
+            topic.records.clear();
+        }
+    }
+}
+
+impl Drop for StandInStore {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+type Answer = Response<Full<Bytes>>;
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    let slow_ms = shared.faults.slow_ms.load(Ordering::Relaxed);
+    tokio::time::sleep(Duration::from_millis(slow_ms)).await;
+    if shared.faults.down.load(Ordering::Relaxed) {
+        return answer(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    }
+    let uri = request.uri().clone();
+    let query = uri.query().unwrap_or_default();
+    let topic = parameter(query, "topic").unwrap_or_default().to_owned();
+    match (request.method(), uri.path()) {
+        (&Method::POST, "/log-append") => append(&shared, &topic, request).await,
+        (&Method::GET, "/log-newest") => newest(&shared, &topic, query),
+        (&Method::GET, "/log-read") => read(&shared, &topic, query).await,
+        _ => answer(StatusCode::NOT_FOUND, Vec::new()),
+    }
+}
+
+async fn append(shared: &Shared, topic: &str, request: Request<Incoming>) -> Answer {
+    let Ok(body) = request.into_body().collect().await else {
+        return answer(StatusCode::BAD_REQUEST, Vec::new());
+    };
+    // An append has the records of a read without the head in front.
+    let mut read = vec![0; READ_HEAD_BYTES];
+    read.extend_from_slice(&body.to_bytes());
+    let Ok(appended) = decode_records(read.into(), 0) else {
+        return answer(StatusCode::BAD_REQUEST, Vec::new());
+    };
+    let (offset, end) = {
+        let mut topics = lock(&shared.topics);
+        let topic = topics.entry(topic.to_owned()).or_default();
+        let offset = topic.end();
+        for record in appended.records {
+            topic.append(&record.key, record.value);
+        }
+        (offset, topic.end())
+    };
+    shared.changed.notify_waiters();
+    let lost = &shared.faults.lose_answers;
+    let is_lost = lost.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+        left.checked_sub(1)
+    });
+    if is_lost.is_ok() {
+        std::future::pending::<()>().await;
+    }
+    json_answer(&json!({ "offset": offset, "endKey": end }))
+}
+
+fn newest(shared: &Shared, topic: &str, query: &str) -> Answer {
+    let after = parameter(query, "after").unwrap_or_default();
+    let mut topics = lock(&shared.topics);
+    let topic = topics.entry(topic.to_owned()).or_default();
+    let left: Vec<&KeyedRecord> = topic
+        .newest
+        .values()
+        .filter(|record| encoded(&record.key).as_str() > after)
+        .collect();
+    let items: Vec<_> = left
+        .iter()
+        .take(PAGE_ITEMS)
+        .map(|record| {
+            let value = BASE64.encode(record.value.as_deref().unwrap_or_default());
+            json!({ "key": record.key, "value": value, "offset": record.offset })
+        })
+        .collect();
+    let has_more = left.len() > items.len();
+    json_answer(&json!({ "items": items, "hasMore": has_more, "endKey": topic.end() }))
+}
+
+async fn read(shared: &Shared, topic: &str, query: &str) -> Answer {
+    let number = |name| parameter(query, name).and_then(|text| text.parse::<u64>().ok());
+    let from = number("from").unwrap_or(0);
+    let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+    let until = tokio::time::Instant::now() + wait;
+    loop {
+        let changed = shared.changed.notified();
+        if let Some(answered) = read_now(shared, topic, from) {
+            return answered;
+        }
+        if tokio::time::timeout_at(until, changed).await.is_err() {
+            let end = lock(&shared.topics)
+                .entry(topic.to_owned())
+                .or_default()
+                .end();
+            return answer(StatusCode::OK, [end.to_be_bytes(), [0; 8]].concat());
+        }
+    }
+}
+
+/// The records from an offset on, if there are any or they have expired.
+fn read_now(shared: &Shared, topic: &str, from: u64) -> Option<Answer> {
+    let mut topics = lock(&shared.topics);
+    let topic = topics.entry(topic.to_owned()).or_default();
+    if from < topic.first_offset {
+        let mut gone = json_answer(&json!({ "firstOffset": topic.first_offset }));
+        *gone.status_mut() = StatusCode::GONE;
+        return Some(gone);
+    }
+    let records = topic.records.iter().filter(|record| record.offset >= from);
+    let mut body = [topic.end().to_be_bytes(), topic.first_offset.to_be_bytes()].concat();
+    for record in records {
+        let value = record.value.as_deref().unwrap_or_default();
+        body.extend_from_slice(&encode_record(&record.key, value).ok()?);
+    }
+    (body.len() > READ_HEAD_BYTES).then(|| answer(StatusCode::OK, body))
+}
+
+fn json_answer(value: &serde_json::Value) -> Answer {
+    answer(StatusCode::OK, value.to_string().into_bytes())
+}
+
+fn answer(status: StatusCode, body: Vec<u8>) -> Answer {
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    response
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|pair| {
+        let (key, value) = pair.split_once('=')?;
+        (key == name).then_some(value)
+    })
+}
+
+/// A key as it stands in a query.
+fn encoded(key: &str) -> String {
+    key.replace(':', "%3A")
+}
--- /dev/null
+++ b/src/standin/platform/worker.rs
@@ -0,0 +1,286 @@
+//! A stand-in of a backend server of the platform, with what it may do wrong.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use strum::EnumString;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+use crate::decide::sharded::lock;
+use crate::net::NetError;
+use crate::net::http;
+
+/// Longest wait for the daemon's acknowledgement, in milliseconds.
+const ACK_TIMEOUT_MS: u64 = 1_000;
+/// What a signed answer bears.
+const SIGNATURE: &str = "stand-in.1";
+
+/// What a request's path asks the stand-in to do: its last segment, before any dot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "snake_case")]
+enum Behaviour {
+    /// Answer with the body that came.
+    Echo,
+    /// Run and answer 500.
+    Fail,
+    /// Refuse without running.
+    Shed,
+    /// Run and close the connection without an answer.
+    Lose,
+    /// Run and cut the answer's body short.
+    Cut,
+    /// Run and answer twice.
+    Twice,
+    /// Run and answer 200 without a signature.
+    Unsigned,
+    /// Run and answer 503 without saying that it has not run.
+    False503,
+    /// Run for a second.
+    Slow,
+    /// Run and answer with a body that ends with the connection.
+    Unframed,
+}
+
+/// One request that was run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// Method and path.
+    pub line: String,
+    /// Headers by lower-case name.
+    pub headers: HashMap<String, String>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    instance: Mutex<String>,
+    runs: Mutex<Vec<Run>>,
+    misdirected: Mutex<u32>,
+}
+
+/// A running stand-in. Dropping it closes its listener.
+#[derive(Debug)]
+pub struct StandInWorker {
+    /// Where it listens.
+    pub address: SocketAddr,
+    service: String,
+    shared: Arc<Shared>,
+    task: JoinHandle<()>,
+}
+
+impl StandInWorker {
+    /// Starts a backend server; port zero takes any free one.
+    pub async fn start(
+        address: SocketAddr,
+        service: &str,
+        instance: &str,
+    ) -> Result<StandInWorker, NetError> {
+        let listener = http::listen(address).await?;
+        let address = listener.local_addr().unwrap_or(address);
+        let shared = Arc::new(Shared {
+            instance: Mutex::new(instance.to_owned()),
+            runs: Mutex::default(),
+            misdirected: Mutex::default(),
+        });
+        let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
+        Ok(StandInWorker {
+            address,
+            service: service.to_owned(),
+            shared,
+            task,
+        })
+    }
+
+    /// Its own name for this run of it.
+    pub fn instance(&self) -> String {
+        lock(&self.shared.instance).clone()
+    }
+
+    /// Becomes another run of a backend server at the same address.
+    pub fn become_instance(&self, instance: &str) {
+        *lock(&self.shared.instance) = instance.to_owned();
+    }
+
+    /// The requests that it has run.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.shared.runs).clone()
+    }
+
+    /// How many requests named another instance.
+    pub fn misdirected(&self) -> u32 {
+        *lock(&self.shared.misdirected)
+    }
+
+    /// Sends one heartbeat to the daemon beside it; the status of the answer, 0 for none.
+    pub async fn beat(&self, daemon: SocketAddr, sequence: u64, state: &str, born: u64) -> u16 {
+        let body = serde_json::json!({
+            "address": self.address.to_string(),
+            "born": born,
+            "info": { "service": self.service, "version": "v1", "zone": "z", "slots": 8 },
+            "status": { "state": state, "seq": sequence, "coldRemainingS": 0 },
+        });
+        self.tell(daemon, "instances.heartbeat", body.to_string())
+            .await
+    }
+
+    /// Tells the daemon beside it that it is gone; the status of the answer, 0 for none.
+    pub async fn deregister(&self, daemon: SocketAddr) -> u16 {
+        self.tell(daemon, "instances.deregister", String::new())
+            .await
+    }
+
+    async fn tell(&self, daemon: SocketAddr, call: &str, body: String) -> u16 {
+        let instance = self.instance();
+        let uri = format!("http://{daemon}/rpc?call={call}&of={instance}");
+        let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(body))) else {
+            return 0;
+        };
+        let client = http::client(0);
+        let sent = http::exchange(&client, daemon, request, ACK_TIMEOUT_MS).await;
+        sent.map_or(0, |(status, _, _)| status.as_u16())
+    }
+}
+
+impl Drop for StandInWorker {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Arc<Shared>) {
+    let mut connections = tokio::task::JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        connections.spawn(async move {
+            // A connection that breaks off is the other side's business.
+            let _ = serve(stream, &shared).await;
+        });
+    }
+}
+
+struct Received {
+    run: Run,
+    body: Vec<u8>,
+}
+
+impl Received {
+    fn header(&self, name: &str) -> &str {
+        self.run.headers.get(name).map_or("", String::as_str)
+    }
+
+    fn behaviour(&self) -> Behaviour {
+        let path = self.run.line.split(' ').nth(1).unwrap_or_default();
+        let segment = path.rsplit('/').next().unwrap_or_default();
+        let name = segment.split('.').next().unwrap_or_default();
+        name.parse().unwrap_or(Behaviour::Echo)
+    }
+}
+
+async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
+    let mut buffer = Vec::new();
+    while let Some(received) = receive(&mut stream, &mut buffer).await? {
+        let instance = lock(&shared.instance).clone();
+        let expected = received.header("x-expect-instance");
+        if !expected.is_empty() && expected != instance {
+            *lock(&shared.misdirected) += 1;
+            let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {instance}\r\n");
+            stream
+                .write_all(format!("{head}content-length: 0\r\n\r\n").as_bytes())
+                .await?;
+            continue;
+        }
+        let id = received.header("x-request-id").to_owned();
+        let behaviour = received.behaviour();
+        if behaviour != Behaviour::Shed {
+            lock(&shared.runs).push(received.run.clone());
+        }
+        let signed = format!("X-Request-Id: {id}\r\nX-Response-Signature: {SIGNATURE}\r\n");
+        let echoed = format!("X-Request-Id: {id}\r\n");
+        let ok = "HTTP/1.1 200 OK\r\n";
+        let length = format!("content-length: {}\r\n\r\n", received.body.len());
+        let body = received.body;
+        let unavailable = "HTTP/1.1 503 Service Unavailable\r\n";
+        let (head, body) = match behaviour {
+            Behaviour::Echo => (format!("{ok}{signed}{length}"), body),
+            Behaviour::Slow => {
+                tokio::time::sleep(Duration::from_secs(1)).await;
+                (format!("{ok}{signed}{length}"), body)
+            }
+            Behaviour::Fail => {
+                let head = "HTTP/1.1 500 Internal Server Error\r\n";
+                (format!("{head}{signed}{length}"), body)
+            }
+            Behaviour::Shed => {
+                let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
+                (format!("{head}content-length: 0\r\n\r\n"), Vec::new())
+            }
+            Behaviour::Lose => return Ok(()),
+            Behaviour::Cut => {
+                let length = format!("content-length: {}\r\n\r\n", body.len() + 10);
+                let head = format!("{ok}{signed}{length}");
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&body).await?;
+                return Ok(());
+            }
+            Behaviour::Twice => {
+                let answer = format!("{ok}{signed}content-length: 5\r\n\r\nfirst");
+                let extra = answer.replace("first", "extra");
+                (answer + &extra, Vec::new())
+            }
+            Behaviour::Unsigned => (format!("{ok}{echoed}{length}"), body),
+            Behaviour::False503 => (format!("{unavailable}{echoed}{length}"), body),
+            Behaviour::Unframed => {
+                let head = format!("{ok}{signed}\r\n");
+                stream.write_all(head.as_bytes()).await?;
+                stream.write_all(&body).await?;
+                return stream.shutdown().await;
+            }
+        };
+        stream.write_all(head.as_bytes()).await?;
+        stream.write_all(&body).await?;
+    }
+    Ok(())
+}
+
+/// Reads one request with a length; none at the end of the connection.
+async fn receive(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<Received>> {
+    let head_end = loop {
+        if let Some(at) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+            break at + 4;
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
+    let mut lines = head.lines();
+    let line = lines.next().unwrap_or_default().to_owned();
+    let headers: HashMap<String, String> = lines
+        .filter_map(|line| line.split_once(':'))
+        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
+        .collect();
+    let length = headers
+        .get("content-length")
+        .and_then(|length| length.parse().ok());
+    let end = head_end + length.unwrap_or(0);
+    while buffer.len() < end {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    let body = buffer[head_end..end].to_vec();
+    buffer.drain(..end);
+    Ok(Some(Received {
+        run: Run { line, headers },
+        body,
+    }))
+}
--- /dev/null
+++ b/tests/deployment/mod.rs
@@ -0,0 +1,200 @@
+//! A small deployment of real relays and stand-ins over loopback, in one process.
+#![allow(dead_code)]
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use burdockhall::config::RelaySettings;
+use burdockhall::net::relay::{Relay, stop};
+use burdockhall::platform;
+use burdockhall::standin::platform::{StandInStore, StandInWorker};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{HeaderMap, Method, Request, StatusCode};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use serde_json::{Value, json};
+
+/// Longest wait for something to come about.
+const LIMIT: Duration = Duration::from_secs(20);
+pub const CONFIG_TOPIC: &str = "keyed.op";
+
+/// A daemon with its backend server.
+pub struct Host {
+    pub relay: Arc<Relay>,
+    pub settings: RelaySettings,
+    pub worker: StandInWorker,
+}
+
+pub struct Deployment {
+    pub store: StandInStore,
+    pub hosts: Vec<Host>,
+}
+
+/// An answer as a caller gets it.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+    /// The body, or none if it broke off.
+    pub body: Option<Bytes>,
+}
+
+/// An address on loopback that is free now.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("its address")
+}
+
+/// A route as operators write it.
+pub fn route(name: &str, prefix: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "name": name, "host": "calls.example", "pathPrefix": prefix, "kind": kind,
+        "timeoutS": 3.0, "targetLatencyS": 1.0, "priority": 0, "service": service,
+        "maxAttempts": 2,
+    })
+}
+
+/// A configuration as operators write it.
+pub fn config(version: u64, routes: &[Value]) -> Value {
+    let service = |name: &str| {
+        json!({ "name": name, "healthPath": "/healthz", "maxConnections": 100,
+            "protocol": "h1", "tls": false })
+    };
+    json!({
+        "version": format!("r{version}"), "routes": routes,
+        "services": [service("a"), service("b")],
+        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304,
+            "headerTimeoutS": 3, "idleTimeoutS": 15 },
+    })
+}
+
+pub fn standard_config(version: u64) -> Value {
+    config(
+        version,
+        &[
+            route("safe", "/safe/", "safe", "a"),
+            route("once", "/once/", "unsafe", "a"),
+            route("other", "/other/", "safe", "b"),
+        ],
+    )
+}
+
+pub fn settings(service: &str, store: SocketAddr, backend: SocketAddr) -> RelaySettings {
+    let mut settings = RelaySettings::example(1);
+    settings.service = service.into();
+    settings.callers_address = free_address();
+    settings.hop_address = free_address();
+    settings.local_address = free_address();
+    settings.ready_address = free_address();
+    settings.metrics_address = free_address();
+    settings.backend_address = backend;
+    settings.log_address = store;
+    // Tests repeat more often than a deployment's bound allows.
+    settings.bounds.retry_slack = 1_000.0;
+    settings
+}
+
+impl Deployment {
+    /// Starts a daemon with a backend server for each service named, and waits for all.
+    pub async fn start(services: &[&str]) -> Deployment {
+        let store = StandInStore::start(free_address()).await.expect("a store");
+        let record = standard_config(1).to_string();
+        store.put(CONFIG_TOPIC, "config", record.as_bytes());
+        let mut hosts = Vec::new();
+        for (number, service) in services.iter().enumerate() {
+            let instance = format!("i-{number}");
+            let worker = StandInWorker::start(free_address(), service, &instance);
+            let worker = worker.await.expect("a worker");
+            let settings = settings(service, store.address, worker.address);
+            let relay = Relay::new(settings.clone(), platform::dialect());
+            platform::start(&relay).await.expect("listeners");
+            assert_eq!(
+                worker.beat(settings.local_address, 1, "ready", 100).await,
+                200
+            );
+            hosts.push(Host {
+                relay,
+                settings,
+                worker,
+            });
+        }
+        let deployment = Deployment { store, hosts };
+        let all = services.len();
+        deployment
+            .wait("all daemons know all", |deployment| {
+                deployment.hosts.iter().all(|host| {
+                    let known = host.relay.tables().directory.all().count();
+                    known == all && host.relay.config_version() == 1
+                })
+            })
+            .await;
+        deployment
+    }
+
+    /// Waits until something holds.
+    pub async fn wait(&self, what: &str, holds: impl Fn(&Deployment) -> bool) {
+        let until = tokio::time::Instant::now() + LIMIT;
+        while !holds(self) {
+            assert!(
+                tokio::time::Instant::now() < until,
+                "{what}: not within {LIMIT:?}"
+            );
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Sends a request to a host's daemon as a caller does.
+    pub async fn call(&self, host: usize, path: &str, id: &str, body: &[u8]) -> Answer {
+        let address = self.hosts[host].settings.callers_address;
+        send(address, "calls.example", path, Some(id), body).await
+    }
+
+    /// How often a request was run, by all backend servers together.
+    pub fn runs(&self, id: &str) -> usize {
+        let runs = self.hosts.iter().flat_map(|host| host.worker.runs());
+        runs.filter(|run| {
+            run.headers
+                .get("x-request-id")
+                .is_some_and(|known| known == id)
+        })
+        .count()
+    }
+
+    /// Stops a daemon gracefully.
+    pub async fn stop(&self, host: usize) -> usize {
+        stop::stop(&self.hosts[host].relay).await
+    }
+}
+
+/// Sends one request over a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    host: &str,
+    path: &str,
+    id: Option<&str>,
+    body: &[u8],
+) -> Answer {
+    let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(format!("http://{address}{path}"))
+        .header("host", host)
+        .header("x-deadline-ms", "3000")
+        .header("x-caller-service", "forged");
+    if let Some(id) = id {
+        request = request.header("x-request-id", id);
+    }
+    let request = request
+        .body(Full::new(Bytes::copy_from_slice(body)))
+        .expect("a request");
+    let response = client.request(request).await.expect("an answer");
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok().map(|whole| whole.to_bytes());
+    Answer {
+        status: parts.status,
+        headers: parts.headers,
+        body,
+    }
+}
