Explain a request from the logs; tell a request that is too late from a lack of room

A field named 'message' in a log line replaced the message itself; it is named 'cause'.

Lines about requests have a budget a second, of their own for failed ones; what is left out is counted and said.

--- a/src/cmd/error.rs
+++ b/src/cmd/error.rs
@@ -74,6 +74,20 @@
     /// The daemon's own log lines.
     #[error("the daemon's log lines cannot be written")]
     Logs(#[from] spdlog::Error),
+    /// A file of log lines that cannot be read.
+    #[error("cannot read the log lines in {path}: {source}")]
+    LogFile {
+        /// The file.
+        path: String,
+        /// The cause.
+        source: std::io::Error,
+    },
+    /// A request of which no line tells.
+    #[error("no log line names the request {id}; give the log of its entry daemon too")]
+    NotLogged {
+        /// The request's id.
+        id: String,
+    },
     /// A relay's shutdown that did not answer everything.
     #[error("the shutdown was cut short: {unfinished} requests had no answer")]
     RelayCutShort {
@@ -95,6 +109,7 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             CmdError::SheetFile { .. } | CmdError::SheetChecked { .. } => EXIT_INPUT,
+            CmdError::LogFile { .. } | CmdError::NotLogged { .. } => EXIT_INPUT,
             CmdError::Publication(status) => publication_code(status),
             CmdError::Settings(_) | CmdError::SettingsChecked { .. } => EXIT_INPUT,
             CmdError::Client(error) if error.is_input() => EXIT_INPUT,
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod daemon;
 pub mod drain;
 pub mod error;
+pub mod explain;
 pub mod relay;
 pub mod settings;
 pub mod sheet;
@@ -59,6 +60,7 @@
         .after_help(EXIT_CODES)
         .subcommand(daemon::command())
         .subcommand(relay::command())
+        .subcommand(explain::command())
         .subcommand(settings::command())
         .subcommand(sheet::command())
         .subcommand(audit::command())
@@ -73,6 +75,7 @@
 fn run(matches: &ArgMatches) -> Result<(), CmdError> {
     match matches.subcommand() {
         Some(("daemon", matches)) => daemon::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("relay", matches)) => relay::run(matches),
         Some(("settings", matches)) => settings::run(matches),
         Some(("sheet", matches)) => sheet::run(matches),
--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -52,7 +52,9 @@
     Run,
     /// It waits; [`Admission::next`] will start or refuse it.
     Wait(TicketNo),
-    /// It does not run.
+    /// It does not run, though there is room: the time left is too short for it.
+    TooLate,
+    /// It does not run for want of room.
     Refuse {
         /// When there is likely to be room, in milliseconds.
         retry_after_ms: u64,
@@ -144,7 +146,7 @@
         let left_ms = offer.deadline.since_ms(now) as f64;
         if self.running < self.limit && self.waiting.is_empty() {
             if left_ms < expected_ms * LEFT_SHARE * LEFT_SHARE {
-                return self.refuse(0);
+                return Offered::TooLate;
             }
             self.running += 1;
             return Offered::Run;
--- a/src/decide/relay/placing.rs
+++ b/src/decide/relay/placing.rs
@@ -151,6 +151,16 @@
         cheapest(&good, rng).map(|rated| rated.candidate)
     }
 
+    /// The load of a worker as this daemon sees it, as a part of its limit, and the age of the
+    /// report behind it in milliseconds; none if it has never reported.
+    pub fn view(&self, now: TimeMs, candidate: &Candidate) -> (f64, Option<u64>) {
+        let view = self.views.get(&candidate.address);
+        let view = view.copied().unwrap_or_default();
+        let load = view.utilization(now, candidate.slots);
+        let has_reported = view.reported > TimeMs(0);
+        (load, has_reported.then(|| now.since_ms(view.reported)))
+    }
+
     /// Takes in that a request was sent.
     pub fn sent(&mut self, address: SocketAddr) {
         let view = self.views.entry(address).or_default();
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -15,6 +15,7 @@
 use super::executor::{self, Executed, Order};
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain};
+use super::line_budget::LineKind;
 use super::pool::{ExchangeError, Exchanged};
 use super::settle::{self, SettleRequest};
 use super::state::{Configuration, Relay, Stage};
@@ -115,6 +116,8 @@
     parent_is_repeat: bool,
     deadline: TimeMs,
     started: TimeMs,
+    /// Version of the configuration that decided.
+    config: u64,
 }
 
 async fn serve(
@@ -135,7 +138,11 @@
     let host = host.or(request.uri().host()).unwrap_or_default();
     let Some(route) = table.find(host, request.uri().path()) else {
         let (path, config) = (request.uri().path(), table.version);
-        spdlog::info!("no route matches a request", kv: { request_id: = id, host, path, config });
+        if relay.may_log(LineKind::Failed) {
+            spdlog::info!("no route matches a request", kv: {
+                request_id: = id, host, path, config
+            });
+        }
         return plain(StatusCode::NOT_FOUND);
     };
     let limit_bytes = table.limits.body_bytes;
@@ -196,8 +203,9 @@
         parent_is_repeat,
         deadline: started.plus_ms(left_ms),
         started,
+        config: table.version,
     };
-    attempt(relay, &call, body, table.version).await
+    attempt(relay, &call, body).await
 }
 
 /// The request beneath which this one is made, if it runs on the backend server beside this
@@ -220,10 +228,14 @@
         tables.rng.random_range(SHED_RETRY_MS)
     };
     relay.metrics.shed();
-    let (route, priority) = (route.name.as_str(), u64::from(route.priority));
-    spdlog::info!("a request was shed at the entry", kv: {
-        request_id, route, priority, retry_after_ms, config
-    });
+    if relay.may_log(LineKind::Failed) {
+        let share = relay.tables().share(relay.clock.now(), &route.name);
+        let (route, priority) = (route.name.as_str(), u64::from(route.priority));
+        let share = format!("{share:.2}");
+        spdlog::info!("a request was shed at the entry", kv: {
+            request_id, route, priority, share, retry_after_ms, config
+        });
+    }
     refusal(retry_after_ms)
 }
 
@@ -238,12 +250,7 @@
     Answered(Box<Response<RelayBody>>),
 }
 
-async fn attempt(
-    relay: &Arc<Relay>,
-    call: &Call<'_>,
-    body: RelayBody,
-    config: u64,
-) -> Response<RelayBody> {
+async fn attempt(relay: &Arc<Relay>, call: &Call<'_>, body: RelayBody) -> Response<RelayBody> {
     let mut body = Some(body);
     let mut tried: Vec<SocketAddr> = Vec::new();
     let mut arrivals = 0;
@@ -273,15 +280,18 @@
         };
         let hop = HopRequest {
             key: (!call.route.idempotent).then(|| next_key(relay)),
-            instance: chosen.instance,
+            instance: chosen.instance.clone(),
             route: call.route.name.clone(),
             left_ms: left_ms - HOP_MARGIN_MS,
             root: call.root.clone(),
             is_call: call.is_call,
             is_repeat: is_repeat || call.parent_is_repeat,
             is_first: tried.is_empty(),
-            config,
+            config: call.config,
         };
+        if !tried.is_empty() {
+            log_again(relay, call, &failure, &chosen);
+        }
         tried.push(chosen.candidate.address);
         let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
         match executed {
@@ -322,6 +332,10 @@
                         retry_after_ms,
                     };
                 }
+                // Another worker would not be quicker.
+                if reason == NotRunReason::DeadlineTooShort {
+                    break;
+                }
             }
             Executed::Unknown { reason } => {
                 arrivals += 1;
@@ -351,6 +365,22 @@
     format!("{:x}-{number:x}", relay.incarnation)
 }
 
+fn log_again(relay: &Relay, call: &Call<'_>, failure: &Failure, chosen: &Chosen) {
+    if !relay.may_log(LineKind::Failed) {
+        return;
+    }
+    let why = match failure {
+        Failure::NotRun { reason, .. } => <&str>::from(*reason),
+        Failure::Unknown(reason) => reason.into(),
+        Failure::Answered(_) => "failed",
+    };
+    let (request_id, worker) = (call.id, chosen.candidate.address);
+    let (load, load_age_ms) = chosen.view;
+    let load = format!("{load:.2}");
+    let load_age_ms = load_age_ms.map_or("never".to_owned(), |age_ms| age_ms.to_string());
+    spdlog::info!("a request is sent again", kv: { request_id, why, worker:, load, load_age_ms });
+}
+
 /// Whether a request that has reached a backend server may go to another one.
 fn may_repeat(relay: &Relay, call: &Call<'_>, now: TimeMs, arrivals: u32, left_ms: u64) -> bool {
     let min_left_ms = call.route.objective_ms as f64 * MIN_LEFT_SHARE;
@@ -370,6 +400,8 @@
 struct Chosen {
     candidate: Candidate,
     instance: String,
+    /// Load by which it was chosen, and the age of the report behind that, in milliseconds.
+    view: (f64, Option<u64>),
 }
 
 fn choose(relay: &Relay, call: &Call<'_>, tried: &[SocketAddr], now: TimeMs) -> Option<Chosen> {
@@ -393,6 +425,7 @@
     Some(Chosen {
         candidate,
         instance: known.member.instance.clone(),
+        view: tables.placing.view(now, &candidate),
     })
 }
 
@@ -466,8 +499,8 @@
             let now = relay.clock.now();
             let avoid_ms = relay.tables().placing.unreachable(now, candidate.address);
             let (address, request_id) = (candidate.address, call.id);
-            let message = error.to_string();
-            spdlog::warn!("a hop has failed", kv: { request_id, address:, message, avoid_ms });
+            let cause = error.to_string();
+            spdlog::warn!("a hop has failed", kv: { request_id, address:, cause, avoid_ms });
             match (error, key) {
                 (ExchangeError::NotSent { .. }, _) => {
                     Executed::not_run(NotRunReason::NoWorker, NO_WORKER_RETRY_MS)
@@ -656,13 +689,16 @@
     let status = u64::from(status.as_u16());
     let workers = format!("{tried:?}");
     let root = call.root.route.as_str();
+    let config = call.config;
     if status < 400 {
-        spdlog::debug!("a request was answered", kv: {
-            request_id, route, service, root, outcome, status, took_ms, left_ms, workers
-        });
-    } else {
+        if relay.may_log(LineKind::Served) {
+            spdlog::info!("a request was answered", kv: {
+                request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
+            });
+        }
+    } else if relay.may_log(LineKind::Failed) {
         spdlog::info!("a request has failed", kv: {
-            request_id, route, service, root, outcome, status, took_ms, left_ms, workers
+            request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
         });
     }
 }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -11,6 +11,7 @@
 
 use super::body::{Lent, RelayBody};
 use super::hop::{HopRequest, plain, strip_connection_headers};
+use super::line_budget::LineKind;
 use super::pool::{ExchangeError, Exchanged};
 use super::state::{Relay, RunningRequest, Stage, Tables, millis};
 use crate::decide::relay::admission::Verdict;
@@ -126,7 +127,11 @@
 pub async fn run(relay: &Arc<Relay>, order: Order, body: RelayBody) -> Executed {
     let started = relay.clock.now();
     let executed = match admit(relay, &order).await {
-        Ok(slot) => exchange(relay, order, body, slot).await,
+        Ok(slot) => {
+            let waited_ms = relay.clock.now().since_ms(started);
+            log_run(relay, &order, waited_ms);
+            exchange(relay, order, body, slot).await
+        }
         Err(refused) => {
             log_refusal(relay, &order, &refused, started);
             refused
@@ -229,6 +234,9 @@
         };
         match tables.admission.offer(now, offer) {
             Offered::Run => return Ok(Slot::new(relay, order, tables)),
+            Offered::TooLate => {
+                return Err(Executed::not_run(NotRunReason::DeadlineTooShort, 0));
+            }
             Offered::Refuse { retry_after_ms } => {
                 tables.worker_shares.refused();
                 return Err(Executed::not_run(NotRunReason::Overloaded, retry_after_ms));
@@ -329,7 +337,8 @@
         }
         Err(ExchangeError::NotSent { message, .. }) => {
             relay.tables().worker_lost = Some(relay.clock.now());
-            spdlog::warn!("the backend server cannot be reached", kv: { request_id, message });
+            let cause = message;
+            spdlog::warn!("the backend server cannot be reached", kv: { request_id, cause });
             Executed::not_run(NotRunReason::BackendUnreachable, LOST_MS)
         }
         Err(ExchangeError::Broken { message, .. }) => {
@@ -338,12 +347,12 @@
     }
 }
 
-fn unknown(relay: &Relay, request_id: &str, reason: UnknownReason, message: &str) -> Executed {
+fn unknown(relay: &Relay, request_id: &str, reason: UnknownReason, cause: &str) -> Executed {
     let outcome = "unknown";
     let reason_name = <&str>::from(reason);
     let config = relay.config_version();
     spdlog::warn!("the outcome of a request is unknown", kv: {
-        request_id, outcome, reason_name, message, config
+        request_id, outcome, reason_name, cause, config
     });
     Executed::Unknown { reason }
 }
@@ -473,6 +482,22 @@
     })
 }
 
+fn log_run(relay: &Relay, order: &Order, waited_ms: u64) {
+    if !relay.may_log(LineKind::Served) {
+        return;
+    }
+    let request_id = order.request_id(relay);
+    let (running, limit) = {
+        let tables = relay.tables();
+        (tables.admission.running(), tables.admission.limit())
+    };
+    let (route, instance) = (order.hop.route.as_str(), order.hop.instance.as_str());
+    let left_ms = order.deadline.since_ms(relay.clock.now());
+    spdlog::info!("a request is handed to the backend server", kv: {
+        request_id, route, instance, running, limit, waited_ms, left_ms
+    });
+}
+
 fn log_refusal(relay: &Relay, order: &Order, refused: &Executed, started: TimeMs) {
     let Executed::NotRun {
         reason,
@@ -482,6 +507,9 @@
     else {
         return;
     };
+    if !relay.may_log(LineKind::Failed) {
+        return;
+    }
     let request_id = order.request_id(relay);
     let (reason, retry_after_ms) = (<&str>::from(*reason), *retry_after_ms);
     let (running, waiting, limit) = {
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod executor;
 pub mod follow;
 pub mod hop;
+pub mod line_budget;
 pub mod listen;
 pub mod peers;
 pub mod pool;
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -224,8 +224,8 @@
             (Executed::Done { response, took_ms }, kept)
         }
         Err(error) => {
-            let message = error.to_string();
-            spdlog::warn!("an answer broke off before it was whole", kv: { message });
+            let cause = error.to_string();
+            spdlog::warn!("an answer broke off before it was whole", kv: { cause });
             let reason = UnknownReason::BackendBroke;
             (Executed::Unknown { reason }, unknown)
         }
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::dialect::Dialect;
+use super::line_budget::{LineBudget, LineKind};
 use super::pool::Pool;
 use super::relay_metrics::RelayMetrics;
 use super::settle::Settlements;
@@ -117,6 +118,8 @@
     pub peer_is_newer: Notify,
     /// Non-idempotent requests whose outcome may be asked for.
     pub settlements: Settlements,
+    /// Bounds the log lines about requests.
+    pub lines: LineBudget,
     /// Counters and histograms.
     pub metrics: RelayMetrics,
     /// Whether the log service answers.
@@ -156,6 +159,7 @@
             record_changed: Notify::new(),
             peer_is_newer: Notify::new(),
             settlements: Settlements::default(),
+            lines: LineBudget::default(),
             metrics: RelayMetrics::default(),
             log_lost: std::sync::atomic::AtomicBool::new(false),
             phase,
@@ -187,6 +191,11 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a log line about a request may be written now.
+    pub fn may_log(&self, kind: LineKind) -> bool {
+        self.lines.allow(self.clock.now(), kind)
+    }
+
     /// Address at which other daemons reach this one.
     pub fn own_address(&self) -> SocketAddr {
         self.settings.load().hop_address
--- /dev/null
+++ b/tests/cmd_explain.rs
@@ -0,0 +1,104 @@
+//! `burdockhall explain` on log lines of a real run: one request refused under load, one ended
+//! at its deadline behind slow calls, one of unknown outcome after a lost connection.
+
+use std::process::{Command, Output};
+
+const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/relay.log");
+
+fn explain(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_burdockhall"))
+        .arg("explain")
+        .args(args)
+        .output()
+        .expect("the command runs")
+}
+
+#[test]
+fn the_way_of_a_request_ends_with_its_cause() {
+    struct Case {
+        name: &'static str,
+        id: &'static str,
+        /// Parts of lines, in this order.
+        lines: &'static [&'static [&'static str]],
+    }
+    let cases = [
+        Case {
+            name: "refused under load",
+            id: "f4eedd8692e69778",
+            lines: &[&["shed at the entry", "share=0.93", "retry_after_ms=1055"]],
+        },
+        Case {
+            name: "ended at its deadline behind a slow call",
+            id: "59bda8135d9fc7b8",
+            lines: &[
+                &["+0 ", "handed to the backend server", "left_ms=1180"],
+                &["refused beside its backend server", "left_ms=78"],
+                &["a request has failed", "status=504", "left_ms=19"],
+                &["a request has failed", "status=500", "took_ms=1178"],
+            ],
+        },
+        Case {
+            name: "unknown after a lost connection",
+            id: "8748c9df3133b4d7",
+            lines: &[
+                &["handed to the backend server", "i-71ccebaeac"],
+                &["a hop has failed", "connection error"],
+                &["outcome of a request is unknown", "backend_broke"],
+                &["outcome of a broken hop was asked for", "outcome=unknown"],
+                &["a request has failed", "status=502"],
+            ],
+        },
+    ];
+    for case in cases {
+        let output = explain(&[case.id, LOG]);
+        assert!(output.status.success(), "{}", case.name);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        let mut left = text.lines();
+        for parts in case.lines {
+            let found = left.any(|line| parts.iter().all(|part| line.contains(part)));
+            assert!(
+                found,
+                "{}: no line with {parts:?} in order in\n{text}",
+                case.name
+            );
+        }
+        let strangers = text.lines().filter(|line| !line.contains(case.id)).count();
+        assert_eq!(
+            strangers, 0,
+            "{}: lines of other requests\n{text}",
+            case.name
+        );
+    }
+}
+
+#[test]
+fn what_cannot_be_explained_is_said() {
+    struct Case {
+        name: &'static str,
+        args: &'static [&'static str],
+        says: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "unknown id",
+            args: &["0000", LOG],
+            says: "no log line names the request 0000",
+        },
+        Case {
+            name: "part of an id",
+            args: &["f4eedd8692e6", LOG],
+            says: "no log line names",
+        },
+        Case {
+            name: "no such file",
+            args: &["0000", "/nonexistent.log"],
+            says: "cannot read the log lines in /nonexistent.log",
+        },
+    ];
+    for case in cases {
+        let output = explain(case.args);
+        assert_eq!(output.status.code(), Some(2), "{}", case.name);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(text.contains(case.says), "{}: {text}", case.name);
+    }
+}
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -567,3 +567,16 @@
         assert_eq!(chosen, Some(near), "{}: it is tried again", case.name);
     }
 }
+
+#[test]
+fn a_request_that_cannot_finish_is_told_apart_from_a_lack_of_room() {
+    let route = ServiceName::from("r");
+    let mut admission = Admission::new(10);
+    for _ in 0..50 {
+        admission.offer(TimeMs(0), offer(&route, 0, false, 60_000));
+        admission.finished(&route, Some(200));
+    }
+    let offered = admission.offer(TimeMs(1_000), offer(&route, 0, false, 1_020));
+    assert_eq!(offered, Offered::TooLate, "20 ms for a request of 200 ms");
+    assert_eq!(admission.running(), 0);
+}
