Another region costs 25 ms of waiting in place of 45

Ruled out: a lack of capacity (surat's own reports are the only ones), failed workers.

What is left at surat is the two slow workers' own time.

--- a/src/decide/relay/placing.rs
+++ b/src/decide/relay/placing.rs
@@ -28,7 +28,7 @@
 const REGION_COST_MS: f64 = 6.0;
 /// What another region is worth, in milliseconds of waiting: two crossings of the link and the
 /// bytes that are paid for.
-const REMOTE_COST_MS: f64 = 45.0;
+const REMOTE_COST_MS: f64 = 25.0;
 /// Spread of the costs between two daemons that see the same, so that they do not all choose
 /// the same worker.
 const JITTER: f64 = 0.2;
