--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -223,6 +223,7 @@
             Offered::Wait(ticket) => {
                 self.waiting[worker].insert(ticket, root);
             }
+            Offered::TooLate => self.result(root).failed += 1,
             Offered::Refuse { .. } => {
                 self.shares[worker].refused();
                 self.result(root).failed += 1;
