--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -6,7 +6,7 @@
 use serde::Serialize;
 
 use super::CmdError;
-use crate::config::{Finding, Settings, SettingsError, document};
+use crate::config::{Finding, RelaySettings, Settings, SettingsError, document};
 use crate::util;
 
 /// First port of the example.
@@ -27,6 +27,7 @@
                         .value_parser(value_parser!(PathBuf))
                         .help("The settings file"),
                 )
+                .arg(relay_flag())
                 .arg(
                     Arg::new("json")
                         .long("json")
@@ -34,15 +35,29 @@
                         .help("Print one JSON object"),
                 ),
         )
-        .subcommand(Command::new("example").about("Prints complete settings that pass the check"))
         .subcommand(
-            Command::new("describe").about("Prints each field with its bounds and its meaning"),
+            Command::new("example")
+                .about("Prints complete settings that pass the check")
+                .arg(relay_flag()),
         )
+        .subcommand(
+            Command::new("describe")
+                .about("Prints each field with its bounds and its meaning")
+                .arg(relay_flag()),
+        )
+}
+
+fn relay_flag() -> Arg {
+    Arg::new("relay")
+        .long("relay")
+        .action(ArgAction::SetTrue)
+        .help("The settings of `burdockhall relay` in place of `burdockhall daemon`")
 }
 
 #[derive(Debug)]
 struct Args {
     file: PathBuf,
+    relay: bool,
     json: bool,
 }
 
@@ -58,19 +73,28 @@
         Some(("check", matches)) => {
             let args = Args {
                 file: matches.get_one("file").cloned().unwrap_or_default(),
+                relay: matches.get_flag("relay"),
                 json: matches.get_flag("json"),
             };
             args.check()
         }
-        Some(("describe", _)) => describe(),
+        Some(("describe", matches)) => describe(matches.get_flag("relay")),
+        Some(("example", matches)) if matches.get_flag("relay") => {
+            Ok(util::print_json(&RelaySettings::example(EXAMPLE_PORT))?)
+        }
         _ => Ok(util::print_json(&Settings::example(EXAMPLE_PORT))?),
     }
 }
 
 impl Args {
     fn check(&self) -> Result<(), CmdError> {
-        let findings = match Settings::read(&self.file) {
-            Ok(_) => Vec::new(),
+        let read = if self.relay {
+            RelaySettings::read(&self.file).map(drop)
+        } else {
+            Settings::read(&self.file).map(drop)
+        };
+        let findings = match read {
+            Ok(()) => Vec::new(),
             Err(SettingsError::Invalid { findings, .. }) => findings,
             Err(error) => return Err(error.into()),
         };
@@ -98,8 +122,14 @@
     }
 }
 
-fn describe() -> Result<(), CmdError> {
-    let example = serde_json::to_value(Settings::example(EXAMPLE_PORT))?;
-    print!("{}", document::reference(&example));
+fn describe(relay: bool) -> Result<(), CmdError> {
+    let page = if relay {
+        let example = serde_json::to_value(RelaySettings::example(EXAMPLE_PORT))?;
+        document::relay_reference(&example)
+    } else {
+        let example = serde_json::to_value(Settings::example(EXAMPLE_PORT))?;
+        document::reference(&example)
+    };
+    print!("{page}");
     Ok(())
 }
--- a/src/config/document.rs
+++ b/src/config/document.rs
@@ -2,12 +2,21 @@
 
 use serde_json::Value;
 
-use super::schema::{Field, Kind, SETTINGS};
+use super::schema::{Field, Kind, RELAY, SETTINGS};
 
 /// The whole reference; `example` gives the defaults.
 pub fn reference(example: &Value) -> String {
+    table(SETTINGS, example)
+}
+
+/// The reference of a relay's settings.
+pub fn relay_reference(example: &Value) -> String {
+    table(RELAY, example)
+}
+
+fn table(fields: &[Field], example: &Value) -> String {
     let mut text = String::from("| Field | Value | Default | Meaning |\n|---|---|---|---|\n");
-    rows("", SETTINGS, example, &mut text);
+    rows("", fields, example, &mut text);
     text
 }
 
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -19,6 +19,8 @@
 
 /// Longest wait for the daemon's acknowledgement, in milliseconds.
 const ACK_TIMEOUT_MS: u64 = 1_000;
+/// Time that a slow run takes.
+const SLOW: Duration = Duration::from_secs(1);
 /// What a signed answer bears.
 const SIGNATURE: &str = "stand-in.1";
 
@@ -62,6 +64,7 @@
     instance: Mutex<String>,
     runs: Mutex<Vec<Run>>,
     misdirected: Mutex<u32>,
+    abandoned: Mutex<u32>,
 }
 
 /// A running stand-in. Dropping it closes its listener.
@@ -87,6 +90,7 @@
             instance: Mutex::new(instance.to_owned()),
             runs: Mutex::default(),
             misdirected: Mutex::default(),
+            abandoned: Mutex::default(),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Ok(StandInWorker {
@@ -117,6 +121,11 @@
         *lock(&self.shared.misdirected)
     }
 
+    /// How many slow runs were given up because their connection was closed.
+    pub fn abandoned(&self) -> u32 {
+        *lock(&self.shared.abandoned)
+    }
+
     /// Sends one heartbeat to the daemon beside it; the status of the answer, 0 for none.
     pub async fn beat(&self, daemon: SocketAddr, sequence: u64, state: &str, born: u64) -> u16 {
         let body = serde_json::json!({
@@ -209,7 +218,11 @@
         let (head, body) = match behaviour {
             Behaviour::Echo => (format!("{ok}{signed}{length}"), body),
             Behaviour::Slow => {
-                tokio::time::sleep(Duration::from_secs(1)).await;
+                let slept = tokio::time::timeout(SLOW, stream.read_buf(&mut buffer)).await;
+                if matches!(slept, Ok(Ok(0) | Err(_))) {
+                    *lock(&shared.abandoned) += 1;
+                    return Ok(());
+                }
                 (format!("{ok}{signed}{length}"), body)
             }
             Behaviour::Fail => {
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -6,8 +6,13 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use burdockhall::decide::relay::RootMark;
+use burdockhall::net::http;
+use burdockhall::net::relay::hop::HopRequest;
+use bytes::Bytes;
 use deployment::{CONFIG_TOPIC, Deployment, config, route, send, standard_config};
-use hyper::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, StatusCode};
 
 #[tokio::test]
 async fn each_ending_at_a_backend_server_is_told_truly() {
@@ -371,3 +376,63 @@
     assert_eq!(unfinished, 0);
     assert_eq!(deployment.runs("slow") + deployment.runs("late"), 2);
 }
+
+#[tokio::test]
+async fn a_caller_that_leaves_ends_the_work_for_it_within_half_a_second() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let worker = &deployment.hosts[0].worker;
+    // Over a hop, and at the worker beside the entry.
+    for (number, host) in [1, 0].into_iter().enumerate() {
+        let id = format!("leaves-{host}");
+        let call = deployment.call(host, "/safe/slow", &id, b"");
+        // The run takes a second, so that it would end by itself half a second later.
+        let left = tokio::time::timeout(Duration::from_millis(500), call).await;
+        assert!(left.is_err(), "the caller has left before the answer");
+        deployment
+            .wait("the run is given up before its end", |_| {
+                worker.abandoned() as usize > number
+            })
+            .await;
+    }
+}
+
+#[tokio::test]
+async fn a_key_that_was_asked_for_before_it_came_never_runs() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let host = &deployment.hosts[0];
+    let question = r#"{"key":"k-1","left_ms":100}"#;
+    let hop = host.settings.hop_address;
+    let answer = send(hop, "x", "/burdockhall/settle", None, question.as_bytes()).await;
+    let reply = answer.headers["burdockhall-reply"].to_str().expect("text");
+    assert!(reply.contains("fenced"), "{reply}");
+    let order = HopRequest {
+        key: Some("k-1".to_owned()),
+        instance: host.worker.instance(),
+        route: "once".into(),
+        left_ms: 2_000,
+        root: RootMark {
+            route: "once".into(),
+            priority: 0,
+            admitted: 1.0,
+        },
+        is_call: false,
+        is_repeat: false,
+        is_first: true,
+        config: 1,
+    };
+    let client = http::client(0);
+    for (key, runs) in [("k-1", 0), ("k-2", 1), ("k-2", 1)] {
+        let order = HopRequest {
+            key: Some(key.to_owned()),
+            ..order.clone()
+        };
+        let request = Request::post(format!("http://{hop}/once/echo"))
+            .header("burdockhall-hop", serde_json::to_vec(&order).expect("JSON"))
+            .header("x-request-id", "copy")
+            .body(Full::new(Bytes::new()))
+            .expect("a request");
+        let sent = http::exchange(&client, hop, request, 2_000).await;
+        sent.expect("an answer");
+        assert_eq!(deployment.runs("copy"), runs, "{key}");
+    }
+}
--- /dev/null
+++ b/tests/relay_store.rs
@@ -0,0 +1,149 @@
+//! The client of the platform's store against its stand-in, with what the store may do wrong.
+
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+use burdockhall::model::Clock;
+use burdockhall::net::relay::pool::Pool;
+use burdockhall::net::relay::{RecordLog, RecordLogError};
+use burdockhall::platform::Store;
+use burdockhall::platform::store::{decode_records, encode_record};
+use burdockhall::standin::platform::StandInStore;
+
+const TOPIC: &str = "keyed.test";
+
+async fn store() -> (StandInStore, Store) {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let stand_in = StandInStore::start(any).await.expect("a store");
+    let store = Store::new(stand_in.address, Pool::new(Clock::system()));
+    (stand_in, store)
+}
+
+#[tokio::test]
+async fn the_newest_of_each_key_is_read_over_all_pages() {
+    let (stand_in, store) = store().await;
+    for number in 0..250 {
+        let key = format!("10.0.0.{number}:80");
+        stand_in.put(TOPIC, &key, b"old");
+        stand_in.put(TOPIC, &key, b"new");
+    }
+    store
+        .put(TOPIC, "10.0.0.7:80", None)
+        .await
+        .expect("removed");
+    let snapshot = store.newest(TOPIC).await.expect("a snapshot");
+    assert_eq!(snapshot.records.len(), 249);
+    assert!(
+        snapshot
+            .records
+            .iter()
+            .all(|record| record.value.as_deref() == Some(b"new"))
+    );
+    assert_eq!(snapshot.next_offset, 501);
+}
+
+#[tokio::test]
+async fn a_tail_waits_for_records_and_says_where_to_go_on() {
+    let (stand_in, store) = store().await;
+    let none = store.tail(TOPIC, 0, 50).await.expect("nothing yet");
+    assert_eq!((none.records.len(), none.next_offset), (0, 0));
+    let waiting = store.tail(TOPIC, 0, 20_000);
+    let writing = async {
+        tokio::task::yield_now().await;
+        stand_in.put(TOPIC, "k", b"v");
+    };
+    let (tail, ()) = tokio::join!(waiting, writing);
+    let tail = tail.expect("a record");
+    assert_eq!(tail.records[0].value.as_deref(), Some(&b"v"[..]));
+    assert_eq!(tail.next_offset, 1);
+    stand_in.put(TOPIC, "k", b"w");
+    stand_in.forget_history(TOPIC);
+    let expired = store.tail(TOPIC, 1, 50).await;
+    assert!(matches!(
+        expired,
+        Err(RecordLogError::Expired { first_offset: 2 })
+    ));
+}
+
+#[tokio::test]
+async fn a_refusal_is_told_apart_from_silence() {
+    let (stand_in, store) = store().await;
+    stand_in.faults().down.store(true, Ordering::Relaxed);
+    let refused = store.put(TOPIC, "k", Some(b"v")).await;
+    assert!(matches!(
+        refused,
+        Err(RecordLogError::Refused { status: 503 })
+    ));
+    stand_in.faults().down.store(false, Ordering::Relaxed);
+    stand_in.faults().lose_answers.store(1, Ordering::Relaxed);
+    let silent = store.put(TOPIC, "k", Some(b"v")).await;
+    assert!(
+        matches!(silent, Err(RecordLogError::Silent(_))),
+        "{silent:?}"
+    );
+    assert_eq!(
+        stand_in.newest(TOPIC, "k").as_deref(),
+        Some(&b"v"[..]),
+        "it took effect"
+    );
+    let again = store.put(TOPIC, "k", Some(b"v")).await;
+    assert!(
+        again.is_ok(),
+        "the same record again changes nothing: {again:?}"
+    );
+}
+
+#[test]
+fn damaged_records_are_told_or_passed_over() {
+    struct Case {
+        name: &'static str,
+        body: Vec<u8>,
+        /// Records and the next offset, or none for an error.
+        read: Option<(usize, u64)>,
+    }
+    let head = [0; 16].to_vec();
+    let good = encode_record("k", b"value").expect("a record");
+    let with = |parts: &[&[u8]]| [&[&head[..]], parts].concat().concat();
+    let cases = [
+        Case {
+            name: "no records",
+            body: with(&[]),
+            read: Some((0, 5)),
+        },
+        Case {
+            name: "two records",
+            body: with(&[&good, &good]),
+            read: Some((2, 7)),
+        },
+        Case {
+            name: "a record without a key's length",
+            body: with(&[&[0, 0, 0, 0], &good]),
+            read: Some((1, 7)),
+        },
+        Case {
+            name: "a key longer than its record",
+            body: with(&[&[0, 0, 0, 2, 9, b'k'], &good]),
+            read: Some((1, 7)),
+        },
+        Case {
+            name: "a key that is no text",
+            body: with(&[&[0, 0, 0, 2, 1, 0xff], &good]),
+            read: Some((1, 7)),
+        },
+        Case {
+            name: "a record cut short",
+            body: with(&[&good[..good.len() - 1]]),
+            read: None,
+        },
+        Case {
+            name: "shorter than its head",
+            body: vec![0; 15],
+            read: None,
+        },
+    ];
+    for case in cases {
+        let read = decode_records(case.body.into(), 5).ok();
+        let read = read.map(|tail| (tail.records.len(), tail.next_offset));
+        assert_eq!(read, case.read, "{}", case.name);
+    }
+}
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -2,7 +2,7 @@
 
 use burdockhall::config::document;
 use burdockhall::config::schema::{Field, Kind, SETTINGS};
-use burdockhall::config::{Finding, Settings, SettingsError};
+use burdockhall::config::{Finding, RelaySettings, Settings, SettingsError};
 use serde_json::{Value, json};
 
 const BASE_PORT: u16 = 7100;
@@ -190,6 +190,56 @@
     );
 }
 
+#[test]
+fn the_page_on_settings_has_the_reference_of_the_relay() {
+    let page = include_str!("../docs/SETTINGS.md");
+    let example = serde_json::to_value(RelaySettings::example(BASE_PORT)).expect("JSON");
+    let reference = document::relay_reference(&example);
+    assert!(
+        page.contains(&reference),
+        "replace it by the output of `burdockhall settings describe --relay`"
+    );
+}
+
+#[test]
+fn every_error_in_the_settings_of_a_relay_is_told_at_once() {
+    let example = serde_json::to_value(RelaySettings::example(BASE_PORT)).expect("JSON");
+    let text = example.to_string();
+    assert!(RelaySettings::parse("relay.json", &text).is_ok());
+    let mut broken = example;
+    broken["hop_address"] = "nowhere".into();
+    broken["bounds"]["drain_s"] = "2".into();
+    broken["bounds"]["grace_s"] = 0.into();
+    broken["extra"] = 1.into();
+    broken.as_object_mut().expect("an object").remove("service");
+    let read = RelaySettings::parse("relay.json", &broken.to_string());
+    let Err(SettingsError::Invalid { findings, .. }) = read else {
+        panic!("{read:?}");
+    };
+    let mut paths: Vec<&str> = findings.iter().map(|found| found.path.as_str()).collect();
+    paths.sort_unstable();
+    let expected = [
+        "bounds.drain_s",
+        "bounds.grace_s",
+        "extra",
+        "hop_address",
+        "service",
+    ];
+    assert_eq!(paths, expected);
+    assert!(findings.iter().all(|found| !found.remedy.is_empty()));
+}
+
+/// The template that the platform fills in names each field of the relay's settings.
+#[test]
+fn the_template_has_the_fields_of_the_relay() {
+    let template = include_str!("../deploy/settings.template");
+    let example = serde_json::to_value(RelaySettings::example(BASE_PORT)).expect("JSON");
+    let fields = example.as_object().expect("an object");
+    for name in fields.keys() {
+        assert!(template.contains(&format!("\"{name}\":")), "{name}");
+    }
+}
+
 #[test]
 fn a_token_is_not_printed_with_the_settings() {
     let text = format!("{:?}", Settings::example(BASE_PORT));
