--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -190,12 +190,13 @@
 
 fn newest(shared: &Shared, topic: &str, query: &str) -> Answer {
     let after = parameter(query, "after").unwrap_or_default();
+    let after = after.replace("%3A", ":");
     let mut topics = lock(&shared.topics);
     let topic = topics.entry(topic.to_owned()).or_default();
     let left: Vec<&KeyedRecord> = topic
         .newest
         .values()
-        .filter(|record| encoded(&record.key).as_str() > after)
+        .filter(|record| record.key > after)
         .collect();
     let items: Vec<_> = left
         .iter()
@@ -263,8 +264,3 @@
         (key == name).then_some(value)
     })
 }
-
-/// A key as it stands in a query.
-fn encoded(key: &str) -> String {
-    key.replace(':', "%3A")
-}
