--- /dev/null
+++ b/src/net/relay/attempt.rs
@@ -0,0 +1,509 @@
+//! Attempts: has a classified request run by one worker after another, as far as that is
+//! allowed, and says how it ends.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response, StatusCode, Uri, Version};
+use rand::RngExt;
+
+use super::body::{Lent, RelayBody};
+use super::entry::{Call, refusal};
+use super::executor::{self, Executed, Order};
+use super::hop::strip_connection_headers;
+use super::hop::{HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain};
+use super::line_budget::LineKind;
+use super::pool::{ExchangeError, Exchanged};
+use super::settle::{self, SettleRequest};
+use super::state::Relay;
+use crate::decide::relay::{Candidate, WorkerLoad};
+use crate::model::{NotRunReason, TimeMs, UnknownReason};
+
+/// Most workers that are asked for a place before a request is refused.
+const MAX_PLACEMENTS: usize = 4;
+/// What the daemon beside the backend server gets less than is left here, in milliseconds, so
+/// that its refusal arrives in time.
+const HOP_MARGIN_MS: u64 = 20;
+/// Time beyond the deadline in which an answer that is on its way may still arrive, in
+/// milliseconds.
+const REPLY_GRACE_MS: u64 = 150;
+/// Time to come back while no worker is known or reachable, in milliseconds.
+const NO_WORKER_RETRY_MS: u64 = 500;
+/// Longest time for which an idle connection to another daemon is used again, in milliseconds.
+const HOP_IDLE_MS: u64 = 4_000;
+/// Time for which a worker that says it takes no work is passed over, in milliseconds.
+const CLOSED_MS: u64 = 700;
+/// Part of the latency objective that must be left for another attempt to be worth it.
+const MIN_LEFT_SHARE: f64 = 0.1;
+
+/// What remains when no attempt has succeeded.
+#[derive(Debug)]
+enum Failure {
+    NotRun {
+        reason: NotRunReason,
+        retry_after_ms: u64,
+    },
+    Unknown(UnknownReason),
+    Answered(Box<Response<RelayBody>>),
+}
+
+/// Offers the request to workers until one has answered or no further attempt is allowed.
+pub(super) async fn attempt(
+    relay: &Arc<Relay>,
+    call: &Call<'_>,
+    body: RelayBody,
+) -> Response<RelayBody> {
+    let mut body = Some(body);
+    let mut tried: Vec<SocketAddr> = Vec::new();
+    let mut arrivals = 0;
+    let mut failure = Failure::NotRun {
+        reason: NotRunReason::NoWorker,
+        retry_after_ms: NO_WORKER_RETRY_MS,
+    };
+    relay.tables().budget.sent(call.started, call.service);
+    if call.parent_is_repeat {
+        relay.tables().budget.charge(call.started, call.service);
+    }
+    while tried.len() < MAX_PLACEMENTS {
+        let now = relay.clock.now();
+        let left_ms = call.deadline.since_ms(now);
+        if left_ms <= HOP_MARGIN_MS {
+            break;
+        }
+        let is_repeat = arrivals > 0;
+        if is_repeat && !may_repeat(relay, call, now, arrivals, left_ms) {
+            break;
+        }
+        let Some(chosen) = choose(relay, call, &tried, now) else {
+            break;
+        };
+        let Some(sent_body) = next_body(&mut body) else {
+            break;
+        };
+        let hop = HopRequest {
+            key: (!call.route.idempotent).then(|| next_key(relay)),
+            instance: chosen.instance.clone(),
+            route: call.route.name.clone(),
+            left_ms: left_ms - HOP_MARGIN_MS,
+            root: call.root.clone(),
+            is_call: call.is_call,
+            is_repeat: is_repeat || call.parent_is_repeat,
+            is_first: tried.is_empty(),
+            config: call.config,
+        };
+        if !tried.is_empty() {
+            log_again(relay, call, &failure, &chosen);
+        }
+        tried.push(chosen.candidate.address);
+        let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
+        match executed {
+            Executed::Done { response, took_ms } => {
+                let failed = response.status().is_server_error();
+                let address = chosen.candidate.address;
+                {
+                    let mut tables = relay.tables();
+                    tables.placing.judged(now, address, !failed);
+                    if !failed {
+                        tables.placing.took(now, address, &call.route.name, took_ms);
+                    }
+                }
+                if !failed {
+                    log_answer(relay, call, "done", &tried, response.status());
+                    return *response;
+                }
+                arrivals += 1;
+                failure = Failure::Answered(response);
+                if !call.route.idempotent {
+                    break;
+                }
+            }
+            Executed::NotRun {
+                reason,
+                retry_after_ms,
+                arrived,
+            } => {
+                arrivals += u32::from(arrived);
+                if arrived {
+                    let address = chosen.candidate.address;
+                    relay.tables().placing.judged(now, address, false);
+                }
+                // An answer or an unknown outcome of an earlier attempt says more.
+                if let Failure::NotRun { .. } = failure {
+                    failure = Failure::NotRun {
+                        reason,
+                        retry_after_ms,
+                    };
+                }
+                // Another worker would not be quicker.
+                if reason == NotRunReason::DeadlineTooShort {
+                    break;
+                }
+            }
+            Executed::Unknown { reason } => {
+                arrivals += 1;
+                let address = chosen.candidate.address;
+                relay.tables().placing.judged(now, address, false);
+                if !matches!(failure, Failure::Answered(_)) {
+                    failure = Failure::Unknown(reason);
+                }
+                if !call.route.idempotent {
+                    break;
+                }
+            }
+        }
+    }
+    fail(relay, call, failure, &tried)
+}
+
+fn next_body(body: &mut Option<RelayBody>) -> Option<RelayBody> {
+    match body.as_ref()?.copy() {
+        Some(copy) => Some(copy),
+        None => body.take(),
+    }
+}
+
+fn next_key(relay: &Relay) -> String {
+    let number = relay.next_hop.fetch_add(1, Ordering::Relaxed);
+    format!("{:x}-{number:x}", relay.incarnation)
+}
+
+fn log_again(relay: &Relay, call: &Call<'_>, failure: &Failure, chosen: &Chosen) {
+    if !relay.may_log(LineKind::Failed) {
+        return;
+    }
+    let why = match failure {
+        Failure::NotRun { reason, .. } => <&str>::from(*reason),
+        Failure::Unknown(reason) => reason.into(),
+        Failure::Answered(_) => "failed",
+    };
+    let (request_id, worker) = (call.id, chosen.candidate.address);
+    let (load, load_age_ms) = chosen.view;
+    let load = format!("{load:.2}");
+    let load_age_ms = load_age_ms.map_or("never".to_owned(), |age_ms| age_ms.to_string());
+    spdlog::info!("a request is sent again", kv: { request_id, why, worker:, load, load_age_ms });
+}
+
+/// Whether a request that has reached a backend server may go to another one.
+fn may_repeat(relay: &Relay, call: &Call<'_>, now: TimeMs, arrivals: u32, left_ms: u64) -> bool {
+    let min_left_ms = call.route.objective_ms as f64 * MIN_LEFT_SHARE;
+    if arrivals >= call.route.max_attempts || (left_ms as f64) < min_left_ms {
+        return false;
+    }
+    let mut tables = relay.tables();
+    let tables = &mut *tables;
+    // More work for a service that is short of room would only move the failure.
+    if tables.share(now, &call.root.route) < 1.0 {
+        return false;
+    }
+    let daemons = tables.directory.peers().len() + 1;
+    tables.budget.take(now, call.service, daemons)
+}
+
+struct Chosen {
+    candidate: Candidate,
+    instance: String,
+    /// Load by which it was chosen, and the age of the report behind that, in milliseconds.
+    view: (f64, Option<u64>),
+}
+
+fn choose(relay: &Relay, call: &Call<'_>, tried: &[SocketAddr], now: TimeMs) -> Option<Chosen> {
+    let own = relay.own_address();
+    let mut tables = relay.tables();
+    let tables = &mut *tables;
+    let candidates: Vec<Candidate> = tables
+        .directory
+        .ready(call.service)
+        .map(|known| Candidate {
+            address: known.member.address,
+            distance: known.distance,
+            slots: known.member.slots,
+            is_own: known.member.address == own,
+        })
+        .collect();
+    let candidate = tables
+        .placing
+        .choose(now, &candidates, tried, &mut tables.rng)?;
+    let known = tables.directory.get(candidate.address)?;
+    Some(Chosen {
+        candidate,
+        instance: known.member.instance.clone(),
+        view: tables.placing.view(now, &candidate),
+    })
+}
+
+/// Counts a request as in flight to a worker while it lives.
+struct InFlight {
+    relay: Arc<Relay>,
+    address: SocketAddr,
+}
+
+impl InFlight {
+    fn new(relay: &Arc<Relay>, address: SocketAddr) -> InFlight {
+        relay.tables().placing.sent(address);
+        InFlight {
+            relay: Arc::clone(relay),
+            address,
+        }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.relay.tables().placing.ended(self.address);
+    }
+}
+
+/// Offers the request to one worker and says what became of it.
+async fn offer(
+    relay: &Arc<Relay>,
+    call: &Call<'_>,
+    candidate: &Candidate,
+    hop: HopRequest,
+    body: RelayBody,
+) -> Executed {
+    let _in_flight = InFlight::new(relay, candidate.address);
+    if candidate.is_own {
+        let order = Order {
+            method: call.method.clone(),
+            uri: call.uri.clone(),
+            headers: call.headers.clone(),
+            deadline: relay.clock.now().plus_ms(hop.left_ms),
+            idempotent: call.route.idempotent,
+            hop,
+        };
+        let executed = executor::run(relay, order, body).await;
+        let reply = relay.reply(HopOutcome::from(&executed), executed.took_ms());
+        take_reply(relay, candidate.address, &reply);
+        return executed;
+    }
+    let (key, left_ms) = (hop.key.clone(), hop.left_ms);
+    let request = match hop_request(call, &hop, body) {
+        Ok(request) => request,
+        Err(error) => {
+            let request_id = call.id;
+            spdlog::error!("a hop could not be written", kv: { request_id, error });
+            return Executed::not_run(NotRunReason::InvariantBreach, NO_WORKER_RETRY_MS);
+        }
+    };
+    let timeout = Duration::from_millis(left_ms + HOP_MARGIN_MS + REPLY_GRACE_MS);
+    let exchange = relay.pool.exchange(candidate.address, request, HOP_IDLE_MS);
+    let exchanged = match tokio::time::timeout(timeout, exchange).await {
+        Ok(exchanged) => exchanged,
+        Err(_) => {
+            return Executed::Unknown {
+                reason: UnknownReason::DeadlinePassed,
+            };
+        }
+    };
+    match exchanged {
+        Ok(exchanged) => read_reply(relay, candidate.address, exchanged),
+        Err(error) => {
+            let now = relay.clock.now();
+            let avoid_ms = relay.tables().placing.unreachable(now, candidate.address);
+            let (address, request_id) = (candidate.address, call.id);
+            let cause = error.to_string();
+            spdlog::warn!("a hop has failed", kv: { request_id, address:, cause, avoid_ms });
+            match (error, key) {
+                (ExchangeError::NotSent { .. }, _) => {
+                    Executed::not_run(NotRunReason::NoWorker, NO_WORKER_RETRY_MS)
+                }
+                (ExchangeError::Broken { .. }, Some(key)) => {
+                    resolve(relay, call, candidate.address, key).await
+                }
+                (ExchangeError::Broken { .. }, None) => Executed::Unknown {
+                    reason: UnknownReason::ExecutorSilent,
+                },
+            }
+        }
+    }
+}
+
+fn hop_request(
+    call: &Call<'_>,
+    hop: &HopRequest,
+    body: RelayBody,
+) -> Result<Request<RelayBody>, String> {
+    let header = serde_json::to_vec(hop).map_err(|error| error.to_string())?;
+    let header = HeaderValue::try_from(header).map_err(|error| error.to_string())?;
+    let mut request = Request::new(body);
+    *request.method_mut() = call.method.clone();
+    *request.uri_mut() = call.uri.clone();
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = call.headers.clone();
+    request.headers_mut().insert(HOP_HEADER, header);
+    Ok(request)
+}
+
+/// Takes in what a daemon says with its answer.
+fn take_reply(relay: &Relay, address: SocketAddr, reply: &HopReply) {
+    let now = relay.clock.now();
+    if reply.config > relay.config_version() {
+        relay.peer_is_newer.notify_one();
+    }
+    let mut tables = relay.tables();
+    let load = WorkerLoad {
+        running: reply.running,
+        waiting: reply.waiting,
+        limit: reply.limit,
+        mean_ms: reply.mean_ms,
+    };
+    tables.placing.reported(now, address, load);
+    for report in &reply.shares {
+        tables.entry_shares.heard(now, report);
+    }
+    let HopOutcome::NotRun { reason, .. } = reply.outcome else {
+        return;
+    };
+    let is_closed = matches!(
+        reason,
+        NotRunReason::Leaving
+            | NotRunReason::NoWorker
+            | NotRunReason::WrongIncarnation
+            | NotRunReason::BackendUnreachable
+    );
+    if is_closed {
+        tables.placing.closed(now, address, CLOSED_MS);
+    }
+}
+
+fn read_reply(relay: &Arc<Relay>, address: SocketAddr, exchanged: Exchanged) -> Executed {
+    let Exchanged { response, sender } = exchanged;
+    let (mut parts, incoming) = response.into_parts();
+    let reply = parts.headers.remove(REPLY_HEADER);
+    let reply = reply.and_then(|reply| serde_json::from_slice::<HopReply>(reply.as_bytes()).ok());
+    let closes = parts.headers.contains_key(hyper::header::CONNECTION);
+    let lent = Lent {
+        pool: Arc::clone(&relay.pool),
+        key: address,
+        sender,
+        keep_ms: if closes { 0 } else { HOP_IDLE_MS },
+    };
+    strip_connection_headers(&mut parts.headers);
+    let body = RelayBody::answer(incoming, Some(lent));
+    let Some(reply) = reply else {
+        return Executed::Unknown {
+            reason: UnknownReason::ExecutorSilent,
+        };
+    };
+    take_reply(relay, address, &reply);
+    match reply.outcome {
+        HopOutcome::Done => Executed::Done {
+            response: Box::new(Response::from_parts(parts, body)),
+            took_ms: reply.took_ms,
+        },
+        HopOutcome::NotRun {
+            reason,
+            retry_after_ms,
+            arrived,
+        } => Executed::NotRun {
+            reason,
+            retry_after_ms,
+            arrived,
+        },
+        HopOutcome::Unknown => Executed::Unknown {
+            reason: UnknownReason::BackendBroke,
+        },
+    }
+}
+
+/// Asks over a new connection what became of a non-idempotent request.
+async fn resolve(
+    relay: &Arc<Relay>,
+    call: &Call<'_>,
+    address: SocketAddr,
+    key: String,
+) -> Executed {
+    let unknown = Executed::Unknown {
+        reason: UnknownReason::ExecutorSilent,
+    };
+    let left_ms = call.deadline.since_ms(relay.clock.now());
+    let question = SettleRequest { key, left_ms };
+    let Ok(question) = serde_json::to_vec(&question) else {
+        return unknown;
+    };
+    let mut request = Request::new(RelayBody::Full(question.into()));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static(settle::PATH);
+    let timeout = Duration::from_millis(left_ms + REPLY_GRACE_MS);
+    let exchange = relay.pool.exchange(address, request, 0);
+    let executed = match tokio::time::timeout(timeout, exchange).await {
+        Ok(Ok(exchanged)) => read_reply(relay, address, exchanged),
+        Ok(Err(_)) | Err(_) => unknown,
+    };
+    let (request_id, outcome) = (call.id, <&str>::from(HopOutcome::from(&executed)));
+    spdlog::info!("the outcome of a broken hop was asked for", kv: {
+        request_id, address:, outcome
+    });
+    executed
+}
+
+/// The final answer when no attempt has succeeded.
+fn fail(
+    relay: &Relay,
+    call: &Call<'_>,
+    failure: Failure,
+    tried: &[SocketAddr],
+) -> Response<RelayBody> {
+    match failure {
+        Failure::Answered(response) => {
+            log_answer(relay, call, "failed", tried, response.status());
+            *response
+        }
+        Failure::NotRun {
+            reason,
+            retry_after_ms,
+        } => {
+            let retry_after_ms = {
+                let spread = retry_after_ms / 2 + 1;
+                retry_after_ms + relay.tables().rng.random_range(0..spread)
+            };
+            log_answer(
+                relay,
+                call,
+                reason.into(),
+                tried,
+                StatusCode::SERVICE_UNAVAILABLE,
+            );
+            refusal(retry_after_ms)
+        }
+        Failure::Unknown(reason) => {
+            let status = match reason {
+                UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+                _ => StatusCode::BAD_GATEWAY,
+            };
+            log_answer(relay, call, reason.into(), tried, status);
+            plain(status)
+        }
+    }
+}
+
+fn log_answer(
+    relay: &Relay,
+    call: &Call<'_>,
+    outcome: &str,
+    tried: &[SocketAddr],
+    status: StatusCode,
+) {
+    let now = relay.clock.now();
+    let (request_id, route, service) = (call.id, call.route.name.as_str(), call.service.as_str());
+    let took_ms = now.since_ms(call.started);
+    let left_ms = call.deadline.since_ms(now);
+    let status = u64::from(status.as_u16());
+    let workers = format!("{tried:?}");
+    let root = call.root.route.as_str();
+    let config = call.config;
+    if status < 400 {
+        if relay.may_log(LineKind::Served) {
+            spdlog::info!("a request was answered", kv: {
+                request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
+            });
+        }
+    } else if relay.may_log(LineKind::Failed) {
+        spdlog::info!("a request has failed", kv: {
+            request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
+        });
+    }
+}
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -1,6 +1,8 @@
 //! The relay: carries requests from the callers on this VM to the backend servers of a
 //! deployment, through the daemon beside each.
 
+pub mod answers;
+pub mod attempt;
 pub mod body;
 pub mod dialect;
 pub mod entry;
