Have the tests of late answers and of draining fail without their mechanism

A late answer now comes where the next one is due, and a hop comes from a daemon that has not heard.

--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -40,6 +40,8 @@
     Cut,
     /// Run and answer twice.
     Twice,
+    /// Run and answer; answer once more where the next answer is due.
+    Late,
     /// Run and answer 200 without a signature.
     Unsigned,
     /// Run and answer 503 without saying that it has not run.
@@ -193,7 +195,11 @@
 
 async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
+    let mut late = String::new();
     while let Some(received) = receive(&mut stream, &mut buffer).await? {
+        stream
+            .write_all(std::mem::take(&mut late).as_bytes())
+            .await?;
         let instance = lock(&shared.instance).clone();
         let expected = received.header("x-expect-instance");
         if !expected.is_empty() && expected != instance {
@@ -246,6 +252,11 @@
                 let extra = answer.replace("first", "extra");
                 (answer + &extra, Vec::new())
             }
+            Behaviour::Late => {
+                let answer = format!("{ok}{signed}content-length: 5\r\n\r\nfirst");
+                late = answer.replace("first", "extra");
+                (answer, Vec::new())
+            }
             Behaviour::Unsigned => (format!("{ok}{echoed}{length}"), body),
             Behaviour::False503 => (format!("{unavailable}{echoed}{length}"), body),
             Behaviour::Unframed => {
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -10,7 +10,7 @@
 use burdockhall::net::http;
 use burdockhall::net::relay::hop::HopRequest;
 use bytes::Bytes;
-use deployment::{CONFIG_TOPIC, Deployment, config, route, send, standard_config};
+use deployment::{CONFIG_TOPIC, Deployment, Host, config, route, send, standard_config};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 
@@ -177,7 +177,9 @@
     let deployment = Deployment::start(&["a", "b"]).await;
     for number in 0..20 {
         let id = format!("twice-{number}");
-        let answer = deployment.call(1, "/safe/twice", &id, b"").await;
+        // At once, or where the answer to the next request is due.
+        let path = ["/safe/twice", "/safe/late"][number % 2];
+        let answer = deployment.call(1, path, &id, b"").await;
         assert_eq!(answer.body.as_deref(), Some(&b"first"[..]));
         let id = format!("after-{number}");
         let answer = deployment.call(1, "/once/echo", &id, id.as_bytes()).await;
@@ -239,6 +241,8 @@
             let answer = deployment.call(number % 3, "/once/echo", &id, b"").await;
             assert_eq!(answer.status, StatusCode::OK, "{leaves} {number}");
         }
+        // Not even from a daemon that has not heard of it.
+        hop_directly(host, leaves, leaves).await;
         assert_eq!(host.worker.runs().len(), before, "{leaves}");
     }
 }
@@ -405,8 +409,16 @@
     let answer = send(hop, "x", "/burdockhall/settle", None, question.as_bytes()).await;
     let reply = answer.headers["burdockhall-reply"].to_str().expect("text");
     assert!(reply.contains("fenced"), "{reply}");
+    for (key, runs) in [("k-1", 0), ("k-2", 1), ("k-2", 1)] {
+        hop_directly(host, key, "copy").await;
+        assert_eq!(deployment.runs("copy"), runs, "{key}");
+    }
+}
+
+/// Sends a request to the daemon beside a backend server as another daemon does.
+async fn hop_directly(host: &Host, key: &str, id: &str) {
     let order = HopRequest {
-        key: Some("k-1".to_owned()),
+        key: Some(key.to_owned()),
         instance: host.worker.instance(),
         route: "once".into(),
         left_ms: 2_000,
@@ -420,19 +432,12 @@
         is_first: true,
         config: 1,
     };
-    let client = http::client(0);
-    for (key, runs) in [("k-1", 0), ("k-2", 1), ("k-2", 1)] {
-        let order = HopRequest {
-            key: Some(key.to_owned()),
-            ..order.clone()
-        };
-        let request = Request::post(format!("http://{hop}/once/echo"))
-            .header("burdockhall-hop", serde_json::to_vec(&order).expect("JSON"))
-            .header("x-request-id", "copy")
-            .body(Full::new(Bytes::new()))
-            .expect("a request");
-        let sent = http::exchange(&client, hop, request, 2_000).await;
-        sent.expect("an answer");
-        assert_eq!(deployment.runs("copy"), runs, "{key}");
-    }
+    let hop = host.settings.hop_address;
+    let request = Request::post(format!("http://{hop}/once/echo"))
+        .header("burdockhall-hop", serde_json::to_vec(&order).expect("JSON"))
+        .header("x-request-id", id)
+        .body(Full::new(Bytes::new()))
+        .expect("a request");
+    let sent = http::exchange(&http::client(0), hop, request, 2_000).await;
+    sent.expect("an answer");
 }
