--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -3,6 +3,7 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
 
 use burdockhall::config::RelaySettings;
@@ -41,10 +42,20 @@
     pub body: Option<Bytes>,
 }
 
-/// An address on loopback that is free now.
+/// First port handed out. Below the range from which the system takes the ports of outgoing
+/// connections, which may take a port between its being found free and its being used.
+const FIRST_PORT: u16 = 21_000;
+
+/// An address on loopback that is free, handed out once in this process.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("its address")
+    static NEXT: AtomicU16 = AtomicU16::new(FIRST_PORT);
+    loop {
+        let port = NEXT.fetch_add(1, Ordering::Relaxed);
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A route as operators write it.
