--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -24,9 +24,6 @@
 const FIRST_EXPECTED_MS: f64 = 100.0;
 /// Shortest time to come back after a refusal, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 200;
-/// Part of the expected time by which the mean of others vouches for a kind of request that
-/// has not completed here yet.
-const UNKNOWN_SHARE: f64 = 1.0;
 
 /// Identifies a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -137,7 +134,7 @@
     /// Time that a request of this kind is expected to take, in milliseconds.
     pub fn expected_ms(&self, route: &ServiceName) -> f64 {
         let known = self.mean_by_route.get(route).copied();
-        known.unwrap_or(self.mean_ms * UNKNOWN_SHARE)
+        known.unwrap_or(self.mean_ms)
     }
 
     /// Decides about a new request.
@@ -169,9 +166,14 @@
         Offered::Wait(ticket)
     }
 
+    /// Frees the slot of a request that did not run to its end.
+    pub fn released(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
     /// Takes in that a running request has ended; `took_ms` if it ran to its end.
     pub fn finished(&mut self, route: &ServiceName, took_ms: Option<u64>) {
-        self.running = self.running.saturating_sub(1);
+        self.released();
         let Some(took_ms) = took_ms else { return };
         let took_ms = took_ms as f64;
         self.mean_ms += (took_ms - self.mean_ms) * MEAN_WEIGHT;
@@ -211,12 +213,6 @@
         Some(Verdict::Start(ticket))
     }
 
-    /// Refuses everything that waits, as when the backend server has left.
-    pub fn clear(&mut self) -> Vec<TicketNo> {
-        self.waiting.clear();
-        self.tickets.drain().map(|(ticket, _)| ticket).collect()
-    }
-
     fn refuse(&self, ahead: usize) -> Offered {
         Offered::Refuse {
             retry_after_ms: self.retry_after_ms(ahead),
--- a/src/decide/relay/routes.rs
+++ b/src/decide/relay/routes.rs
@@ -139,11 +139,6 @@
     /// The route with the longest prefix of `path` among those of `host`. The time depends on
     /// the path's length, not on the number of routes.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
-        self.find_index(host, path).map(|index| &self.routes[index])
-    }
-
-    /// Like [`RouteTable::find`], as an index for [`RouteTable::route`].
-    pub fn find_index(&self, host: &str, path: &str) -> Option<usize> {
         let host = host_name(host);
         let prefixes = match self.by_host.get(host) {
             Some(prefixes) => prefixes,
@@ -152,27 +147,17 @@
         let mut end = path.len();
         while let Some(slash) = path[..end].rfind('/') {
             if let Some(index) = prefixes.get(&path[..=slash]) {
-                return Some(*index);
+                return Some(&self.routes[*index]);
             }
             end = slash;
         }
         None
     }
 
-    /// The route at an index.
-    pub fn route(&self, index: usize) -> &Route {
-        &self.routes[index]
-    }
-
     /// All routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
     }
-
-    /// Whether the configuration names the service.
-    pub fn has_service(&self, name: &ServiceName) -> bool {
-        self.services.iter().any(|service| service.name == *name)
-    }
 }
 
 /// A host without its port.
--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -4,12 +4,12 @@
 
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
-use hyper::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 
 use super::body::{Lent, RelayBody};
 use super::executor::{Executed, LOST_MS, unknown};
-use super::hop::strip_connection_headers;
+use super::hop::{KEEP_ALIVE, strip_connection_headers};
 use super::pool::Exchanged;
 use super::state::Relay;
 use crate::model::{NotRunReason, UnknownReason};
@@ -19,7 +19,6 @@
 const DEFAULT_KEEP_MS: u64 = 3_000;
 /// Part of the announced time for which an unused connection is kept.
 const KEEP_SHARE: f64 = 0.75;
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// What an answer of the backend server proves.
 pub(super) fn judge(
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -13,8 +13,9 @@
 use super::body::{Lent, RelayBody};
 use super::entry::{Call, refusal};
 use super::executor::{self, Executed, Order};
-use super::hop::strip_connection_headers;
-use super::hop::{HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain};
+use super::hop::{
+    HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain, strip_connection_headers,
+};
 use super::line_budget::LineKind;
 use super::pool::{ExchangeError, Exchanged};
 use super::settle::{self, SettleRequest};
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -183,7 +183,7 @@
         let waiter = tables.waiting.remove(&ticket);
         let told = waiter.is_some_and(|waiter| waiter.send(verdict).is_ok());
         if !told && let Verdict::Start(_) = verdict {
-            tables.admission.finished(&ServiceName::from(""), None);
+            tables.admission.released();
         }
     }
 }
@@ -204,7 +204,7 @@
         }
         // The verdict may have been sent and not been received.
         if let Ok(Verdict::Start(_)) = self.receiver.try_recv() {
-            tables.admission.finished(&ServiceName::from(""), None);
+            tables.admission.released();
             start_waiting(&self.relay, &mut tables);
         }
     }
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -21,7 +21,7 @@
 pub const HOP_HEADER: HeaderName = HeaderName::from_static("burdockhall-hop");
 /// Carries [`HopReply`] as JSON.
 pub const REPLY_HEADER: HeaderName = HeaderName::from_static("burdockhall-reply");
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// What the entry says about a request.
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -118,16 +118,6 @@
         self.lock()
             .retain(|_, settlement| now.since_ms(settlement.since) < KEEP_MS);
     }
-
-    /// How many outcomes are kept.
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Whether no outcome is kept.
-    pub fn is_empty(&self) -> bool {
-        self.len() == 0
-    }
 }
 
 /// Counts a connection as attached while it lives.
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -141,7 +141,8 @@
     plain(StatusCode::BAD_REQUEST)
 }
 
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+/// The value of a name in a query, as it stands there.
+pub fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     query.split('&').find_map(|pair| {
         let (key, value) = pair.split_once('=')?;
         (key == name).then_some(value)
--- a/src/platform/routing.rs
+++ b/src/platform/routing.rs
@@ -6,6 +6,7 @@
 
 use crate::decide::relay::{Limits, Part, Route, RouteTable, ServiceRules};
 use crate::model::ServiceName;
+use crate::net::relay::state::millis;
 
 /// What stands before the number of a version.
 const VERSION_PREFIX: char = 'r';
@@ -172,7 +173,3 @@
         idle_ms: millis(wire.idle_timeout_s),
     })
 }
-
-fn millis(seconds: f64) -> u64 {
-    crate::net::relay::state::millis(seconds)
-}
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -20,6 +20,7 @@
 use crate::net::NetError;
 use crate::net::http;
 use crate::net::relay::KeyedRecord;
+use crate::platform::local::parameter;
 use crate::platform::store::{decode_records, encode_record};
 
 /// Bytes in front of the records of a read.
@@ -257,10 +258,3 @@
     *response.status_mut() = status;
     response
 }
-
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query.split('&').find_map(|pair| {
-        let (key, value) = pair.split_once('=')?;
-        (key == name).then_some(value)
-    })
-}
