Look for gateways four times a second, so that a first publication is confirmed in time

A lone daemon knows them after 3 s of being named a gateway, seen at its probes (0.5 to 1.5 s apart, at random), and 4 s more, seen once a second. Ruled out: load as the only cause (no load on the virtual clock); the log (settles in 2 ms there).

--- a/src/decide/control/member_control/mod.rs
+++ b/src/decide/control/member_control/mod.rs
@@ -28,6 +28,9 @@
 const PROBE_INTERVAL_MS: u64 = 1_000;
 /// Time between two comparisons of a gateway with one of another zone, in milliseconds.
 const GATEWAY_INTERVAL_MS: u64 = 2_000;
+/// Time between two looks at whether the hashing names this daemon, in milliseconds. Short, since
+/// a publication right after the start waits for the first gateway.
+const GATEWAY_LOOK_MS: u64 = 250;
 /// Time for which the hashing must name a daemon before it becomes a gateway, in milliseconds.
 const GATEWAY_SETTLE_MS: u64 = 3_000;
 /// Time between two comparisons with an own gateway, in milliseconds.
@@ -136,6 +139,7 @@
 #[derive(Debug, Default)]
 struct Due {
     probe: TimeMs,
+    gateway_look: TimeMs,
     gateway: TimeMs,
     interest: TimeMs,
     push: TimeMs,
@@ -311,9 +315,12 @@
                 .rng
                 .random_range(PROBE_INTERVAL_MS / 2..=3 * PROBE_INTERVAL_MS / 2);
             self.due.probe = now.plus_ms(wait_ms);
-            self.consider_gateway(now);
             self.probe(turn);
         }
+        if now >= self.due.gateway_look {
+            self.due.gateway_look = now.plus_ms(GATEWAY_LOOK_MS);
+            self.consider_gateway(now);
+        }
         if now >= self.due.gateway {
             self.due.gateway = now.plus_ms(GATEWAY_INTERVAL_MS);
             self.compare_with_another_zone(turn);
--- a/tests/control_world/mod.rs
+++ b/tests/control_world/mod.rs
@@ -144,9 +144,14 @@
 
     /// A new process at the address of a daemon; it knows nothing.
     pub fn restart(&mut self, host: Host) {
+        self.restart_alone(host);
+        self.introduce(host);
+    }
+
+    /// A new process whose backend server has not announced itself yet.
+    pub fn restart_alone(&mut self, host: Host) {
         let (zone, started) = (self.daemons[host].zone, self.daemons[host].started + 1);
         self.daemons[host] = self.daemon(host, zone, started);
-        self.introduce(host);
     }
 
     pub fn kill(&mut self, host: Host) {
@@ -274,7 +279,8 @@
         }
     }
 
-    fn introduce(&mut self, host: Host) {
+    /// The backend server of a daemon announces itself.
+    pub fn introduce(&mut self, host: Host) {
         let announcement = self.daemons[host].announcement.clone();
         self.handle(host, ControlEvent::LocalAnnounced(announcement));
     }
--- a/tests/publish_decisions.rs
+++ b/tests/publish_decisions.rs
@@ -11,6 +11,10 @@
 const SETTLING_MS: u64 = 30_000;
 /// Longest time for a sheet to be in force everywhere on an ordinary day, in milliseconds.
 const ORDINARY_MS: u64 = 3_000;
+/// Longest time that a publication waits to be confirmed, in milliseconds.
+const CONFIRM_WAIT_MS: u64 = 10_000;
+/// The same less a tenth for timers that fire late on a busy VM, in milliseconds.
+const SAFE_WAIT_MS: u64 = CONFIRM_WAIT_MS * 9 / 10;
 /// Longest time for a sheet to be in force everywhere with the log slow, in milliseconds.
 const SLOW_MS: u64 = 12_000;
 
@@ -283,3 +287,31 @@
         Some(PublishStatus::Refused { .. })
     ));
 }
+
+/// A lone daemon is sure that there is no other zone soon enough for a publication made right
+/// after its backend server was announced, however its timers fall.
+#[test]
+fn a_publication_right_after_the_start_is_in_force() {
+    let late: Vec<(u64, Option<PublishStatus>)> = (0..1_000)
+        .filter_map(|seed| {
+            let mut world = World::new(seed, 1, 1);
+            world.restart_alone(0);
+            world.run_for(seed % 500);
+            world.introduce(0);
+            world.publish(0, "a", Some(0), content(100, &["balances"]));
+            world.run_for(CONFIRM_WAIT_MS + ORDINARY_MS);
+            let status = world.status("a").cloned();
+            let in_time = matches!(
+                &status,
+                Some(PublishStatus::InForce(receipt)) if receipt.elapsed_ms <= SAFE_WAIT_MS
+            );
+            (!in_time).then_some((seed, status))
+        })
+        .collect();
+    assert!(
+        late.is_empty(),
+        "{} of 1,000: {:?}",
+        late.len(),
+        late.first()
+    );
+}
