Let a relay listen behind another address; stand-in backend servers that work for a named time

hop_listen_address is where the listener for other daemons is opened if a proxy stands before it; needed by the soak, and by deployments behind address translation.

--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -20,8 +20,11 @@
     pub service: ServiceName,
     /// Listener for callers on this VM.
     pub callers_address: SocketAddr,
-    /// Listener for other daemons.
+    /// Where other daemons reach this one.
     pub hop_address: SocketAddr,
+    /// Listener for other daemons; none if it is at `hop_address` itself.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hop_listen_address: Option<SocketAddr>,
     /// Listener for the backend server's heartbeats.
     pub local_address: SocketAddr,
     /// Listener for the question whether this daemon is ready.
@@ -82,6 +85,7 @@
             service: "redemptions".into(),
             callers_address: address(0),
             hop_address: address(1),
+            hop_listen_address: None,
             local_address: address(2),
             ready_address: address(3),
             metrics_address: address(4),
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -369,7 +369,12 @@
         ADDRESS,
         "Listener for callers on this VM and for the backend server's own calls.",
     ),
-    required("hop_address", ADDRESS, "Listener for other daemons."),
+    required("hop_address", ADDRESS, "Where other daemons reach this one."),
+    optional(
+        "hop_listen_address",
+        ADDRESS,
+        "Listener for other daemons, if something stands before it; else it is at `hop_address`.",
+    ),
     required(
         "local_address",
         ADDRESS,
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -24,7 +24,8 @@
     let settings = relay.settings.load_full();
     let store = Store::new(settings.log_address, Arc::clone(&relay.pool));
     let listen = |address, side| (Arc::clone(relay), address, side);
-    let (of, address, side) = listen(settings.hop_address, Side::Daemons);
+    let hops = settings.hop_listen_address.unwrap_or(settings.hop_address);
+    let (of, address, side) = listen(hops, Side::Daemons);
     listen::serve(of, address, side, hop::handle).await?;
     let (of, address, side) = listen(settings.local_address, Side::Daemons);
     listen::serve(of, address, side, local::backend).await?;
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -48,6 +48,10 @@
     False503,
     /// Run for a second.
     Slow,
+    /// Run for as many milliseconds as the part of the segment after the first dot says.
+    Work,
+    /// The same, and answer 500.
+    FailLate,
     /// Run and answer with a body that ends with the connection.
     Unframed,
 }
@@ -59,6 +63,19 @@
     pub line: String,
     /// Headers by lower-case name.
     pub headers: HashMap<String, String>,
+    /// The run of the backend server that ran it.
+    pub instance: String,
+    /// When it began.
+    pub began: Instant,
+}
+
+impl Run {
+    /// Whether it is a run of the request with this id.
+    pub fn is_of(&self, id: &str) -> bool {
+        self.headers
+            .get("x-request-id")
+            .is_some_and(|known| known == id)
+    }
 }
 
 #[derive(Debug)]
@@ -74,6 +91,8 @@
 pub struct StandInWorker {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Where it says that it is reached; differs if something stands before it.
+    pub announced: SocketAddr,
     service: String,
     shared: Arc<Shared>,
     task: JoinHandle<()>,
@@ -97,6 +116,7 @@
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Ok(StandInWorker {
             address,
+            announced: address,
             service: service.to_owned(),
             shared,
             task,
@@ -131,7 +151,7 @@
     /// Sends one heartbeat to the daemon beside it; the status of the answer, 0 for none.
     pub async fn beat(&self, daemon: SocketAddr, sequence: u64, state: &str, born: u64) -> u16 {
         let body = serde_json::json!({
-            "address": self.address.to_string(),
+            "address": self.announced.to_string(),
             "born": born,
             "info": { "service": self.service, "version": "v1", "zone": "z", "slots": 8 },
             "status": { "state": state, "seq": sequence, "coldRemainingS": 0 },
@@ -185,12 +205,22 @@
         self.run.headers.get(name).map_or("", String::as_str)
     }
 
-    fn behaviour(&self) -> Behaviour {
+    fn segment(&self) -> &str {
         let path = self.run.line.split(' ').nth(1).unwrap_or_default();
-        let segment = path.rsplit('/').next().unwrap_or_default();
-        let name = segment.split('.').next().unwrap_or_default();
+        path.rsplit('/').next().unwrap_or_default()
+    }
+
+    fn behaviour(&self) -> Behaviour {
+        let name = self.segment().split('.').next().unwrap_or_default();
         name.parse().unwrap_or(Behaviour::Echo)
     }
+
+    /// How long a run takes whose path says so.
+    fn work(&self) -> Duration {
+        let work_ms = self.segment().split('.').nth(1);
+        let work_ms = work_ms.and_then(|work_ms| work_ms.parse().ok());
+        work_ms.map_or(SLOW, Duration::from_millis)
+    }
 }
 
 async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
@@ -213,28 +243,34 @@
         let id = received.header("x-request-id").to_owned();
         let behaviour = received.behaviour();
         if behaviour != Behaviour::Shed {
-            lock(&shared.runs).push(received.run.clone());
+            let mut run = received.run.clone();
+            run.instance = instance;
+            lock(&shared.runs).push(run);
         }
         let signed = format!("X-Request-Id: {id}\r\nX-Response-Signature: {SIGNATURE}\r\n");
         let echoed = format!("X-Request-Id: {id}\r\n");
         let ok = "HTTP/1.1 200 OK\r\n";
         let length = format!("content-length: {}\r\n\r\n", received.body.len());
+        let work = received.work();
         let body = received.body;
+        let error = "HTTP/1.1 500 Internal Server Error\r\n";
         let unavailable = "HTTP/1.1 503 Service Unavailable\r\n";
         let (head, body) = match behaviour {
             Behaviour::Echo => (format!("{ok}{signed}{length}"), body),
-            Behaviour::Slow => {
-                let slept = tokio::time::timeout(SLOW, stream.read_buf(&mut buffer)).await;
+            Behaviour::Slow | Behaviour::Work | Behaviour::FailLate => {
+                let slept = tokio::time::timeout(work, stream.read_buf(&mut buffer)).await;
                 if matches!(slept, Ok(Ok(0) | Err(_))) {
                     *lock(&shared.abandoned) += 1;
                     return Ok(());
                 }
-                (format!("{ok}{signed}{length}"), body)
-            }
-            Behaviour::Fail => {
-                let head = "HTTP/1.1 500 Internal Server Error\r\n";
+                let head = if behaviour == Behaviour::FailLate {
+                    error
+                } else {
+                    ok
+                };
                 (format!("{head}{signed}{length}"), body)
             }
+            Behaviour::Fail => (format!("{error}{signed}{length}"), body),
             Behaviour::Shed => {
                 let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
                 (format!("{head}content-length: 0\r\n\r\n"), Vec::new())
@@ -304,7 +340,12 @@
     let body = buffer[head_end..end].to_vec();
     buffer.drain(..end);
     Ok(Some(Received {
-        run: Run { line, headers },
+        run: Run {
+            line,
+            headers,
+            instance: String::new(),
+            began: Instant::now(),
+        },
         body,
     }))
 }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -165,12 +165,7 @@
     /// How often a request was run, by all backend servers together.
     pub fn runs(&self, id: &str) -> usize {
         let runs = self.hosts.iter().flat_map(|host| host.worker.runs());
-        runs.filter(|run| {
-            run.headers
-                .get("x-request-id")
-                .is_some_and(|known| known == id)
-        })
-        .count()
+        runs.filter(|run| run.is_of(id)).count()
     }
 
     /// Stops a daemon gracefully.
