Don't run a request again whose own call has failed

The ledger turns 55 in 100 requests away for 8.5 s; its callers then answer 500 and are run again themselves, at each level of the chain, and each run above makes its calls anew. Each service's daemons keep to their own 0.12 of the requests, but repeats that come from above are counted and can't be refused, so the sum grows with the depth of the chain. Change: the daemon beside a backend server knows which calls its runs made. A 5xx of a run whose call has failed is passed on as 'failed beneath': no repeat, and not held against the worker. Test: relay_path, a request whose call has failed is not run again (2 runs before, 1 after).

--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -369,7 +369,11 @@
         ADDRESS,
         "Listener for callers on this VM and for the backend server's own calls.",
     ),
-    required("hop_address", ADDRESS, "Where other daemons reach this one."),
+    required(
+        "hop_address",
+        ADDRESS,
+        "Where other daemons reach this one.",
+    ),
     optional(
         "hop_listen_address",
         ADDRESS,
--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -8,7 +8,7 @@
 use hyper::{Response, StatusCode};
 
 use super::body::{Lent, RelayBody};
-use super::executor::{Executed, LOST_MS, unknown};
+use super::executor::{Done, Executed, LOST_MS, unknown};
 use super::hop::{KEEP_ALIVE, strip_connection_headers};
 use super::pool::Exchanged;
 use super::state::Relay;
@@ -61,10 +61,11 @@
         let message = format!("status {status} without a signature");
         return unknown(relay, request_id, UnknownReason::BackendBroke, &message);
     }
-    Executed::Done {
+    Executed::Done(Done {
         response: Box::new(answer(relay, response, sender)),
         took_ms,
-    }
+        failed_beneath: false,
+    })
 }
 
 /// Statuses by which a caller is promised that its request has not run.
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -12,7 +12,7 @@
 
 use super::body::{Lent, RelayBody};
 use super::entry::{Call, refusal};
-use super::executor::{self, Executed, Order};
+use super::executor::{self, Done, Executed, Order};
 use super::hop::{
     HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, plain, strip_connection_headers,
 };
@@ -101,23 +101,27 @@
         tried.push(chosen.candidate.address);
         let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
         match executed {
-            Executed::Done { response, took_ms } => {
-                let failed = response.status().is_server_error();
+            Executed::Done(done) => {
+                let failed = done.response.status().is_server_error();
                 let address = chosen.candidate.address;
                 {
                     let mut tables = relay.tables();
-                    tables.placing.judged(now, address, !failed);
+                    let is_sound = !failed || done.failed_beneath;
+                    tables.placing.judged(now, address, is_sound);
                     if !failed {
-                        tables.placing.took(now, address, &call.route.name, took_ms);
+                        let route = &call.route.name;
+                        tables.placing.took(now, address, route, done.took_ms);
                     }
                 }
                 if !failed {
-                    log_answer(relay, call, "done", &tried, response.status());
-                    return *response;
+                    log_answer(relay, call, "done", &tried, done.response.status());
+                    return *done.response;
                 }
                 arrivals += 1;
-                failure = Failure::Answered(response);
-                if !call.route.idempotent {
+                failure = Failure::Answered(done.response);
+                // The failed call has had its own repeats. To repeat the request above it too
+                // would multiply them at each service of the chain.
+                if !call.route.idempotent || done.failed_beneath {
                     break;
                 }
             }
@@ -391,10 +395,11 @@
     };
     take_reply(relay, address, &reply);
     match reply.outcome {
-        HopOutcome::Done => Executed::Done {
+        HopOutcome::Done | HopOutcome::FailedBeneath => Executed::Done(Done {
             response: Box::new(Response::from_parts(parts, body)),
             took_ms: reply.took_ms,
-        },
+            failed_beneath: reply.outcome == HopOutcome::FailedBeneath,
+        }),
         HopOutcome::NotRun {
             reason,
             retry_after_ms,
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -14,7 +14,7 @@
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, plain};
 use super::line_budget::LineKind;
-use super::state::{Configuration, Relay, Stage};
+use super::state::{Configuration, Relay, RunningRequest, Stage};
 use crate::decide::relay::{RootMark, Route};
 use crate::model::{ServiceName, TimeMs};
 
@@ -146,12 +146,10 @@
         .timeout_ms
         .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
     let parent = parent_of(relay, id);
-    let (is_call, parent_is_repeat) = match &parent {
-        Some(parent) => (true, parent.is_repeat),
-        None => (false, false),
-    };
+    let parent_id = parent.as_ref().map(|(parent_id, _)| *parent_id);
+    let parent_is_repeat = parent.as_ref().is_some_and(|(_, parent)| parent.is_repeat);
     let root = match parent {
-        Some(parent) => parent.mark,
+        Some((_, parent)) => parent.mark,
         None => {
             let Some(admitted) = relay.tables().admit(started, &route.name) else {
                 return shed(relay, id, route, table.version);
@@ -179,23 +177,29 @@
         uri: parts.uri,
         headers,
         root,
-        is_call,
+        is_call: parent_id.is_some(),
         parent_is_repeat,
         deadline: started.plus_ms(left_ms),
         started,
         config: table.version,
     };
-    attempt(relay, &call, body).await
+    let response = attempt(relay, &call, body).await;
+    if let Some(parent_id) = parent_id
+        && response.status().is_server_error()
+    {
+        relay.call_failed(parent_id);
+    }
+    response
 }
 
-/// The request beneath which this one is made, if it runs on the backend server beside this
-/// daemon: its id is then the start of this one's.
-fn parent_of(relay: &Relay, id: &str) -> Option<super::state::RunningRequest> {
+/// The request beneath which this one is made, with its id, if it runs on the backend server
+/// beside this daemon: its id is then the start of this one's.
+fn parent_of<'a>(relay: &Relay, id: &'a str) -> Option<(&'a str, RunningRequest)> {
     let tables = relay.tables();
     let mut end = id.len();
     while let Some(dot) = id[..end].rfind('.') {
         if let Some(running) = tables.running.get(&id[..dot]) {
-            return Some(running.clone());
+            return Some((&id[..dot], running.clone()));
         }
         end = dot;
     }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -50,16 +50,22 @@
     pub idempotent: bool,
 }
 
+/// What a backend server has answered.
+#[derive(Debug)]
+pub struct Done {
+    /// Its answer.
+    pub response: Box<Response<RelayBody>>,
+    /// Time that it took, in milliseconds.
+    pub took_ms: u64,
+    /// Whether it is a failure, and a call that the request made has failed too.
+    pub failed_beneath: bool,
+}
+
 /// How an order ends.
 #[derive(Debug)]
 pub enum Executed {
     /// The backend server has answered.
-    Done {
-        /// Its answer.
-        response: Box<Response<RelayBody>>,
-        /// Time that it took, in milliseconds.
-        took_ms: u64,
-    },
+    Done(Done),
     /// It has not run and will not.
     NotRun {
         /// Why.
@@ -80,7 +86,7 @@
     /// Time that the backend server took, in milliseconds; 0 if it has not answered.
     pub fn took_ms(&self) -> u64 {
         match self {
-            Executed::Done { took_ms, .. } => *took_ms,
+            Executed::Done(done) => done.took_ms,
             Executed::NotRun { .. } | Executed::Unknown { .. } => 0,
         }
     }
@@ -152,6 +158,7 @@
         let running = RunningRequest {
             mark: order.hop.root.clone(),
             is_repeat: order.hop.is_repeat,
+            has_failed_call: false,
         };
         tables.running.insert(request_id.clone(), running);
         Slot {
@@ -323,9 +330,11 @@
         Ok(exchanged) => {
             relay.tables().worker_lost = None;
             let took_ms = relay.clock.now().since_ms(slot.started);
-            let executed = judge(relay, &request_id, exchanged, took_ms);
-            if let Executed::Done { .. } = executed {
+            let mut executed = judge(relay, &request_id, exchanged, took_ms);
+            if let Executed::Done(done) = &mut executed {
                 slot.took_ms = Some(took_ms);
+                done.failed_beneath =
+                    done.response.status().is_server_error() && relay.has_failed_call(&request_id);
             }
             executed
         }
@@ -430,7 +439,7 @@
 /// The answer that stands for a refusal or an unknown outcome towards another daemon.
 pub fn stand_in(executed: Executed) -> Response<RelayBody> {
     match executed {
-        Executed::Done { response, .. } => *response,
+        Executed::Done(done) => *done.response,
         Executed::NotRun { .. } => plain(StatusCode::SERVICE_UNAVAILABLE),
         Executed::Unknown { .. } => plain(StatusCode::BAD_GATEWAY),
     }
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -63,6 +63,8 @@
 pub enum HopOutcome {
     /// The backend server has answered.
     Done,
+    /// The backend server has answered with a failure after a call beneath it had failed.
+    FailedBeneath,
     /// It has not run and will not.
     NotRun {
         /// Why.
@@ -142,7 +144,8 @@
 impl From<&Executed> for HopOutcome {
     fn from(executed: &Executed) -> HopOutcome {
         match executed {
-            Executed::Done { .. } => HopOutcome::Done,
+            Executed::Done(done) if done.failed_beneath => HopOutcome::FailedBeneath,
+            Executed::Done(_) => HopOutcome::Done,
             Executed::NotRun {
                 reason,
                 retry_after_ms,
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -81,7 +81,7 @@
     /// Counts a request at the backend server beside this daemon.
     pub fn executed(&self, executed: &Executed, took_ms: u64) {
         let outcome = match executed {
-            Executed::Done { .. } => "done",
+            Executed::Done(_) => "done",
             Executed::NotRun { reason, .. } => reason.into(),
             Executed::Unknown { .. } => "unknown",
         };
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -17,7 +17,7 @@
 use tokio::sync::watch;
 
 use super::body::RelayBody;
-use super::executor::{self, Executed, Order};
+use super::executor::{self, Done, Executed, Order};
 use super::hop::{HopOutcome, plain};
 use super::state::Relay;
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
@@ -187,8 +187,8 @@
         outcome: HopOutcome::Unknown,
         answer: None,
     };
-    let (response, took_ms) = match executed {
-        Executed::Done { response, took_ms } => (response, took_ms),
+    let done = match executed {
+        Executed::Done(done) => done,
         other => {
             let kept = Kept {
                 outcome,
@@ -197,11 +197,11 @@
             return (other, kept);
         }
     };
-    let length = response.body().size_hint().exact();
+    let length = done.response.body().size_hint().exact();
     if length.is_none_or(|length| length > KEPT_BODY_BYTES) {
-        return (Executed::Done { response, took_ms }, unknown);
+        return (Executed::Done(done), unknown);
     }
-    let (parts, body) = response.into_parts();
+    let (parts, body) = done.response.into_parts();
     match body.collect().await {
         Ok(whole) => {
             let bytes = whole.to_bytes();
@@ -211,7 +211,7 @@
                 answer: Some((Arc::clone(&parts), bytes.clone())),
             };
             let response = Box::new(rebuild(&parts, bytes));
-            (Executed::Done { response, took_ms }, kept)
+            (Executed::Done(Done { response, ..done }), kept)
         }
         Err(error) => {
             let cause = error.to_string();
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -51,6 +51,8 @@
     pub mark: RootMark,
     /// Whether this run repeats another.
     pub is_repeat: bool,
+    /// Whether a call that it made has failed.
+    pub has_failed_call: bool,
 }
 
 /// Decisions and what they rest on, behind one short lock.
@@ -195,6 +197,19 @@
     pub fn may_log(&self, kind: LineKind) -> bool {
         self.lines.allow(self.clock.now(), kind)
     }
+    /// Whether a call beneath a running request has failed.
+    pub fn has_failed_call(&self, request_id: &str) -> bool {
+        let tables = self.tables();
+        let running = tables.running.get(request_id);
+        running.is_some_and(|running| running.has_failed_call)
+    }
+
+    /// Takes in that a call beneath a request has failed, if the request still runs.
+    pub fn call_failed(&self, parent_id: &str) {
+        if let Some(running) = self.tables().running.get_mut(parent_id) {
+            running.has_failed_call = true;
+        }
+    }
 
     /// Address at which other daemons reach this one.
     pub fn own_address(&self) -> SocketAddr {
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -441,3 +441,44 @@
     let sent = http::exchange(&http::client(0), hop, request, 2_000).await;
     sent.expect("an answer");
 }
+
+/// A failed call has had its own repeats further down: to run the request above it again would
+/// multiply them at each service of the chain.
+#[tokio::test]
+async fn a_request_whose_call_has_failed_is_not_run_again() {
+    struct Case {
+        call: &'static str,
+        /// How often the request above the call ran.
+        runs: usize,
+    }
+    let cases = [
+        Case {
+            call: "/other/fail",
+            runs: 1,
+        },
+        Case {
+            call: "/other/shed",
+            runs: 1,
+        },
+        Case {
+            call: "/other/echo",
+            runs: 2,
+        },
+    ];
+    let deployment = Deployment::start(&["a", "a", "b"]).await;
+    for (number, case) in cases.iter().enumerate() {
+        let id = format!("above-{number}");
+        let above = deployment.call(2, "/safe/fail_late.300", &id, b"");
+        let beneath = async {
+            let runs_here = |host: &Host| host.worker.runs().iter().any(|run| run.is_of(&id));
+            let started = |deployment: &Deployment| deployment.hosts.iter().any(runs_here);
+            deployment.wait("the request above", started).await;
+            let host = deployment.hosts.iter().position(runs_here).expect("a host");
+            let call_id = format!("{id}.1");
+            deployment.call(host, case.call, &call_id, b"").await;
+        };
+        let (answer, ()) = tokio::join!(above, beneath);
+        assert_eq!(answer.status, StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(deployment.runs(&id), case.runs, "{}", case.call);
+    }
+}
