Wait for short answers as a whole, so that one cut short is repeated or settled

Change: answers of known length up to 64 KiB are read to their end beside the backend server and at the entry before their head is passed on; longer ones are streamed as before.

--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -294,21 +294,25 @@
         }
     };
     let timeout = Duration::from_millis(left_ms + HOP_MARGIN_MS + REPLY_GRACE_MS);
-    let exchange = relay.pool.exchange(candidate.address, request, HOP_IDLE_MS);
-    let exchanged = match tokio::time::timeout(timeout, exchange).await {
-        Ok(exchanged) => exchanged,
+    let address = candidate.address;
+    let reply = async {
+        let exchange = relay.pool.exchange(address, request, HOP_IDLE_MS);
+        read_reply(relay, address, exchange.await?).await
+    };
+    let replied = match tokio::time::timeout(timeout, reply).await {
+        Ok(replied) => replied,
         Err(_) => {
             return Executed::Unknown {
                 reason: UnknownReason::DeadlinePassed,
             };
         }
     };
-    match exchanged {
-        Ok(exchanged) => read_reply(relay, candidate.address, exchanged),
+    match replied {
+        Ok(executed) => executed,
         Err(error) => {
             let now = relay.clock.now();
-            let avoid_ms = relay.tables().placing.unreachable(now, candidate.address);
-            let (address, request_id) = (candidate.address, call.id);
+            let avoid_ms = relay.tables().placing.unreachable(now, address);
+            let request_id = call.id;
             let cause = error.to_string();
             spdlog::warn!("a hop has failed", kv: { request_id, address:, cause, avoid_ms });
             match (error, key) {
@@ -316,7 +320,7 @@
                     Executed::not_run(NotRunReason::NoWorker, NO_WORKER_RETRY_MS)
                 }
                 (ExchangeError::Broken { .. }, Some(key)) => {
-                    resolve(relay, call, candidate.address, key).await
+                    resolve(relay, call, address, key).await
                 }
                 (ExchangeError::Broken { .. }, None) => Executed::Unknown {
                     reason: UnknownReason::ExecutorSilent,
@@ -374,7 +378,11 @@
     }
 }
 
-fn read_reply(relay: &Arc<Relay>, address: SocketAddr, exchanged: Exchanged) -> Executed {
+async fn read_reply(
+    relay: &Arc<Relay>,
+    address: SocketAddr,
+    exchanged: Exchanged,
+) -> Result<Executed, ExchangeError> {
     let Exchanged { response, sender } = exchanged;
     let (mut parts, incoming) = response.into_parts();
     let reply = parts.headers.remove(REPLY_HEADER);
@@ -389,12 +397,17 @@
     strip_connection_headers(&mut parts.headers);
     let body = RelayBody::answer(incoming, Some(lent));
     let Some(reply) = reply else {
-        return Executed::Unknown {
+        return Ok(Executed::Unknown {
             reason: UnknownReason::ExecutorSilent,
-        };
+        });
     };
     take_reply(relay, address, &reply);
-    match reply.outcome {
+    let body = body.whole_if_short().await;
+    let body = body.map_err(|error| ExchangeError::Broken {
+        address,
+        message: error.to_string(),
+    })?;
+    Ok(match reply.outcome {
         HopOutcome::Done | HopOutcome::FailedBeneath => Executed::Done(Done {
             response: Box::new(Response::from_parts(parts, body)),
             took_ms: reply.took_ms,
@@ -412,7 +425,7 @@
         HopOutcome::Unknown => Executed::Unknown {
             reason: UnknownReason::BackendBroke,
         },
-    }
+    })
 }
 
 /// Asks over a new connection what became of a non-idempotent request.
@@ -434,9 +447,12 @@
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static(settle::PATH);
     let timeout = Duration::from_millis(left_ms + REPLY_GRACE_MS);
-    let exchange = relay.pool.exchange(address, request, 0);
-    let executed = match tokio::time::timeout(timeout, exchange).await {
-        Ok(Ok(exchanged)) => read_reply(relay, address, exchanged),
+    let reply = async {
+        let exchange = relay.pool.exchange(address, request, 0);
+        read_reply(relay, address, exchange.await?).await
+    };
+    let executed = match tokio::time::timeout(timeout, reply).await {
+        Ok(Ok(executed)) => executed,
         Ok(Err(_)) | Err(_) => unknown,
     };
     let (request_id, outcome) = (call.id, <&str>::from(HopOutcome::from(&executed)));
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -26,6 +26,10 @@
     },
 }
 
+/// Longest answer that a daemon waits for as a whole, in bytes. A connection that breaks off
+/// midway then costs an attempt and not the caller's answer; longer ones are streamed.
+const WHOLE_BYTES: u64 = 64 * 1024;
+
 /// A body on its way through the relay.
 #[derive(Debug, Default)]
 pub enum RelayBody {
@@ -86,6 +90,18 @@
         })
     }
 
+    /// Waits for a short body of known length as a whole; any other is passed on as it is.
+    pub async fn whole_if_short(self) -> Result<RelayBody, BodyError> {
+        let length = self.size_hint().exact();
+        match self {
+            RelayBody::Streamed(streamed) if length.is_some_and(|known| known <= WHOLE_BYTES) => {
+                let whole = RelayBody::Streamed(streamed).collect().await?;
+                Ok(RelayBody::Full(whole.to_bytes()))
+            }
+            other => Ok(other),
+        }
+    }
+
     /// A request's body: whole if it has at most `buffer_bytes`, else streamed.
     pub async fn request(
         mut incoming: Incoming,
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -314,25 +314,24 @@
     let max_idle_ms = if idempotent { u64::MAX } else { ONCE_IDLE_MS };
     let request = worker_request(relay, order, body, left_ms);
     let timeout = Duration::from_millis(left_ms + ANSWER_GRACE_MS);
-    let exchange = relay.pool.exchange(address, request, max_idle_ms);
-    let result = match tokio::time::timeout(timeout, exchange).await {
+    let answer = async {
+        let exchanged = relay.pool.exchange(address, request, max_idle_ms).await?;
+        relay.tables().worker_lost = None;
+        let took_ms = relay.clock.now().since_ms(slot.started);
+        let executed = judge(relay, &request_id, exchanged, took_ms);
+        Ok::<_, ExchangeError>(whole_if_short(relay, &request_id, executed).await)
+    };
+    let result = match tokio::time::timeout(timeout, answer).await {
         Ok(result) => result,
         Err(_) => {
-            return unknown(
-                relay,
-                &request_id,
-                UnknownReason::DeadlinePassed,
-                "no answer in time",
-            );
+            let cause = "no answer in time";
+            return unknown(relay, &request_id, UnknownReason::DeadlinePassed, cause);
         }
     };
     match result {
-        Ok(exchanged) => {
-            relay.tables().worker_lost = None;
-            let took_ms = relay.clock.now().since_ms(slot.started);
-            let mut executed = judge(relay, &request_id, exchanged, took_ms);
+        Ok(mut executed) => {
             if let Executed::Done(done) = &mut executed {
-                slot.took_ms = Some(took_ms);
+                slot.took_ms = Some(done.took_ms);
                 done.failed_beneath =
                     done.response.status().is_server_error() && relay.has_failed_call(&request_id);
             }
@@ -350,6 +349,26 @@
     }
 }
 
+/// Waits for the body of a short answer; one that breaks off is no answer.
+async fn whole_if_short(relay: &Relay, request_id: &str, executed: Executed) -> Executed {
+    let Executed::Done(done) = executed else {
+        return executed;
+    };
+    let (parts, body) = done.response.into_parts();
+    match body.whole_if_short().await {
+        Ok(body) => Executed::Done(Done {
+            response: Box::new(Response::from_parts(parts, body)),
+            ..done
+        }),
+        Err(error) => unknown(
+            relay,
+            request_id,
+            UnknownReason::BackendBroke,
+            &error.to_string(),
+        ),
+    }
+}
+
 pub(super) fn unknown(
     relay: &Relay,
     request_id: &str,
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -23,6 +23,7 @@
         /// How often it ran.
         runs: usize,
         is_whole: bool,
+        body_bytes: usize,
     }
     let case = |name, path, status, runs| Case {
         name,
@@ -30,6 +31,7 @@
         status,
         runs,
         is_whole: true,
+        body_bytes: 4,
     };
     let cases = [
         case("repeatable", "/safe/echo", 200, 1),
@@ -43,9 +45,17 @@
         case("no signature is no success", "/once/unsigned", 502, 1),
         case("a 503 that has run is no promise", "/once/false503", 502, 1),
         case("without a length", "/safe/unframed", 200, 1),
+        case("a short answer cut short is repeated", "/safe/cut", 502, 2),
+        case("a short answer cut short is unknown", "/once/cut", 502, 1),
+        Case {
+            is_whole: false,
+            body_bytes: 200_000,
+            ..case("a long answer is cut short", "/safe/cut", 200, 1)
+        },
         Case {
             is_whole: false,
-            ..case("cut short", "/safe/cut", 200, 1)
+            body_bytes: 200_000,
+            ..case("a long answer is cut short, once", "/once/cut", 200, 1)
         },
     ];
     let deployment = Deployment::start(&["a", "a", "b"]).await;
@@ -53,14 +63,15 @@
         // From a host whose own backend server is of another service, and from one's own.
         for host in [2, 0] {
             let id = format!("ending-{number}-{host}");
-            let answer = deployment.call(host, case.path, &id, b"body").await;
+            let body = vec![b'x'; case.body_bytes];
+            let answer = deployment.call(host, case.path, &id, &body).await;
             let name = format!("{} from host {host}", case.name);
             assert_eq!(answer.status.as_u16(), case.status, "{name}");
             assert_eq!(deployment.runs(&id), case.runs, "{name}");
             assert_eq!(answer.headers["x-request-id"], id.as_str(), "{name}");
             let has_body = answer.status.is_success() && case.is_whole;
             if has_body {
-                assert_eq!(answer.body.as_deref(), Some(&b"body"[..]), "{name}");
+                assert_eq!(answer.body.as_deref(), Some(&body[..]), "{name}");
                 assert_eq!(
                     answer.headers["x-response-signature"], "stand-in.1",
                     "{name}"
