--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -348,10 +348,19 @@
 
 /// Takes in what a daemon says with its answer.
 fn take_reply(relay: &Relay, address: SocketAddr, reply: &HopReply) {
-    let now = relay.clock.now();
     if reply.config > relay.config_version() {
         relay.peer_is_newer.notify_one();
     }
+    relay.members_read.heard(reply.members_read);
+    take_load(relay, address, reply);
+    if let Some(member) = &reply.member {
+        // Another run of the backend server there is not closed.
+        relay.merge_members(vec![member.clone()], "reply");
+    }
+}
+
+fn take_load(relay: &Relay, address: SocketAddr, reply: &HopReply) {
+    let now = relay.clock.now();
     let mut tables = relay.tables();
     let load = WorkerLoad {
         running: reply.running,
@@ -363,17 +372,7 @@
     for report in &reply.shares {
         tables.entry_shares.heard(now, report);
     }
-    let HopOutcome::NotRun { reason, .. } = reply.outcome else {
-        return;
-    };
-    let is_closed = matches!(
-        reason,
-        NotRunReason::Leaving
-            | NotRunReason::NoWorker
-            | NotRunReason::WrongIncarnation
-            | NotRunReason::BackendUnreachable
-    );
-    if is_closed {
+    if reply.outcome.is_closed() {
         tables.placing.closed(now, address, CLOSED_MS);
     }
 }
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use rand::RngExt;
 
-use super::record_log::{KeyedRecord, RecordLog, RecordLogError};
+use super::log_progress::LogProgress;
+use super::record_log::{KeyedRecord, RecordLog, RecordLogError, Tail};
 use super::state::Relay;
 use crate::decide::relay::{Member, RouteTable};
 
@@ -18,8 +19,13 @@
 const WAIT_MS: u64 = 20_000;
 /// First and longest pause after a failed call, in milliseconds.
 const PAUSE_MS: (u64, u64) = (100, 1_000);
-/// Pause between two reads of members, in milliseconds, so that many changes take one call.
-const MEMBERS_PAUSE_MS: u64 = 100;
+/// Pause between two reads of members, in milliseconds, so that many changes take one call. A
+/// daemon that is asked in vain tells its newest record itself.
+const MEMBERS_PAUSE_MS: u64 = 2_000;
+/// The same while this daemon is new and other records may be, too.
+const FIRST_PAUSE_MS: u64 = 100;
+/// How long a daemon counts as new, in milliseconds.
+const NEW_MS: u64 = 5_000;
 
 /// Where the configuration stands, and how it is read.
 #[derive(Debug, Clone, Copy)]
@@ -57,7 +63,7 @@
             source.install(&relay, value, "log");
         }
     };
-    follow(&relay, &log, source.topic, 0, take).await;
+    follow(&relay, &log, source.topic, None, take).await;
 }
 
 /// Follows the records of daemons for good.
@@ -78,16 +84,18 @@
             }
         }
     };
-    follow(&relay, &log, MEMBERS_TOPIC, MEMBERS_PAUSE_MS, take).await;
+    let progress = Some(&relay.members_read);
+    follow(&relay, &log, MEMBERS_TOPIC, progress, take).await;
 }
 
 async fn follow<L: RecordLog>(
     relay: &Relay,
     log: &L,
     topic: &str,
-    pause_ms: u64,
+    progress: Option<&LogProgress>,
     take: impl Fn(&KeyedRecord),
 ) {
+    let started = relay.clock.now();
     let mut failures = 0;
     let mut next_offset: Option<u64> = None;
     loop {
@@ -97,7 +105,7 @@
                 .await
                 .map(|snapshot| (snapshot.records, snapshot.next_offset)),
             Some(from) => {
-                let tail = log.tail(topic, from, WAIT_MS).await;
+                let tail = tail(log, topic, from, progress).await;
                 tail.map(|tail| (tail.records, tail.next_offset))
             }
         };
@@ -107,6 +115,14 @@
                 next_offset = Some(next);
                 regained(relay, topic);
                 records.iter().for_each(&take);
+                let Some(progress) = progress else { continue };
+                progress.read(next);
+                let is_new = relay.clock.now().since_ms(started) < NEW_MS;
+                let pause_ms = if is_new {
+                    FIRST_PAUSE_MS
+                } else {
+                    MEMBERS_PAUSE_MS
+                };
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             }
             Err(RecordLogError::Expired { first_offset }) => {
@@ -124,6 +140,25 @@
     }
 }
 
+/// Waits for records; gives up a wait that others show to hang.
+async fn tail<L: RecordLog>(
+    log: &L,
+    topic: &str,
+    from: u64,
+    progress: Option<&LogProgress>,
+) -> Result<Tail, RecordLogError> {
+    let Some(progress) = progress else {
+        return log.tail(topic, from, WAIT_MS).await;
+    };
+    tokio::select! {
+        tail = log.tail(topic, from, WAIT_MS) => tail,
+        () = progress.fallen_behind() => {
+            let problem = "another daemon has read further meanwhile";
+            Err(RecordLogError::Silent(problem.to_owned()))
+        }
+    }
+}
+
 /// Publishes this daemon's record whenever it changes, until it is acknowledged.
 pub async fn publish<L: RecordLog>(relay: Arc<Relay>, log: L) {
     loop {
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -14,7 +14,7 @@
 use super::executor::{self, Executed, Order};
 use super::state::{Relay, Tables};
 use super::{peers, settle};
-use crate::decide::relay::{Reporter, RootMark, ShareReport};
+use crate::decide::relay::{Member, Reporter, RootMark, ShareReport};
 use crate::model::{NotRunReason, ServiceName};
 
 /// Carries [`HopRequest`] as JSON.
@@ -105,6 +105,12 @@
     /// Version of this daemon's configuration.
     #[serde(rename = "v")]
     pub config: u64,
+    /// How far this daemon has read the records of members.
+    #[serde(rename = "n", default)]
+    pub members_read: u64,
+    /// Its own record, where the request shows that the entry does not know it.
+    #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
+    pub member: Option<Member>,
 }
 
 /// Answers other daemons.
@@ -141,6 +147,22 @@
     response
 }
 
+impl HopOutcome {
+    /// Whether the backend server that was meant takes no work.
+    pub fn is_closed(self) -> bool {
+        let HopOutcome::NotRun { reason, .. } = self else {
+            return false;
+        };
+        matches!(
+            reason,
+            NotRunReason::Leaving
+                | NotRunReason::NoWorker
+                | NotRunReason::WrongIncarnation
+                | NotRunReason::BackendUnreachable
+        )
+    }
+}
+
 impl From<&Executed> for HopOutcome {
     fn from(executed: &Executed) -> HopOutcome {
         match executed {
@@ -181,6 +203,11 @@
     pub fn reply(&self, outcome: HopOutcome, took_ms: u64) -> HopReply {
         let now = self.clock.now();
         let config = self.config_version();
+        let member = if outcome.is_closed() {
+            self.own_member()
+        } else {
+            None
+        };
         let mut tables = self.tables();
         let tables = &mut *tables;
         let mut shares = tables.entry_shares.reports(now);
@@ -212,6 +239,8 @@
             took_ms,
             shares,
             config,
+            members_read: self.members_read.here(),
+            member,
         }
     }
 }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -11,6 +11,7 @@
 pub mod hop;
 pub mod line_budget;
 pub mod listen;
+pub mod log_progress;
 pub mod peers;
 pub mod pool;
 pub mod record_log;
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -13,6 +13,7 @@
 
 use super::dialect::Dialect;
 use super::line_budget::{LineBudget, LineKind};
+use super::log_progress::LogProgress;
 use super::pool::Pool;
 use super::relay_metrics::RelayMetrics;
 use super::settle::Settlements;
@@ -118,6 +119,8 @@
     pub record_changed: Notify,
     /// Wakes the task that asks other daemons, when one of them has a newer configuration.
     pub peer_is_newer: Notify,
+    /// How far the records of members were read, here and by others.
+    pub members_read: LogProgress,
     /// Non-idempotent requests whose outcome may be asked for.
     pub settlements: Settlements,
     /// Bounds the log lines about requests.
@@ -160,6 +163,7 @@
             stage: watch::Sender::new(Stage::Serving),
             record_changed: Notify::new(),
             peer_is_newer: Notify::new(),
+            members_read: LogProgress::default(),
             settlements: Settlements::default(),
             lines: LineBudget::default(),
             metrics: RelayMetrics::default(),
@@ -193,10 +197,6 @@
         self.tables.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a log line about a request may be written now.
-    pub fn may_log(&self, kind: LineKind) -> bool {
-        self.lines.allow(self.clock.now(), kind)
-    }
     /// Whether a call beneath a running request has failed.
     pub fn has_failed_call(&self, request_id: &str) -> bool {
         let tables = self.tables();
@@ -211,6 +211,11 @@
         }
     }
 
+    /// Whether a log line about a request may be written now.
+    pub fn may_log(&self, kind: LineKind) -> bool {
+        self.lines.allow(self.clock.now(), kind)
+    }
+
     /// Address at which other daemons reach this one.
     pub fn own_address(&self) -> SocketAddr {
         self.settings.load().hop_address
@@ -329,9 +334,10 @@
         };
         tables.admission.set_slots(heartbeat.slots);
         tables.worker = Some(LocalWorker::new(now, heartbeat));
+        // The log holds this very record, so nothing is published.
+        tables.directory.merge(now, member.clone());
         let instance = member.instance.as_str();
         spdlog::info!("the backend server of the last run is assumed to go on", kv: { instance });
-        self.announce(tables, now);
     }
 
     /// Makes this daemon's record anew and has it published.
