A randomised soak over real relays, with proxies, signals and a store that fails

Callers keep their connections; faults and planned work overlap. Checked from what callers and backend servers see: at most once, true refusals, whole answers, no request unasked, routes, drain, nothing lost around stops, configuration in force and never behind, answers at the deadline, recovery.

--- /dev/null
+++ b/tests/soak/callers.rs
@@ -0,0 +1,205 @@
+//! Callers that keep their connections for many requests and note how each ended.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use rand::{RngExt, SeedableRng};
+use rand_xoshiro::Xoshiro256PlusPlus;
+use tokio::net::TcpStream;
+
+use crate::fleet::SERVICES;
+
+/// Wait of a caller for a connection.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Wait for an answer beyond the request's deadline.
+pub const PATIENCE: Duration = Duration::from_millis(1_500);
+const MAX_WORK_MS: u64 = 60;
+const MAX_BODY_BYTES: usize = 3_000;
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Ending {
+    /// An answer has come whole.
+    Answered {
+        status: StatusCode,
+        is_signed: bool,
+        /// Whether id and body are those that are due.
+        is_own: bool,
+    },
+    /// The head of an answer has come and its body broke off.
+    CutShort,
+    /// The connection ended without an answer.
+    Closed,
+    /// The request was never sent.
+    NotSent,
+    /// The caller left.
+    Left,
+    /// No answer long after the deadline.
+    Silent,
+}
+
+/// One request and its end.
+#[derive(Debug, Clone)]
+pub struct Asked {
+    pub id: String,
+    pub line: String,
+    pub host: usize,
+    pub service: &'static str,
+    pub is_idempotent: bool,
+    pub sent: Instant,
+    pub deadline: Instant,
+    pub ended: Instant,
+    pub ending: Ending,
+}
+
+pub struct Caller {
+    pub host: usize,
+    pub number: usize,
+    pub address: SocketAddr,
+    pub pause_ms: u64,
+    rng: Xoshiro256PlusPlus,
+    connection: Option<SendRequest<Full<Bytes>>>,
+}
+
+impl Caller {
+    pub fn new(host: usize, number: usize, address: SocketAddr, seed: u64) -> Caller {
+        let seed = seed ^ ((host as u64) << 32) ^ ((number as u64) << 48);
+        Caller {
+            host,
+            number,
+            address,
+            pause_ms: 40,
+            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
+            connection: None,
+        }
+    }
+
+    /// Asks one request after another until it is told to stop.
+    pub async fn run(mut self, stops: Arc<AtomicBool>) -> Vec<Asked> {
+        let mut all = Vec::new();
+        while !stops.load(Ordering::Relaxed) {
+            let id = format!("c{}-{}-{}", self.host, self.number, all.len());
+            all.push(self.ask(id).await);
+            let pause_ms = self.rng.random_range(1..=self.pause_ms);
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+        all
+    }
+
+    async fn ask(&mut self, id: String) -> Asked {
+        let rng = &mut self.rng;
+        let service = SERVICES[rng.random_range(0..SERVICES.len())];
+        let is_idempotent = rng.random_bool(0.5);
+        let kind = if is_idempotent { "safe" } else { "once" };
+        let work_ms = rng.random_range(1..=MAX_WORK_MS);
+        let path = format!("/{kind}/{service}/work.{work_ms}.{id}");
+        let body_bytes = rng.random_range(1..=MAX_BODY_BYTES);
+        let body: Bytes = id.bytes().cycle().take(body_bytes).collect();
+        let left_ms = rng.random_range(600..=2_500);
+        let leaves_ms = rng.random_bool(0.04).then(|| rng.random_range(1..=80));
+        if rng.random_bool(0.05) {
+            self.connection = None;
+        }
+        let sent = Instant::now();
+        let deadline = sent + Duration::from_millis(left_ms);
+        let request = Request::post(&path)
+            .header("host", "calls.example")
+            .header("x-request-id", &id)
+            .header("x-deadline-ms", left_ms)
+            .header("x-caller-service", "forged")
+            .body(Full::new(body.clone()));
+        let request = request.expect("a request");
+        let limit = match leaves_ms {
+            Some(leaves_ms) => Duration::from_millis(leaves_ms),
+            None => Duration::from_millis(left_ms) + PATIENCE,
+        };
+        let exchange = self.exchange(request, &id, &body);
+        let ending = match tokio::time::timeout(limit, exchange).await {
+            Ok(ending) => ending,
+            Err(_) if leaves_ms.is_some() => Ending::Left,
+            Err(_) => Ending::Silent,
+        };
+        if !matches!(ending, Ending::Answered { .. }) {
+            self.connection = None;
+        }
+        Asked {
+            line: format!("POST {path} HTTP/1.1"),
+            id,
+            host: self.host,
+            service,
+            is_idempotent,
+            sent,
+            deadline,
+            ended: Instant::now(),
+            ending,
+        }
+    }
+
+    /// The connection of the request before, if it is still open, or a new one.
+    async fn connect(&mut self) -> Option<SendRequest<Full<Bytes>>> {
+        if let Some(mut kept) = self.connection.take()
+            && kept.ready().await.is_ok()
+        {
+            return Some(kept);
+        }
+        connect(self.address).await
+    }
+
+    async fn exchange(&mut self, request: Request<Full<Bytes>>, id: &str, body: &Bytes) -> Ending {
+        let Some(mut sender) = self.connect().await else {
+            return Ending::NotSent;
+        };
+        let response = match sender.try_send_request(request).await {
+            Ok(response) => response,
+            Err(error) if error.message().is_some() => return Ending::NotSent,
+            Err(_) => return Ending::Closed,
+        };
+        let (parts, incoming) = response.into_parts();
+        let Ok(whole) = incoming.collect().await else {
+            return Ending::CutShort;
+        };
+        let echoed = parts.headers.get("x-request-id");
+        let is_echoed = echoed.is_some_and(|echoed| echoed.as_bytes() == id.as_bytes());
+        let is_signed = parts.headers.contains_key("x-response-signature");
+        let is_whole = !parts.status.is_success() || whole.to_bytes() == *body;
+        let closes = parts.headers.contains_key("connection");
+        self.connection = (!closes).then_some(sender);
+        Ending::Answered {
+            status: parts.status,
+            is_signed,
+            is_own: is_echoed && is_whole,
+        }
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
+    let stream = connecting.await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+/// The status of a request for a path, 0 for no answer; over a connection of its own.
+pub async fn look(address: SocketAddr, path: &str, id: &str) -> u16 {
+    let request = Request::post(path)
+        .header("host", "calls.example")
+        .header("x-request-id", id)
+        .header("x-deadline-ms", 1_500)
+        .body(Full::new(Bytes::new()))
+        .expect("a request");
+    let answered = async {
+        let mut sender = connect(address).await?;
+        let response = sender.send_request(request).await.ok()?;
+        Some(response.status().as_u16())
+    };
+    let answered = tokio::time::timeout(Duration::from_millis(2_000), answered).await;
+    answered.ok().flatten().unwrap_or(0)
+}
--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,242 @@
+//! A randomised soak: real relays as processes, faults from outside, promises checked by what
+//! callers and backend servers see.
+//!
+//! CI plays a few seeds shortly. By hand, `SOAK_SEEDS=100..150` and `SOAK_SECONDS=20` with
+//! `cargo test --release --test soak -- --ignored --nocapture` play others; `SOAK_HOSTS` sets
+//! the number of relays, `SOAK_LOGS` a directory in which the log lines stay.
+
+mod callers;
+mod checks;
+mod fleet;
+mod proxy;
+mod script;
+#[path = "../workdir/mod.rs"]
+mod workdir;
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use callers::{Asked, Caller, Ending, look};
+use fleet::{Fleet, lock};
+use tokio::task::JoinSet;
+
+/// Callers on each host.
+const CALLERS: usize = 4;
+/// A configuration is in force everywhere within this time of its acknowledgement.
+const CONFIG: Duration = Duration::from_secs(2);
+/// Time without a disturbance that makes a host calm.
+const STABLE: Duration = Duration::from_secs(3);
+/// Time after the last fault in which service must be back.
+const RECOVERY: Duration = Duration::from_secs(15);
+/// Share of the requests that must be served once service is back.
+const RECOVERED_SHARE: f64 = 0.9;
+/// Longest wait for all daemons to be ready at the start.
+const READY: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Clone)]
+struct Plan {
+    seed: u64,
+    hosts: usize,
+    span_ms: u64,
+    gap_ms: u64,
+}
+
+/// Seeds that have failed, with the cause.
+const REGRESSIONS: &[(u64, &str)] = &[];
+
+#[test]
+fn short_runs_keep_the_promises() {
+    for seed in [1, 2] {
+        check(&Plan {
+            seed,
+            hosts: 6,
+            span_ms: 6_000,
+            gap_ms: 250,
+        });
+    }
+}
+
+#[test]
+fn seeds_that_have_failed_keep_the_promises() {
+    for (seed, cause) in REGRESSIONS {
+        eprintln!("seed {seed}: {cause}");
+        check(&Plan {
+            seed: *seed,
+            hosts: 6,
+            span_ms: 6_000,
+            gap_ms: 250,
+        });
+    }
+}
+
+#[test]
+#[ignore = "minutes long; by hand with SOAK_SEEDS"]
+fn many_seeds_keep_the_promises() {
+    let number = |name: &str, default: u64| {
+        let value = std::env::var(name).ok();
+        value.map_or(default, |value| value.parse().expect(name))
+    };
+    let seeds = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1000..1050".to_owned());
+    let (first, last) = seeds.split_once("..").expect("SOAK_SEEDS as FIRST..LAST");
+    let bounds = (first.parse::<u64>(), last.parse::<u64>());
+    let (Ok(first), Ok(last)) = bounds else {
+        panic!("SOAK_SEEDS as FIRST..LAST");
+    };
+    let mut failed = Vec::new();
+    for seed in first..last {
+        let plan = Plan {
+            seed,
+            hosts: number("SOAK_HOSTS", 9) as usize,
+            span_ms: number("SOAK_SECONDS", 12) * 1_000,
+            gap_ms: number("SOAK_GAP_MS", 200),
+        };
+        if let Err(found) = run(&plan) {
+            eprintln!("seed {seed} failed: {found:#?}");
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds that failed: {failed:?}");
+}
+
+fn check(plan: &Plan) {
+    if let Err(found) = run(plan) {
+        panic!("{plan:?}: {found:#?}");
+    }
+}
+
+/// Plays a plan; what was found broken, if anything was.
+fn run(plan: &Plan) -> Result<(), Vec<String>> {
+    let kept = std::env::var("SOAK_LOGS").ok().map(PathBuf::from);
+    let dir = tempfile::tempdir().expect("a directory");
+    let runtime = tokio::runtime::Runtime::new().expect("a runtime");
+    let found = runtime.block_on(play(plan, dir.path()));
+    if let Some(kept) = kept
+        && !found.is_empty()
+    {
+        let kept = kept.join(format!("seed-{}", plan.seed));
+        std::fs::create_dir_all(&kept).expect("a directory for logs");
+        for entry in std::fs::read_dir(dir.path()).expect("logs").flatten() {
+            std::fs::copy(entry.path(), kept.join(entry.file_name())).expect("a copy");
+        }
+    }
+    if found.is_empty() { Ok(()) } else { Err(found) }
+}
+
+async fn play(plan: &Plan, dir: &Path) -> Vec<String> {
+    let fleet = Arc::new(Fleet::start(plan.hosts, dir).await);
+    if !wait_ready(&fleet).await {
+        return vec![format!("START: not all daemons are ready within {READY:?}")];
+    }
+    let (stops, mut callers) = (Arc::new(AtomicBool::new(false)), JoinSet::new());
+    for host in &fleet.hosts {
+        for number in 0..CALLERS {
+            let address = host.settings.callers_address;
+            let caller = Caller::new(host.number, number, address, plan.seed);
+            callers.spawn(caller.run(Arc::clone(&stops)));
+        }
+    }
+    let looking = tokio::spawn(watch_configurations(Arc::clone(&fleet), Arc::clone(&stops)));
+    let steps = script::draw(plan.seed, plan.hosts, plan.span_ms, plan.gap_ms);
+    script::play(&fleet, &steps).await;
+    let healed = Instant::now();
+    tokio::time::sleep(RECOVERY / 2).await;
+    let back = Instant::now();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    stops.store(true, Ordering::Relaxed);
+    let mut asked: Vec<Asked> = Vec::new();
+    while let Some(ended) = callers.join_next().await {
+        asked.extend(ended.expect("a caller"));
+    }
+    let mut found = looking.await.expect("the looks at the configuration");
+    let history = std::mem::take(&mut *lock(&fleet.history));
+    found.extend(checks::broken(&fleet, &asked, &history));
+    found.extend(check_recovery(&asked, healed, back));
+    report(plan, &asked, steps.len());
+    found
+}
+
+async fn wait_ready(fleet: &Arc<Fleet>) -> bool {
+    let until = Instant::now() + READY;
+    while Instant::now() < until {
+        let asked = Arc::clone(fleet);
+        let is_ready = tokio::task::spawn_blocking(move || asked.is_ready()).await;
+        if is_ready.is_ok_and(|is_ready| is_ready) {
+            return true;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
+
+/// Looks on every host whether the newest version that must be in force there is, and whether
+/// a version that was seen stays.
+async fn watch_configurations(fleet: Arc<Fleet>, stops: Arc<AtomicBool>) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut seen = vec![(0, Instant::now()); fleet.hosts.len()];
+    let mut looks = 0_u64;
+    while !stops.load(Ordering::Relaxed) {
+        for (number, host) in fleet.hosts.iter().enumerate() {
+            let sent = Instant::now();
+            let due = {
+                let history = lock(&fleet.history);
+                let due = history.configs.iter().filter(|at| **at + CONFIG <= sent);
+                due.count()
+            };
+            looks += 1;
+            let id = format!("look-{looks}");
+            let path = format!("/shows/{due}/echo.{id}");
+            let status = look(host.settings.callers_address, &path, &id).await;
+            if status != 404 && status != 0 {
+                seen[number] = (due, sent);
+                continue;
+            }
+            let history = lock(&fleet.history);
+            let (known, at) = seen[number];
+            let calm = checks::is_calm(&history, number, sent - STABLE - CONFIG, Instant::now());
+            if status == 404 && calm && due > 0 {
+                found.push(format!(
+                    "CONFIG: host {number} lacks version {due} after {CONFIG:?}"
+                ));
+            }
+            let same_process = checks::is_calm(&history, number, at, Instant::now());
+            if status == 404 && known >= due && due > 0 && same_process {
+                found.push(format!(
+                    "CONFIG: host {number} fell back behind version {known}"
+                ));
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    found
+}
+
+fn check_recovery(asked: &[Asked], healed: Instant, back: Instant) -> Option<String> {
+    let after: Vec<&Asked> = asked
+        .iter()
+        .filter(|asked| asked.sent >= back && asked.ending != Ending::Left)
+        .collect();
+    let served = after.iter().filter(|asked| is_served(asked)).count();
+    let share = served as f64 / after.len().max(1) as f64;
+    (share < RECOVERED_SHARE).then(|| {
+        let waited = back - healed;
+        format!(
+            "RECOVER: {served} of {} served {waited:?} after the last fault",
+            after.len()
+        )
+    })
+}
+
+fn is_served(asked: &Asked) -> bool {
+    matches!(&asked.ending, Ending::Answered { status, .. } if status.is_success())
+}
+
+fn report(plan: &Plan, asked: &[Asked], steps: usize) {
+    let served = asked.iter().filter(|asked| is_served(asked)).count();
+    let seed = plan.seed;
+    eprintln!(
+        "seed {seed}: {steps} faults, {served} of {} requests served",
+        asked.len()
+    );
+}
--- /dev/null
+++ b/tests/soak/proxy.rs
@@ -0,0 +1,211 @@
+//! A proxy on loopback that passes bytes on, or delays, cuts, silences and resets them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::{JoinHandle, JoinSet};
+
+const BUFFER_BYTES: usize = 16 * 1024;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    ToTarget,
+    FromTarget,
+}
+
+/// What happens to the connections now; connections are numbered in the order of their arrival.
+#[derive(Debug, Clone, Copy, Default)]
+struct State {
+    next_connection: u64,
+    refuses: bool,
+    delay_ms: u64,
+    cut_to_target: bool,
+    cut_from_target: bool,
+    /// Connections below this number never pass a byte again.
+    silent_below: u64,
+    /// Connections below this number are reset.
+    reset_below: u64,
+}
+
+impl State {
+    fn passes(&self, connection: u64, direction: Direction) -> bool {
+        let is_cut = match direction {
+            Direction::ToTarget => self.cut_to_target,
+            Direction::FromTarget => self.cut_from_target,
+        };
+        !is_cut && connection >= self.silent_below
+    }
+}
+
+/// Dropping it closes the listener and all connections.
+pub struct Proxy {
+    state: Arc<watch::Sender<State>>,
+    task: JoinHandle<()>,
+}
+
+impl Proxy {
+    pub async fn start(address: SocketAddr, target: SocketAddr) -> Proxy {
+        let listener = TcpListener::bind(address).await.expect("an address");
+        let state = Arc::new(watch::Sender::new(State::default()));
+        let task = tokio::spawn(accept(listener, target, Arc::clone(&state)));
+        Proxy { state, task }
+    }
+
+    pub fn refuse(&self, refuses: bool) {
+        self.state.send_modify(|state| state.refuses = refuses);
+    }
+
+    pub fn delay(&self, delay_ms: u64) {
+        self.state.send_modify(|state| state.delay_ms = delay_ms);
+    }
+
+    pub fn cut(&self, direction: Direction) {
+        self.state.send_modify(|state| match direction {
+            Direction::ToTarget => state.cut_to_target = true,
+            Direction::FromTarget => state.cut_from_target = true,
+        });
+    }
+
+    /// The connections that are open now go silent for good; new ones work.
+    pub fn silence(&self) {
+        self.state
+            .send_modify(|state| state.silent_below = state.next_connection);
+    }
+
+    /// Resets the connections that are open now.
+    pub fn reset(&self) {
+        self.state
+            .send_modify(|state| state.reset_below = state.next_connection);
+    }
+
+    /// Ends delays, cuts and refusals; silent connections stay silent.
+    pub fn heal(&self) {
+        self.state.send_modify(|state| {
+            *state = State {
+                next_connection: state.next_connection,
+                silent_below: state.silent_below,
+                reset_below: state.reset_below,
+                ..State::default()
+            };
+        });
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, target: SocketAddr, state: Arc<watch::Sender<State>>) {
+    let mut connections = JoinSet::new();
+    while let Ok((stream, _)) = listener.accept().await {
+        let mut number = 0;
+        state.send_modify(|state| {
+            number = state.next_connection;
+            state.next_connection += 1;
+        });
+        if state.borrow().refuses {
+            reset(&stream);
+            continue;
+        }
+        connections.spawn(connect(stream, target, number, state.subscribe()));
+        while connections.try_join_next().is_some() {}
+    }
+}
+
+async fn connect(
+    stream: TcpStream,
+    target: SocketAddr,
+    number: u64,
+    mut state: watch::Receiver<State>,
+) {
+    // A cut holds back new connections as well.
+    let is_open = |state: &State| state.passes(number, Direction::ToTarget);
+    if state.wait_for(is_open).await.is_err() {
+        return;
+    }
+    let Ok(onward) = TcpStream::connect(target).await else {
+        return reset(&stream);
+    };
+    let _ = (stream.set_nodelay(true), onward.set_nodelay(true));
+    let (from_caller, to_caller) = stream.into_split();
+    let (from_target, to_target) = onward.into_split();
+    let mut resets = state.clone();
+    let pumps = async {
+        tokio::try_join!(
+            pump(
+                from_caller,
+                to_target,
+                number,
+                Direction::ToTarget,
+                state.clone()
+            ),
+            pump(
+                from_target,
+                to_caller,
+                number,
+                Direction::FromTarget,
+                state.clone()
+            ),
+        )
+    };
+    tokio::select! {
+        // A side that breaks off has the other reset.
+        _ = pumps => {}
+        _ = resets.wait_for(|state| number < state.reset_below) => {}
+    }
+}
+
+/// Resets its connection when it is dropped before the end of the stream was passed on.
+struct Reset {
+    half: OwnedWriteHalf,
+    is_finished: bool,
+}
+
+impl Drop for Reset {
+    fn drop(&mut self) {
+        if !self.is_finished {
+            reset(self.half.as_ref());
+        }
+    }
+}
+
+async fn pump(
+    mut from: OwnedReadHalf,
+    to: OwnedWriteHalf,
+    number: u64,
+    direction: Direction,
+    mut state: watch::Receiver<State>,
+) -> std::io::Result<()> {
+    let mut to = Reset {
+        half: to,
+        is_finished: false,
+    };
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let count = from.read(&mut buffer).await?;
+        let passes = |state: &State| state.passes(number, direction);
+        let Ok(delay_ms) = state.wait_for(passes).await.map(|state| state.delay_ms) else {
+            return Ok(());
+        };
+        if delay_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        }
+        if count == 0 {
+            to.is_finished = true;
+            return to.half.shutdown().await;
+        }
+        to.half.write_all(&buffer[..count]).await?;
+    }
+}
+
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
