Bound repeats by what arrives at a service; let failures count in a worker's cost

Ruled out: the routes' number of attempts (2; 194 ended with 502 after one), the time left (500 ms). A worker's failure rate costs 50 ms of waiting for a sure failure; near and failing loses to sound and farther.

--- a/src/decide/relay/placing.rs
+++ b/src/decide/relay/placing.rs
@@ -12,6 +12,7 @@
 
 use rand::{Rng, RngExt};
 
+use super::retry_budget::Arrivals;
 use crate::model::{Distance, ServiceName, TimeMs};
 
 /// Load from which requests begin to wait for each other, as a part of the limit.
@@ -44,6 +45,11 @@
 const FAILURE_WEIGHT: f64 = 0.08;
 /// Failure rate from which a worker is taken only if no other has room.
 const GREY_RATE: f64 = 0.2;
+/// What a failed request is worth, in milliseconds of waiting: it is run again or lost. Where
+/// most workers fail now and then, none is passed over, and this makes the difference.
+const FAILURE_COST_MS: f64 = 50.0;
+/// Age up to which a report says how much arrives that repeats, in milliseconds.
+const REPEATS_AGE_MS: u64 = 2_000;
 /// Time in which a failure rate halves, so that a worker that has recovered is tried again,
 /// in milliseconds.
 const FAILURE_HALF_LIFE_MS: f64 = 2_000.0;
@@ -78,6 +84,8 @@
     pub limit: u32,
     /// Mean time of a request, in milliseconds.
     pub mean_ms: u32,
+    /// What has arrived there within the window of the retry budget.
+    pub arrivals: Arrivals,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -161,6 +169,27 @@
         (load, has_reported.then(|| now.since_ms(view.reported)))
     }
 
+    /// What arrives at these workers together, judged by those that have said so lately.
+    pub fn arrivals(&self, now: TimeMs, workers: impl Iterator<Item = SocketAddr>) -> Arrivals {
+        let (mut all, mut fresh) = (0_u32, 0_u32);
+        let mut sum = Arrivals::default();
+        for address in workers {
+            all += 1;
+            let view = self.views.get(&address).copied().unwrap_or_default();
+            let is_fresh = now.since_ms(view.reported) <= REPEATS_AGE_MS;
+            if view.reported > TimeMs(0) && is_fresh {
+                fresh += 1;
+                sum.requests += view.load.arrivals.requests;
+                sum.repeats += view.load.arrivals.repeats;
+            }
+        }
+        let times = f64::from(all) / f64::from(fresh.max(1));
+        Arrivals {
+            requests: sum.requests * times,
+            repeats: sum.repeats * times,
+        }
+    }
+
     /// Takes in that a request was sent.
     pub fn sent(&mut self, address: SocketAddr) {
         let view = self.views.entry(address).or_default();
@@ -248,7 +277,7 @@
             load: view.utilization(now, candidate.slots),
             mean_ms: f64::from(view.load.mean_ms),
             avoided: now < view.avoid_until,
-            grey: view.failure_rate(now) >= GREY_RATE,
+            failure_rate: view.failure_rate(now),
             times: 1.0 + view.slowness(now),
         }
     }
@@ -260,7 +289,7 @@
     load: f64,
     mean_ms: f64,
     avoided: bool,
-    grey: bool,
+    failure_rate: f64,
     /// Time on a request as a multiple of the usual one.
     times: f64,
 }
@@ -281,14 +310,16 @@
             Distance::OtherRegion => REMOTE_COST_MS,
         };
         let slow_ms = (self.times / usual_times - 1.0).max(0.0) * SLOW_COST_MS;
-        queued_ms + busy * BUSY_COST_MS + slow_ms + distance_ms
+        let failed_ms = self.failure_rate * FAILURE_COST_MS;
+        queued_ms + busy * BUSY_COST_MS + slow_ms + failed_ms + distance_ms
     }
 }
 
 /// The workers but for the failing and the slow ones, unless that leaves fewer than half.
 fn without_outliers(rated: &[Rated]) -> Vec<Rated> {
     let usual = usual_times(rated);
-    let is_good = |rated: &&Rated| !rated.grey && rated.times <= usual * SLOW_FACTOR;
+    let is_good =
+        |rated: &&Rated| rated.failure_rate < GREY_RATE && rated.times <= usual * SLOW_FACTOR;
     let good: Vec<Rated> = rated.iter().filter(is_good).copied().collect();
     if good.len() * 2 < rated.len() {
         return rated.to_vec();
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -204,7 +204,10 @@
         return false;
     }
     let daemons = tables.directory.peers().len() + 1;
-    tables.budget.take(now, call.service, daemons)
+    let workers = tables.directory.ready(call.service);
+    let workers = workers.map(|known| known.member.address);
+    let arrived = tables.placing.arrivals(now, workers);
+    tables.budget.take(now, call.service, daemons, arrived)
 }
 
 struct Chosen {
@@ -367,6 +370,7 @@
         waiting: reply.waiting,
         limit: reply.limit,
         mean_ms: reply.mean_ms,
+        arrivals: reply.arrivals,
     };
     tables.placing.reported(now, address, load);
     for report in &reply.shares {
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -310,6 +310,11 @@
     let address = relay.settings.load().backend_address;
     let request_id = order.request_id(relay).to_owned();
     let (deadline, idempotent) = (order.deadline, order.idempotent);
+    let is_repeat = order.hop.is_repeat;
+    relay
+        .tables()
+        .arrivals
+        .arrived(relay.clock.now(), is_repeat);
     let left_ms = deadline.since_ms(relay.clock.now());
     let max_idle_ms = if idempotent { u64::MAX } else { ONCE_IDLE_MS };
     let request = worker_request(relay, order, body, left_ms);
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -14,7 +14,7 @@
 use super::executor::{self, Executed, Order};
 use super::state::{Relay, Tables};
 use super::{peers, settle};
-use crate::decide::relay::{Member, Reporter, RootMark, ShareReport};
+use crate::decide::relay::{Arrivals, Member, Reporter, RootMark, ShareReport};
 use crate::model::{NotRunReason, ServiceName};
 
 /// Carries [`HopRequest`] as JSON.
@@ -99,6 +99,9 @@
     /// Time that the backend server took for this request, in milliseconds; 0 if it has not run.
     #[serde(rename = "t", default)]
     pub took_ms: u64,
+    /// What has arrived for the backend server within the window of the retry budget.
+    #[serde(rename = "q", default)]
+    pub arrivals: Arrivals,
     /// Shares at scarce services.
     #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
     pub shares: Vec<ShareReport>,
@@ -237,6 +240,7 @@
             limit,
             mean_ms: tables.admission.mean_ms() as u32,
             took_ms,
+            arrivals: tables.arrivals.arrivals(now),
             shares,
             config,
             members_read: self.members_read.here(),
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -21,7 +21,7 @@
 use crate::decide::relay::admission::Verdict;
 use crate::decide::relay::{
     Admission, Directory, EntryShares, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
-    MemberState, Placing, RetryBudget, RootMark, RouteTable, TicketNo, WorkerShares,
+    MemberState, Placing, RepeatWindow, RetryBudget, RootMark, RouteTable, TicketNo, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -65,6 +65,8 @@
     pub placing: Placing,
     /// What may be sent again.
     pub budget: RetryBudget,
+    /// What arrives for the backend server beside this daemon.
+    pub arrivals: RepeatWindow,
     /// What is admitted of each route.
     pub entry_shares: EntryShares,
     /// The backend server beside this daemon.
@@ -178,6 +180,7 @@
                 directory: Directory::new(settings.hop_address, settings.place.clone()),
                 placing: Placing::default(),
                 budget,
+                arrivals: RepeatWindow::new(millis(bounds.retry_window_s)),
                 entry_shares: EntryShares::default(),
                 worker: None,
                 worker_lost: None,
