--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -15,6 +15,6 @@
 pub use directory::{Directory, Member, MemberState};
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use placing::{Candidate, Placing, WorkerLoad};
-pub use retry_budget::{Arrivals, RepeatWindow, RetryBudget};
+pub use retry_budget::{Arrivals, Asked, RepeatWindow, RetryBudget};
 pub use routes::{Limits, Part, Route, RouteTable, ServiceRules};
 pub use shares::{EntryShares, Reporter, RootMark, ShareReport, WorkerShares};
--- a/src/decide/relay/retry_budget.rs
+++ b/src/decide/relay/retry_budget.rs
@@ -20,6 +20,10 @@
 /// way when the daemons hear of it.
 const ARRIVED_SHARE: f64 = 0.7;
 
+/// Part of a budget that requests below the highest rank may use. A service that turns most work
+/// away spends any budget; spread evenly, the repeats make no long chain of calls whole.
+const LOWER_RANK_SHARE: f64 = 0.3;
+
 /// Requests and repeats of one bucket.
 #[derive(Debug, Clone, Copy, Default)]
 struct Bucket {
@@ -39,6 +43,17 @@
     pub repeats: f64,
 }
 
+/// Who asks for a repeat.
+#[derive(Debug, Clone, Copy)]
+pub struct Asked {
+    /// Rank of the root request; 0 goes first.
+    pub priority: u8,
+    /// How many daemons share the slack.
+    pub daemons: usize,
+    /// What has arrived at the service from all of them, as far as it is known.
+    pub arrived: Arrivals,
+}
+
 /// Requests and repeats of a sliding window.
 #[derive(Debug)]
 pub struct RepeatWindow {
@@ -127,22 +142,20 @@
         self.window(service).bucket(now).repeats += 1;
     }
 
-    /// Takes one repeat out; false if there is none. `daemons` is how many share the slack, and
-    /// `arrived` what has arrived at the service from all of them, as far as it is known.
-    pub fn take(
-        &mut self,
-        now: TimeMs,
-        service: &ServiceName,
-        daemons: usize,
-        arrived: Arrivals,
-    ) -> bool {
+    /// Takes one repeat out; false if there is none.
+    pub fn take(&mut self, now: TimeMs, service: &ServiceName, asked: Asked) -> bool {
         let (ratio, slack) = (self.ratio, self.slack);
         let window = self.window(service);
         let sent = window.arrivals(now);
-        let own_slack = slack / daemons.max(1) as f64;
+        let own_slack = slack / asked.daemons.max(1) as f64;
         let own = USED_SHARE * (sent.requests * ratio + own_slack);
-        let all = ARRIVED_SHARE * (arrived.requests * ratio + slack);
-        if sent.repeats + 1.0 > own || arrived.repeats + 1.0 > all {
+        let all = ARRIVED_SHARE * (asked.arrived.requests * ratio + slack);
+        let part = if asked.priority == 0 {
+            1.0
+        } else {
+            LOWER_RANK_SHARE
+        };
+        if sent.repeats + 1.0 > own * part || asked.arrived.repeats + 1.0 > all * part {
             return false;
         }
         window.bucket(now).repeats += 1;
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -20,7 +20,7 @@
 use super::pool::{ExchangeError, Exchanged};
 use super::settle::{self, SettleRequest};
 use super::state::Relay;
-use crate::decide::relay::{Candidate, WorkerLoad};
+use crate::decide::relay::{Asked, Candidate, WorkerLoad};
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
 
 /// Most workers that are asked for a place before a request is refused.
@@ -34,7 +34,7 @@
 /// Time to come back while no worker is known or reachable, in milliseconds.
 const NO_WORKER_RETRY_MS: u64 = 500;
 /// Longest time for which an idle connection to another daemon is used again, in milliseconds.
-const HOP_IDLE_MS: u64 = 4_000;
+const HOP_IDLE_MS: u64 = 1_500;
 /// Time for which a worker that says it takes no work is passed over, in milliseconds.
 const CLOSED_MS: u64 = 700;
 /// Part of the latency objective that must be left for another attempt to be worth it.
@@ -59,7 +59,8 @@
 ) -> Response<RelayBody> {
     let mut body = Some(body);
     let mut tried: Vec<SocketAddr> = Vec::new();
-    let mut arrivals = 0;
+    // Requests that a backend server was sent, and those of them that it may have run.
+    let (mut arrivals, mut runs) = (0, 0);
     let mut failure = Failure::NotRun {
         reason: NotRunReason::NoWorker,
         retry_after_ms: NO_WORKER_RETRY_MS,
@@ -75,7 +76,7 @@
             break;
         }
         let is_repeat = arrivals > 0;
-        if is_repeat && !may_repeat(relay, call, now, arrivals, left_ms) {
+        if is_repeat && !may_repeat(relay, call, now, runs, left_ms) {
             break;
         }
         let Some(chosen) = choose(relay, call, &tried, now) else {
@@ -117,7 +118,7 @@
                     log_answer(relay, call, "done", &tried, done.response.status());
                     return *done.response;
                 }
-                arrivals += 1;
+                (arrivals, runs) = (arrivals + 1, runs + 1);
                 failure = Failure::Answered(done.response);
                 // The failed call has had its own repeats. To repeat the request above it too
                 // would multiply them at each service of the chain.
@@ -148,7 +149,7 @@
                 }
             }
             Executed::Unknown { reason } => {
-                arrivals += 1;
+                (arrivals, runs) = (arrivals + 1, runs + 1);
                 let address = chosen.candidate.address;
                 relay.tables().placing.judged(now, address, false);
                 if !matches!(failure, Failure::Answered(_)) {
@@ -192,9 +193,9 @@
 }
 
 /// Whether a request that has reached a backend server may go to another one.
-fn may_repeat(relay: &Relay, call: &Call<'_>, now: TimeMs, arrivals: u32, left_ms: u64) -> bool {
+fn may_repeat(relay: &Relay, call: &Call<'_>, now: TimeMs, runs: u32, left_ms: u64) -> bool {
     let min_left_ms = call.route.objective_ms as f64 * MIN_LEFT_SHARE;
-    if arrivals >= call.route.max_attempts || (left_ms as f64) < min_left_ms {
+    if runs >= call.route.max_attempts || (left_ms as f64) < min_left_ms {
         return false;
     }
     let mut tables = relay.tables();
@@ -207,7 +208,12 @@
     let workers = tables.directory.ready(call.service);
     let workers = workers.map(|known| known.member.address);
     let arrived = tables.placing.arrivals(now, workers);
-    tables.budget.take(now, call.service, daemons, arrived)
+    let asked = Asked {
+        priority: call.root.priority,
+        daemons,
+        arrived,
+    };
+    tables.budget.take(now, call.service, asked)
 }
 
 struct Chosen {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -5,11 +5,12 @@
 
 use burdockhall::decide::relay::admission::Verdict;
 use burdockhall::decide::relay::{
-    Admission, Arrivals, Candidate, Heartbeat, HeartbeatOutcome, Limits, LocalWorker, MemberState,
-    Offer, Offered, Part, Placing, RepeatWindow, RetryBudget, Route, RouteTable, WorkerLoad,
+    Admission, Arrivals, Asked, Candidate, Heartbeat, HeartbeatOutcome, Limits, LocalWorker,
+    MemberState, Offer, Offered, Part, Placing, RepeatWindow, RetryBudget, Route, RouteTable,
+    WorkerLoad,
 };
 use burdockhall::prelude::*;
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 const LIMITS: Limits = Limits {
@@ -342,6 +343,14 @@
     assert!(!admission.cancel(late), "it does not wait any more");
 }
 
+fn asked(priority: u8, daemons: usize, arrived: Arrivals) -> Asked {
+    Asked {
+        priority,
+        daemons,
+        arrived,
+    }
+}
+
 #[test]
 fn repeats_stay_within_the_share_in_any_window() {
     struct Case {
@@ -378,7 +387,7 @@
             let now = TimeMs(number * 1_000 / case.requests_per_s);
             budget.sent(now, &service);
             requests.push(now);
-            if budget.take(now, &service, case.daemons, Arrivals::default()) {
+            if budget.take(now, &service, asked(0, case.daemons, Arrivals::default())) {
                 repeats.push(now);
             }
         }
@@ -691,7 +700,7 @@
             requests: case.requests,
             repeats: case.repeats,
         };
-        let allowed = budget.take(TimeMs(1_000), &service, 24, arrived);
+        let allowed = budget.take(TimeMs(1_000), &service, asked(0, 24, arrived));
         assert_eq!(allowed, case.is_allowed, "{}", case.name);
     }
     let mut window = RepeatWindow::new(10_000);
@@ -702,3 +711,64 @@
     assert_eq!((arrivals.requests, arrivals.repeats), (10_000.0, 2_500.0));
     assert_eq!(window.arrivals(TimeMs(30_000)), Arrivals::default());
 }
+
+/// The load that this answers: a deep service turns more than half of its requests away, whatever
+/// its load, and each root request needs four answers of it.
+#[test]
+fn what_a_service_lets_through_goes_to_whole_requests_of_the_highest_rank() {
+    const RATIO: f64 = 0.2;
+    const SLACK: f64 = 48.0;
+    const ROOTS: u64 = 10_000;
+    const CALLS: u32 = 4;
+    const REFUSED: f64 = 0.55;
+    const MAX_SENDS: u32 = 4;
+    let service = ServiceName::from("deep");
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(11);
+    let mut budget = RetryBudget::new(RATIO, 10_000, SLACK);
+    let mut arrived = RepeatWindow::new(10_000);
+    let (mut roots, mut whole) = ([0_u32; 2], [0_u32; 2]);
+    let (mut requests, mut repeats) = (0_u32, 0_u32);
+    for number in 0..ROOTS {
+        let now = TimeMs(number);
+        let rank = usize::from(number % 4 != 0);
+        let mut has_failed = false;
+        for _ in 0..CALLS {
+            requests += 1;
+            budget.sent(now, &service);
+            let mut sends = 0;
+            loop {
+                arrived.arrived(now, sends > 0);
+                sends += 1;
+                let is_served = !rng.random_bool(REFUSED);
+                let asked = asked(rank as u8, 1, arrived.arrivals(now));
+                if is_served || sends == MAX_SENDS || !budget.take(now, &service, asked) {
+                    has_failed = !is_served;
+                    break;
+                }
+                repeats += 1;
+            }
+            if has_failed {
+                break;
+            }
+        }
+        roots[rank] += 1;
+        whole[rank] += u32::from(!has_failed);
+    }
+    let share = |rank: usize| f64::from(whole[rank]) / f64::from(roots[rank]);
+    let alone = (1.0 - REFUSED).powi(CALLS as i32);
+    assert!(
+        share(0) > 4.0 * alone,
+        "{} with repeats, {alone} without",
+        share(0)
+    );
+    assert!(
+        share(1) >= alone * 0.8,
+        "{} with repeats, {alone} without",
+        share(1)
+    );
+    let allowed = f64::from(requests) * RATIO + SLACK;
+    assert!(
+        f64::from(repeats) <= allowed,
+        "{repeats} repeats of {allowed}"
+    );
+}
