A relay that is started beside a leaving backend server gives it no work

Change: a run that is first heard leaving takes no work; the own record is recalled whatever it says; a daemon that stops publishes 'stopped'. Test: relay_decisions, a run that is found leaving takes no work (took work before).

--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -17,7 +17,9 @@
     Ready,
     /// Finishes what it has.
     Draining,
-    /// The backend server has left, or the daemon is stopping.
+    /// The daemon stops; its backend server may go on.
+    Stopped,
+    /// The backend server has left.
     Gone,
 }
 
@@ -129,7 +131,8 @@
     /// Addresses of the other daemons that are not gone.
     pub fn peers(&self) -> Vec<SocketAddr> {
         let others = self.members.values().filter(|known| {
-            known.member.address != self.own && known.member.state != MemberState::Gone
+            let is_there = !matches!(known.member.state, MemberState::Gone | MemberState::Stopped);
+            known.member.address != self.own && is_there
         });
         others.map(|known| known.member.address).collect()
     }
--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -7,6 +7,9 @@
 
 use super::directory::MemberState;
 
+/// When a run left that was found leaving.
+const LONG_AGO: TimeMs = TimeMs(0);
+
 /// One heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -52,16 +55,29 @@
 }
 
 impl LocalWorker {
-    /// A backend server heard for the first time.
+    /// A backend server heard for the first time. If it leaves already, a daemon before this one
+    /// may have acknowledged that long ago, so it takes no work at all.
     pub fn new(now: TimeMs, heartbeat: Heartbeat) -> LocalWorker {
-        let mut worker = LocalWorker {
+        let state = if heartbeat.draining {
+            MemberState::Draining
+        } else {
+            MemberState::Ready
+        };
+        LocalWorker {
+            leaving_since: heartbeat.draining.then_some(LONG_AGO),
             heartbeat,
-            state: MemberState::Ready,
+            state,
             heard: now,
-            leaving_since: None,
-        };
-        worker.follow_state(now);
-        worker
+        }
+    }
+
+    /// Takes in what a daemon before this one knew of the same run.
+    pub fn recall(&mut self, state: MemberState) {
+        let has_left = matches!(state, MemberState::Draining | MemberState::Gone);
+        if has_left && self.leaving_since.is_none() {
+            self.state = state;
+            self.leaving_since = Some(LONG_AGO);
+        }
     }
 
     /// Takes in a heartbeat.
@@ -73,7 +89,10 @@
             if heartbeat.born_unix_ms < known.born_unix_ms {
                 return HeartbeatOutcome::Stale;
             }
+            // Nobody before this daemon has acknowledged anything to the new run.
+            let is_leaving = heartbeat.draining;
             *self = LocalWorker::new(now, heartbeat);
+            self.leaving_since = is_leaving.then_some(now);
             return HeartbeatOutcome::Changed;
         }
         if heartbeat.sequence <= known.sequence && self.heard > TimeMs(0) {
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -323,10 +323,18 @@
         }
     }
 
-    /// A record of this daemon from before its restart: the backend server may still run.
+    /// A record of this daemon from before its restart: the backend server may still run, and
+    /// may have been told that its leaving is acknowledged.
     fn adopt(&self, tables: &mut Tables, now: TimeMs, member: &Member) {
         tables.revision = tables.revision.max(member.revision);
-        if tables.worker.is_some() || member.state != MemberState::Ready {
+        if let Some(worker) = &mut tables.worker {
+            let known = &worker.heartbeat;
+            if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
+                worker.recall(member.state);
+            }
+            return;
+        }
+        if member.state == MemberState::Stopped {
             return;
         }
         let heartbeat = Heartbeat {
@@ -339,7 +347,9 @@
             cold_ms: 0,
         };
         tables.admission.set_slots(heartbeat.slots);
-        tables.worker = Some(LocalWorker::new(now, heartbeat));
+        let mut worker = LocalWorker::new(now, heartbeat);
+        worker.recall(member.state);
+        tables.worker = Some(worker);
         // The log holds this very record, so nothing is published.
         tables.directory.merge(now, member.clone());
         let instance = member.instance.as_str();
@@ -361,10 +371,9 @@
             instance: heartbeat.instance.clone(),
             born_unix_ms: heartbeat.born_unix_ms,
             slots: heartbeat.slots,
-            state: if *self.stage.borrow() > Stage::Serving {
-                MemberState::Gone
-            } else {
-                worker.state
+            state: match worker.state {
+                MemberState::Ready if *self.stage.borrow() > Stage::Serving => MemberState::Stopped,
+                state => state,
             },
         };
         let (service, instance) = (member.service.as_str(), member.instance.as_str());
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -219,6 +219,52 @@
     assert!(!worker.takes_work(TimeMs(2_000), 800));
 }
 
+/// A daemon that is started beside a backend server that leaves does not know since when.
+#[test]
+fn a_run_that_is_found_leaving_takes_no_work() {
+    struct Case {
+        name: &'static str,
+        draining: bool,
+        recalled: MemberState,
+        takes_work: bool,
+    }
+    let case = |name, draining, recalled, takes_work| Case {
+        name,
+        draining,
+        recalled,
+        takes_work,
+    };
+    let cases = [
+        case("ready", false, MemberState::Ready, true),
+        case("stopped with its daemon", false, MemberState::Stopped, true),
+        case("says that it drains", true, MemberState::Ready, false),
+        case("drained before", false, MemberState::Draining, false),
+        case("left before", false, MemberState::Gone, false),
+    ];
+    for case in cases {
+        let now = TimeMs(5_000);
+        let mut first = heartbeat("i-1", 100, 3);
+        first.draining = case.draining;
+        let mut worker = LocalWorker::new(now, first);
+        worker.recall(case.recalled);
+        assert_eq!(
+            worker.takes_work(now, 800),
+            case.takes_work,
+            "{}",
+            case.name
+        );
+        worker.hear(TimeMs(5_300), heartbeat("i-1", 100, 4));
+        let takes_work = worker.takes_work(TimeMs(5_300), 800);
+        assert_eq!(takes_work, case.takes_work, "{}: later", case.name);
+        worker.hear(TimeMs(5_600), heartbeat("i-2", 200, 1));
+        assert!(
+            worker.takes_work(TimeMs(5_600), 800),
+            "{}: the next run",
+            case.name
+        );
+    }
+}
+
 fn offer(route: &ServiceName, priority: u8, is_call: bool, deadline_ms: u64) -> Offer<'_> {
     Offer {
         route,
