Bound what a backend server may send in place of an answer

Cause: the HTTP library skips informational heads without limit, and the body of a refusal was collected with no bound of bytes or time. A backend server that sends either without end took processor time and memory, and nobody's leaving ended it. Test: relay_endless, five kinds of bytes without end at 40 callers.

--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -2,16 +2,17 @@
 //! to its pool.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1::SendRequest;
 use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
 use hyper::{Response, StatusCode};
 
 use super::body::{PooledConnection, RelayBody};
 use super::executor::{Done, ExecutionOutcome, UNREACHABLE_MS, unknown_outcome};
 use super::hop::{KEEP_ALIVE, strip_connection_headers};
-use super::pool::Exchanged;
+use super::pool::{Exchanged, Sender};
 use super::state::Relay;
 use crate::model::{NotRunReason, UnknownReason};
 
@@ -21,6 +22,10 @@
 /// Fraction of the announced keep-alive timeout for which an idle connection is kept, so that it
 /// is dropped here before the backend server closes it.
 const KEEP_FRACTION: f64 = 0.75;
+/// Most bytes of an unneeded body that are read in order to keep the connection.
+const MAX_DISCARDED_BYTES: usize = 16 * 1024;
+/// Longest time for which an unneeded body is read, in milliseconds.
+const DISCARD_TIMEOUT_MS: u64 = 500;
 
 /// Derives the outcome of a request from the headers and status of the backend server's answer.
 pub(super) fn classify_answer(
@@ -84,11 +89,7 @@
     )
 }
 
-fn answer(
-    relay: &Relay,
-    response: Response<Incoming>,
-    sender: SendRequest<RelayBody>,
-) -> Response<RelayBody> {
+fn answer(relay: &Relay, response: Response<Incoming>, sender: Sender) -> Response<RelayBody> {
     let (mut parts, incoming) = response.into_parts();
     let connection = PooledConnection {
         pool: Arc::clone(&relay.pool),
@@ -101,13 +102,20 @@
     Response::from_parts(parts, RelayBody::answer(incoming, Some(connection)))
 }
 
-/// Reads an unneeded body to its end, so that the connection returns to the pool.
-fn discard_body(relay: &Relay, response: Response<Incoming>, sender: SendRequest<RelayBody>) {
+/// Reads an unneeded body to its end, so that the connection returns to the pool; one that is long
+/// or slow ends with its connection.
+fn discard_body(relay: &Relay, response: Response<Incoming>, sender: Sender) {
     let (_, body) = answer(relay, response, sender).into_parts();
     if let RelayBody::Streamed(_) = body {
         tokio::spawn(async move {
-            // An error closes the connection; nothing else needs to be done.
-            let _ = http_body_util::BodyExt::collect(body).await;
+            let body = Limited::new(body, MAX_DISCARDED_BYTES);
+            let timeout = Duration::from_millis(DISCARD_TIMEOUT_MS);
+            let discarded = tokio::time::timeout(timeout, body.collect()).await;
+            if !matches!(discarded, Ok(Ok(_))) {
+                spdlog::info!("the body of a refusal was not read to its end", kv: {
+                    MAX_DISCARDED_BYTES, DISCARD_TIMEOUT_MS
+                });
+            }
         });
     }
 }
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -8,10 +8,9 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::client::conn::http1::SendRequest;
 use thiserror::Error;
 
-use super::pool::{Pool, PoolKey};
+use super::pool::{Pool, PoolKey, Sender};
 
 /// Why a body ended early.
 #[derive(Debug, Error)]
@@ -62,7 +61,7 @@
     /// Address of the other side.
     pub key: PoolKey,
     /// Handle that sends requests over the connection.
-    pub sender: SendRequest<RelayBody>,
+    pub sender: Sender,
     /// How long it may stay idle in the pool, in milliseconds; 0 if it is not reused.
     pub keep_ms: u64,
 }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod executor;
 pub mod follow;
+pub mod head_limit;
 pub mod header_names;
 pub mod hop;
 pub mod listen;
--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use super::body::{PooledConnection, RelayBody};
+use super::head_limit::{BoundedStream, HeadAllowance};
 use crate::model::{Clock, TimeMs};
 
 /// Connect timeout, in milliseconds. Shorter than the connect timeout of callers, so that another
@@ -56,9 +57,23 @@
     },
 }
 
+/// Sends requests over one connection, and bounds what is received before each answer.
+#[derive(Debug)]
+pub struct Sender {
+    requests: SendRequest<RelayBody>,
+    allowance: HeadAllowance,
+}
+
+impl Sender {
+    /// Whether the connection is closed.
+    pub fn is_closed(&self) -> bool {
+        self.requests.is_closed()
+    }
+}
+
 #[derive(Debug)]
 struct Idle {
-    sender: SendRequest<RelayBody>,
+    sender: Sender,
     since: TimeMs,
     keep_ms: u64,
 }
@@ -76,7 +91,7 @@
     /// The response; its body is still to be read.
     pub response: Response<Incoming>,
     /// Handle that sends further requests over the connection.
-    pub sender: SendRequest<RelayBody>,
+    pub sender: Sender,
 }
 
 impl Pool {
@@ -144,7 +159,7 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take(&self, address: SocketAddr, max_idle_ms: u64) -> Option<SendRequest<RelayBody>> {
+    fn take(&self, address: SocketAddr, max_idle_ms: u64) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
@@ -154,7 +169,7 @@
             let idle_ms = now.since_ms(candidate.since);
             if candidate.sender.is_closed() || idle_ms >= candidate.keep_ms {
                 connections.swap_remove(index);
-            } else if idle_ms <= max_idle_ms && candidate.sender.is_ready() {
+            } else if idle_ms <= max_idle_ms && candidate.sender.requests.is_ready() {
                 return Some(connections.remove(index).sender);
             }
         }
@@ -168,18 +183,22 @@
 
 async fn send(
     address: SocketAddr,
-    mut sender: SendRequest<RelayBody>,
+    mut sender: Sender,
     request: Request<RelayBody>,
 ) -> Result<Exchanged, ExchangeError> {
-    if let Err(error) = sender.ready().await {
+    if let Err(error) = sender.requests.ready().await {
         return Err(ExchangeError::NotSent {
             address,
             message: error.to_string(),
             request: Some(Box::new(request)),
         });
     }
-    match sender.try_send_request(request).await {
-        Ok(response) => Ok(Exchanged { response, sender }),
+    sender.allowance.await_head();
+    match sender.requests.try_send_request(request).await {
+        Ok(response) => {
+            sender.allowance.head_arrived();
+            Ok(Exchanged { response, sender })
+        }
         Err(mut error) => {
             let request = error.take_message().map(Box::new);
             let message = error.into_error().to_string();
@@ -195,7 +214,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<SendRequest<RelayBody>, String> {
+async fn connect(address: SocketAddr) -> Result<Sender, String> {
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
     let stream = match connected {
@@ -204,16 +223,20 @@
         Err(_) => return Err(format!("no connection within {CONNECT_TIMEOUT_MS} ms")),
     };
     set_socket_options(&stream).map_err(|error| error.to_string())?;
+    let allowance = HeadAllowance::new();
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(BoundedStream::new(stream, allowance.clone())))
         .await;
-    let (sender, connection) = handshake.map_err(|error| error.to_string())?;
+    let (requests, connection) = handshake.map_err(|error| error.to_string())?;
     // Errors of the connection surface at the sender and the body as well.
     tokio::spawn(async move {
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(Sender {
+        requests,
+        allowance,
+    })
 }
 
 /// Sets `TCP_NODELAY`, keep-alive and the user timeout, which detect dead connections.
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::http::response::Parts;
 use hyper::{Request, Response, StatusCode};
@@ -36,6 +36,9 @@
 /// [`RETENTION_MS`]. Unfinished and younger entries stay, so it is not a hard limit.
 const EVICTION_THRESHOLD: usize = 4_096;
 
+/// Largest outcome query, in bytes.
+const MAX_QUERY_BYTES: usize = 4 * 1024;
+
 /// Body of an outcome query.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct SettleRequest {
@@ -242,7 +245,9 @@
 
 /// Answers an outcome query of an entry daemon.
 pub async fn answer(relay: &Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
-    let query = request.into_body().collect().await;
+    let query = Limited::new(request.into_body(), MAX_QUERY_BYTES)
+        .collect()
+        .await;
     let query = query.ok().and_then(|whole| {
         let bytes = whole.to_bytes();
         serde_json::from_slice::<SettleRequest>(&bytes).ok()
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,8 @@
 const ACK_TIMEOUT_MS: u64 = 1_000;
 /// Duration of a timed run if the path gives none.
 const DEFAULT_RUN_DURATION: Duration = Duration::from_secs(1);
+/// Bytes sent at a time by a behaviour without end.
+const ENDLESS_CHUNK_BYTES: usize = 16 * 1024;
 /// Value of the signature header of a signed answer.
 const SIGNATURE: &str = "stand-in.1";
 
@@ -55,6 +58,16 @@
     FailLate,
     /// Run and answer without a content length; the body ends when the connection closes.
     Unframed,
+    /// Run and send informational answers until the connection closes.
+    EndlessHeads,
+    /// Run and send one header line after the other until the connection closes.
+    EndlessHead,
+    /// Run and send bytes that are no answer until the connection closes.
+    EndlessJunk,
+    /// Refuse the request without running it, with a body that never ends.
+    EndlessRefusal,
+    /// Run and answer, then send bytes until the connection closes.
+    EndlessExtra,
 }
 
 /// A request that was run.
@@ -85,6 +98,8 @@
     runs: Mutex<Vec<Run>>,
     misdirected: Mutex<u32>,
     abandoned: Mutex<u32>,
+    endless_streams: AtomicUsize,
+    endless_bytes: AtomicU64,
 }
 
 /// A running stand-in backend server. Dropping it closes its listener.
@@ -113,6 +128,8 @@
             runs: Mutex::default(),
             misdirected: Mutex::default(),
             abandoned: Mutex::default(),
+            endless_streams: AtomicUsize::new(0),
+            endless_bytes: AtomicU64::new(0),
         });
         let task = tokio::spawn(accept(listener, Arc::clone(&shared)));
         Ok(StandInWorker {
@@ -149,6 +166,16 @@
         *lock(&self.shared.abandoned)
     }
 
+    /// Number of connections on which it is sending bytes without end.
+    pub fn endless_streams(&self) -> usize {
+        self.shared.endless_streams.load(Ordering::Relaxed)
+    }
+
+    /// Number of bytes sent so far on such connections, in whole chunks.
+    pub fn endless_bytes(&self) -> u64 {
+        self.shared.endless_bytes.load(Ordering::Relaxed)
+    }
+
     /// Sends one heartbeat to the daemon. Returns the status of the answer, or 0 without an answer.
     pub async fn send_heartbeat(
         &self,
@@ -249,7 +276,7 @@
         }
         let id = received.header("x-request-id").to_owned();
         let behaviour = received.behaviour();
-        if behaviour != Behaviour::Shed {
+        if !matches!(behaviour, Behaviour::Shed | Behaviour::EndlessRefusal) {
             let mut run = received.run.clone();
             run.instance = instance;
             lock(&shared.runs).push(run);
@@ -302,6 +329,30 @@
             }
             Behaviour::Unsigned => (format!("{ok}{echoed}{length}"), body),
             Behaviour::False503 => (format!("{unavailable}{echoed}{length}"), body),
+            Behaviour::EndlessHeads => {
+                return send_endlessly(&mut stream, "HTTP/1.1 103 Early Hints\r\n\r\n", shared)
+                    .await;
+            }
+            Behaviour::EndlessHead => {
+                stream.write_all(ok.as_bytes()).await?;
+                return send_endlessly(&mut stream, "x-more: more\r\n", shared).await;
+            }
+            Behaviour::EndlessJunk => {
+                return send_endlessly(&mut stream, "no answer at all ", shared).await;
+            }
+            Behaviour::EndlessRefusal => {
+                let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
+                let head = format!("{head}transfer-encoding: chunked\r\n\r\n");
+                stream.write_all(head.as_bytes()).await?;
+                return send_endlessly(&mut stream, "8\r\nendless \r\n", shared).await;
+            }
+            Behaviour::EndlessExtra => {
+                stream
+                    .write_all(format!("{ok}{signed}{length}").as_bytes())
+                    .await?;
+                stream.write_all(&body).await?;
+                return send_endlessly(&mut stream, "after the answer ", shared).await;
+            }
             Behaviour::Unframed => {
                 let head = format!("{ok}{signed}\r\n");
                 stream.write_all(head.as_bytes()).await?;
@@ -315,6 +366,39 @@
     Ok(())
 }
 
+/// Sends a text again and again until the other side closes the connection.
+async fn send_endlessly(
+    stream: &mut TcpStream,
+    text: &str,
+    shared: &Shared,
+) -> std::io::Result<()> {
+    let _open = OpenStream::new(&shared.endless_streams);
+    let chunk = text.repeat(ENDLESS_CHUNK_BYTES / text.len());
+    loop {
+        stream.write_all(chunk.as_bytes()).await?;
+        let sent_bytes = chunk.len() as u64;
+        shared
+            .endless_bytes
+            .fetch_add(sent_bytes, Ordering::Relaxed);
+    }
+}
+
+/// Counts a connection on which bytes are sent without end, until it is dropped.
+struct OpenStream<'a>(&'a AtomicUsize);
+
+impl OpenStream<'_> {
+    fn new(count: &AtomicUsize) -> OpenStream<'_> {
+        count.fetch_add(1, Ordering::Relaxed);
+        OpenStream(count)
+    }
+}
+
+impl Drop for OpenStream<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 /// Reads one request, whose body needs a content length. Returns `None` at the end of the
 /// connection.
 async fn receive(
