--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -1,10 +1,12 @@
 //! Membership directory: the daemons of the deployment, each with its backend server.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::ops::Bound;
 
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoStaticStr};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::model::{Distance, Place, ServiceName, TimeMs};
 
@@ -44,6 +46,13 @@
     pub state: MemberState,
 }
 
+impl Member {
+    /// Whether the daemon is neither stopped nor gone.
+    pub fn is_active(&self) -> bool {
+        !matches!(self.state, MemberState::Gone | MemberState::Stopped)
+    }
+}
+
 /// A member with local information that is not published.
 #[derive(Debug, Clone)]
 pub struct MemberEntry {
@@ -53,15 +62,23 @@
     pub distance: Distance,
     /// Time when the record was received.
     pub received_at: TimeMs,
+    /// Number of the change that brought this record; see [`Directory::changes_since`].
+    pub change: u64,
 }
 
-/// All members known to this daemon, indexed by service.
+/// All members known to this daemon, indexed by service, by availability zone and by change. Each
+/// change costs time logarithmic in the number of members.
 #[derive(Debug)]
 pub struct Directory {
     own_address: SocketAddr,
     place: Place,
     members: HashMap<SocketAddr, MemberEntry>,
-    by_service: HashMap<ServiceName, Vec<SocketAddr>>,
+    ready: HashMap<ServiceName, BTreeSet<SocketAddr>>,
+    active: BTreeMap<Place, BTreeSet<SocketAddr>>,
+    active_count: usize,
+    changes: BTreeMap<u64, SocketAddr>,
+    last_change: u64,
+    digest: u64,
 }
 
 impl Directory {
@@ -71,7 +88,12 @@
             own_address,
             place,
             members: HashMap::new(),
-            by_service: HashMap::new(),
+            ready: HashMap::new(),
+            active: BTreeMap::new(),
+            active_count: 0,
+            changes: BTreeMap::new(),
+            last_change: 0,
+            digest: 0,
         }
     }
 
@@ -81,41 +103,32 @@
         if known.is_some_and(|known| known.member.revision >= member.revision) {
             return false;
         }
-        let distance = Distance::between(&self.place, &member.place);
-        let address = member.address;
-        self.members.insert(
-            address,
-            MemberEntry {
-                member,
-                distance,
-                received_at: now,
-            },
-        );
-        self.rebuild_index();
+        self.take_out(member.address);
+        self.last_change += 1;
+        let entry = MemberEntry {
+            distance: Distance::between(&self.place, &member.place),
+            received_at: now,
+            change: self.last_change,
+            member,
+        };
+        self.put_in(entry);
         true
     }
 
     /// Removes a member; returns false if it is not known.
     pub fn remove(&mut self, address: SocketAddr) -> bool {
-        let removed = self.members.remove(&address).is_some();
-        if removed {
-            self.rebuild_index();
-        }
-        removed
+        self.take_out(address).is_some()
     }
 
     /// Members of a service that accept requests, ordered by address.
     pub fn ready<'a>(&'a self, service: &ServiceName) -> impl Iterator<Item = &'a MemberEntry> {
-        let addresses = self.by_service.get(service).map(Vec::as_slice);
-        addresses
-            .unwrap_or_default()
-            .iter()
-            .filter_map(|address| self.members.get(address))
+        let addresses = self.ready.get(service).into_iter().flatten();
+        addresses.filter_map(|address| self.members.get(address))
     }
 
     /// Number of members of a service that accept requests.
     pub fn ready_count(&self, service: &ServiceName) -> usize {
-        self.by_service.get(service).map_or(0, Vec::len)
+        self.ready.get(service).map_or(0, BTreeSet::len)
     }
 
     /// Looks up a member by its hop address.
@@ -128,26 +141,84 @@
         self.members.values()
     }
 
-    /// Addresses of the other daemons that are neither stopped nor gone.
-    pub fn peers(&self) -> Vec<SocketAddr> {
-        let others = self.members.values().filter(|known| {
-            let is_active = !matches!(known.member.state, MemberState::Gone | MemberState::Stopped);
-            known.member.address != self.own_address && is_active
-        });
-        others.map(|known| known.member.address).collect()
+    /// Number of daemons that are neither stopped nor gone, this one included if it is known.
+    pub fn active_count(&self) -> usize {
+        self.active_count
     }
 
-    fn rebuild_index(&mut self) {
-        self.by_service.clear();
-        for known in self.members.values() {
-            if known.member.state == MemberState::Ready {
-                let service = known.member.service.clone();
-                let addresses = self.by_service.entry(service).or_default();
-                addresses.push(known.member.address);
-            }
+    /// Availability zones with daemons that are neither stopped nor gone, and their hop addresses,
+    /// ordered by region, zone and address. This daemon is included.
+    pub fn active_zones(&self) -> impl Iterator<Item = (&Place, &BTreeSet<SocketAddr>)> {
+        self.active.iter()
+    }
+
+    /// Hop addresses of the active daemons in this daemon's availability zone, itself included.
+    pub fn active_in_own_zone(&self) -> impl Iterator<Item = SocketAddr> {
+        self.active.get(&self.place).into_iter().flatten().copied()
+    }
+
+    /// Region and availability zone of this daemon.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Hop address of this daemon.
+    pub fn own_address(&self) -> SocketAddr {
+        self.own_address
+    }
+
+    /// Number of the newest change; increases with each record that was merged.
+    pub fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// Records merged after the change with this number, oldest change first.
+    pub fn changes_since(&self, change: u64) -> impl Iterator<Item = &Member> {
+        let later = self
+            .changes
+            .range((Bound::Excluded(change), Bound::Unbounded));
+        later.filter_map(|(_, address)| Some(&self.members.get(address)?.member))
+    }
+
+    /// Digest of all addresses and revisions; equal for directories with the same records.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    fn put_in(&mut self, entry: MemberEntry) {
+        let member = &entry.member;
+        let address = member.address;
+        if member.state == MemberState::Ready {
+            let addresses = self.ready.entry(member.service.clone()).or_default();
+            addresses.insert(address);
         }
-        for addresses in self.by_service.values_mut() {
-            addresses.sort_unstable();
+        if member.is_active() {
+            let addresses = self.active.entry(member.place.clone()).or_default();
+            self.active_count += usize::from(addresses.insert(address));
         }
+        self.digest ^= record_hash(member);
+        self.changes.insert(entry.change, address);
+        self.members.insert(address, entry);
     }
+
+    fn take_out(&mut self, address: SocketAddr) -> Option<MemberEntry> {
+        let entry = self.members.remove(&address)?;
+        self.changes.remove(&entry.change);
+        let member = &entry.member;
+        self.digest ^= record_hash(member);
+        if let Some(addresses) = self.ready.get_mut(&member.service) {
+            addresses.remove(&address);
+        }
+        if let Some(addresses) = self.active.get_mut(&member.place) {
+            self.active_count -= usize::from(addresses.remove(&address));
+            if addresses.is_empty() {
+                self.active.remove(&member.place);
+            }
+        }
+        Some(entry)
+    }
+}
+
+fn record_hash(member: &Member) -> u64 {
+    xxh3_64_with_seed(member.address.to_string().as_bytes(), member.revision)
 }
--- /dev/null
+++ b/src/decide/relay/readers.rs
@@ -0,0 +1,204 @@
+//! Chooses which daemons read the log service: a few in each availability zone. The others follow
+//! a reader of their zone. Each daemon decides by what it believes about the zone; two daemons that
+//! disagree cost some calls to the log service or a short delay.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::directory::Directory;
+use crate::model::{Distance, Place, TimeMs};
+
+/// Readers in each availability zone, whatever its size.
+const MIN_ZONE_READERS: usize = 2;
+/// Daemons of a zone for each reader beyond those, which bounds the followers of one reader.
+const DAEMONS_PER_READER: usize = 128;
+/// How long a daemon without an answer from a reader that reaches the log service waits before it
+/// reads by itself, in milliseconds. Below the time within which a configuration must be in force.
+const UNHEARD_MS: u64 = 1_200;
+/// How long a daemon that does not answer is passed over: the first time and at most, in
+/// milliseconds.
+const SILENT_MS: (u64, u64) = (2_000, 16_000);
+/// How long a daemon that answers but does not reach the log service is passed over, in
+/// milliseconds.
+const NO_LOG_MS: u64 = 1_000;
+/// Interval at which some reader of the deployment starts a new read of a topic, in milliseconds:
+/// a hanging read of one reader is noticed by what another has read.
+const FRESH_READ_MS: u64 = 1_000;
+/// Longest wait of one read for new records, in milliseconds.
+const MAX_WAIT_MS: u64 = 10_000;
+/// Every how many polls during an outage of the log service a daemon of another region is asked.
+const FAR_POLL_INTERVAL: u64 = 4;
+
+/// Where a daemon gets configurations and member records from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ReadingPlan {
+    /// Whether it reads the log service.
+    pub reads_log: bool,
+    /// The reader of its zone that it follows; a reader follows another one.
+    pub follows: Option<SocketAddr>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Passed {
+    until: TimeMs,
+    failures: u32,
+}
+
+/// What this daemon believes about the readers of its availability zone.
+#[derive(Debug, Default)]
+pub struct Readers {
+    passed_over: HashMap<SocketAddr, Passed>,
+    /// When a reader that reaches the log service last answered.
+    heard_at: Option<TimeMs>,
+    outage_polls: u64,
+}
+
+impl Readers {
+    /// Decides whether this daemon reads the log service, and whom it follows.
+    pub fn plan(&self, now: TimeMs, directory: &Directory) -> ReadingPlan {
+        let own = directory.own_address();
+        let readers = self.zone_readers(now, directory);
+        let others = readers.iter().copied().filter(|reader| *reader != own);
+        // Spreads the followers over the readers.
+        let follows = others.max_by_key(|reader| pair_hash(own, *reader));
+        let is_heard = self
+            .heard_at
+            .is_some_and(|at| now.since_ms(at) < UNHEARD_MS);
+        ReadingPlan {
+            reads_log: readers.contains(&own) || !is_heard,
+            follows,
+        }
+    }
+
+    /// Records an answer of a reader; `reaches_log` tells whether it reads the log service now.
+    pub fn answered(&mut self, now: TimeMs, reader: SocketAddr, reaches_log: bool) {
+        if reaches_log {
+            self.heard_at = Some(now);
+            self.passed_over.remove(&reader);
+            return;
+        }
+        self.pass_over(now, reader, NO_LOG_MS, 0);
+    }
+
+    /// Records that a reader has not answered.
+    pub fn failed(&mut self, now: TimeMs, reader: SocketAddr) {
+        let known = self.passed_over.get(&reader);
+        let failures = known.map_or(0, |passed| passed.failures);
+        let (first_ms, longest_ms) = SILENT_MS;
+        let wait_ms = (first_ms << failures.min(8)).min(longest_ms);
+        self.pass_over(now, reader, wait_ms, failures + 1);
+    }
+
+    /// How long a read of the log service waits for new records, in milliseconds. The readers of the
+    /// whole deployment together start one read each [`FRESH_READ_MS`]; a daemon on its own does so
+    /// at half of it, since nobody else would notice that its read hangs.
+    pub fn wait_ms(directory: &Directory) -> u64 {
+        let zones = directory.active_zones();
+        let readers: u64 = zones
+            .map(|(_, daemons)| zone_reader_count(daemons.len()).min(daemons.len()) as u64)
+            .sum();
+        if readers <= 1 {
+            return FRESH_READ_MS / 2;
+        }
+        (readers * FRESH_READ_MS).min(MAX_WAIT_MS)
+    }
+
+    /// Chooses whom to ask for changes while the log service is unavailable: readers of this region
+    /// in turn, now and then one of another region.
+    pub fn next_outage_peer(&mut self, now: TimeMs, directory: &Directory) -> Option<SocketAddr> {
+        self.outage_polls += 1;
+        let is_far = self.outage_polls.is_multiple_of(FAR_POLL_INTERVAL);
+        let polls = self.outage_polls as usize;
+        let (far, near): (Vec<_>, Vec<_>) = self
+            .spread_targets(now, directory)
+            .into_iter()
+            .partition(|(distance, _)| *distance == Distance::OtherRegion);
+        let chosen = if (is_far || near.is_empty()) && !far.is_empty() {
+            &far[(polls / FAR_POLL_INTERVAL as usize) % far.len()]
+        } else {
+            near.get(polls % near.len().max(1))?
+        };
+        Some(chosen.1)
+    }
+
+    /// Daemons that a changed record is sent to while the log service is unavailable: the readers of
+    /// this region's zones, and one reader of each zone elsewhere.
+    pub fn spread_targets(
+        &self,
+        now: TimeMs,
+        directory: &Directory,
+    ) -> Vec<(Distance, SocketAddr)> {
+        let own = directory.own_address();
+        let mut targets = Vec::new();
+        for (place, daemons) in directory.active_zones() {
+            let distance = Distance::between(directory.place(), place);
+            let most = match distance {
+                Distance::OtherRegion => 1,
+                Distance::SameZone | Distance::SameRegion => MIN_ZONE_READERS,
+            };
+            let others = daemons.iter().copied().filter(|daemon| *daemon != own);
+            let ranked = self.ranked(now, place, others);
+            let chosen = ranked.into_iter().take(most);
+            targets.extend(chosen.map(|daemon| (distance, daemon)));
+        }
+        targets
+    }
+
+    fn zone_readers(&self, now: TimeMs, directory: &Directory) -> Vec<SocketAddr> {
+        let own = directory.own_address();
+        let daemons: Vec<_> = directory.active_in_own_zone().collect();
+        let count = zone_reader_count(daemons.len());
+        let usable = daemons
+            .into_iter()
+            .filter(|daemon| *daemon == own || !self.is_passed_over(now, *daemon));
+        let mut ranked: Vec<_> = usable.collect();
+        ranked
+            .sort_by_cached_key(|daemon| std::cmp::Reverse(zone_hash(directory.place(), *daemon)));
+        ranked.truncate(count);
+        ranked
+    }
+
+    /// Daemons of a zone, the most likely readers first, those passed over last.
+    fn ranked(
+        &self,
+        now: TimeMs,
+        place: &Place,
+        daemons: impl Iterator<Item = SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let mut ranked: Vec<_> = daemons.collect();
+        ranked.sort_by_cached_key(|daemon| {
+            let is_passed_over = self.is_passed_over(now, *daemon);
+            (is_passed_over, std::cmp::Reverse(zone_hash(place, *daemon)))
+        });
+        ranked
+    }
+
+    fn pass_over(&mut self, now: TimeMs, reader: SocketAddr, wait_ms: u64, failures: u32) {
+        let until = now.plus_ms(wait_ms);
+        self.passed_over.insert(reader, Passed { until, failures });
+        // Entries of daemons that are gone for good are dropped long after their time.
+        let longest_ms = 4 * SILENT_MS.1;
+        self.passed_over
+            .retain(|_, passed| now.since_ms(passed.until) < longest_ms);
+    }
+
+    fn is_passed_over(&self, now: TimeMs, daemon: SocketAddr) -> bool {
+        let passed = self.passed_over.get(&daemon);
+        passed.is_some_and(|passed| now < passed.until)
+    }
+}
+
+fn zone_reader_count(daemons: usize) -> usize {
+    MIN_ZONE_READERS + daemons / DAEMONS_PER_READER
+}
+
+/// Rendezvous hash of a daemon in its zone.
+fn zone_hash(place: &Place, daemon: SocketAddr) -> u64 {
+    xxh3_64(format!("{} {daemon}", place.zone.as_str()).as_bytes())
+}
+
+fn pair_hash(follower: SocketAddr, reader: SocketAddr) -> u64 {
+    xxh3_64(format!("{follower} {reader}").as_bytes())
+}
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -211,7 +211,7 @@
     if tables.share(now, &call.root.route) < 1.0 {
         return false;
     }
-    let daemons = tables.directory.peers().len() + 1;
+    let daemons = tables.directory.active_count().max(1);
     let workers = tables.directory.ready(call.service);
     let workers = workers.map(|known| known.member.address);
     let arrived = tables.load_balancer.arrivals(now, workers);
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -1,5 +1,5 @@
-//! Follows the configuration and the member records in the log service. While the log service is
-//! unavailable, the last known ones stay in force.
+//! Reads the configuration and the member records in the log service, on daemons that are readers.
+//! While the log service is unavailable, the last known ones stay in force.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -7,29 +7,30 @@
 
 use bytes::Bytes;
 use rand::RngExt;
+use tokio::sync::watch;
 
-use super::log_progress::LogProgress;
+use super::log_progress::{LogPosition, LogProgress};
 use super::record_log::{KeyedRecord, RecordLog, RecordLogError, Tail};
 use super::state::Relay;
-use crate::decide::relay::{Member, RouteTable};
+use crate::decide::relay::{Member, Readers, RouteTable};
 
 /// Topic of the member records, one per daemon, keyed by its address.
 pub const MEMBERS_TOPIC: &str = "keyed.burdockhall-members";
-/// Long-poll timeout of a read, in milliseconds.
-const WAIT_MS: u64 = 20_000;
-/// Long-poll timeout while no peer is known, in milliseconds. Without a peer that is ahead, a
-/// hanging read cannot be detected.
-const NO_PEER_WAIT_MS: u64 = 1_000;
 /// First and longest backoff after a failed call, in milliseconds.
 const BACKOFF_MS: (u64, u64) = (100, 1_000);
+/// Long-poll timeout of the first read after a failed one, in milliseconds.
+const RETRY_WAIT_MS: u64 = 500;
 /// Pause between two reads of member records, in milliseconds, so that one call returns many
 /// changes. The delay is acceptable because a daemon that refuses a request sends its newest
 /// record with the refusal.
-const MEMBERS_READ_PAUSE_MS: u64 = 2_000;
+const MEMBERS_READ_PAUSE_MS: u64 = 1_000;
 /// The same shortly after the start of this daemon, when other daemons may be starting too.
-const STARTUP_READ_PAUSE_MS: u64 = 100;
+const STARTUP_READ_PAUSE_MS: u64 = 300;
 /// How long after the start the shorter pause applies, in milliseconds.
 const STARTUP_MS: u64 = 5_000;
+/// Longest delay after which a record is written again that the log service has lost, in
+/// milliseconds; random, so that not all daemons write at once.
+const REWRITE_DELAY_MS: u64 = 1_000;
 
 /// Where the configuration is stored, and how it is decoded.
 #[derive(Debug, Clone, Copy)]
@@ -67,7 +68,16 @@
             source.install(&relay, value, "log");
         }
     };
-    follow(&relay, &log, source.topic, None, apply).await;
+    let pause_ms = |_| 0;
+    follow(
+        &relay,
+        &log,
+        source.topic,
+        &relay.config_read,
+        pause_ms,
+        apply,
+    )
+    .await;
 }
 
 /// Follows the member records until the runtime ends.
@@ -88,52 +98,67 @@
             }
         }
     };
-    let progress = Some(&relay.members_read);
-    follow(&relay, &log, MEMBERS_TOPIC, progress, apply).await;
+    let pause_ms = |up_ms| {
+        if up_ms < STARTUP_MS {
+            STARTUP_READ_PAUSE_MS
+        } else {
+            MEMBERS_READ_PAUSE_MS
+        }
+    };
+    let progress = &relay.members_read;
+    follow(&relay, &log, MEMBERS_TOPIC, progress, pause_ms, apply).await;
 }
 
+/// Reads a topic while this daemon is a reader, until the runtime ends. `pause_ms` is the pause after
+/// a read, by the uptime of this daemon.
 async fn follow<L: RecordLog>(
     relay: &Relay,
     log: &L,
     topic: &str,
-    progress: Option<&LogProgress>,
+    progress: &LogProgress,
+    pause_ms: impl Fn(u64) -> u64,
     apply: impl Fn(&KeyedRecord),
 ) {
-    let started = relay.clock.now();
+    let mut reads_log = relay.reads_log.subscribe();
     let mut failures = 0;
-    let mut next_offset: Option<u64> = None;
+    let mut next: Option<LogPosition> = None;
     loop {
-        let read = match next_offset {
-            None => log
-                .newest(topic)
-                .await
-                .map(|snapshot| (snapshot.records, snapshot.next_offset)),
+        if !*reads_log.borrow() {
+            // The sender lives as long as the relay, so an error means that the relay is gone.
+            let _ = reads_log.wait_for(|reads_log| *reads_log).await;
+            // The reader that was followed has read up to here.
+            next = next.map(|next| next.max(progress.own()));
+        }
+        let read = match next {
+            None => {
+                let snapshot = log.newest(topic).await;
+                snapshot.map(|snapshot| (snapshot.records, snapshot.next))
+            }
             Some(from) => {
-                let tail = tail(relay, log, topic, from, progress).await;
-                tail.map(|tail| (tail.records, tail.next_offset))
+                let tail = tail(relay, log, topic, from, progress, failures).await;
+                tail.map(|tail| (tail.records, tail.next))
             }
         };
         match read {
-            Ok((records, next)) => {
+            Ok((records, read_to)) => {
                 failures = 0;
-                next_offset = Some(next);
+                relay.observe_era(read_to.era());
                 record_log_recovery(relay, topic);
+                // Offsets of an earlier era mean nothing in this one.
+                let is_new_era = next.is_some_and(|next| next.era() != read_to.era());
+                next = (!is_new_era).then_some(read_to);
                 records.iter().for_each(&apply);
-                let Some(progress) = progress else { continue };
-                progress.advance_own(next);
-                let is_starting = relay.clock.now().since_ms(started) < STARTUP_MS;
-                let pause_ms = if is_starting {
-                    STARTUP_READ_PAUSE_MS
-                } else {
-                    MEMBERS_READ_PAUSE_MS
-                };
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                if !is_new_era {
+                    progress.advance_own(read_to);
+                    let up_ms = relay.clock.now().since_ms(relay.started);
+                    tokio::time::sleep(Duration::from_millis(pause_ms(up_ms))).await;
+                }
             }
             Err(RecordLogError::Expired { first_offset }) => {
                 spdlog::warn!("records expired before they were read; reading a snapshot", kv: {
                     topic, first_offset
                 });
-                next_offset = None;
+                next = None;
             }
             Err(error) => {
                 failures += 1;
@@ -149,17 +174,14 @@
     relay: &Relay,
     log: &L,
     topic: &str,
-    from: u64,
-    progress: Option<&LogProgress>,
+    from: LogPosition,
+    progress: &LogProgress,
+    failures: u32,
 ) -> Result<Tail, RecordLogError> {
-    let Some(progress) = progress else {
-        return log.tail(topic, from, WAIT_MS).await;
-    };
-    let has_no_peer = relay.tables().directory.peers().is_empty();
-    let wait_ms = if has_no_peer {
-        NO_PEER_WAIT_MS
+    let wait_ms = if failures > 0 {
+        RETRY_WAIT_MS
     } else {
-        WAIT_MS
+        Readers::wait_ms(&relay.tables().directory)
     };
     tokio::select! {
         tail = log.tail(topic, from, wait_ms) => tail,
@@ -170,10 +192,24 @@
     }
 }
 
-/// Publishes this daemon's record whenever it changes, until it is acknowledged.
+/// Publishes this daemon's record whenever it changes, and again when the log service has lost it,
+/// until it is acknowledged.
 pub async fn publish<L: RecordLog>(relay: Arc<Relay>, log: L) {
+    let mut log_era = relay.log_era.subscribe();
+    let mut written_era = None;
     loop {
-        relay.record_changed.notified().await;
+        tokio::select! {
+            () = relay.record_changed.notified() => {}
+            era = next_era(&mut log_era, written_era) => {
+                let is_first = written_era.is_none();
+                written_era = Some(era);
+                if is_first {
+                    continue;
+                }
+                let delay_ms = relay.tables().rng.random_range(0..=REWRITE_DELAY_MS);
+                tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+            }
+        }
         let mut failures = 0;
         while let Some(member) = relay.own_member() {
             let revision = member.revision;
@@ -183,11 +219,14 @@
             };
             let key = member.address.to_string();
             match log.put(MEMBERS_TOPIC, &key, Some(&value)).await {
-                Ok(()) => {
+                Ok(era) => {
+                    relay.observe_era(era);
+                    written_era = written_era.max(Some(era));
+                    record_log_recovery(&relay, MEMBERS_TOPIC);
                     let is_newest = relay
                         .own_member()
                         .is_none_or(|now| now.revision == revision);
-                    spdlog::info!("published this daemon's member record", kv: { revision });
+                    spdlog::info!("published this daemon's member record", kv: { revision, era });
                     if is_newest {
                         break;
                     }
@@ -205,17 +244,32 @@
     }
 }
 
+/// Waits for an era of the log service later than `known`.
+async fn next_era(log_era: &mut watch::Receiver<Option<u64>>, known: Option<u64>) -> u64 {
+    let newer = log_era.wait_for(|era| *era > known).await;
+    match newer.ok().and_then(|era| *era) {
+        Some(era) => era,
+        // The relay is gone.
+        None => std::future::pending().await,
+    }
+}
+
 fn record_log_failure(relay: &Relay, topic: &str, error: &RecordLogError) {
     if !relay.log_unavailable.swap(true, Ordering::Relaxed) {
         let error = error.to_string();
         spdlog::warn!("the log service is lost", kv: { topic, error });
         relay.peer_poll_needed.notify_one();
+        relay.state_changed.notify_waiters();
     }
 }
 
 fn record_log_recovery(relay: &Relay, topic: &str) {
+    let is_first = !relay.has_read_log.swap(true, Ordering::Relaxed);
     if relay.log_unavailable.swap(false, Ordering::Relaxed) {
         spdlog::info!("the log service answers again", kv: { topic });
+        relay.state_changed.notify_waiters();
+    } else if is_first {
+        relay.state_changed.notify_waiters();
     }
 }
 
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -13,6 +13,7 @@
 
 use super::body::RelayBody;
 use super::executor::{self, ExecutionOutcome, LocalRequest};
+use super::log_progress::LogPosition;
 use super::state::{Relay, Tables};
 use super::{peers, settle};
 use crate::decide::relay::{Arrivals, Member, Reporter, RootRequest, ShareReport};
@@ -112,9 +113,10 @@
     /// Configuration version of the answering daemon.
     #[serde(rename = "v")]
     pub config: u64,
-    /// Offset up to which the answering daemon has read the member records.
+    /// Position up to which the answering daemon has read the member records, or the reader that it
+    /// follows.
     #[serde(rename = "n", default)]
-    pub members_read: u64,
+    pub members_read: LogPosition,
     /// Uptime of the answering daemon, in milliseconds; only in answers to outcome queries, where
     /// it shows whether the daemon was already running when the request was sent.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
@@ -129,7 +131,7 @@
 pub async fn handle(relay: Arc<Relay>, mut request: Request<Incoming>) -> Response<RelayBody> {
     let Some(header) = request.headers_mut().remove(HOP_HEADER) else {
         return match request.uri().path() {
-            peers::STATE_PATH => peers::answer_state(&relay),
+            peers::STATE_PATH => peers::answer_state(&relay, request.uri()).await,
             peers::RECORD_PATH => peers::receive_record(&relay, request).await,
             settle::PATH => settle::answer(&relay, request).await,
             _ => empty_response(StatusCode::NOT_FOUND),
@@ -143,9 +145,7 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
-    if hop.config > relay.config_version() {
-        relay.peer_poll_needed.notify_one();
-    }
+    relay.observe_config(hop.config);
     let (parts, incoming) = request.into_parts();
     let local_request = LocalRequest::from_hop(&relay, parts, hop);
     let body = RelayBody::answer(incoming, None);
@@ -237,7 +237,7 @@
             arrivals: tables.arrivals.arrivals(now),
             shares,
             config,
-            members_read: self.members_read.own_offset(),
+            members_read: self.members_read.own(),
             up_ms: None,
             member,
         }
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -1,5 +1,6 @@
-//! Exchange of configuration and member records between daemons, while the log service is
-//! unavailable or when a reply shows that a peer has a newer configuration.
+//! Exchange of configuration and member records between daemons. Most daemons follow a reader of
+//! the log service in their availability zone by long polls; readers exchange changes with other
+//! readers while the log service is unavailable. An answer carries only what the other side lacks.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,57 +10,136 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use rand::seq::{IndexedRandom, SliceRandom};
 use serde::{Deserialize, Serialize};
 
 use super::body::{PooledConnection, RelayBody};
 use super::follow::ConfigSource;
 use super::hop::empty_response;
-use super::state::Relay;
+use super::log_progress::LogPosition;
+use super::state::{HeardChange, Relay};
 use crate::decide::relay::Member;
 
-/// Path of the query for the configuration and the member records of a daemon.
+/// Path of the query for the configuration and the member records of a daemon; its query part is a
+/// [`StateQuery`].
 pub const STATE_PATH: &str = "/burdockhall/state";
 /// Path to which a daemon pushes its own member record.
 pub const RECORD_PATH: &str = "/burdockhall/record";
-/// Poll interval while the log service is unavailable, in milliseconds.
+/// Poll interval while the log service is unavailable or a newer configuration is known to exist, in
+/// milliseconds.
 const POLL_MS: u64 = 500;
 /// Shortest time between two polls, in milliseconds.
 const MIN_POLL_MS: u64 = 100;
-/// Timeout of an exchange with a peer, in milliseconds.
+/// How long a newer configuration may take to arrive before it is fetched, in milliseconds.
+const CONFIG_DELAY_MS: u64 = 50;
+/// How long a poll of a followed reader waits for changes, in milliseconds. With the margin, a
+/// reader that has stopped is noticed well before a configuration must be in force.
+const FOLLOW_WAIT_MS: u64 = 1_000;
+/// Time after the wait in which the answer must arrive, in milliseconds.
+const FOLLOW_MARGIN_MS: u64 = 300;
+/// Pause between two polls of a followed reader, in milliseconds, so that one answer carries many
+/// changes.
+const FOLLOW_PAUSE_MS: u64 = 20;
+/// Longest pause while there is no reader to follow, in milliseconds.
+const NO_READER_PAUSE_MS: u64 = 300;
+/// Longest time that a poll of another daemon is held, in milliseconds.
+const MAX_HOLD_MS: u64 = 5_000;
+/// Timeout of an exchange with a peer that does not wait, in milliseconds.
 const TIMEOUT_MS: u64 = 1_000;
-/// Number of randomly chosen peers that a changed record is pushed to.
-const PUSH_FANOUT: usize = 24;
 /// Largest state or record that is read, in bytes.
 const MAX_STATE_BYTES: usize = 8 * 1024 * 1024;
 /// How long an idle connection to a peer is kept, in milliseconds.
 const KEEP_MS: u64 = 10_000;
 
-#[derive(Debug, Serialize, Deserialize)]
+/// What the asking daemon has already, so that it is not sent again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct StateQuery {
+    /// Start of the answering daemon that numbered the change below.
+    pub incarnation: u64,
+    /// Newest change of the answering daemon that was received; 0 for none.
+    pub change: u64,
+    /// Digest of the asking daemon's member records.
+    pub digest: u64,
+    /// Configuration version of the asking daemon.
+    pub config: u64,
+    /// Whether the asking daemon believes that the answering one reaches the log service.
+    pub reaches_log: bool,
+    /// How long to wait for something new, in milliseconds.
+    pub wait_ms: u64,
+}
+
+impl StateQuery {
+    /// Decodes the query part of a URI; what is missing or malformed counts as not known.
+    pub fn decode(uri: &Uri) -> StateQuery {
+        let mut decoded = StateQuery::default();
+        for pair in uri.query().unwrap_or_default().split('&') {
+            let Some((name, Ok(number))) = pair
+                .split_once('=')
+                .map(|(name, value)| (name, value.parse::<u64>()))
+            else {
+                continue;
+            };
+            match name {
+                "of" => decoded.incarnation = number,
+                "since" => decoded.change = number,
+                "digest" => decoded.digest = number,
+                "config" => decoded.config = number,
+                "log" => decoded.reaches_log = number > 0,
+                "wait" => decoded.wait_ms = number,
+                _ => {}
+            }
+        }
+        decoded
+    }
+
+    /// Encodes the path and the query part.
+    pub fn encode(&self) -> String {
+        let StateQuery {
+            incarnation,
+            change,
+            digest,
+            config,
+            reaches_log,
+            wait_ms,
+        } = self;
+        let log = u8::from(*reaches_log);
+        format!(
+            "{STATE_PATH}?of={incarnation}&since={change}&digest={digest}&config={config}&log={log}\
+             &wait={wait_ms}"
+        )
+    }
+}
+
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct State {
+    incarnation: u64,
+    /// Newest change of the answering daemon.
+    change: u64,
     config_version: u64,
-    /// The configuration's record as text; absent if this daemon has no configuration.
+    /// The configuration's record as text; absent if the asking daemon's is as new.
+    #[serde(skip_serializing_if = "Option::is_none")]
     config: Option<String>,
+    /// Records that the asking daemon may lack.
     members: Vec<Member>,
+    reaches_log: bool,
+    /// Newest era of the log service that the answering daemon knows.
+    era: Option<u64>,
+    config_read: LogPosition,
+    members_read: LogPosition,
 }
 
-/// Answers with the configuration and member records that this daemon knows.
-pub fn answer_state(relay: &Relay) -> Response<RelayBody> {
-    let configuration = relay.configuration.load();
-    let config = configuration.as_ref().map(|known| known.raw.clone());
-    let config = config.and_then(|raw| String::from_utf8(raw.to_vec()).ok());
-    let members = relay
-        .tables()
-        .directory
-        .all()
-        .map(|known| known.member.clone())
-        .collect();
-    let state = State {
-        config_version: relay.config_version(),
-        config,
-        members,
-    };
-    match serde_json::to_vec(&state) {
+/// Answers with what the asking daemon lacks; waits for something new if it lacks nothing.
+pub async fn answer_state(relay: &Relay, uri: &Uri) -> Response<RelayBody> {
+    let query = StateQuery::decode(uri);
+    let hold = Duration::from_millis(query.wait_ms.min(MAX_HOLD_MS));
+    let until = tokio::time::Instant::now() + hold;
+    loop {
+        let changed = relay.state_changed.notified();
+        if has_news(relay, &query) || tokio::time::timeout_at(until, changed).await.is_err() {
+            break;
+        }
+    }
+    match serde_json::to_vec(&lacking_state(relay, &query)) {
         Ok(bytes) => Response::new(RelayBody::Full(bytes.into())),
         Err(error) => {
             let error = error.to_string();
@@ -69,6 +149,50 @@
     }
 }
 
+fn has_news(relay: &Relay, query: &StateQuery) -> bool {
+    if relay.config_version() > query.config || relay.reaches_log() != query.reaches_log {
+        return true;
+    }
+    let tables = relay.tables();
+    let directory = &tables.directory;
+    let has_changed =
+        query.incarnation != relay.incarnation || directory.last_change() > query.change;
+    has_changed && directory.digest() != query.digest
+}
+
+fn lacking_state(relay: &Relay, query: &StateQuery) -> State {
+    // Read before the records, so that these are at least as new.
+    let (config_read, members_read) = (relay.config_read.own(), relay.members_read.own());
+    let configuration = relay.configuration.load();
+    let newer = configuration
+        .as_ref()
+        .filter(|known| known.table.version > query.config);
+    let config = newer.and_then(|known| String::from_utf8(known.raw.to_vec()).ok());
+    let tables = relay.tables();
+    let directory = &tables.directory;
+    let since = if query.incarnation == relay.incarnation {
+        query.change
+    } else {
+        0
+    };
+    let members = if directory.digest() == query.digest {
+        Vec::new()
+    } else {
+        directory.changes_since(since).cloned().collect()
+    };
+    State {
+        incarnation: relay.incarnation,
+        change: directory.last_change(),
+        config_version: relay.config_version(),
+        config,
+        members,
+        reaches_log: relay.reaches_log(),
+        era: *relay.log_era.borrow(),
+        config_read,
+        members_read,
+    }
+}
+
 /// Merges the member record that a peer has pushed.
 pub async fn receive_record(relay: &Relay, request: Request<Incoming>) -> Response<RelayBody> {
     let body = Limited::new(request.into_body(), MAX_STATE_BYTES)
@@ -86,69 +210,152 @@
     }
 }
 
-/// Polls random peers while the log service is unavailable, and when a peer has a newer
+/// Follows a reader of this availability zone, until the runtime ends.
+pub async fn follow_reader(relay: Arc<Relay>, source: ConfigSource) {
+    let mut reaches_log = false;
+    let mut last_reader = None;
+    loop {
+        let changed = relay.state_changed.notified();
+        let Some(reader) = relay.plan_reading().follows else {
+            let pause = Duration::from_millis(NO_READER_PAUSE_MS);
+            let _ = tokio::time::timeout(pause, changed).await;
+            continue;
+        };
+        if last_reader.replace(reader) != Some(reader) {
+            reaches_log = false;
+        }
+        let wait_ms = FOLLOW_WAIT_MS;
+        let polled = poll_peer(&relay, reader, source, reaches_log, wait_ms).await;
+        reaches_log = polled.as_ref().is_some_and(|state| state.reaches_log);
+        let now = relay.clock.now();
+        match polled {
+            Some(_) => relay.tables().readers.answered(now, reader, reaches_log),
+            None => relay.tables().readers.failed(now, reader),
+        }
+        tokio::time::sleep(Duration::from_millis(FOLLOW_PAUSE_MS)).await;
+    }
+}
+
+/// Polls other daemons while the log service is unavailable, and while one of them has a newer
 /// configuration.
 pub async fn poll_peers(relay: Arc<Relay>, source: ConfigSource) {
     loop {
         let woken = relay.peer_poll_needed.notified();
-        if relay.log_unavailable.load(Ordering::Relaxed) {
+        let is_unavailable = || relay.log_unavailable.load(Ordering::Relaxed);
+        let is_behind =
+            || relay.newest_config_seen.load(Ordering::Relaxed) > relay.config_version();
+        if is_unavailable() || is_behind() {
             let _ = tokio::time::timeout(Duration::from_millis(POLL_MS), woken).await;
         } else {
             woken.await;
         }
+        tokio::time::sleep(Duration::from_millis(CONFIG_DELAY_MS)).await;
+        if !is_unavailable() && !is_behind() {
+            continue;
+        }
+        let now = relay.clock.now();
         let peer = {
             let mut tables = relay.tables();
-            let peers = tables.directory.peers();
-            peers.choose(&mut tables.rng).copied()
+            let tables = &mut *tables;
+            tables.readers.next_outage_peer(now, &tables.directory)
         };
-        if let Some(peer) = peer {
-            poll_peer(&relay, peer, source).await;
+        if let Some(peer) = peer
+            && poll_peer(&relay, peer, source, false, 0).await.is_none()
+        {
+            relay.tables().readers.failed(relay.clock.now(), peer);
         }
         tokio::time::sleep(Duration::from_millis(MIN_POLL_MS)).await;
     }
 }
 
-async fn poll_peer(relay: &Arc<Relay>, peer: SocketAddr, source: ConfigSource) {
+/// Asks a daemon for what this one lacks and takes it over; `None` if it does not answer.
+async fn poll_peer(
+    relay: &Arc<Relay>,
+    peer: SocketAddr,
+    source: ConfigSource,
+    reaches_log: bool,
+    wait_ms: u64,
+) -> Option<State> {
+    let query = {
+        let tables = relay.tables();
+        let heard = tables.heard_changes.get(&peer);
+        StateQuery {
+            incarnation: heard.map_or(0, |heard| heard.incarnation),
+            change: heard.map_or(0, |heard| heard.change),
+            digest: tables.directory.digest(),
+            config: relay.config_version(),
+            reaches_log,
+            wait_ms,
+        }
+    };
     let mut request = Request::new(RelayBody::Empty);
-    *request.uri_mut() = Uri::from_static(STATE_PATH);
-    let Some(bytes) = exchange(relay, peer, request).await else {
-        return;
+    *request.uri_mut() = query.encode().parse().ok()?;
+    let timeout_ms = match wait_ms {
+        0 => TIMEOUT_MS,
+        wait_ms => wait_ms + FOLLOW_MARGIN_MS,
     };
-    match serde_json::from_slice::<State>(&bytes) {
-        Ok(state) => {
-            if state.config_version > relay.config_version()
-                && let Some(config) = state.config
-            {
-                source.install(relay, config.as_bytes(), "peer");
-            }
-            relay.merge_members(state.members, "peer");
-        }
+    let bytes = exchange(relay, peer, request, timeout_ms).await?;
+    let mut state = match serde_json::from_slice::<State>(&bytes) {
+        Ok(state) => state,
         Err(error) => {
             let error = error.to_string();
             spdlog::warn!("the state of a peer cannot be decoded", kv: { peer:, error });
+            return None;
         }
+    };
+    take_over(relay, peer, source, &mut state);
+    Some(state)
+}
+
+fn take_over(relay: &Relay, peer: SocketAddr, source: ConfigSource, state: &mut State) {
+    if state.config_version > relay.config_version()
+        && let Some(config) = state.config.take()
+    {
+        source.install(relay, config.as_bytes(), "peer");
+    }
+    relay.merge_members(std::mem::take(&mut state.members), "peer");
+    let (incarnation, change) = (state.incarnation, state.change);
+    let heard = HeardChange {
+        incarnation,
+        change,
+    };
+    relay.tables().heard_changes.insert(peer, heard);
+    if let Some(era) = state.era {
+        relay.observe_era(era);
+    }
+    if *relay.reads_log.borrow() {
+        // A reader notices here that its own reads hang.
+        relay.config_read.advance_peer(state.config_read);
+        relay.members_read.advance_peer(state.members_read);
+    } else {
+        relay.config_read.advance_own(state.config_read);
+        relay.members_read.advance_own(state.members_read);
     }
 }
 
-/// Pushes this daemon's changed record to random peers while the log service is unavailable.
+/// Pushes this daemon's changed record to readers of all zones while the log service is unavailable.
 pub async fn push_record(relay: &Arc<Relay>, member: &Member) {
-    let Ok(record) = serde_json::to_vec(member) else {
-        return;
+    let record = match serde_json::to_vec(member) {
+        Ok(record) => record,
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::error!("cannot encode this daemon's member record", kv: { error });
+            return;
+        }
     };
-    let mut peers = {
-        let mut tables = relay.tables();
-        let mut peers = tables.directory.peers();
-        peers.shuffle(&mut tables.rng);
-        peers
+    let targets = {
+        let tables = relay.tables();
+        tables
+            .readers
+            .spread_targets(relay.clock.now(), &tables.directory)
     };
-    peers.truncate(PUSH_FANOUT);
-    for peer in peers {
+    for (_, peer) in targets {
         let (relay, record) = (Arc::clone(relay), record.clone());
         tokio::spawn(async move {
             let mut request = Request::new(RelayBody::Full(record.into()));
             *request.method_mut() = Method::POST;
             *request.uri_mut() = Uri::from_static(RECORD_PATH);
-            exchange(&relay, peer, request).await;
+            exchange(&relay, peer, request, TIMEOUT_MS).await;
         });
     }
 }
@@ -158,6 +365,7 @@
     relay: &Arc<Relay>,
     peer: SocketAddr,
     request: Request<RelayBody>,
+    timeout_ms: u64,
 ) -> Option<Vec<u8>> {
     let exchange = async {
         let exchanged = relay.pool.exchange(peer, request, KEEP_MS).await;
@@ -173,12 +381,12 @@
         let whole = whole.map_err(|error| error.to_string())?;
         Ok::<_, String>(whole.to_bytes().to_vec())
     };
-    let timeout = Duration::from_millis(TIMEOUT_MS);
+    let timeout = Duration::from_millis(timeout_ms);
     let answered = tokio::time::timeout(timeout, exchange).await;
     let error = match answered {
         Ok(Ok(bytes)) => return Some(bytes),
         Ok(Err(error)) => error,
-        Err(_) => format!("no answer within {TIMEOUT_MS} ms"),
+        Err(_) => format!("no answer within {timeout_ms} ms"),
     };
     spdlog::info!("a peer does not answer", kv: { peer:, error });
     None
--- a/src/net/relay/record_log.rs
+++ b/src/net/relay/record_log.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use super::log_progress::LogPosition;
+
 /// A record of a keyed topic.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct KeyedRecord {
@@ -18,8 +20,8 @@
 pub struct Snapshot {
     /// One record per key, in no particular order.
     pub records: Vec<KeyedRecord>,
-    /// Offset to read from next; records from there on may already be in the snapshot.
-    pub next_offset: u64,
+    /// Where to read from next; records from there on may already be in the snapshot.
+    pub next: LogPosition,
 }
 
 /// Records from an offset on.
@@ -27,8 +29,9 @@
 pub struct Tail {
     /// The records, in order.
     pub records: Vec<KeyedRecord>,
-    /// Offset to read from next.
-    pub next_offset: u64,
+    /// Where to read from next. In an era other than the one read from, records may have been
+    /// skipped.
+    pub next: LogPosition,
 }
 
 /// Why a call to the log service failed.
@@ -54,24 +57,26 @@
     Malformed(String),
 }
 
-/// Client of a log service with keyed topics.
+/// Client of a log service with keyed topics. The log service may come back from a copy some
+/// seconds old; each time its era rises by one, and records acknowledged since are lost.
 pub trait RecordLog: Clone + Send + Sync + 'static {
     /// Reads the newest record of each key.
     fn newest(&self, topic: &str) -> impl Future<Output = Result<Snapshot, RecordLogError>> + Send;
 
-    /// Waits up to `wait_ms` for records from an offset on.
+    /// Waits up to `wait_ms` for records from a position on.
     fn tail(
         &self,
         topic: &str,
-        from_offset: u64,
+        from: LogPosition,
         wait_ms: u64,
     ) -> impl Future<Output = Result<Tail, RecordLogError>> + Send;
 
-    /// Appends a record; `None` as the value removes the key.
+    /// Appends a record and returns the era in which it was acknowledged; `None` as the value
+    /// removes the key.
     fn put(
         &self,
         topic: &str,
         key: &str,
         value: Option<&[u8]>,
-    ) -> impl Future<Output = Result<(), RecordLogError>> + Send;
+    ) -> impl Future<Output = Result<u64, RecordLogError>> + Send;
 }
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwapOption;
@@ -21,7 +21,8 @@
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::{
     Admission, Directory, EntryShares, Heartbeat, HeartbeatOutcome, LoadBalancer, LocalWorker,
-    Member, MemberState, RetryBudget, RetryWindow, RootRequest, RouteTable, WaiterId, WorkerShares,
+    Member, MemberState, Readers, ReadingPlan, RetryBudget, RetryWindow, RootRequest, RouteTable,
+    WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -87,6 +88,19 @@
     pub rng: Xoshiro256PlusPlus,
     /// Revision of this daemon's newest member record.
     pub revision: u64,
+    /// Beliefs about the daemons of this availability zone that read the log service.
+    pub readers: Readers,
+    /// Newest change that each daemon polled so far has sent.
+    pub heard_changes: HashMap<SocketAddr, HeardChange>,
+}
+
+/// The newest change of a peer's directory that this daemon has received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HeardChange {
+    /// The start of the peer that numbered the change.
+    pub incarnation: u64,
+    /// Number of the change.
+    pub change: u64,
 }
 
 impl Tables {
@@ -124,8 +138,20 @@
     pub record_changed: Notify,
     /// Wakes the task that polls peers, when one has a newer configuration or the log service fails.
     pub peer_poll_needed: Notify,
+    /// Wakes the polls of other daemons that wait for changes of this daemon's state.
+    pub state_changed: Notify,
+    /// Whether this daemon reads the log service or follows a reader.
+    pub reads_log: watch::Sender<bool>,
+    /// Whether the log service has answered since this daemon began to read it.
+    pub has_read_log: AtomicBool,
+    /// Newest era of the log service seen, also by peers; `None` until the first answer.
+    pub log_era: watch::Sender<Option<u64>>,
     /// How far this daemon and its peers have read the member records.
     pub members_read: LogProgress,
+    /// How far this daemon and its peers have read the configuration.
+    pub config_read: LogProgress,
+    /// Newest configuration version that another daemon has reported.
+    pub newest_config_seen: AtomicU64,
     /// Non-idempotent requests whose outcome may be queried.
     pub settlements: Settlements,
     /// Rate limiter of log lines about requests.
@@ -133,7 +159,7 @@
     /// Counters and histograms for the metrics listener.
     pub metrics: RelayMetrics,
     /// Whether the log service is unavailable.
-    pub log_unavailable: std::sync::atomic::AtomicBool,
+    pub log_unavailable: AtomicBool,
     /// Random offset of this daemon in low-discrepancy sequences, from 0 to 1.
     pub sequence_offset: f64,
     /// Identifies this daemon's worker in share reports; a hash of its hop address.
@@ -171,11 +197,17 @@
             stage: watch::Sender::new(Stage::Serving),
             record_changed: Notify::new(),
             peer_poll_needed: Notify::new(),
+            state_changed: Notify::new(),
+            reads_log: watch::Sender::new(true),
+            has_read_log: AtomicBool::new(false),
+            log_era: watch::Sender::new(None),
             members_read: LogProgress::default(),
+            config_read: LogProgress::default(),
+            newest_config_seen: AtomicU64::new(0),
             settlements: Settlements::default(),
             log_limiter: LogLimiter::default(),
             metrics: RelayMetrics::default(),
-            log_unavailable: std::sync::atomic::AtomicBool::new(false),
+            log_unavailable: AtomicBool::new(false),
             sequence_offset,
             worker_id: xxhash_rust::xxh3::xxh3_64(settings.hop_address.to_string().as_bytes())
                 as u32,
@@ -196,6 +228,8 @@
                 running: HashMap::new(),
                 rng,
                 revision: 0,
+                readers: Readers::default(),
+                heard_changes: HashMap::new(),
             }),
             settings: arc_swap::ArcSwap::from_pointee(settings),
         })
@@ -248,9 +282,62 @@
         self.configuration
             .store(Some(Arc::new(Configuration { table, raw })));
         spdlog::info!("a configuration is in force", kv: { from, to, routes, source });
+        self.state_changed.notify_waiters();
         true
     }
 
+    /// Records the configuration version of another daemon; a newer one is fetched.
+    pub fn observe_config(&self, version: u64) {
+        if version > self.config_version() {
+            self.newest_config_seen
+                .fetch_max(version, Ordering::Relaxed);
+            self.peer_poll_needed.notify_one();
+        }
+    }
+
+    /// Records the era of an answer of the log service, or one that a peer has seen.
+    pub fn observe_era(&self, era: u64) {
+        let before = *self.log_era.borrow();
+        let is_new = before.is_none_or(|before| before < era);
+        if is_new {
+            self.log_era.send_replace(Some(era));
+        }
+        if let Some(before) = before
+            && is_new
+        {
+            spdlog::warn!("the log service has come back from an older copy", kv: { before, era });
+        }
+    }
+
+    /// Decides whether this daemon reads the log service and whom it follows.
+    pub fn plan_reading(&self) -> ReadingPlan {
+        let plan = {
+            let tables = self.tables();
+            tables.readers.plan(self.clock.now(), &tables.directory)
+        };
+        let reads_log = plan.reads_log;
+        let has_changed = self
+            .reads_log
+            .send_if_modified(|before| std::mem::replace(before, reads_log) != reads_log);
+        if has_changed {
+            // What this daemon knew of the log service says nothing about it later.
+            self.has_read_log.store(false, Ordering::Relaxed);
+            self.log_unavailable.store(false, Ordering::Relaxed);
+            spdlog::info!("the source of configurations and member records has changed", kv: {
+                reads_log:
+            });
+        }
+        plan
+    }
+
+    /// Whether this daemon reads the log service and gets answers.
+    pub fn reaches_log(&self) -> bool {
+        *self.reads_log.borrow()
+            && self.has_read_log.load(Ordering::Relaxed)
+            && !self.log_unavailable.load(Ordering::Relaxed)
+            && *self.stage.borrow() == Stage::Serving
+    }
+
     /// Processes a heartbeat of the backend server beside this daemon.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
         let now = self.clock.now();
@@ -316,6 +403,9 @@
                 });
             }
         }
+        if newer > 0 {
+            self.state_changed.notify_waiters();
+        }
         newer
     }
 
@@ -329,6 +419,8 @@
 
     /// Restores the backend server from this daemon's own record of before its restart. The
     /// backend server may still run, and its deregistration may already have been acknowledged.
+    /// The log service may have lost newer records than the one it holds, so that a peer's copy may
+    /// have a higher revision than this daemon's own record; it is then published again above it.
     fn restore_worker(&self, tables: &mut Tables, now: TimeMs, member: &Member) {
         tables.revision = tables.revision.max(member.revision);
         if let Some(worker) = &mut tables.worker {
@@ -336,6 +428,17 @@
             if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
                 worker.restore_state(member.state);
             }
+            let state = worker.state;
+            let published = tables.directory.get(member.address);
+            let is_outdated = published.is_some_and(|published| {
+                let published = &published.member;
+                let is_superseded = published.revision <= member.revision && published != member;
+                let has_left = published.state == MemberState::Ready && state != published.state;
+                is_superseded || has_left
+            });
+            if is_outdated {
+                self.announce(tables, now);
+            }
             return;
         }
         if member.state == MemberState::Stopped {
@@ -386,6 +489,7 @@
         tables.revision = revision;
         tables.directory.merge(now, member);
         self.record_changed.notify_one();
+        self.state_changed.notify_waiters();
     }
 
     /// Publishes that this daemon is stopping.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -3,21 +3,30 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
 use base64::prelude::BASE64_STANDARD as BASE64;
 use bytes::{Buf, Bytes};
 use http_body_util::{BodyExt, Limited};
+use hyper::header::{HeaderMap, HeaderName};
 use hyper::{Method, Request, StatusCode};
 use serde::Deserialize;
 
 use crate::net::relay::body::PooledConnection;
+use crate::net::relay::log_progress::LogPosition;
 use crate::net::relay::pool::{ExchangeError, Pool};
 use crate::net::relay::{KeyedRecord, RecordLog, RecordLogError, RelayBody, Snapshot, Tail};
 
-/// Timeout of a call, in milliseconds; a long poll adds the time that it waits for records.
+/// Header of every answer: rises by one each time the log service comes back from an older copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
+/// Timeout of a call, in milliseconds.
 const TIMEOUT_MS: u64 = 2_000;
+/// Time after the wait of a long poll in which its answer must arrive, in milliseconds: short, so
+/// that a poll that hangs is noticed, and longer after polls that have timed out, since the log
+/// service may be slow.
+const POLL_MARGIN_MS: (u64, u64) = (500, 4_000);
 /// Idle timeout of a connection to the log service, in milliseconds.
 const IDLE_TIMEOUT_MS: u64 = 10_000;
 /// Maximum size of an answer, in bytes.
@@ -32,6 +41,17 @@
 pub struct Store {
     address: SocketAddr,
     pool: Arc<Pool>,
+    /// Newest era seen in an answer; an answer of an earlier one has been on its way for long.
+    era: Arc<AtomicU64>,
+    poll_timeouts: Arc<AtomicU32>,
+}
+
+/// An answer of the log service.
+#[derive(Debug)]
+struct Answer {
+    status: StatusCode,
+    era: u64,
+    body: Bytes,
 }
 
 #[derive(Debug, Deserialize)]
@@ -60,7 +80,12 @@
 impl Store {
     /// Creates a client of the log service at `address`; `pool` holds its connections.
     pub fn new(address: SocketAddr, pool: Arc<Pool>) -> Store {
-        Store { address, pool }
+        Store {
+            address,
+            pool,
+            era: Arc::default(),
+            poll_timeouts: Arc::default(),
+        }
     }
 
     async fn call(
@@ -69,7 +94,7 @@
         path: &str,
         body: RelayBody,
         timeout_ms: u64,
-    ) -> Result<(StatusCode, Bytes), RecordLogError> {
+    ) -> Result<Answer, RecordLogError> {
         let request = Request::builder()
             .method(method)
             .uri(path)
@@ -83,6 +108,7 @@
                 .await;
             let exchanged = sent.map_err(|error| no_answer(&error))?;
             let status = exchanged.response.status();
+            let era = self.check_era(exchanged.response.headers())?;
             let connection = PooledConnection {
                 pool: Arc::clone(&self.pool),
                 key: self.address,
@@ -93,7 +119,8 @@
             let collected = Limited::new(body, MAX_ANSWER_BYTES).collect().await;
             let collected =
                 collected.map_err(|error| RecordLogError::NoAnswer(error.to_string()))?;
-            Ok((status, collected.to_bytes()))
+            let body = collected.to_bytes();
+            Ok(Answer { status, era, body })
         };
         let timeout = Duration::from_millis(timeout_ms);
         match tokio::time::timeout(timeout, exchange).await {
@@ -103,6 +130,19 @@
             ))),
         }
     }
+
+    /// The era of an answer, 0 if the log service sends none.
+    fn check_era(&self, headers: &HeaderMap) -> Result<u64, RecordLogError> {
+        let era = headers.get(ERA_HEADER);
+        let era = era.and_then(|era| era.to_str().ok()?.trim().parse().ok());
+        let era = era.unwrap_or(0);
+        let newest = self.era.fetch_max(era, Ordering::Relaxed).max(era);
+        if era < newest {
+            let problem = format!("the answer is of era {era}, and era {newest} has begun");
+            return Err(RecordLogError::NoAnswer(problem));
+        }
+        Ok(era)
+    }
 }
 
 impl RecordLog for Store {
@@ -112,20 +152,24 @@
         let mut is_first = true;
         loop {
             let path = format!("/log-newest?topic={topic}&part=0{after}");
-            let (status, body) = self
+            let answer = self
                 .call(Method::GET, &path, RelayBody::Empty, TIMEOUT_MS)
                 .await?;
-            if status == StatusCode::NOT_FOUND {
+            if answer.status == StatusCode::NOT_FOUND {
+                snapshot.next = LogPosition::new(answer.era, 0);
                 return Ok(snapshot);
             }
-            check_status(status, &body)?;
-            let page: Page = serde_json::from_slice(&body)
+            check_status(&answer)?;
+            let page: Page = serde_json::from_slice(&answer.body)
                 .map_err(|error| RecordLogError::Malformed(error.to_string()))?;
             // The pages are not one consistent snapshot: records written between two page reads
             // lie after the end offset of the first page, where the tail starts.
             if is_first {
-                snapshot.next_offset = page.end_key;
+                snapshot.next = LogPosition::new(answer.era, page.end_key);
                 is_first = false;
+            } else if snapshot.next.era() != answer.era {
+                let problem = "the log service has come back from an older copy meanwhile";
+                return Err(RecordLogError::NoAnswer(problem.to_owned()));
             }
             let last = page.items.last().map(|item| percent_encode(&item.key));
             for item in page.items {
@@ -148,16 +192,27 @@
     async fn tail(
         &self,
         topic: &str,
-        from_offset: u64,
+        from: LogPosition,
         wait_ms: u64,
     ) -> Result<Tail, RecordLogError> {
-        let path = format!("/log-read?topic={topic}&part=0&from={from_offset}&waitMs={wait_ms}");
-        let timeout_ms = wait_ms + TIMEOUT_MS;
-        let (status, body) = self
-            .call(Method::GET, &path, RelayBody::Empty, timeout_ms)
-            .await?;
-        check_status(status, &body)?;
-        decode_records(body, from_offset)
+        let offset = from.offset();
+        let path = format!("/log-read?topic={topic}&part=0&from={offset}&waitMs={wait_ms}");
+        let (first_ms, longest_ms) = POLL_MARGIN_MS;
+        let timeouts = self.poll_timeouts.load(Ordering::Relaxed);
+        let margin_ms = (first_ms << timeouts.min(8)).min(longest_ms);
+        let called = self
+            .call(Method::GET, &path, RelayBody::Empty, wait_ms + margin_ms)
+            .await;
+        let answer = match called {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.poll_timeouts.fetch_add(1, Ordering::Relaxed);
+                return Err(error);
+            }
+        };
+        self.poll_timeouts.store(0, Ordering::Relaxed);
+        check_status(&answer)?;
+        decode_records(answer.body, LogPosition::new(answer.era, offset))
     }
 
     async fn put(
@@ -165,12 +220,13 @@
         topic: &str,
         key: &str,
         value: Option<&[u8]>,
-    ) -> Result<(), RecordLogError> {
+    ) -> Result<u64, RecordLogError> {
         let record = encode_record(key, value.unwrap_or_default())?;
         let path = format!("/log-append?topic={topic}&part=0");
         let body = RelayBody::Full(record);
-        let (status, body) = self.call(Method::POST, &path, body, TIMEOUT_MS).await?;
-        check_status(status, &body)
+        let answer = self.call(Method::POST, &path, body, TIMEOUT_MS).await?;
+        check_status(&answer)?;
+        Ok(answer.era)
     }
 }
 
@@ -178,12 +234,13 @@
     RecordLogError::NoAnswer(error.to_string())
 }
 
-fn check_status(status: StatusCode, body: &[u8]) -> Result<(), RecordLogError> {
+fn check_status(answer: &Answer) -> Result<(), RecordLogError> {
+    let status = answer.status;
     if status.is_success() {
         return Ok(());
     }
     if status == StatusCode::GONE {
-        let expired: Expired = serde_json::from_slice(body)
+        let expired: Expired = serde_json::from_slice(&answer.body)
             .map_err(|error| RecordLogError::Malformed(error.to_string()))?;
         return Err(RecordLogError::Expired {
             first_offset: expired.first_offset,
@@ -207,32 +264,30 @@
     Ok(record.into())
 }
 
-/// Decodes the records of a read that started at `from_offset`. A record without a valid key is
-/// logged and skipped.
-pub fn decode_records(mut body: Bytes, from_offset: u64) -> Result<Tail, RecordLogError> {
+/// Decodes the records of a read that started at `from`. A record without a valid key is logged
+/// and skipped.
+pub fn decode_records(mut body: Bytes, from: LogPosition) -> Result<Tail, RecordLogError> {
     let malformed = |problem: &str| RecordLogError::Malformed(problem.to_owned());
     if body.len() < READ_HEADER_BYTES {
         return Err(malformed("the read is shorter than its head"));
     }
     body.advance(READ_HEADER_BYTES);
-    let mut tail = Tail {
-        records: Vec::new(),
-        next_offset: from_offset,
-    };
+    let mut records = Vec::new();
+    let mut offset = from.offset();
     while body.len() >= LENGTH_PREFIX_BYTES {
         let length = body.get_u32() as usize;
         if body.len() < length {
             return Err(malformed("the last record is truncated"));
         }
         let record = body.split_to(length);
-        let offset = tail.next_offset;
-        tail.next_offset += 1;
         match decode_record(&record, offset) {
-            Some(record) => tail.records.push(record),
+            Some(record) => records.push(record),
             None => spdlog::warn!("a record has no key and is passed over", kv: { offset }),
         }
+        offset += 1;
     }
-    Ok(tail)
+    let next = LogPosition::new(from.era(), offset);
+    Ok(Tail { records, next })
 }
 
 fn decode_record(record: &[u8], offset: u64) -> Option<KeyedRecord> {
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode};
 use serde_json::json;
 use tokio::sync::Notify;
@@ -20,11 +21,14 @@
 use crate::net::NetError;
 use crate::net::http;
 use crate::net::relay::KeyedRecord;
+use crate::net::relay::log_progress::LogPosition;
 use crate::platform::local::query_parameter;
 use crate::platform::store::{decode_records, encode_record};
 
 /// Length of the two offsets in front of the records of a read answer.
 const READ_HEADER_BYTES: usize = 16;
+/// Header of every answer with the number of times that the store came back from an older copy.
+const ERA_HEADER: HeaderName = HeaderName::from_static("store-era");
 /// Maximum number of entries on one page of the newest records.
 const PAGE_ITEMS: usize = 100;
 
@@ -37,9 +41,15 @@
     pub slow_ms: AtomicU64,
     /// Number of appends that take effect but get no answer.
     pub lose_answers: AtomicU64,
+    /// Number of reads that get no answer although there are records.
+    pub hang_reads: AtomicU64,
 }
 
-#[derive(Debug, Default)]
+/// Topics of a store at some time, which it can come back from.
+#[derive(Debug, Clone)]
+pub struct StoreCopy(BTreeMap<String, Topic>);
+
+#[derive(Debug, Clone, Default)]
 struct Topic {
     first_offset: u64,
     records: Vec<KeyedRecord>,
@@ -74,6 +84,8 @@
     topics: Mutex<BTreeMap<String, Topic>>,
     changed: Notify,
     faults: StoreFaults,
+    era: AtomicU64,
+    calls: AtomicU64,
 }
 
 /// A running stand-in store. Dropping it closes its listener.
@@ -125,6 +137,28 @@
         topics.get(topic)?.newest.get(key)?.value.clone()
     }
 
+    /// Copies all topics.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(lock(&self.shared.topics).clone())
+    }
+
+    /// Comes back from an older copy: the era rises by one, and what was written since is lost.
+    /// Long polls go on waiting, as on connections that nothing closes.
+    pub fn restore(&self, copy: StoreCopy) {
+        *lock(&self.shared.topics) = copy.0;
+        self.shared.era.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Sets the era that answers tell.
+    pub fn set_era(&self, era: u64) {
+        self.shared.era.store(era, Ordering::Relaxed);
+    }
+
+    /// Number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
     /// Expires all records of a topic's history; the newest record of each key remains available.
     pub fn expire_history(&self, topic: &str) {
         let mut topics = lock(&self.shared.topics);
@@ -144,6 +178,14 @@
 type Answer = Response<Full<Bytes>>;
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Answer {
+    shared.calls.fetch_add(1, Ordering::Relaxed);
+    let mut answered = answer_call(&shared, request).await;
+    let era = HeaderValue::from(shared.era.load(Ordering::Relaxed));
+    answered.headers_mut().insert(ERA_HEADER, era);
+    answered
+}
+
+async fn answer_call(shared: &Shared, request: Request<Incoming>) -> Answer {
     let slow_ms = shared.faults.slow_ms.load(Ordering::Relaxed);
     tokio::time::sleep(Duration::from_millis(slow_ms)).await;
     if shared.faults.down.load(Ordering::Relaxed) {
@@ -155,9 +197,9 @@
         .unwrap_or_default()
         .to_owned();
     match (request.method(), uri.path()) {
-        (&Method::POST, "/log-append") => append(&shared, &topic, request).await,
-        (&Method::GET, "/log-newest") => newest(&shared, &topic, query),
-        (&Method::GET, "/log-read") => read(&shared, &topic, query).await,
+        (&Method::POST, "/log-append") => append(shared, &topic, request).await,
+        (&Method::GET, "/log-newest") => newest(shared, &topic, query),
+        (&Method::GET, "/log-read") => read(shared, &topic, query).await,
         _ => answer(StatusCode::NOT_FOUND, Vec::new()),
     }
 }
@@ -169,7 +211,7 @@
     // An append's body has the format of a read answer without the header.
     let mut buffer = vec![0; READ_HEADER_BYTES];
     buffer.extend_from_slice(&body.to_bytes());
-    let Ok(appended) = decode_records(buffer.into(), 0) else {
+    let Ok(appended) = decode_records(buffer.into(), LogPosition::default()) else {
         return answer(StatusCode::BAD_REQUEST, Vec::new());
     };
     let (offset, end) = {
@@ -182,11 +224,7 @@
         (offset, topic.end())
     };
     shared.changed.notify_waiters();
-    let lose_answers = &shared.faults.lose_answers;
-    let is_answer_lost = lose_answers.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
-        left.checked_sub(1)
-    });
-    if is_answer_lost.is_ok() {
+    if uses_up(&shared.faults.lose_answers) {
         std::future::pending::<()>().await;
     }
     json_answer(&json!({ "offset": offset, "endKey": end }))
@@ -222,6 +260,9 @@
     loop {
         let changed = shared.changed.notified();
         if let Some(answered) = read_now(shared, topic, from) {
+            if uses_up(&shared.faults.hang_reads) {
+                std::future::pending::<()>().await;
+            }
             return answered;
         }
         if tokio::time::timeout_at(until, changed).await.is_err() {
@@ -234,12 +275,20 @@
     }
 }
 
+/// Takes one from a count of faults; false if none is left.
+fn uses_up(count: &AtomicU64) -> bool {
+    let used = count.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |left| {
+        left.checked_sub(1)
+    });
+    used.is_ok()
+}
+
 /// Answers with the records from an offset, or with status 410 if they have expired; `None` if
 /// there are no records yet.
 fn read_now(shared: &Shared, topic: &str, from: u64) -> Option<Answer> {
     let mut topics = lock(&shared.topics);
     let topic = topics.entry(topic.to_owned()).or_default();
-    if from < topic.first_offset {
+    if from < topic.first_offset || from > topic.end() {
         let mut gone = json_answer(&json!({ "firstOffset": topic.first_offset }));
         *gone.status_mut() = StatusCode::GONE;
         return Some(gone);
--- /dev/null
+++ b/tests/relay_members.rs
@@ -0,0 +1,192 @@
+//! How configurations and member records travel between daemons over loopback, with a store that
+//! hangs, is away, or comes back from an older copy.
+
+mod deployment;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use burdockhall::decide::relay::{Member, MemberState};
+use burdockhall::net::relay::follow::MEMBERS_TOPIC;
+use deployment::{CONFIG_TOPIC, Deployment, standard_config};
+
+/// Least time in which a configuration must be in force, in milliseconds.
+const CONFIG_MS: u64 = 2_000;
+
+fn has_config(version: u64) -> impl Fn(&Deployment) -> bool {
+    move |deployment| {
+        let mut hosts = deployment.hosts.iter();
+        hosts.all(|host| host.relay.config_version() == version)
+    }
+}
+
+fn put_config(deployment: &Deployment, version: u64) {
+    let record = standard_config(version).to_string();
+    let store = &deployment.store;
+    store.put(CONFIG_TOPIC, "config", record.as_bytes());
+}
+
+fn readers(deployment: &Deployment) -> usize {
+    let hosts = deployment.hosts.iter();
+    hosts.filter(|host| *host.relay.reads_log.borrow()).count()
+}
+
+async fn settled(services: &[&str]) -> Deployment {
+    let deployment = Deployment::start(services).await;
+    let wanted = services.len().min(2);
+    deployment
+        .wait("few daemons read the store", |deployment| {
+            readers(deployment) == wanted
+        })
+        .await;
+    // The startup pauses of the readers are over, and every read is a long poll.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment
+}
+
+#[tokio::test]
+async fn a_configuration_whose_reads_hang_is_in_force_in_time() {
+    struct Case {
+        name: &'static str,
+        services: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "a lone daemon",
+            services: &["a"],
+        },
+        Case {
+            name: "two readers",
+            services: &["a", "b"],
+        },
+        Case {
+            name: "two readers and followers",
+            services: &["a", "a", "b", "b"],
+        },
+    ];
+    for case in cases {
+        let deployment = settled(case.services).await;
+        // The answer to the read that waits for the new configuration never comes.
+        deployment
+            .store
+            .faults()
+            .hang_reads
+            .store(1, Ordering::Relaxed);
+        put_config(&deployment, 2);
+        let until = tokio::time::Instant::now() + Duration::from_millis(CONFIG_MS);
+        deployment.wait(case.name, has_config(2)).await;
+        assert!(
+            tokio::time::Instant::now() < until,
+            "{}: too late",
+            case.name
+        );
+        // The readers have started new reads.
+        tokio::time::sleep(Duration::from_millis(2_500)).await;
+        let until = tokio::time::Instant::now() + Duration::from_millis(CONFIG_MS);
+        put_config(&deployment, 3);
+        deployment.wait(case.name, has_config(3)).await;
+        assert!(
+            tokio::time::Instant::now() < until,
+            "{}: too late",
+            case.name
+        );
+    }
+}
+
+#[tokio::test]
+async fn followers_cost_the_store_nothing() {
+    let deployment = settled(&["a", "a", "a", "b", "b", "b"]).await;
+    let before = deployment.store.calls();
+    put_config(&deployment, 2);
+    deployment.wait("version 2", has_config(2)).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let calls = deployment.store.calls() - before;
+    // Each of the two readers starts its next poll of the configuration, and of the members if one
+    // happens to end.
+    assert!(calls <= 4, "{calls} calls for one change at six daemons");
+}
+
+#[tokio::test]
+async fn a_follower_takes_over_when_the_readers_are_gone() {
+    let mut deployment = settled(&["a", "a", "b", "b"]).await;
+    let gone: Vec<usize> = (0..deployment.hosts.len())
+        .rev()
+        .filter(|host| *deployment.hosts[*host].relay.reads_log.borrow())
+        .collect();
+    for host in gone {
+        deployment.stop(host).await;
+        deployment.hosts.remove(host);
+    }
+    put_config(&deployment, 2);
+    let until = tokio::time::Instant::now() + Duration::from_millis(CONFIG_MS);
+    deployment.wait("version 2", has_config(2)).await;
+    assert!(tokio::time::Instant::now() < until, "too late");
+    assert_eq!(readers(&deployment), 2);
+}
+
+#[tokio::test]
+async fn what_an_older_copy_of_the_store_lacks_is_kept_and_written_again() {
+    let deployment = settled(&["a", "a", "b"]).await;
+    let copy = deployment.store.copy();
+    put_config(&deployment, 5);
+    deployment.wait("version 5", has_config(5)).await;
+    let leaving = &deployment.hosts[0];
+    let local = leaving.settings.local_address;
+    assert_eq!(leaving.worker.deregister(local).await, 200);
+    let address = leaving.settings.hop_address;
+    let is_gone = move |deployment: &Deployment| {
+        let mut hosts = deployment.hosts.iter();
+        hosts.all(|host| {
+            let tables = host.relay.tables();
+            let known = tables.directory.get(address);
+            known.is_some_and(|known| known.member.state == MemberState::Gone)
+        })
+    };
+    deployment
+        .wait("everyone knows of the leaving", is_gone)
+        .await;
+    for round in 1..=2 {
+        // The store comes back twice in a row, and the operator writes again.
+        deployment.store.restore(copy.clone());
+        put_config(&deployment, 5);
+        let key = address.to_string();
+        deployment
+            .wait("the record is written again", |deployment| {
+                let record = deployment.store.newest(MEMBERS_TOPIC, &key);
+                let member = record.and_then(|raw| serde_json::from_slice::<Member>(&raw).ok());
+                member.is_some_and(|member| member.state == MemberState::Gone)
+            })
+            .await;
+        assert!(is_gone(&deployment), "round {round}: the leaving is undone");
+        assert!(has_config(5)(&deployment), "round {round}");
+    }
+    put_config(&deployment, 6);
+    deployment.wait("version 6", has_config(6)).await;
+}
+
+#[tokio::test]
+async fn a_daemon_whose_newest_record_is_lost_publishes_above_its_peers_copies() {
+    let deployment = settled(&["a", "b"]).await;
+    let host = &deployment.hosts[0];
+    let own = host.relay.own_member().expect("a record");
+    // A copy from before a restart, of a time at which the clock was ahead.
+    let ahead = Member {
+        revision: own.revision + 3_600_000,
+        instance: "i-before".to_owned(),
+        ..own.clone()
+    };
+    deployment.hosts[1]
+        .relay
+        .merge_members(vec![ahead.clone()], "test");
+    deployment
+        .wait("the own record wins everywhere", |deployment| {
+            deployment.hosts.iter().all(|host| {
+                let tables = host.relay.tables();
+                let known = tables.directory.get(own.address);
+                known.is_some_and(|known| {
+                    known.member.instance == own.instance && known.member.revision > ahead.revision
+                })
+            })
+        })
+        .await;
+}
--- a/tests/relay_store.rs
+++ b/tests/relay_store.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use burdockhall::model::Clock;
+use burdockhall::net::relay::log_progress::LogPosition;
 use burdockhall::net::relay::pool::Pool;
 use burdockhall::net::relay::{RecordLog, RecordLogError};
 use burdockhall::platform::Store;
@@ -39,15 +40,18 @@
             .iter()
             .all(|record| record.value.as_deref() == Some(b"new"))
     );
-    assert_eq!(snapshot.next_offset, 501);
+    assert_eq!(snapshot.next, LogPosition::new(0, 501));
 }
 
 #[tokio::test]
 async fn a_tail_waits_for_records_and_returns_the_next_offset() {
     let (stand_in, store) = store().await;
-    let none = store.tail(TOPIC, 0, 50).await.expect("nothing yet");
-    assert_eq!((none.records.len(), none.next_offset), (0, 0));
-    let waiting = store.tail(TOPIC, 0, 20_000);
+    let none = store
+        .tail(TOPIC, LogPosition::default(), 50)
+        .await
+        .expect("nothing yet");
+    assert_eq!((none.records.len(), none.next), (0, LogPosition::default()));
+    let waiting = store.tail(TOPIC, LogPosition::default(), 20_000);
     let writing = async {
         tokio::task::yield_now().await;
         stand_in.put(TOPIC, "k", b"v");
@@ -55,10 +59,10 @@
     let (tail, ()) = tokio::join!(waiting, writing);
     let tail = tail.expect("a record");
     assert_eq!(tail.records[0].value.as_deref(), Some(&b"v"[..]));
-    assert_eq!(tail.next_offset, 1);
+    assert_eq!(tail.next, LogPosition::new(0, 1));
     stand_in.put(TOPIC, "k", b"w");
     stand_in.expire_history(TOPIC);
-    let expired = store.tail(TOPIC, 1, 50).await;
+    let expired = store.tail(TOPIC, LogPosition::new(0, 1), 50).await;
     assert!(matches!(
         expired,
         Err(RecordLogError::Expired { first_offset: 2 })
@@ -93,6 +97,33 @@
     );
 }
 
+#[tokio::test]
+async fn an_answer_tells_the_era_and_one_of_an_earlier_era_is_not_taken() {
+    let (stand_in, store) = store().await;
+    let copy = stand_in.copy();
+    let written = store.put(TOPIC, "k", Some(b"lost")).await;
+    assert_eq!(written.ok(), Some(0));
+    let from = store.newest(TOPIC).await.expect("a snapshot").next;
+    stand_in.restore(copy);
+    let restored = store.newest(TOPIC).await.expect("a snapshot");
+    assert_eq!(restored.next, LogPosition::new(1, 0));
+    assert!(restored.next > from, "a new era goes before any offset");
+    let past_the_end = store.tail(TOPIC, from, 50).await;
+    assert!(
+        matches!(
+            past_the_end,
+            Err(RecordLogError::Expired { first_offset: 0 })
+        ),
+        "{past_the_end:?}"
+    );
+    stand_in.put(TOPIC, "k", b"other");
+    let skipped = store.tail(TOPIC, from, 50).await.expect("an answer");
+    assert_eq!(skipped.next, LogPosition::new(1, 1));
+    stand_in.set_era(0);
+    let late = store.newest(TOPIC).await;
+    assert!(matches!(late, Err(RecordLogError::NoAnswer(_))), "{late:?}");
+}
+
 #[test]
 fn damaged_records_are_rejected_or_skipped() {
     struct Case {
@@ -142,8 +173,8 @@
         },
     ];
     for case in cases {
-        let read = decode_records(case.body.into(), 5).ok();
-        let read = read.map(|tail| (tail.records.len(), tail.next_offset));
+        let read = decode_records(case.body.into(), LogPosition::new(3, 5)).ok();
+        let read = read.map(|tail| (tail.records.len(), tail.next.offset()));
         assert_eq!(read, case.expected, "{}", case.name);
     }
 }
