Answer what has arrived before a stopping daemon closes its listener

Cause: at the end of the grace for callers the listener was dropped and idle connections were closed at once, although the system had completed connections, or received requests on kept ones, that the daemon had not read yet. Their callers got a closed connection. Change: connections that wait are accepted once more, and kept ones read for 10 ms, before they close.

--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -11,6 +11,7 @@
 use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 use super::body::RelayBody;
 use super::pool;
@@ -20,6 +21,10 @@
 
 /// Pause after a failed accept, in milliseconds.
 const ACCEPT_PAUSE_MS: u64 = 20;
+/// How long bytes that have arrived before [`Stage::Closing`] may take to be read, in milliseconds.
+const LAST_READ_MS: u64 = 10;
+/// Longest time for which waiting connections are still accepted after that, in milliseconds.
+const MAX_LAST_ACCEPTS_MS: u64 = 100;
 /// Smallest connection buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Connection buffer of daemons, and of callers while no configuration limits the request head,
@@ -59,23 +64,52 @@
     F: Future<Output = Response<RelayBody>> + Send + 'static,
 {
     let mut stage = relay.stage.subscribe();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            // Closing the listener refuses new connections, which tells callers that no request
-            // was read.
-            _ = stage.wait_for(|stage| *stage == Stage::Closing) => return,
+    let mut is_closing = false;
+    while !is_closing {
+        // An error means that the relay is gone.
+        let closing = async {
+            stage
+                .wait_for(|stage| *stage == Stage::Closing)
+                .await
+                .is_ok()
         };
-        match accepted {
-            Ok((stream, _)) => {
-                let relay = Arc::clone(&relay);
-                tokio::spawn(serve_connection(relay, stream, client_kind, handler));
-            }
-            Err(error) => {
-                let error = error.to_string();
-                spdlog::warn!("a connection cannot be accepted", kv: { error });
-                tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
+        tokio::select! {
+            biased;
+            accepted = listener.accept() => {
+                serve_accepted(&relay, accepted, client_kind, handler).await;
             }
+            _ = closing => is_closing = true,
+        }
+    }
+    // Connections that the system has completed may carry requests already. Closing the listener
+    // refuses new ones, which tells callers that no request was read.
+    let until = Instant::now() + Duration::from_millis(MAX_LAST_ACCEPTS_MS);
+    let pause = Duration::from_millis(LAST_READ_MS);
+    while Instant::now() < until
+        && let Ok(accepted) = tokio::time::timeout(pause, listener.accept()).await
+    {
+        serve_accepted(&relay, accepted, client_kind, handler).await;
+    }
+}
+
+async fn serve_accepted<H, F>(
+    relay: &Arc<Relay>,
+    accepted: std::io::Result<(TcpStream, SocketAddr)>,
+    client_kind: ClientKind,
+    handler: H,
+) where
+    H: Fn(Arc<Relay>, Request<Incoming>) -> F + Copy + Send + Sync + 'static,
+    F: Future<Output = Response<RelayBody>> + Send + 'static,
+{
+    match accepted {
+        Ok((stream, _)) => {
+            let relay = Arc::clone(relay);
+            tokio::spawn(serve_connection(relay, stream, client_kind, handler));
+        }
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::warn!("a connection cannot be accepted", kv: { error });
+            tokio::time::sleep(Duration::from_millis(ACCEPT_PAUSE_MS)).await;
         }
     }
 }
@@ -119,8 +153,11 @@
     let closing = async move {
         // The sender lives as long as the relay, so an error means that the relay is gone.
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+        // An idle connection would be closed although its next request has arrived.
+        tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
     };
     tokio::select! {
+        biased;
         // An error means that the client closed the connection.
         _ = connection.as_mut() => return,
         () = closing => connection.as_mut().graceful_shutdown(),
