Count a pause of the daemon against requests that have waited meanwhile

Cause: the time left of a request began to run when it was read. A daemon that had been paused for seconds read requests whose deadline had passed, and ran them with all of their time.

--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -111,6 +111,7 @@
     started: TimeMs,
 ) -> Response<RelayBody> {
     let table = &configuration.table;
+    let held_ms = relay.observe_pauses();
     let Ok(id) = request_id.to_str() else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
@@ -148,6 +149,7 @@
     let left_ms = route
         .timeout_ms
         .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
+    let left_ms = left_ms.saturating_sub(held_ms);
     let parent = parent_of(relay, id);
     let parent_id = parent.as_ref().map(|(parent_id, _)| *parent_id);
     let parent_is_retry = parent.as_ref().is_some_and(|(_, parent)| parent.is_retry);
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -137,7 +137,8 @@
             _ => empty_response(StatusCode::NOT_FOUND),
         };
     };
-    let hop: HopRequest = match serde_json::from_slice(header.as_bytes()) {
+    let held_ms = relay.observe_pauses();
+    let mut hop: HopRequest = match serde_json::from_slice(header.as_bytes()) {
         Ok(hop) => hop,
         Err(error) => {
             let error = error.to_string();
@@ -145,6 +146,7 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
+    hop.left_ms = hop.left_ms.saturating_sub(held_ms);
     relay.observe_config(hop.config);
     let (parts, incoming) = request.into_parts();
     let local_request = LocalRequest::from_hop(&relay, parts, hop);
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -21,8 +21,8 @@
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::{
     Admission, Directory, EntryShares, Heartbeat, HeartbeatOutcome, LoadBalancer, LocalWorker,
-    Member, MemberState, Readers, ReadingPlan, RetryBudget, RetryWindow, RootRequest, RouteTable,
-    WaiterId, WorkerShares,
+    Member, MemberState, PauseDetector, Readers, ReadingPlan, RetryBudget, RetryWindow,
+    RootRequest, RouteTable, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -92,6 +92,8 @@
     pub readers: Readers,
     /// Newest change that each daemon polled so far has sent.
     pub heard_changes: HashMap<SocketAddr, HeardChange>,
+    /// Tells whether requests may have waited unread while this process was paused.
+    pub pauses: PauseDetector,
 }
 
 /// The newest change of a peer's directory that this daemon has received.
@@ -230,6 +232,7 @@
                 revision: 0,
                 readers: Readers::default(),
                 heard_changes: HashMap::new(),
+                pauses: PauseDetector::default(),
             }),
             settings: arc_swap::ArcSwap::from_pointee(settings),
         })
@@ -254,6 +257,20 @@
         }
     }
 
+    /// Observes the clock, and returns the longest time that a request which is read now may have
+    /// waited while this process was paused, in milliseconds.
+    pub fn observe_pauses(&self) -> u64 {
+        let now = self.clock.now();
+        let (paused_ms, held_ms) = {
+            let pauses = &mut self.tables().pauses;
+            (pauses.observe(now), pauses.held_ms(now))
+        };
+        if let Some(paused_ms) = paused_ms {
+            spdlog::warn!("this daemon was paused", kv: { paused_ms });
+        }
+        held_ms
+    }
+
     /// Whether a log line about a request may be written now.
     pub fn may_log(&self, kind: LineKind) -> bool {
         self.log_limiter.allow(self.clock.now(), kind)
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -57,6 +57,7 @@
     let mut interval = tokio::time::interval(Duration::from_millis(SWEEP_MS));
     loop {
         interval.tick().await;
+        relay.observe_pauses();
         relay.pool.sweep();
         relay.settlements.sweep(relay.clock.now());
         let Dropped { served, failed } = relay.log_limiter.take_dropped();
