Ask other regions and a lost log service less often

Change: only the appointed readers do so; the others try the log each 2.5 s at most, and ask in their region. A new daemon waits 300 ms after its first read of the configuration, in which it finds a reader. Readers pause 1.5 s between reads of members. Test: relay_readers.

--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -28,7 +28,12 @@
 const FRESH_READ_MS: u64 = 1_000;
 /// Longest wait of one read for new records, in milliseconds.
 const MAX_WAIT_MS: u64 = 10_000;
-/// Every how many polls during an outage of the log service a daemon of another region is asked.
+/// First and longest backoff after failed reads of the log service, in milliseconds: of the daemons
+/// that are to read it, and of those that try because no reader reaches it. These hear from the
+/// readers when the log service is back.
+const APPOINTED_BACKOFF_MS: (u64, u64) = (100, 1_000);
+const STAND_IN_BACKOFF_MS: (u64, u64) = (400, 2_500);
+/// Every how many polls an appointed reader asks a daemon of another region.
 const FAR_POLL_INTERVAL: u64 = 4;
 
 /// Where a daemon gets configurations and member records from.
@@ -52,7 +57,7 @@
     passed_over: HashMap<SocketAddr, Passed>,
     /// When a reader that reaches the log service last answered.
     heard_at: Option<TimeMs>,
-    outage_polls: u64,
+    peer_polls: u64,
 }
 
 impl Readers {
@@ -105,22 +110,52 @@
         (readers * FRESH_READ_MS).min(MAX_WAIT_MS)
     }
 
-    /// Chooses whom to ask for changes while the log service is unavailable: readers of this region
-    /// in turn, now and then one of another region.
-    pub fn next_outage_peer(&mut self, now: TimeMs, directory: &Directory) -> Option<SocketAddr> {
-        self.outage_polls += 1;
-        let is_far = self.outage_polls.is_multiple_of(FAR_POLL_INTERVAL);
-        let polls = self.outage_polls as usize;
+    /// Whether this daemon is to read the log service, whatever it believes about the others.
+    pub fn is_appointed(directory: &Directory) -> bool {
+        let own = directory.own_address();
+        let daemons: Vec<_> = directory.active_in_own_zone().collect();
+        let count = zone_reader_count(daemons.len());
+        let own_hash = zone_hash(directory.place(), own);
+        let ahead = daemons
+            .iter()
+            .filter(|daemon| zone_hash(directory.place(), **daemon) > own_hash);
+        ahead.count() < count
+    }
+
+    /// Longest time until the next read after `failures` failed ones, in milliseconds.
+    pub fn backoff_ms(directory: &Directory, failures: u32) -> u64 {
+        let (first_ms, longest_ms) = if Readers::is_appointed(directory) {
+            APPOINTED_BACKOFF_MS
+        } else {
+            STAND_IN_BACKOFF_MS
+        };
+        (first_ms << failures.min(8)).min(longest_ms)
+    }
+
+    /// Chooses whom to ask for changes that do not come from the log service: readers of this region
+    /// in turn. Daemons appointed as readers ask now and then one of another region if
+    /// `may_ask_far`, so that few answers cross regions.
+    pub fn next_peer(
+        &mut self,
+        now: TimeMs,
+        directory: &Directory,
+        may_ask_far: bool,
+    ) -> Option<SocketAddr> {
+        self.peer_polls += 1;
+        let is_far_turn = self.peer_polls.is_multiple_of(FAR_POLL_INTERVAL)
+            && may_ask_far
+            && Readers::is_appointed(directory);
         let (far, near): (Vec<_>, Vec<_>) = self
             .spread_targets(now, directory)
             .into_iter()
             .partition(|(distance, _)| *distance == Distance::OtherRegion);
-        let chosen = if (is_far || near.is_empty()) && !far.is_empty() {
-            &far[(polls / FAR_POLL_INTERVAL as usize) % far.len()]
+        let (from, turn) = if (is_far_turn || near.is_empty()) && !far.is_empty() {
+            (far, self.peer_polls / FAR_POLL_INTERVAL)
         } else {
-            near.get(polls % near.len().max(1))?
+            (near, self.peer_polls)
         };
-        Some(chosen.1)
+        let index = turn as usize % from.len().max(1);
+        from.get(index).map(|(_, peer)| *peer)
     }
 
     /// Daemons that a changed record is sent to while the log service is unavailable: the readers of
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -16,14 +16,17 @@
 
 /// Topic of the member records, one per daemon, keyed by its address.
 pub const MEMBERS_TOPIC: &str = "keyed.burdockhall-members";
-/// First and longest backoff after a failed call, in milliseconds.
-const BACKOFF_MS: (u64, u64) = (100, 1_000);
+/// First and longest backoff after a record could not be written, in milliseconds.
+const WRITE_BACKOFF_MS: (u64, u64) = (100, 1_000);
 /// Long-poll timeout of the first read after a failed one, in milliseconds.
 const RETRY_WAIT_MS: u64 = 500;
+/// Pause after the first read of the configuration, in milliseconds: most daemons have found a
+/// reader to follow by then.
+const FIRST_READ_PAUSE_MS: u64 = 300;
 /// Pause between two reads of member records, in milliseconds, so that one call returns many
 /// changes. The delay is acceptable because a daemon that refuses a request sends its newest
 /// record with the refusal.
-const MEMBERS_READ_PAUSE_MS: u64 = 1_000;
+const MEMBERS_READ_PAUSE_MS: u64 = 1_500;
 /// The same shortly after the start of this daemon, when other daemons may be starting too.
 const STARTUP_READ_PAUSE_MS: u64 = 300;
 /// How long after the start the shorter pause applies, in milliseconds.
@@ -68,7 +71,13 @@
             source.install(&relay, value, "log");
         }
     };
-    let pause_ms = |_| 0;
+    let pause_ms = |up_ms| {
+        if up_ms < FIRST_READ_PAUSE_MS {
+            FIRST_READ_PAUSE_MS
+        } else {
+            0
+        }
+    };
     follow(
         &relay,
         &log,
@@ -163,7 +172,8 @@
             Err(error) => {
                 failures += 1;
                 record_log_failure(relay, topic, &error);
-                back_off(relay, failures).await;
+                let longest_ms = Readers::backoff_ms(&relay.tables().directory, failures);
+                back_off(relay, longest_ms).await;
             }
         }
     }
@@ -237,7 +247,8 @@
                     if failures == 1 {
                         super::peers::push_record(&relay, &member).await;
                     }
-                    back_off(&relay, failures).await;
+                    let (first_ms, longest_ms) = WRITE_BACKOFF_MS;
+                    back_off(&relay, (first_ms << failures.min(8)).min(longest_ms)).await;
                 }
             }
         }
@@ -273,10 +284,8 @@
     }
 }
 
-/// Exponential backoff with jitter, so that daemons do not retry in lockstep.
-async fn back_off(relay: &Relay, failures: u32) {
-    let (first_ms, longest_ms) = BACKOFF_MS;
-    let base_ms = (first_ms << failures.min(8)).min(longest_ms);
-    let wait_ms = relay.tables().rng.random_range(base_ms / 2..=base_ms);
+/// Waits for at most `longest_ms`, with jitter, so that daemons do not retry in lockstep.
+async fn back_off(relay: &Relay, longest_ms: u64) {
+    let wait_ms = relay.tables().rng.random_range(longest_ms / 2..=longest_ms);
     tokio::time::sleep(Duration::from_millis(wait_ms)).await;
 }
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -257,7 +257,10 @@
         let peer = {
             let mut tables = relay.tables();
             let tables = &mut *tables;
-            tables.readers.next_outage_peer(now, &tables.directory)
+            let may_ask_far = is_unavailable();
+            tables
+                .readers
+                .next_peer(now, &tables.directory, may_ask_far)
         };
         if let Some(peer) = peer
             && poll_peer(&relay, peer, source, false, 0).await.is_none()
--- a/tests/relay_readers.rs
+++ b/tests/relay_readers.rs
@@ -252,9 +252,9 @@
 }
 
 #[test]
-fn changes_go_to_readers_of_every_zone_and_rarely_to_another_region() {
+fn changes_go_to_readers_of_every_zone_and_once_to_each_zone_of_another_region() {
     let directory = fleet(0, 99, 9);
-    let mut readers = Readers::default();
+    let readers = Readers::default();
     let now = TimeMs(10_000);
     let targets = readers.spread_targets(now, &directory);
     let zones: BTreeSet<_> = targets
@@ -273,13 +273,46 @@
     let far = |distance: &Distance| *distance == Distance::OtherRegion;
     let far_targets = targets.iter().filter(|(distance, _)| far(distance)).count();
     assert_eq!(far_targets, 6, "one for each zone of another region");
-    let mut far_polls = 0;
-    for _ in 0..100 {
-        let peer = readers.next_outage_peer(now, &directory).expect("a peer");
-        assert_ne!(peer, address(0));
-        far_polls += usize::from(far(&directory.get(peer).expect("a member").distance));
+}
+
+#[test]
+fn only_appointed_readers_ask_across_regions_and_the_others_try_the_log_rarely() {
+    let now = TimeMs(10_000);
+    let mut appointed = 0;
+    for own in (0..99).step_by(9) {
+        let directory = fleet(own, 99, 9);
+        let is_appointed = Readers::is_appointed(&directory);
+        appointed += usize::from(is_appointed);
+        let longest_ms = Readers::backoff_ms(&directory, 20);
+        let bound_ms = if is_appointed {
+            500..=1_000
+        } else {
+            2_000..=3_000
+        };
+        assert!(bound_ms.contains(&longest_ms), "{own}: {longest_ms}");
+        for may_ask_far in [true, false] {
+            let mut readers = Readers::default();
+            let mut far_polls = 0;
+            for _ in 0..100 {
+                let peer = readers.next_peer(now, &directory, may_ask_far);
+                let peer = peer.expect("a peer");
+                assert_ne!(peer, address(own));
+                let distance = directory.get(peer).expect("a member").distance;
+                far_polls += usize::from(distance == Distance::OtherRegion);
+            }
+            let expected = if is_appointed && may_ask_far { 25 } else { 0 };
+            assert_eq!(far_polls, expected, "{own}");
+        }
     }
-    assert_eq!(far_polls, 25);
+    assert_eq!(appointed, 2, "the readers of a zone");
+    // A daemon that is alone in its region has to ask elsewhere.
+    let mut directory = Directory::new(address(0), place(0, ZONES_PER_REGION));
+    directory.merge(
+        now,
+        member(1, place(4, ZONES_PER_REGION), 1, MemberState::Ready),
+    );
+    let peer = Readers::default().next_peer(now, &directory, false);
+    assert_eq!(peer, Some(address(1)));
 }
 
 #[test]
