Take only answers that name their request

Cause: an answer without the id of its request was taken for the one awaited, so a late copy of an earlier answer that does not name its request went to the next caller, and a late refusal would have been passed on as a promise. Change: any answer without the request's id leaves the outcome unknown. Test: relay_path, a duplicate answer, with late answers and refusals that name no request; before, the body of the first answer reached the second caller.

--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -10,7 +10,8 @@
 use hyper::{Response, StatusCode};
 
 use super::body::{PooledConnection, RelayBody};
-use super::executor::{Done, ExecutionOutcome, UNREACHABLE_MS, unknown_outcome};
+use super::executor::{Done, ExecutionOutcome, UNREACHABLE_MS};
+use super::executor_log::unknown_outcome;
 use super::hop::{KEEP_ALIVE, strip_connection_headers};
 use super::pool::{Exchanged, Sender};
 use super::state::Relay;
@@ -38,12 +39,12 @@
     let header_names = &relay.header_names;
     let headers = response.headers();
     let status = response.status();
-    // The answer belongs to another request, for example a late or duplicate one. The answer to
-    // this request may still arrive, so its outcome is unknown.
+    // The answer belongs to another request, for example a late or duplicate one, or does not say
+    // to which it belongs. The answer to this request may still arrive, so its outcome is unknown.
     let echoed = headers
         .get(&header_names.request_id)
         .map(HeaderValue::as_bytes);
-    if echoed.is_some_and(|echoed| echoed != request_id.as_bytes()) {
+    if echoed != Some(request_id.as_bytes()) {
         return unknown_outcome(
             relay,
             request_id,
@@ -67,7 +68,7 @@
         };
     }
     let is_signed = headers.contains_key(&header_names.signature);
-    if !is_signed && (status.is_success() || promises_not_run(status) || echoed.is_none()) {
+    if !is_signed && (status.is_success() || promises_not_run(status)) {
         let message = format!("status {status} without a signature");
         return unknown_outcome(relay, request_id, UnknownReason::BackendBroke, &message);
     }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -11,12 +11,12 @@
 
 use super::answers::classify_answer;
 use super::body::RelayBody;
+use super::executor_log::{log_refusal, log_start, unknown_outcome};
 use super::hop::{HopRequest, empty_response, strip_connection_headers};
-use super::log_limiter::LineKind;
 use super::pool::ExchangeError;
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
-use crate::decide::relay::{AdmissionDecision, AdmissionRequest, RootRequest, WaiterId};
+use crate::decide::relay::{AdmissionDecision, AdmissionRequest, WaiterId};
 use crate::model::{NotRunReason, ServiceName, TimeMs, UnknownReason};
 
 /// Fraction of the drain time for which a draining backend server still gets requests that were
@@ -121,7 +121,7 @@
         }
     }
 
-    fn request_id<'a>(&'a self, relay: &Relay) -> &'a str {
+    pub(super) fn request_id<'a>(&'a self, relay: &Relay) -> &'a str {
         let id = self.headers.get(&relay.header_names.request_id);
         id.and_then(|id| id.to_str().ok()).unwrap_or_default()
     }
@@ -401,21 +401,6 @@
     }
 }
 
-pub(super) fn unknown_outcome(
-    relay: &Relay,
-    request_id: &str,
-    reason: UnknownReason,
-    cause: &str,
-) -> ExecutionOutcome {
-    let outcome = "unknown";
-    let reason_name = <&str>::from(reason);
-    let config = relay.config_version();
-    spdlog::warn!("the outcome of a request is unknown", kv: {
-        request_id, outcome, reason_name, cause, config
-    });
-    ExecutionOutcome::Unknown { reason }
-}
-
 fn worker_request(
     relay: &Relay,
     local_request: LocalRequest,
@@ -439,65 +424,6 @@
     request
 }
 
-fn log_start(relay: &Relay, local_request: &LocalRequest, waited_ms: u64) {
-    if !relay.may_log(LineKind::Served) {
-        return;
-    }
-    let request_id = local_request.request_id(relay);
-    let (running, limit) = {
-        let tables = relay.tables();
-        (tables.admission.running(), tables.admission.limit())
-    };
-    let (route, instance) = (
-        local_request.hop.route.as_str(),
-        local_request.hop.instance.as_str(),
-    );
-    let left_ms = local_request.deadline.since_ms(relay.clock.now());
-    spdlog::info!("a request is handed to the backend server", kv: {
-        request_id, route, instance, running, limit, waited_ms, left_ms
-    });
-}
-
-fn log_refusal(
-    relay: &Relay,
-    local_request: &LocalRequest,
-    refused: &ExecutionOutcome,
-    started: TimeMs,
-) {
-    let ExecutionOutcome::NotRun {
-        reason,
-        retry_after_ms,
-        ..
-    } = refused
-    else {
-        return;
-    };
-    if !relay.may_log(LineKind::Failed) {
-        return;
-    }
-    let request_id = local_request.request_id(relay);
-    let (reason, retry_after_ms) = (<&str>::from(*reason), *retry_after_ms);
-    let (running, waiting, limit) = {
-        let tables = relay.tables();
-        let admission = &tables.admission;
-        (
-            admission.running(),
-            admission.waiting() as u64,
-            admission.limit(),
-        )
-    };
-    let now = relay.clock.now();
-    let left_ms = local_request.deadline.since_ms(now);
-    let waited_ms = now.since_ms(started);
-    let route = local_request.hop.route.as_str();
-    let RootRequest { priority, .. } = local_request.hop.root;
-    let priority = u64::from(priority);
-    spdlog::info!("a request was refused beside its backend server", kv: {
-        request_id, route, reason, retry_after_ms, running, waiting, limit, left_ms, waited_ms,
-        priority
-    });
-}
-
 /// Converts the outcome to a response to another daemon; refusals and unknown outcomes become a
 /// status without a body.
 pub fn into_response(executed: ExecutionOutcome) -> Response<RelayBody> {
--- /dev/null
+++ b/src/net/relay/members.rs
@@ -0,0 +1,177 @@
+//! Member records of this daemon and of others, and the state of the backend server beside it.
+
+use std::net::SocketAddr;
+
+use super::state::{Relay, Stage, Tables};
+use crate::decide::relay::{Heartbeat, HeartbeatOutcome, LocalWorker, Member, MemberState};
+use crate::model::TimeMs;
+
+impl Relay {
+    /// Processes a heartbeat of the backend server beside this daemon.
+    pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let slots = heartbeat.slots;
+        let outcome = match &mut tables.worker {
+            Some(worker) => worker.apply_heartbeat(now, heartbeat),
+            None => {
+                tables.worker = Some(LocalWorker::new(now, heartbeat));
+                HeartbeatOutcome::Changed
+            }
+        };
+        if outcome != HeartbeatOutcome::Stale {
+            tables.worker_unreachable_since = None;
+            tables.admission.set_slots(slots);
+        }
+        if outcome == HeartbeatOutcome::Changed {
+            self.announce(&mut tables, now);
+        }
+        outcome
+    }
+
+    /// Records that the backend server beside this daemon is leaving; true if this changes its
+    /// state.
+    pub fn record_deregistration(&self, instance: &str) -> bool {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let is_news = match &mut tables.worker {
+            Some(worker) => worker.leave(now, instance),
+            None => false,
+        };
+        if is_news {
+            self.announce(&mut tables, now);
+        }
+        is_news
+    }
+
+    /// Merges member records; returns how many were newer than the known ones.
+    pub fn merge_members(&self, members: Vec<Member>, source: &'static str) -> usize {
+        let now = self.clock.now();
+        let own = self.own_address();
+        let mut tables = self.tables();
+        let mut newer = 0;
+        for member in members {
+            if member.address == own {
+                self.restore_worker(&mut tables, now, &member);
+                continue;
+            }
+            let address = member.address;
+            let (state, revision) = (member.state, member.revision);
+            let (service, instance) = (member.service.clone(), member.instance.clone());
+            let before = tables.directory.get(address);
+            let is_other = before.is_none_or(|known| known.member.instance != instance);
+            if tables.directory.merge(now, member) {
+                newer += 1;
+                if is_other {
+                    tables.load_balancer.forget(address);
+                }
+                let (service, state) = (service.as_str(), <&str>::from(state));
+                let instance = instance.as_str();
+                spdlog::info!("a member has changed", kv: {
+                    address:, service, instance, state, revision, source
+                });
+            }
+        }
+        if newer > 0 {
+            self.state_changed.notify_waiters();
+        }
+        newer
+    }
+
+    /// Removes the member record of a daemon and closes idle connections to it.
+    pub fn remove_member(&self, address: SocketAddr, source: &'static str) {
+        if self.tables().directory.remove(address) {
+            self.pool.close_idle(address);
+            spdlog::info!("a member was removed", kv: { address:, source });
+        }
+    }
+
+    /// Restores the backend server from this daemon's own record of before its restart. The
+    /// backend server may still run, and its deregistration may already have been acknowledged.
+    /// The log service may have lost newer records than the one it holds, so that a peer's copy may
+    /// have a higher revision than this daemon's own record; it is then published again above it.
+    fn restore_worker(&self, tables: &mut Tables, now: TimeMs, member: &Member) {
+        tables.revision = tables.revision.max(member.revision);
+        if let Some(worker) = &mut tables.worker {
+            let known = &worker.heartbeat;
+            if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
+                worker.restore_state(member.state);
+            }
+            let state = worker.state;
+            let published = tables.directory.get(member.address);
+            let is_outdated = published.is_some_and(|published| {
+                let published = &published.member;
+                let is_superseded = published.revision <= member.revision && published != member;
+                let has_left = published.state == MemberState::Ready && state != published.state;
+                is_superseded || has_left
+            });
+            if is_outdated {
+                self.announce(tables, now);
+            }
+            return;
+        }
+        if member.state == MemberState::Stopped {
+            return;
+        }
+        let heartbeat = Heartbeat {
+            instance: member.instance.clone(),
+            born_unix_ms: member.born_unix_ms,
+            sequence: 0,
+            service: member.service.clone(),
+            slots: member.slots,
+            draining: false,
+            cold_ms: 0,
+        };
+        tables.admission.set_slots(heartbeat.slots);
+        let mut worker = LocalWorker::new(now, heartbeat);
+        worker.restore_state(member.state);
+        tables.worker = Some(worker);
+        // The log already holds this record, so nothing is published.
+        tables.directory.merge(now, member.clone());
+        let instance = member.instance.as_str();
+        spdlog::info!("restored the backend server from the record of before the restart", kv: { instance });
+    }
+
+    /// Creates a new revision of this daemon's member record and has it published.
+    fn announce(&self, tables: &mut Tables, now: TimeMs) {
+        let Some(worker) = &tables.worker else { return };
+        let settings = self.settings.load();
+        let heartbeat = &worker.heartbeat;
+        // The Unix time as a lower bound keeps the revision above those from before a restart.
+        let revision = (tables.revision + 1).max(crate::net::daemon::unix_ms());
+        let member = Member {
+            address: settings.hop_address,
+            revision,
+            place: settings.place.clone(),
+            service: heartbeat.service.clone(),
+            instance: heartbeat.instance.clone(),
+            born_unix_ms: heartbeat.born_unix_ms,
+            slots: heartbeat.slots,
+            state: match worker.state {
+                MemberState::Ready if *self.stage.borrow() > Stage::Serving => MemberState::Stopped,
+                state => state,
+            },
+        };
+        let (service, instance) = (member.service.as_str(), member.instance.as_str());
+        let state = <&str>::from(member.state);
+        spdlog::info!("the backend server has changed", kv: { service, instance, state, revision });
+        tables.revision = revision;
+        tables.directory.merge(now, member);
+        self.record_changed.notify_one();
+        self.state_changed.notify_waiters();
+    }
+
+    /// Publishes that this daemon is stopping.
+    pub fn announce_stop(&self) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        self.announce(&mut tables, now);
+    }
+
+    /// This daemon's own member record; `None` until its backend server is known.
+    pub fn own_member(&self) -> Option<Member> {
+        let own = self.own_address();
+        let tables = self.tables();
+        tables.directory.get(own).map(|known| known.member.clone())
+    }
+}
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -45,6 +45,11 @@
     Twice,
     /// Run and answer; send a second answer in front of the answer to the next request.
     Late,
+    /// Like `Late`, but the second answer does not name its request.
+    LateUnnamed,
+    /// Run and answer; in front of the answer to the next request, send a refusal that does not
+    /// name its request.
+    LateRefusal,
     /// Run and answer with status 200 but without a signature.
     Unsigned,
     /// Run and answer with status 503, without the header that says that it did not run.
@@ -268,7 +273,9 @@
         let expected = received.header("x-expect-instance");
         if !expected.is_empty() && expected != instance {
             *lock(&shared.misdirected) += 1;
+            let id = received.header("x-request-id");
             let head = format!("HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: {instance}\r\n");
+            let head = format!("{head}X-Request-Id: {id}\r\n");
             stream
                 .write_all(format!("{head}content-length: 0\r\n\r\n").as_bytes())
                 .await?;
@@ -322,9 +329,15 @@
                 let extra = answer.replace("first", "extra");
                 (answer + &extra, Vec::new())
             }
-            Behaviour::Late => {
+            Behaviour::Late | Behaviour::LateUnnamed | Behaviour::LateRefusal => {
                 let answer = format!("{ok}{signed}content-length: 5\r\n\r\nfirst");
-                late_answer = answer.replace("first", "extra");
+                late_answer = match behaviour {
+                    Behaviour::LateUnnamed => answer.replace(&echoed, "").replace("first", "extra"),
+                    Behaviour::LateRefusal => {
+                        format!("{unavailable}X-Not-Executed: 1\r\ncontent-length: 0\r\n\r\n")
+                    }
+                    _ => answer.replace("first", "extra"),
+                };
                 (answer, Vec::new())
             }
             Behaviour::Unsigned => (format!("{ok}{echoed}{length}"), body),
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -8,6 +8,8 @@
 use std::time::Duration;
 
 use burdockhall::config::RelaySettings;
+use burdockhall::decide::relay::RootRequest;
+use burdockhall::net::relay::hop::HopRequest;
 use burdockhall::net::relay::{Relay, stop};
 use burdockhall::platform;
 use burdockhall::standin::platform::{StandInStore, StandInWorker};
@@ -180,6 +182,25 @@
     }
 }
 
+/// Metadata of a hop to the route `/once/`, as another daemon sends it; non-idempotent with a key.
+pub fn hop_request(instance: &str, key: Option<&str>, left_ms: u64) -> HopRequest {
+    HopRequest {
+        key: key.map(str::to_owned),
+        instance: instance.to_owned(),
+        route: "once".into(),
+        left_ms,
+        root: RootRequest {
+            route: "once".into(),
+            priority: 0,
+            admitted: 1.0,
+        },
+        is_call: false,
+        is_retry: false,
+        is_first: true,
+        config: 1,
+    }
+}
+
 /// Sends one request over a new connection.
 pub async fn send(
     address: SocketAddr,
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -6,11 +6,12 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use burdockhall::decide::relay::{Member, MemberState, RootRequest};
+use burdockhall::decide::relay::{Member, MemberState};
 use burdockhall::net::http;
-use burdockhall::net::relay::hop::HopRequest;
 use bytes::Bytes;
-use deployment::{CONFIG_TOPIC, Deployment, Host, config, route, send, standard_config};
+use deployment::{
+    CONFIG_TOPIC, Deployment, Host, config, hop_request, route, send, standard_config,
+};
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -188,10 +189,16 @@
 #[tokio::test]
 async fn a_duplicate_answer_is_never_taken_for_another_request() {
     let deployment = Deployment::start(&["a", "b"]).await;
-    for number in 0..20 {
+    for number in 0..40 {
         let id = format!("twice-{number}");
-        // The second answer comes at once, or when the answer to the next request is due.
-        let path = ["/safe/twice", "/safe/late"][number % 2];
+        // The second answer comes at once, or when the answer to the next request is due; it names
+        // its request or not.
+        let path = [
+            "/safe/twice",
+            "/safe/late",
+            "/safe/late_unnamed",
+            "/safe/late_refusal",
+        ][number % 4];
         let answer = deployment.call(1, path, &id, b"").await;
         assert_eq!(answer.body.as_deref(), Some(&b"first"[..]));
         let id = format!("after-{number}");
@@ -200,7 +207,7 @@
         if answer.status.is_success() {
             assert_eq!(answer.body.as_deref(), Some(id.as_bytes()));
         } else {
-            assert_eq!(answer.status, StatusCode::BAD_GATEWAY);
+            assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{path}");
         }
         assert!(deployment.runs(&id) <= 1);
     }
@@ -437,21 +444,7 @@
 
 /// Sends a hop request directly to the daemon beside a backend server, as another daemon does.
 async fn send_hop(host: &Host, key: &str, id: &str) {
-    let hop_request = HopRequest {
-        key: Some(key.to_owned()),
-        instance: host.worker.instance(),
-        route: "once".into(),
-        left_ms: 2_000,
-        root: RootRequest {
-            route: "once".into(),
-            priority: 0,
-            admitted: 1.0,
-        },
-        is_call: false,
-        is_retry: false,
-        is_first: true,
-        config: 1,
-    };
+    let hop_request = hop_request(&host.worker.instance(), Some(key), 2_000);
     let hop = host.settings.hop_address;
     let request = Request::post(format!("http://{hop}/once/echo"))
         .header(
--- a/tests/relay_pause.rs
+++ b/tests/relay_pause.rs
@@ -7,10 +7,9 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use burdockhall::decide::relay::{PauseDetector, RootRequest};
+use burdockhall::decide::relay::PauseDetector;
 use burdockhall::model::TimeMs;
-use burdockhall::net::relay::hop::HopRequest;
-use deployment::Deployment;
+use deployment::{Deployment, hop_request};
 
 /// Time that the request has when it is sent, in milliseconds.
 const LEFT_MS: u64 = 1_000;
@@ -95,21 +94,7 @@
     for (number, case) in cases.iter().enumerate() {
         let host = &deployment.hosts[0];
         let id = format!("held-{number}");
-        let hop = HopRequest {
-            key: case.key.map(str::to_owned),
-            instance: "i-0".to_owned(),
-            route: "once".into(),
-            left_ms: LEFT_MS,
-            root: RootRequest {
-                route: "once".into(),
-                priority: 0,
-                admitted: 1.0,
-            },
-            is_call: false,
-            is_retry: false,
-            is_first: true,
-            config: 1,
-        };
+        let hop = hop_request("i-0", case.key, LEFT_MS);
         let hop = serde_json::to_string(&hop).expect("a header");
         let (address, header) = if case.is_hop {
             let header = format!("burdockhall-hop: {hop}\r\n");
