--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -170,6 +170,14 @@
         fleet
     }
 
+    /// Writes the newest version of the configuration again, as an operator does after the store has
+    /// come back from an older copy.
+    pub fn publish_config_again(&self) {
+        let history = lock(&self.history);
+        let record = config_record(history.config_acked_at.len()).to_string();
+        self.store.put(CONFIG_TOPIC, "config", record.as_bytes());
+    }
+
     /// Publishes the next version of the configuration.
     pub fn publish_config(&self) {
         let mut history = lock(&self.history);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -3,7 +3,7 @@
 //!
 //! CI runs a few short seeds. To run others, set `SOAK_SEEDS=100..150` and `SOAK_SECONDS=20` and
 //! run `cargo test --release --test soak -- --ignored --nocapture`. `SOAK_HOSTS` sets the number
-//! of relays, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
+//! of relays, `SOAK_OLDER_STORES=1` lets the store come back from older copies, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
 //! the log files of failed seeds.
 
 mod callers;
@@ -43,6 +43,8 @@
     hosts: usize,
     span_ms: u64,
     gap_ms: u64,
+    /// Whether the store also comes back from older copies.
+    has_older_stores: bool,
 }
 
 /// A seed that once failed, replayed to guard against the fault that it found.
@@ -78,7 +80,14 @@
 #[test]
 fn short_runs_keep_the_guarantees() {
     for seed in [2, 3] {
-        check_short_run(seed, 250);
+        check_short_run(seed, 250, false);
+    }
+}
+
+#[test]
+fn a_store_that_comes_back_older_undoes_nothing() {
+    for seed in [5, 6] {
+        check_short_run(seed, 250, true);
     }
 }
 
@@ -91,7 +100,7 @@
     } in REGRESSIONS
     {
         eprintln!("seed {seed}: {cause}");
-        check_short_run(seed, gap_ms);
+        check_short_run(seed, gap_ms, false);
     }
 }
 
@@ -117,6 +126,7 @@
             hosts: number("SOAK_HOSTS", 9) as usize,
             span_ms: number("SOAK_SECONDS", 12) * 1_000,
             gap_ms: number("SOAK_GAP_MS", 200),
+            has_older_stores: number("SOAK_OLDER_STORES", 0) > 0,
         };
         if let Err(violations) = run_plan(&plan) {
             eprintln!("seed {seed} failed: {violations:#?}");
@@ -126,12 +136,13 @@
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
 
-fn check_short_run(seed: u64, gap_ms: u64) {
+fn check_short_run(seed: u64, gap_ms: u64, has_older_stores: bool) {
     let plan = Plan {
         seed,
         hosts: 6,
         span_ms: 6_000,
         gap_ms,
+        has_older_stores,
     };
     if let Err(violations) = run_plan(&plan) {
         panic!("{plan:?}: {violations:#?}");
@@ -180,7 +191,10 @@
         }
     }
     let watcher = tokio::spawn(watch_configurations(Arc::clone(&fleet), Arc::clone(&stop)));
-    let steps = script::generate(plan.seed, plan.hosts, plan.span_ms, plan.gap_ms);
+    let mut steps = script::generate(plan.seed, plan.hosts, plan.span_ms, plan.gap_ms);
+    if plan.has_older_stores {
+        script::add_older_stores(&mut steps, plan.seed, plan.span_ms);
+    }
     script::run(&fleet, &steps).await;
     let healed_at = Instant::now();
     tokio::time::sleep(RECOVERY / 2).await;
--- a/tests/soak/script.rs
+++ b/tests/soak/script.rs
@@ -12,6 +12,9 @@
 use crate::fleet::{CONFIG_TOPIC, DisturbanceKind, Fleet};
 use crate::proxy::{Direction, Proxy};
 
+/// How long the store is away before it comes back from an older copy.
+const OUTAGE: Duration = Duration::from_millis(300);
+
 /// A fault, or an operation such as a reload, a drain or a configuration change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter)]
 #[strum(serialize_all = "snake_case")]
@@ -38,6 +41,10 @@
     StoreCut,
     StoreSilent,
     ConfigChange,
+    /// The store comes back from an older copy. Not drawn with the others, whose series each seed
+    /// fixes.
+    #[strum(disabled)]
+    OlderStore,
 }
 
 /// A fault and the time, host and duration for which it is injected.
@@ -72,6 +79,22 @@
     steps
 }
 
+/// Adds returns of the store from copies some seconds old, about one each three seconds.
+pub fn add_older_stores(steps: &mut Vec<Step>, seed: u64, span_ms: u64) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(!seed);
+    let mut at_ms = rng.random_range(0..1_500);
+    while at_ms < span_ms {
+        steps.push(Step {
+            at_ms,
+            fault: Fault::OlderStore,
+            host: 0,
+            duration_ms: rng.random_range(200..=2_000),
+        });
+        at_ms += rng.random_range(2_000..=4_000);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Runs all steps and removes the remaining faults at the end.
 pub async fn run(fleet: &Arc<Fleet>, steps: &[Step]) {
     let start = Instant::now();
@@ -161,6 +184,15 @@
         }
         Fault::StoreSilent => host.store_proxy.silence(),
         Fault::ConfigChange => fleet.publish_config(),
+        Fault::OlderStore => {
+            let copy = fleet.store.copy();
+            tokio::time::sleep(span).await;
+            store_faults.down.store(true, Ordering::Relaxed);
+            tokio::time::sleep(OUTAGE).await;
+            fleet.store.restore(copy);
+            store_faults.down.store(false, Ordering::Relaxed);
+            fleet.publish_config_again();
+        }
     }
     record_store_disturbance(fleet, step, started);
 }
@@ -171,7 +203,8 @@
         Fault::StoreDown
         | Fault::StoreSlow
         | Fault::StoreLosesAnswers
-        | Fault::StoreDropsHistory => 0..fleet.hosts.len(),
+        | Fault::StoreDropsHistory
+        | Fault::OlderStore => 0..fleet.hosts.len(),
         Fault::StoreCut | Fault::StoreSilent => step.host..step.host + 1,
         _ => return,
     };
