--- a/tests/relay_members.rs
+++ b/tests/relay_members.rs
@@ -198,3 +198,23 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn records_at_offsets_that_are_given_out_again_are_not_skipped() {
+    let deployment = settled(&["a", "b"]).await;
+    let copy = deployment.store.copy();
+    for version in 2..=4 {
+        put_config(&deployment, version);
+    }
+    deployment.wait("version 4", has_config(4)).await;
+    // The polls wait at an offset behind version 5 when they get the answer of the new era.
+    deployment.store.restore(copy);
+    put_config(&deployment, 5);
+    for number in 0..8 {
+        let key = format!("other-{number}");
+        deployment.store.put(CONFIG_TOPIC, &key, b"{}");
+    }
+    let until = tokio::time::Instant::now() + Duration::from_millis(CONFIG_MS);
+    deployment.wait("version 5", has_config(5)).await;
+    assert!(tokio::time::Instant::now() < until, "too late");
+}
