Ask another region for a configuration that the whole own one lacks

Change: appointed readers ask another region each fourth time whenever they ask at all. Test: relay_members, a region whose reads all hang; relay_readers.

--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -133,18 +133,12 @@
     }
 
     /// Chooses whom to ask for changes that do not come from the log service: readers of this region
-    /// in turn. Daemons appointed as readers ask now and then one of another region if
-    /// `may_ask_far`, so that few answers cross regions.
-    pub fn next_peer(
-        &mut self,
-        now: TimeMs,
-        directory: &Directory,
-        may_ask_far: bool,
-    ) -> Option<SocketAddr> {
+    /// in turn. Daemons appointed as readers ask now and then one of another region, since the reads
+    /// of a whole region may hang; few answers cross regions that way.
+    pub fn next_peer(&mut self, now: TimeMs, directory: &Directory) -> Option<SocketAddr> {
         self.peer_polls += 1;
-        let is_far_turn = self.peer_polls.is_multiple_of(FAR_POLL_INTERVAL)
-            && may_ask_far
-            && Readers::is_appointed(directory);
+        let is_far_turn =
+            self.peer_polls.is_multiple_of(FAR_POLL_INTERVAL) && Readers::is_appointed(directory);
         let (far, near): (Vec<_>, Vec<_>) = self
             .spread_targets(now, directory)
             .into_iter()
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -257,10 +257,7 @@
         let peer = {
             let mut tables = relay.tables();
             let tables = &mut *tables;
-            let may_ask_far = is_unavailable();
-            tables
-                .readers
-                .next_peer(now, &tables.directory, may_ask_far)
+            tables.readers.next_peer(now, &tables.directory)
         };
         if let Some(peer) = peer
             && poll_peer(&relay, peer, source, false, 0).await.is_none()
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -114,17 +114,27 @@
     /// Starts a relay with a backend server for each service named, and waits until all relays know
     /// each other and the configuration.
     pub async fn start(services: &[&str]) -> Deployment {
+        let places: Vec<_> = services
+            .iter()
+            .map(|service| (*service, "region"))
+            .collect();
+        Deployment::start_in(&places).await
+    }
+
+    /// Starts a relay for each service and region, as [`Deployment::start`] does.
+    pub async fn start_in(places: &[(&str, &str)]) -> Deployment {
         let store = StandInStore::start(free_address())
             .await
             .expect("the store starts");
         let record = standard_config(1).to_string();
         store.put(CONFIG_TOPIC, "config", record.as_bytes());
         let mut hosts = Vec::new();
-        for (number, service) in services.iter().enumerate() {
+        for (number, (service, region)) in places.iter().enumerate() {
             let instance = format!("i-{number}");
             let worker = StandInWorker::start(free_address(), service, &instance);
             let worker = worker.await.expect("the worker starts");
-            let settings = settings(service, store.address, worker.address);
+            let mut settings = settings(service, store.address, worker.address);
+            settings.place.region = (*region).into();
             let relay = Relay::new(settings.clone(), platform::header_names());
             platform::start(&relay).await.expect("the listeners open");
             assert_eq!(
@@ -140,7 +150,7 @@
             });
         }
         let deployment = Deployment { store, hosts };
-        let all = services.len();
+        let all = places.len();
         deployment
             .wait("all relays are ready", |deployment| {
                 deployment.hosts.iter().all(|host| {
--- a/tests/relay_members.rs
+++ b/tests/relay_members.rs
@@ -8,6 +8,7 @@
 
 use burdockhall::decide::relay::{Member, MemberState};
 use burdockhall::net::relay::follow::MEMBERS_TOPIC;
+use burdockhall::platform;
 use deployment::{CONFIG_TOPIC, Deployment, standard_config};
 
 /// Least time in which a configuration must be in force, in milliseconds.
@@ -218,3 +219,29 @@
     deployment.wait("version 5", has_config(5)).await;
     assert!(tokio::time::Instant::now() < until, "too late");
 }
+
+#[tokio::test]
+async fn a_region_whose_reads_all_hang_learns_a_configuration_from_another() {
+    let places = [
+        ("a", "north"),
+        ("b", "north"),
+        ("a", "south"),
+        ("b", "south"),
+    ];
+    let deployment = Deployment::start_in(&places).await;
+    let (north, south) = deployment.hosts.split_at(2);
+    // Only the readers of the north get an answer to their reads.
+    let raw = standard_config(7).to_string();
+    for host in north {
+        assert!(platform::CONFIG.install(&host.relay, raw.as_bytes(), "test"));
+    }
+    let until = tokio::time::Instant::now() + Duration::from_millis(2 * CONFIG_MS);
+    while !has_config(7)(&deployment) {
+        assert!(tokio::time::Instant::now() < until, "too late");
+        // As the replies to hops tell.
+        for host in south {
+            host.relay.observe_config(7);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/tests/relay_readers.rs
+++ b/tests/relay_readers.rs
@@ -290,19 +290,16 @@
             2_000..=3_000
         };
         assert!(bound_ms.contains(&longest_ms), "{own}: {longest_ms}");
-        for may_ask_far in [true, false] {
-            let mut readers = Readers::default();
-            let mut far_polls = 0;
-            for _ in 0..100 {
-                let peer = readers.next_peer(now, &directory, may_ask_far);
-                let peer = peer.expect("a peer");
-                assert_ne!(peer, address(own));
-                let distance = directory.get(peer).expect("a member").distance;
-                far_polls += usize::from(distance == Distance::OtherRegion);
-            }
-            let expected = if is_appointed && may_ask_far { 25 } else { 0 };
-            assert_eq!(far_polls, expected, "{own}");
+        let mut readers = Readers::default();
+        let mut far_polls = 0;
+        for _ in 0..100 {
+            let peer = readers.next_peer(now, &directory).expect("a peer");
+            assert_ne!(peer, address(own));
+            let distance = directory.get(peer).expect("a member").distance;
+            far_polls += usize::from(distance == Distance::OtherRegion);
         }
+        let expected = if is_appointed { 25 } else { 0 };
+        assert_eq!(far_polls, expected, "{own}");
     }
     assert_eq!(appointed, 2, "the readers of a zone");
     // A daemon that is alone in its region has to ask elsewhere.
@@ -311,7 +308,7 @@
         now,
         member(1, place(4, ZONES_PER_REGION), 1, MemberState::Ready),
     );
-    let peer = Readers::default().next_peer(now, &directory, false);
+    let peer = Readers::default().next_peer(now, &directory);
     assert_eq!(peer, Some(address(1)));
 }
 
