Choose workers without measurements beside ones that answer at once

Cause: with answers in 0 ms the relative duration of a measured worker is 0, the median too, and a worker without measurements (1) counts as an outlier. Change: durations below the minimum typical duration are not told apart. Result: load_balancer passes (0 of 200 choices before); relay_decisions passes.

--- a/src/decide/relay/load_balancer.rs
+++ b/src/decide/relay/load_balancer.rs
@@ -56,7 +56,7 @@
 const OUTLIER_SLOWDOWN: f64 = 3.0;
 /// Weight of the newest duration in the moving averages of routes and workers.
 const DURATION_WEIGHT: f64 = 0.1;
-/// Lower bound for the typical duration that slowness is relative to, in milliseconds.
+/// Lower bound for the durations that slowness is computed from, in milliseconds.
 const MIN_TYPICAL_MS: f64 = 5.0;
 
 /// A worker that may be chosen for a request.
@@ -252,7 +252,9 @@
             Some(typical_ms) => typical_ms,
             None => self.typical_ms.entry(route.clone()).or_insert(took_ms),
         };
-        let slowdown = took_ms / typical_ms.max(MIN_TYPICAL_MS);
+        // Shorter durations are not told apart; otherwise a worker that answers at once would make
+        // one without measurements look slow.
+        let slowdown = took_ms.max(MIN_TYPICAL_MS) / typical_ms.max(MIN_TYPICAL_MS);
         // Caps the sample so that one very slow worker does not raise the typical duration.
         *typical_ms +=
             (took_ms.min(*typical_ms * 2.0 + MIN_TYPICAL_MS) - *typical_ms) * DURATION_WEIGHT;
