Keep an acknowledged drain over a restart while the log service is away

Cause: a restarted daemon took its record in the log for true, though the drain that it had acknowledged since was only known to its peers, and gave the backend server work until the next heartbeat. Change: a state restored from the log counts only when a heartbeat, a peer's copy of the record or a peer with the same records confirms it.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -57,6 +57,9 @@
     pub leaving_since: Option<TimeMs>,
     /// Rate limit that this process has stated.
     pub rate: RateStatements,
+    /// Whether its state comes from a record of before a restart that may be outdated: a drain that
+    /// was acknowledged while the log service was away is not in the log.
+    is_unconfirmed: bool,
 }
 
 impl LocalWorker {
@@ -75,9 +78,24 @@
             state,
             last_heard: now,
             rate: RateStatements::default(),
+            is_unconfirmed: false,
         }
     }
 
+    /// Creates the state from the record that the log holds of this daemon. Until a heartbeat or
+    /// another daemon confirms it, the backend server gets no requests.
+    pub fn restored(now: TimeMs, heartbeat: Heartbeat, state: MemberState) -> LocalWorker {
+        let mut worker = LocalWorker::new(now, heartbeat);
+        worker.restore_state(state);
+        worker.is_unconfirmed = true;
+        worker
+    }
+
+    /// Records that another daemon knows no newer state of the backend server.
+    pub fn confirm(&mut self) {
+        self.is_unconfirmed = false;
+    }
+
     /// Applies the state that an earlier daemon process published for the same backend process.
     pub fn restore_state(&mut self, state: MemberState) {
         let has_left = matches!(state, MemberState::Draining | MemberState::Gone);
@@ -106,6 +124,7 @@
             return HeartbeatOutcome::Stale;
         }
         let before = (self.state, known.slots, known.service.clone());
+        self.confirm();
         self.heartbeat = heartbeat;
         self.last_heard = now;
         if self.heartbeat.draining {
@@ -151,11 +170,11 @@
         true
     }
 
-    /// Whether the backend server may get new requests: while it is ready, and for `window_ms`
-    /// after it started to leave.
+    /// Whether the backend server may get new requests: while it is known to be ready, and for
+    /// `window_ms` after it started to leave.
     pub fn takes_work(&self, now: TimeMs, window_ms: u64) -> bool {
         match self.leaving_since {
-            None => self.state == MemberState::Ready,
+            None => self.state == MemberState::Ready && !self.is_unconfirmed,
             Some(since) => now.since_ms(since) < window_ms,
         }
     }
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -10,6 +10,7 @@
 use tokio::sync::watch;
 
 use super::log_progress::{LogPosition, LogProgress};
+use super::members::LOG_SOURCE;
 use super::record_log::{KeyedRecord, RecordLog, RecordLogError, Tail};
 use super::state::Relay;
 use crate::decide::relay::{Member, Readers, RouteTable};
@@ -94,7 +95,7 @@
     let apply = |record: &KeyedRecord| match &record.value {
         Some(value) => match serde_json::from_slice::<Member>(value) {
             Ok(member) => {
-                relay.merge_members(vec![member], "log");
+                relay.merge_members(vec![member], LOG_SOURCE);
             }
             Err(error) => {
                 let (key, error) = (record.key.as_str(), error.to_string());
@@ -103,7 +104,7 @@
         },
         None => {
             if let Ok(address) = record.key.parse() {
-                relay.remove_member(address, "log");
+                relay.remove_member(address, LOG_SOURCE);
             }
         }
     };
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -10,6 +10,9 @@
 };
 use crate::model::TimeMs;
 
+/// Source of member records that were read in the log service.
+pub(super) const LOG_SOURCE: &str = "log";
+
 impl Relay {
     /// Processes a heartbeat of the backend server beside this daemon.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
@@ -114,7 +117,7 @@
         let mut newer = 0;
         for member in members {
             if member.address == own {
-                self.restore_worker(&mut tables, now, &member);
+                self.restore_worker(&mut tables, now, &member, source);
                 continue;
             }
             let address = member.address;
@@ -161,7 +164,13 @@
     /// backend server may still run, and its deregistration may already have been acknowledged.
     /// The log service may have lost newer records than the one it holds, so that a peer's copy may
     /// have a higher revision than this daemon's own record; it is then published again above it.
-    fn restore_worker(&self, tables: &mut Tables, now: TimeMs, member: &Member) {
+    fn restore_worker(
+        &self,
+        tables: &mut Tables,
+        now: TimeMs,
+        member: &Member,
+        source: &'static str,
+    ) {
         tables.revision = tables.revision.max(member.revision);
         let is_suspect_new = tables
             .witness
@@ -170,6 +179,9 @@
             let known = &worker.heartbeat;
             if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
                 worker.restore_state(member.state);
+                if source != LOG_SOURCE {
+                    worker.confirm();
+                }
             }
             let state = worker.state;
             let published = tables.directory.get(member.address);
@@ -197,8 +209,10 @@
             cold_ms: 0,
         };
         tables.admission.set_slots(heartbeat.slots);
-        let mut worker = LocalWorker::new(now, heartbeat);
-        worker.restore_state(member.state);
+        let mut worker = LocalWorker::restored(now, heartbeat, member.state);
+        if source != LOG_SOURCE {
+            worker.confirm();
+        }
         tables.worker = Some(worker);
         // The log already holds this record, so nothing is published.
         tables.directory.merge(now, member.clone());
@@ -206,6 +220,13 @@
         spdlog::info!("restored the backend server from the record of before the restart", kv: { instance });
     }
 
+    /// Records that another daemon holds the same member records as this one.
+    pub(super) fn confirm_worker(&self) {
+        if let Some(worker) = &mut self.tables().worker {
+            worker.confirm();
+        }
+    }
+
     /// Creates a new revision of this daemon's member record and has it published.
     fn announce(&self, tables: &mut Tables, now: TimeMs) {
         let Some(worker) = &tables.worker else { return };
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -303,7 +303,12 @@
             return None;
         }
     };
+    // The whole directory was asked for, and nothing differs.
+    let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
+    if is_same {
+        relay.confirm_worker();
+    }
     Some(state)
 }
 
