--- a/src/decide/relay/routes.rs
+++ b/src/decide/relay/routes.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
+use super::organisations::OrganisationTable;
 use crate::model::ServiceName;
 
 /// Step of the low-discrepancy sequence: the fractional part of the golden ratio.
@@ -37,6 +38,8 @@
     pub objective_ms: u64,
     /// Priority; 0 is the highest and shed last.
     pub priority: u8,
+    /// Whether requests need no API key where the configuration names organisations.
+    pub is_public: bool,
     /// Maximum number of attempts per request that may have run on a backend server. Attempts that
     /// were refused before they ran do not count.
     pub max_attempts: u32,
@@ -59,6 +62,7 @@
             timeout_ms: None,
             objective_ms: 1_000,
             priority: 0,
+            is_public: false,
             max_attempts: 2,
             distributed: AtomicU64::new(0),
         }
@@ -113,6 +117,9 @@
     pub services: Vec<ServiceConfig>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Organisations and their API keys; `None` if the configuration names none, so that no request needs
+    /// a key.
+    pub organisations: Option<OrganisationTable>,
     routes: Vec<Route>,
     by_host: HashMap<String, HashMap<String, usize>>,
 }
@@ -134,6 +141,7 @@
             version,
             services,
             limits,
+            organisations: None,
             routes,
             by_host,
         }
--- a/src/decide/relay/shares.rs
+++ b/src/decide/relay/shares.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model::{ServiceName, TimeMs};
+use crate::model::{OrganisationName, ServiceName, TimeMs};
 
 /// Time constant of the moving average of demand, in milliseconds.
 const DEMAND_TIME_CONSTANT_MS: f64 = 500.0;
@@ -52,6 +52,9 @@
     /// Priority of the root request; 0 is the highest.
     #[serde(rename = "p")]
     pub priority: u8,
+    /// Organisation on whose behalf it is made; `None` without an API key.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub organisation: Option<OrganisationName>,
     /// Share of the route's root requests that the entry admitted at the time, in 0..=1.
     #[serde(rename = "a")]
     pub admitted: f64,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -21,7 +21,9 @@
 pub use contract::{Contract, Importance};
 pub use key::{CallKey, Ticket, TicketId};
 pub use link::{Distance, Link};
-pub use names::{AuthorName, CallerName, RegionName, RequestName, ServiceName, ZoneName};
+pub use names::{
+    AuthorName, CallerName, OrganisationName, RegionName, RequestName, ServiceName, ZoneName,
+};
 pub use outcome::{Answer, NotRun, NotRunReason, Outcome, UnknownReason};
 pub use request::{CallContext, RootId, SheetVersion};
 pub use sheet::{CallerShare, Rule, Sheet, SheetContent};
--- a/src/model/names.rs
+++ b/src/model/names.rs
@@ -58,6 +58,10 @@
     /// Name of a caller: the customer or provider on whose behalf a root request is made.
     CallerName
 }
+name_type! {
+    /// Name of an organisation: the customer that an API key belongs to.
+    OrganisationName
+}
 name_type! {
     /// Name of an availability zone.
     ZoneName
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -163,6 +163,7 @@
             RootRequest {
                 route: route.name.clone(),
                 priority: route.priority,
+                organisation: None,
                 admitted,
             }
         }
--- a/src/net/relay/header_names.rs
+++ b/src/net/relay/header_names.rs
@@ -20,6 +20,10 @@
     pub not_run: HeaderName,
     /// Load that the backend server reports; removed from answers to callers.
     pub load: HeaderName,
+    /// API key of a caller; never sent on.
+    pub credential: HeaderName,
+    /// Name of the organisation that the API key belongs to, for the backend server.
+    pub organisation: HeaderName,
     /// Requests a second that the backend server takes from all daemons together.
     pub rate_limit: HeaderName,
     /// Present, with a value other than 0, in the answers of a backend server that is leaving.
--- a/src/platform/header_names.rs
+++ b/src/platform/header_names.rs
@@ -23,6 +23,8 @@
         signature: HeaderName::from_static("x-response-signature"),
         not_run: HeaderName::from_static("x-not-executed"),
         load: HeaderName::from_static("x-server-load"),
+        credential: HeaderName::from_static("x-credential"),
+        organisation: HeaderName::from_static("x-tenant-id"),
         rate_limit: HeaderName::from_static("server-limit"),
         leaving: HeaderName::from_static("server-leaving"),
     }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -202,6 +202,7 @@
         root: RootRequest {
             route: "once".into(),
             priority: 0,
+            organisation: None,
             admitted: 1.0,
         },
         is_call: false,
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -200,6 +200,7 @@
         let root_request = RootRequest {
             route: KINDS[kind].name.into(),
             priority: KINDS[kind].priority,
+            organisation: None,
             admitted,
         };
         // Power of two choices: the less loaded of two random workers.
