Identify requests by API key where the configuration names organisations

Cause: the configuration record may hold `tenants` with API keys, and a backend server is to receive the name of the organisation instead of the key.

Change: `tenants` and `public` are decoded and validated, with all errors of the organisations in one report that quotes no API key. The entry identifies a root request by the digest of its key and a call by its parent, also if the parent has just ended; it answers 401 without a key or with an unknown one, and 503 to what may be a call of an unknown parent. Entry and executor remove the key and set `X-Tenant-Id`. Debug output of configurations and records leaves the record out. Settings `revoke_s` and `strict_revoke`, and the age of the configuration that they and an unknown key depend on.

--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -55,6 +55,28 @@
     pub retry_window_s: f64,
     /// Number of retries allowed in addition to the ratio, over all daemons.
     pub retry_slack: f64,
+    /// Time without news of the configuration after which [`Self::strict_revoke`] takes effect, in
+    /// seconds.
+    #[serde(
+        default = "default_revoke_s",
+        skip_serializing_if = "is_default_revoke_s"
+    )]
+    pub revoke_s: f64,
+    /// Whether requests that need an API key are refused while this daemon may not have heard of a
+    /// revocation.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub strict_revoke: bool,
+}
+
+/// Default of [`RelayBounds::revoke_s`], in seconds.
+pub const DEFAULT_REVOKE_S: f64 = 5.0;
+
+fn default_revoke_s() -> f64 {
+    DEFAULT_REVOKE_S
+}
+
+fn is_default_revoke_s(revoke_s: &f64) -> bool {
+    *revoke_s == DEFAULT_REVOKE_S
 }
 
 impl RelaySettings {
@@ -101,6 +123,8 @@
                 retry_ratio: 0.2,
                 retry_window_s: 10.0,
                 retry_slack: 48.0,
+                revoke_s: DEFAULT_REVOKE_S,
+                strict_revoke: false,
             },
         }
     }
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod crash_witness;
 pub mod directory;
+pub mod ended_requests;
 pub mod load_balancer;
 pub mod local_worker;
 pub mod organisations;
@@ -23,6 +24,7 @@
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
+pub use ended_requests::EndedRequests;
 pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use organisations::{KeyDigest, Organisation, OrganisationTable, Quota};
--- a/src/decide/relay/organisations.rs
+++ b/src/decide/relay/organisations.rs
@@ -2,6 +2,8 @@
 
 use std::collections::HashMap;
 
+use sha2::{Digest, Sha256};
+
 use crate::model::OrganisationName;
 
 /// Rate limit of an organisation, over all daemons together.
@@ -26,7 +28,21 @@
 
 /// Digest of an API key, so that keys themselves are not kept here.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub struct KeyDigest([u8; 16]);
+pub struct KeyDigest([u8; DIGEST_BYTES]);
+
+/// Bytes of a digest that are kept. With 10,000 keys, two have the same digest with a probability
+/// below 1e-30.
+const DIGEST_BYTES: usize = 16;
+
+impl KeyDigest {
+    /// Digest of an API key: the first bytes of its SHA-256.
+    pub fn of(api_key: &[u8]) -> KeyDigest {
+        let whole = Sha256::digest(api_key);
+        let mut kept = [0; DIGEST_BYTES];
+        kept.copy_from_slice(&whole[..DIGEST_BYTES]);
+        KeyDigest(kept)
+    }
+}
 
 /// All organisations of one version of the configuration.
 #[derive(Debug, Default)]
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -13,8 +13,9 @@
 use super::body::RelayBody;
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
+use super::identify::{self, identify};
 use super::log_limiter::LineKind;
-use super::state::{Configuration, Relay, RunningRequest, Stage};
+use super::state::{Configuration, Relay, Stage};
 use crate::decide::relay::{RequestDigest, RootRequest, Route};
 use crate::model::{ServiceName, TimeMs};
 
@@ -130,6 +131,10 @@
         }
         return empty_response(StatusCode::NOT_FOUND);
     };
+    let identity = match identify(relay, table, route, id, request.headers()) {
+        Ok(identity) => identity,
+        Err(error) => return identify::refuse(relay, id, route, table.version, error),
+    };
     let limit_bytes = table.limits.body_bytes;
     if request.body().size_hint().lower() > limit_bytes {
         return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
@@ -151,9 +156,12 @@
         .timeout_ms
         .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
     let left_ms = left_ms.saturating_sub(held_ms);
-    let parent = parent_of(relay, id);
+    let parent = identity.parent;
     let parent_id = parent.as_ref().map(|(parent_id, _)| *parent_id);
     let parent_is_retry = parent.as_ref().is_some_and(|(_, parent)| parent.is_retry);
+    let organisation = identity.organisation;
+    let own_priority = organisation.and_then(|organisation| organisation.priority);
+    let priority = own_priority.unwrap_or(route.priority);
     let root = match parent {
         Some((_, parent)) => parent.root,
         None => {
@@ -162,12 +170,14 @@
             };
             RootRequest {
                 route: route.name.clone(),
-                priority: route.priority,
-                organisation: None,
+                priority,
+                organisation: organisation.map(|organisation| organisation.name.clone()),
                 admitted,
             }
         }
     };
+    let organisation = root.organisation.as_ref();
+    identify::replace_headers(relay, Some(table), &mut headers, organisation);
     let body = match RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes).await {
         Ok(body) => body,
         Err(error) => {
@@ -202,20 +212,6 @@
     response
 }
 
-/// The parent request and its id, if the parent runs on the backend server beside this daemon.
-/// The id of a nested call is its parent's id, a dot and a suffix.
-fn parent_of<'a>(relay: &Relay, id: &'a str) -> Option<(&'a str, RunningRequest)> {
-    let tables = relay.tables();
-    let mut end = id.len();
-    while let Some(dot) = id[..end].rfind('.') {
-        if let Some(running) = tables.running.get(&id[..dot]) {
-            return Some((&id[..dot], running.clone()));
-        }
-        end = dot;
-    }
-    None
-}
-
 fn shed(relay: &Relay, request_id: &str, route: &Route, config: u64) -> Response<RelayBody> {
     let retry_after_ms = {
         let mut tables = relay.tables();
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -13,6 +13,7 @@
 use super::body::RelayBody;
 use super::executor_log::{log_crash, log_refusal, log_start, unknown_outcome};
 use super::hop::{HopRequest, empty_response, strip_connection_headers};
+use super::identify;
 use super::pool::ExchangeError;
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
@@ -186,7 +187,13 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut tables = self.relay.tables();
-        tables.running.remove(&self.request_id);
+        let ended = tables.running.remove(&self.request_id);
+        if let Some(ended) = ended
+            && self.relay.names_organisations()
+        {
+            let now = self.relay.clock.now();
+            tables.ended.record(now, &self.request_id, ended);
+        }
         tables.admission.finished(&self.route, self.took_ms);
         start_waiting(&self.relay, &mut tables);
     }
@@ -458,6 +465,11 @@
     *request.headers_mut() = local_request.headers;
     let header_names = &relay.header_names;
     let headers = request.headers_mut();
+    // The entry has done this too, unless it had a configuration without organisations.
+    let configuration = relay.configuration.load();
+    let table = configuration.as_ref().map(|known| &known.table);
+    let organisation = local_request.hop.root.organisation.as_ref();
+    identify::replace_headers(relay, table, headers, organisation);
     headers.insert(
         header_names.time_left_ms.clone(),
         HeaderValue::from(left_ms),
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -79,15 +79,12 @@
             0
         }
     };
-    follow(
-        &relay,
-        &log,
-        source.topic,
-        &relay.config_read,
-        pause_ms,
-        apply,
-    )
-    .await;
+    let topic = Topic {
+        name: source.topic,
+        progress: &relay.config_read,
+        is_config: true,
+    };
+    follow(&relay, &log, topic, pause_ms, apply).await;
 }
 
 /// Follows the member records until the runtime ends.
@@ -115,8 +112,20 @@
             MEMBERS_READ_PAUSE_MS
         }
     };
-    let progress = &relay.members_read;
-    follow(&relay, &log, MEMBERS_TOPIC, progress, pause_ms, apply).await;
+    let topic = Topic {
+        name: MEMBERS_TOPIC,
+        progress: &relay.members_read,
+        is_config: false,
+    };
+    follow(&relay, &log, topic, pause_ms, apply).await;
+}
+
+/// A topic that is followed.
+#[derive(Clone, Copy)]
+struct Topic<'a> {
+    name: &'static str,
+    progress: &'a LogProgress,
+    is_config: bool,
 }
 
 /// Reads a topic while this daemon is a reader, until the runtime ends. `pause_ms` is the pause after
@@ -124,11 +133,11 @@
 async fn follow<L: RecordLog>(
     relay: &Relay,
     log: &L,
-    topic: &str,
-    progress: &LogProgress,
+    topic: Topic<'_>,
     pause_ms: impl Fn(u64) -> u64,
     apply: impl Fn(&KeyedRecord),
 ) {
+    let Topic { name, progress, .. } = topic;
     let mut reads_log = relay.reads_log.subscribe();
     let mut failures = 0;
     let mut next: Option<LogPosition> = None;
@@ -139,13 +148,15 @@
             // The reader that was followed has read up to here.
             next = next.map(|next| next.max(progress.own()));
         }
+        let sent = relay.clock.now();
+        let wait_ms = wait_ms(relay, topic, failures);
         let read = match next {
             None => {
-                let snapshot = log.newest(topic).await;
+                let snapshot = log.newest(name).await;
                 snapshot.map(|snapshot| (snapshot.records, snapshot.next))
             }
             Some(from) => {
-                let tail = tail(relay, log, topic, from, progress, failures).await;
+                let tail = tail(log, topic, from, wait_ms).await;
                 tail.map(|tail| (tail.records, tail.next))
             }
         };
@@ -153,11 +164,14 @@
             Ok((records, read_to)) => {
                 failures = 0;
                 relay.observe_era(read_to.era());
-                record_log_recovery(relay, topic);
+                record_log_recovery(relay, name);
                 // Offsets of an earlier era mean nothing in this one.
                 let is_new_era = next.is_some_and(|next| next.era() != read_to.era());
                 next = (!is_new_era).then_some(read_to);
                 records.iter().for_each(&apply);
+                if topic.is_config {
+                    relay.record_config_heard(sent, wait_ms);
+                }
                 if !is_new_era {
                     progress.advance_own(read_to);
                     let up_ms = relay.clock.now().since_ms(relay.started);
@@ -166,13 +180,13 @@
             }
             Err(RecordLogError::Expired { first_offset }) => {
                 spdlog::warn!("records expired before they were read; reading a snapshot", kv: {
-                    topic, first_offset
+                    topic: = name, first_offset
                 });
                 next = None;
             }
             Err(error) => {
                 failures += 1;
-                record_log_failure(relay, topic, &error);
+                record_log_failure(relay, name, &error);
                 let longest_ms = Readers::backoff_ms(&relay.tables().directory, failures);
                 back_off(relay, longest_ms).await;
             }
@@ -180,23 +194,30 @@
     }
 }
 
-/// Waits for new records; gives up if a peer reads ahead, since the wait then hangs.
-async fn tail<L: RecordLog>(
-    relay: &Relay,
-    log: &L,
-    topic: &str,
-    from: LogPosition,
-    progress: &LogProgress,
-    failures: u32,
-) -> Result<Tail, RecordLogError> {
+/// How long the next read waits for new records, in milliseconds.
+fn wait_ms(relay: &Relay, topic: Topic<'_>, failures: u32) -> u64 {
     let wait_ms = if failures > 0 {
         RETRY_WAIT_MS
     } else {
         Readers::wait_ms(&relay.tables().directory)
     };
+    if topic.is_config {
+        wait_ms.min(relay.longest_config_wait_ms())
+    } else {
+        wait_ms
+    }
+}
+
+/// Waits for new records; gives up if a peer reads ahead, since the wait then hangs.
+async fn tail<L: RecordLog>(
+    log: &L,
+    topic: Topic<'_>,
+    from: LogPosition,
+    wait_ms: u64,
+) -> Result<Tail, RecordLogError> {
     tokio::select! {
-        tail = log.tail(topic, from, wait_ms) => tail,
-        () = progress.wait_until_behind() => {
+        tail = log.tail(topic.name, from, wait_ms) => tail,
+        () = topic.progress.wait_until_behind() => {
             let problem = "another daemon has read further meanwhile";
             Err(RecordLogError::NoAnswer(problem.to_owned()))
         }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod attempt;
 pub mod body;
+mod config_age;
 mod crash_probe;
 pub mod entry;
 pub mod executor;
@@ -12,6 +13,7 @@
 pub mod head_limit;
 pub mod header_names;
 pub mod hop;
+pub mod identify;
 pub mod listen;
 pub mod log_limiter;
 pub mod log_progress;
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -109,7 +109,8 @@
     }
 }
 
-#[derive(Debug, Default, Serialize, Deserialize)]
+/// Not `Debug`, since the configuration's record contains API keys.
+#[derive(Default, Serialize, Deserialize)]
 #[serde(default)]
 struct State {
     incarnation: u64,
@@ -294,6 +295,7 @@
         0 => TIMEOUT_MS,
         wait_ms => wait_ms + FOLLOW_MARGIN_MS,
     };
+    let sent = relay.clock.now();
     let bytes = exchange(relay, peer, request, timeout_ms).await?;
     let mut state = match serde_json::from_slice::<State>(&bytes) {
         Ok(state) => state,
@@ -306,6 +308,9 @@
     // The whole directory was asked for, and nothing differs.
     let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
+    if state.reaches_log {
+        relay.record_config_heard(sent, wait_ms);
+    }
     if is_same {
         relay.confirm_worker();
     }
--- a/src/net/relay/record_log.rs
+++ b/src/net/relay/record_log.rs
@@ -1,11 +1,13 @@
 //! Interface to the log service that stores configurations and member records.
 
+use std::fmt;
+
 use thiserror::Error;
 
 use super::log_progress::LogPosition;
 
 /// A record of a keyed topic.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Clone, PartialEq, Eq)]
 pub struct KeyedRecord {
     /// Key; a newer record of the same key replaces this one.
     pub key: String,
@@ -15,6 +17,17 @@
     pub offset: u64,
 }
 
+impl fmt::Debug for KeyedRecord {
+    /// Leaves out the value, which contains API keys if it is a configuration.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("KeyedRecord")
+            .field("key", &self.key)
+            .field("value_bytes", &self.value.as_ref().map(Vec::len))
+            .field("offset", &self.offset)
+            .finish()
+    }
+}
+
 /// The newest record of each key.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Snapshot {
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -7,6 +7,7 @@
 };
 
 use super::executor::ExecutionOutcome;
+use super::identify::IdentityError;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -25,6 +26,9 @@
     stated_rate: Gauge,
     crash_runs: IntCounter,
     held_back: IntGauge,
+    not_identified: IntCounterVec,
+    organisations: IntGauge,
+    api_keys: IntGauge,
 }
 
 impl Default for RelayMetrics {
@@ -65,6 +69,19 @@
                 "burdockhall_relay_stated_rate",
                 "Requests a second that the backend server beside this daemon takes; +Inf while it states no limit.",
             ),
+            not_identified: counters(
+                "burdockhall_relay_not_identified_total",
+                "Requests refused for their API key or for want of a known parent, by cause.",
+                "cause",
+            ),
+            organisations: int_gauge(
+                "burdockhall_relay_organisations",
+                "Organisations of the configuration in force.",
+            ),
+            api_keys: int_gauge(
+                "burdockhall_relay_api_keys",
+                "API keys of the configuration in force.",
+            ),
             registry,
         };
         metrics.stated_rate.set(f64::INFINITY);
@@ -75,7 +92,7 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
             Box::new(self.executions.clone()),
@@ -84,6 +101,9 @@
             Box::new(self.stated_rate.clone()),
             Box::new(self.crash_runs.clone()),
             Box::new(self.held_back.clone()),
+            Box::new(self.not_identified.clone()),
+            Box::new(self.organisations.clone()),
+            Box::new(self.api_keys.clone()),
         ];
         for collector in collectors {
             // The names are distinct constants, so registration cannot fail.
@@ -125,6 +145,18 @@
         self.held_back.set(count as i64);
     }
 
+    /// Counts a request that was refused since nobody is known on whose behalf it is made.
+    pub fn not_identified(&self, error: IdentityError) {
+        let cause: &str = error.into();
+        self.not_identified.with_label_values(&[cause]).inc();
+    }
+
+    /// Shows how many organisations and API keys the configuration in force has.
+    pub fn organisations_in_force(&self, organisations: usize, api_keys: usize) {
+        self.organisations.set(organisations as i64);
+        self.api_keys.set(api_keys as i64);
+    }
+
     /// Shows the rate limit of the backend server beside this daemon, in requests a second.
     pub fn rate_stated(&self, per_s: Option<f64>) {
         self.stated_rate.set(per_s.unwrap_or(f64::INFINITY));
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -1,6 +1,7 @@
 //! State shared by all parts of a relay.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -22,14 +23,13 @@
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
 use crate::decide::relay::{
-    Admission, CrashWitness, Directory, EntryShares, LoadBalancer, LocalWorker, PauseDetector,
-    PeerStatements, Readers, ReadingPlan, RequestDigest, RetryBudget, RetryWindow, RootRequest,
-    RouteTable, WaiterId, WorkerShares,
+    Admission, CrashWitness, Directory, EndedRequests, EntryShares, LoadBalancer, LocalWorker,
+    OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan, RequestDigest,
+    RetryBudget, RetryWindow, RootRequest, RouteTable, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
 /// A configuration and its encoded record.
-#[derive(Debug)]
 pub struct Configuration {
     /// Decoded routes, services and limits.
     pub table: RouteTable,
@@ -37,6 +37,14 @@
     pub raw: Bytes,
 }
 
+impl fmt::Debug for Configuration {
+    /// Leaves out the record, which contains API keys.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = f.debug_struct("Configuration");
+        shown.field("table", &self.table).finish_non_exhaustive()
+    }
+}
+
 /// Serving and the stages of a shutdown, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
@@ -92,6 +100,8 @@
     pub waiting: HashMap<WaiterId, oneshot::Sender<QueueDecision>>,
     /// Running requests by request id.
     pub running: HashMap<String, RunningRequest>,
+    /// Requests that have just ended, while the configuration names organisations.
+    pub ended: EndedRequests<RunningRequest>,
     /// Random number generator, seeded at the start.
     pub rng: Xoshiro256PlusPlus,
     /// Revision of this daemon's newest member record.
@@ -179,6 +189,8 @@
     pub config_read: LogProgress,
     /// Newest configuration version that another daemon has reported.
     pub newest_config_seen: AtomicU64,
+    /// When the newest configuration was last heard of, in milliseconds of the clock; 0 for never.
+    pub(super) config_heard: AtomicU64,
     /// Non-idempotent requests whose outcome may be queried.
     pub settlements: Settlements,
     /// Tells whether the backend server beside this daemon has ended.
@@ -233,6 +245,7 @@
             members_read: LogProgress::default(),
             config_read: LogProgress::default(),
             newest_config_seen: AtomicU64::new(0),
+            config_heard: AtomicU64::new(0),
             settlements: Settlements::default(),
             crash_probe: CrashProbe::default(),
             log_limiter: LogLimiter::default(),
@@ -259,6 +272,7 @@
                 worker_shares: WorkerShares::default(),
                 waiting: HashMap::new(),
                 running: HashMap::new(),
+                ended: EndedRequests::default(),
                 rng,
                 revision: 0,
                 readers: Readers::default(),
@@ -320,6 +334,14 @@
             .map_or(0, |known| known.table.version)
     }
 
+    /// Whether the configuration in force names organisations.
+    pub fn names_organisations(&self) -> bool {
+        let configuration = self.configuration.load();
+        configuration
+            .as_ref()
+            .is_some_and(|known| known.table.organisations.is_some())
+    }
+
     /// Puts a configuration in force if it is newer than the current one; true if it is.
     pub fn install(&self, table: RouteTable, raw: Bytes, source: &str) -> bool {
         let (from, to) = (self.config_version(), table.version);
@@ -327,9 +349,15 @@
             return false;
         }
         let routes = table.routes().len();
+        let organisations = table.organisations.as_ref();
+        let keys = organisations.map_or(0, OrganisationTable::key_count);
+        let organisations = organisations.map_or(0, |known| known.all().len());
+        self.metrics.organisations_in_force(organisations, keys);
         self.configuration
             .store(Some(Arc::new(Configuration { table, raw })));
-        spdlog::info!("a configuration is in force", kv: { from, to, routes, source });
+        spdlog::info!("a configuration is in force", kv: {
+            from, to, routes, organisations, keys, source
+        });
         self.state_changed.notify_waiters();
         true
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod routing;
 pub mod start;
 pub mod store;
+mod tenants;
 
 pub use header_names::{CONFIG, header_names};
 pub use start::start;
--- a/src/platform/routing.rs
+++ b/src/platform/routing.rs
@@ -3,7 +3,9 @@
 use std::collections::HashSet;
 
 use serde::Deserialize;
+use serde_json::Value;
 
+use super::tenants;
 use crate::decide::relay::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
 use crate::model::ServiceName;
 use crate::net::relay::state::seconds_to_ms;
@@ -11,13 +13,16 @@
 /// Prefix of a version number.
 const VERSION_PREFIX: char = 'r';
 
-#[derive(Debug, Deserialize)]
+/// Not `Debug`, since it contains API keys.
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct WireConfig {
     version: String,
     routes: Vec<WireRoute>,
     services: Vec<WireService>,
     limits: WireLimits,
+    /// Organisations; absent if requests need no API key.
+    tenants: Option<Value>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -40,6 +45,9 @@
     targets: Vec<WireWeightedService>,
     #[serde(default = "one")]
     max_attempts: u32,
+    /// Whether requests need no API key.
+    #[serde(default)]
+    public: bool,
 }
 
 /// Whether a request is idempotent.
@@ -97,8 +105,11 @@
         }
     }
     let limits = limits(&wire.limits)?;
+    let organisations = wire.tenants.as_ref().map(tenants::decode).transpose()?;
     let routes = wire.routes.into_iter().map(route).collect();
-    Ok(RouteTable::new(version, routes, services, limits))
+    let mut table = RouteTable::new(version, routes, services, limits);
+    table.organisations = organisations;
+    Ok(table)
 }
 
 fn validate(route: &WireRoute, services: &HashSet<&str>) -> Result<(), String> {
@@ -147,6 +158,7 @@
     route.timeout_ms = wire.timeout_s.map(seconds_to_ms);
     route.objective_ms = seconds_to_ms(wire.objective_s);
     route.priority = wire.priority;
+    route.is_public = wire.public;
     route.max_attempts = wire.max_attempts.max(1);
     route
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -46,15 +46,14 @@
     poll_timeouts: Arc<AtomicU32>,
 }
 
-/// An answer of the log service.
-#[derive(Debug)]
+/// An answer of the log service. Not `Debug`, as the types below: records may contain API keys.
 struct Answer {
     status: StatusCode,
     era: u64,
     body: Bytes,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Page {
     items: Vec<PageItem>,
@@ -63,7 +62,7 @@
     end_key: u64,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Deserialize)]
 struct PageItem {
     key: String,
     /// Value in base64; empty for a tombstone.
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -2,6 +2,7 @@
 //! workers.
 #![allow(dead_code)]
 
+use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -180,6 +181,42 @@
         send(address, "calls.example", path, Some(id), body).await
     }
 
+    /// Sends a request to a host's relay with an API key, if one is given, and further headers.
+    pub async fn call_as(
+        &self,
+        host: usize,
+        path: &str,
+        id: &str,
+        api_key: Option<&str>,
+        more: &[(&str, &str)],
+    ) -> Answer {
+        let address = self.hosts[host].settings.callers_address;
+        let api_key = api_key.map(|api_key| ("x-credential", api_key));
+        let usual = [("host", "calls.example"), ("x-request-id", id)];
+        let headers = usual.into_iter().chain(api_key);
+        let headers: Vec<_> = headers.chain(more.iter().copied()).collect();
+        send_with_headers(address, path, &headers, b"").await
+    }
+
+    /// Puts a configuration into the log service and waits until all relays have it.
+    pub async fn configure(&self, version: u64, config: &Value) {
+        let record = config.to_string();
+        self.store.put(CONFIG_TOPIC, "config", record.as_bytes());
+        self.wait("the configuration", |deployment| {
+            let mut hosts = deployment.hosts.iter();
+            hosts.all(|host| host.relay.config_version() == version)
+        })
+        .await;
+    }
+
+    /// Headers with which a request reached a backend server; panics if it did not run once.
+    pub fn headers_of(&self, id: &str) -> HashMap<String, String> {
+        let runs = self.hosts.iter().flat_map(|host| host.worker.runs());
+        let runs: Vec<_> = runs.filter(|run| run.has_request_id(id)).collect();
+        assert_eq!(runs.len(), 1, "runs of {id}");
+        runs[0].headers.clone()
+    }
+
     /// Number of runs of a request on all backend servers together.
     pub fn runs(&self, id: &str) -> usize {
         let runs = self.hosts.iter().flat_map(|host| host.worker.runs());
@@ -221,16 +258,27 @@
     path: &str,
     id: Option<&str>,
     body: &[u8],
+) -> Answer {
+    let id = id.map(|id| ("x-request-id", id));
+    let headers: Vec<_> = [("host", host)].into_iter().chain(id).collect();
+    send_with_headers(address, path, &headers, body).await
+}
+
+/// Sends one request over a new connection, with these headers beside the usual ones.
+pub async fn send_with_headers(
+    address: SocketAddr,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
 ) -> Answer {
     let client: Client<_, Full<Bytes>> = Client::builder(TokioExecutor::new()).build_http();
     let mut request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{address}{path}"))
-        .header("host", host)
         .header("x-deadline-ms", "3000")
         .header("x-caller-service", "forged");
-    if let Some(id) = id {
-        request = request.header("x-request-id", id);
+    for (name, value) in headers {
+        request = request.header(*name, *value);
     }
     let request = request
         .body(Full::new(Bytes::copy_from_slice(body)))
