Settings revoke_s and strict_revoke, and documents of API keys

Cause: operators may prefer refusals to keys that were revoked while a daemon had no news.

Tests: a revocation that comes from a peer, strict_revoke both ways, no key in log, metrics or Debug output, explain of a 401.

--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -57,14 +57,11 @@
     pub retry_slack: f64,
     /// Time without news of the configuration after which [`Self::strict_revoke`] takes effect, in
     /// seconds.
-    #[serde(
-        default = "default_revoke_s",
-        skip_serializing_if = "is_default_revoke_s"
-    )]
+    #[serde(default = "default_revoke_s")]
     pub revoke_s: f64,
     /// Whether requests that need an API key are refused while this daemon may not have heard of a
     /// revocation.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    #[serde(default)]
     pub strict_revoke: bool,
 }
 
@@ -75,10 +72,6 @@
     DEFAULT_REVOKE_S
 }
 
-fn is_default_revoke_s(revoke_s: &f64) -> bool {
-    *revoke_s == DEFAULT_REVOKE_S
-}
-
 impl RelaySettings {
     /// Reads and checks a settings file.
     pub fn read(path: &Path) -> Result<RelaySettings, SettingsError> {
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -354,6 +354,16 @@
         Kind::Decimal { min: 0.0, max: 1e6 },
         "Repeats that are allowed beyond the share, by all daemons together.",
     ),
+    optional(
+        "revoke_s",
+        DURATION_S,
+        "Time without news of the configuration after which `strict_revoke` takes effect; below 3, a connected daemon may refuse requests in vain.",
+    ),
+    optional(
+        "strict_revoke",
+        Kind::Flag,
+        "Whether requests that need an API key get status 503 while this daemon may not have heard of a revocation.",
+    ),
 ];
 
 /// Fields of a relay's settings file.
--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -102,3 +102,21 @@
         assert!(text.contains(case.message), "{}: {text}", case.name);
     }
 }
+
+/// Guards against a refusal for a missing or unknown API key that cannot be traced by its id.
+#[test]
+fn a_request_refused_for_its_api_key_is_explained() {
+    const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/api-keys.log");
+    for (id, cause, status) in [
+        ("identified-2-1", "cause=missing", "status=401"),
+        ("identified-4-0", "cause=unknown", "status=401"),
+        ("gold.2", "cause=no_parent", "status=503"),
+    ] {
+        let output = explain(&[id, LOG]);
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert_eq!(text.lines().count(), 1, "{text}");
+        for part in ["refused for its API key", cause, status, "route="] {
+            assert!(text.contains(part), "{part} is not in {text}");
+        }
+    }
+}
--- a/tests/relay_api_keys.rs
+++ b/tests/relay_api_keys.rs
@@ -3,12 +3,20 @@
 
 mod deployment;
 
+use std::path::PathBuf;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use burdockhall::net::relay::Relay;
+use burdockhall::platform;
 use deployment::{Deployment, config, route};
 use serde_json::{Value, json};
 
 const GOLD_KEY: &str = "gold-key-1";
 const REVOKED_KEY: &str = "gold-key-2";
 const TIN_KEY: &str = "tin-key-1";
+const UNKNOWN_KEY: &str = "key-of-nobody";
 
 /// A configuration with two organisations and a public route; `gold_keys` are the first one's.
 fn keyed_config(version: u64, gold_keys: &[&str]) -> Value {
@@ -28,7 +36,31 @@
     config
 }
 
+/// Writes all log lines of this process to a file, and returns its path.
+fn log_file() -> &'static PathBuf {
+    static PATH: OnceLock<PathBuf> = OnceLock::new();
+    PATH.get_or_init(|| {
+        let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("relay_api_keys.log");
+        let sink = spdlog::sink::FileSink::builder().path(&path).truncate(true);
+        let logger = spdlog::Logger::builder()
+            .sink(sink.build_arc().expect("a file"))
+            .level_filter(spdlog::LevelFilter::All)
+            .flush_level_filter(spdlog::LevelFilter::All)
+            .build();
+        spdlog::set_default_logger(Arc::new(logger.expect("a logger")));
+        path
+    })
+}
+
+fn set_strict(relay: &Relay, revoke_s: f64, strict_revoke: bool) {
+    let mut settings = (*relay.settings.load_full()).clone();
+    settings.bounds.revoke_s = revoke_s;
+    settings.bounds.strict_revoke = strict_revoke;
+    relay.settings.store(Arc::new(settings));
+}
+
 async fn start(services: &[&str]) -> Deployment {
+    log_file();
     let deployment = Deployment::start(services).await;
     let config = keyed_config(2, &[GOLD_KEY, REVOKED_KEY]);
     deployment.configure(2, &config).await;
@@ -57,10 +89,10 @@
         case("/once/echo", Some(TIN_KEY), 200, Some("tin")),
         case("/safe/echo", None, 401, None),
         case("/safe/echo", Some(""), 401, None),
-        case("/once/echo", Some("nobody's"), 401, None),
+        case("/once/echo", Some(UNKNOWN_KEY), 401, None),
         case("/public/echo", None, 200, None),
         case("/public/echo", Some(GOLD_KEY), 200, Some("gold")),
-        case("/public/echo", Some("nobody's"), 200, None),
+        case("/public/echo", Some(UNKNOWN_KEY), 200, None),
         case("/none/echo", None, 404, None),
     ];
     let deployment = start(&["a", "b"]).await;
@@ -92,11 +124,16 @@
         ] {
             assert!(page.contains(line), "{line} is not in {page}");
         }
-        for api_key in [GOLD_KEY, TIN_KEY, "nobody's"] {
+        for api_key in [GOLD_KEY, TIN_KEY, UNKNOWN_KEY] {
             assert!(!page.contains(api_key));
             assert!(!format!("{:?}", host.relay).contains(api_key));
         }
     }
+    let log = std::fs::read_to_string(log_file()).expect("the log");
+    assert!(log.contains("refused for its API key"), "{log}");
+    for api_key in [GOLD_KEY, REVOKED_KEY, TIN_KEY, UNKNOWN_KEY] {
+        assert!(!log.contains(api_key), "{log}");
+    }
 }
 
 /// Guards against changed headers where the configuration names no organisations.
@@ -181,3 +218,97 @@
     assert_eq!(keyed.await.status, 200);
     assert_eq!(deployment.headers_of("gold.3")["x-tenant-id"], "tin");
 }
+
+/// Guards against a revoked API key that goes on being accepted by a daemon that has lost the log
+/// service, against valid requests that are refused there, and against a 401 for an API key that may
+/// have been added meanwhile.
+#[tokio::test]
+async fn without_the_log_service_a_revocation_comes_from_a_peer() {
+    let deployment = start(&["a", "b"]).await;
+    let send = async |id: &str, api_key| {
+        let answer = deployment.call_as(1, "/safe/echo", id, Some(api_key), &[]);
+        answer.await.status.as_u16()
+    };
+    assert_eq!(send("before", REVOKED_KEY).await, 200);
+    let down = &deployment.store.faults().down;
+    down.store(true, Ordering::Relaxed);
+    let is_lost = |deployment: &Deployment| {
+        let mut hosts = deployment.hosts.iter();
+        hosts.all(|host| !host.relay.is_config_up_to_date())
+    };
+    deployment
+        .wait("the loss of the log service", is_lost)
+        .await;
+    let record = keyed_config(3, &[GOLD_KEY]).to_string();
+    let peer = &deployment.hosts[0].relay;
+    assert!(platform::CONFIG.install(peer, record.as_bytes(), "test"));
+    let has_newer = |deployment: &Deployment| deployment.hosts[1].relay.config_version() == 3;
+    deployment.wait("the newer version", has_newer).await;
+    assert_eq!(send("away-valid", GOLD_KEY).await, 200);
+    assert_eq!(send("away-revoked", REVOKED_KEY).await, 503);
+    down.store(false, Ordering::Relaxed);
+    let is_back = |deployment: &Deployment| !is_lost(deployment);
+    deployment.wait("the log service", is_back).await;
+    let all_back = |deployment: &Deployment| deployment.hosts[1].relay.is_config_up_to_date();
+    deployment.wait("the log service at host 1", all_back).await;
+    // The log service holds version 2, in which the key was still valid.
+    assert_eq!(send("back-revoked", REVOKED_KEY).await, 401);
+    assert_eq!(send("back-valid", GOLD_KEY).await, 200);
+    assert_eq!(
+        deployment.runs("away-revoked") + deployment.runs("back-revoked"),
+        0
+    );
+}
+
+/// Guards against a daemon that serves by an old configuration although the operators forbid it,
+/// and against one that refuses although they do not, or although it reaches the log service.
+#[tokio::test]
+async fn strict_revoke_refuses_only_without_news_of_the_configuration() {
+    let deployment = start(&["a", "b"]).await;
+    let revoke_s = 3.0;
+    for host in &deployment.hosts {
+        set_strict(&host.relay, revoke_s, true);
+    }
+    let send = async |host, path, id: &str, api_key| {
+        let answer = deployment.call_as(host, path, id, api_key, &[]).await;
+        let has_retry_after = answer.headers.contains_key("retry-after");
+        let status = answer.status.as_u16();
+        assert_eq!(has_retry_after, status == 503, "{id}");
+        status
+    };
+    // Longer than the bound: news must come although the configuration does not change.
+    for step in 0..8 {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for host in [0, 1] {
+            let id = format!("connected-{step}-{host}");
+            assert_eq!(
+                send(host, "/safe/echo", &id, Some(GOLD_KEY)).await,
+                200,
+                "{id}"
+            );
+        }
+    }
+    deployment
+        .store
+        .faults()
+        .down
+        .store(true, Ordering::Relaxed);
+    let is_too_old = |deployment: &Deployment| deployment.hosts[1].relay.is_config_too_old();
+    deployment.wait("an old configuration", is_too_old).await;
+    assert_eq!(send(1, "/safe/echo", "strict", Some(GOLD_KEY)).await, 503);
+    assert_eq!(send(1, "/safe/echo", "strict-none", None).await, 401);
+    assert_eq!(send(1, "/public/echo", "strict-public", None).await, 200);
+    assert_eq!(deployment.runs("strict"), 0);
+    set_strict(&deployment.hosts[1].relay, revoke_s, false);
+    assert_eq!(send(1, "/safe/echo", "usual", Some(GOLD_KEY)).await, 200);
+    set_strict(&deployment.hosts[1].relay, revoke_s, true);
+    deployment
+        .store
+        .faults()
+        .down
+        .store(false, Ordering::Relaxed);
+    deployment
+        .wait("news", |deployment| !is_too_old(deployment))
+        .await;
+    assert_eq!(send(1, "/safe/echo", "back", Some(GOLD_KEY)).await, 200);
+}
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -240,6 +240,49 @@
     }
 }
 
+/// Guards against settings that the platform cannot generate, or that the relay refuses, with and
+/// without the optional bounds.
+#[test]
+fn the_template_makes_valid_settings_with_and_without_api_key_bounds() {
+    let template = include_str!("../deploy/settings.template");
+    let (open, close) = ("{{#bounds.revokeS}}", "{{/bounds.revokeS}}");
+    let (before, after) = template.split_once(open).expect("the section");
+    let (section, after) = after.split_once(close).expect("its end");
+    let (_, before) = before.split_once("\"bounds\":").expect("the bounds");
+    let section = section.replace("{{bounds.revokeS|json}}", "7.5");
+    let section = section.replace("{{bounds.strictRevoke|json}}", "true");
+    for (section, revoke_s, strict_revoke) in [("", 5.0, false), (&*section, 7.5, true)] {
+        let text = fill(&format!("{{\"bounds\":{before}{section}{after}"));
+        let filled: Value = serde_json::from_str(&text).expect(&text);
+        let mut file = serde_json::to_value(RelaySettings::example(BASE_PORT)).expect("JSON");
+        file["bounds"] = filled["bounds"].clone();
+        let settings = RelaySettings::parse("settings.json", &file.to_string()).expect("valid");
+        assert_eq!(settings.bounds.revoke_s, revoke_s);
+        assert_eq!(settings.bounds.strict_revoke, strict_revoke);
+    }
+}
+
+/// Puts 1 in place of every value that the platform fills in, and leaves out other sections.
+fn fill(template: &str) -> String {
+    let mut filled = String::new();
+    let mut rest = template;
+    while let Some((before, after)) = rest.split_once("{{") {
+        let (name, after) = after.split_once("}}").expect("an end");
+        filled.push_str(before);
+        rest = match name.strip_prefix('#') {
+            Some(section) => {
+                let close = format!("{{{{/{section}}}}}");
+                after.split_once(&close).expect("the section's end").1
+            }
+            None => {
+                filled.push('1');
+                after
+            }
+        };
+    }
+    filled + rest
+}
+
 #[test]
 fn a_token_is_not_printed_with_the_settings() {
     let text = format!("{:?}", Settings::example(BASE_PORT));
