--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -6,9 +6,9 @@
 use super::state::{Relay, seconds_to_ms};
 use crate::model::TimeMs;
 
-/// Age up to which a daemon that follows a reader counts as up to date, in milliseconds: two polls
-/// of a followed reader, which take up to 1.3 s each.
-const UP_TO_DATE_MS: u64 = 2_600;
+/// Age up to which a daemon that follows a reader counts as up to date, in milliseconds: the time in
+/// which a connected daemon adopts a configuration.
+const UP_TO_DATE_MS: u64 = 3_000;
 /// Time after the wait of a long poll in which its answer counts as new, in milliseconds. An answer
 /// that is read later was held up, for example by a pause of this process.
 const ANSWER_DELAY_MS: u64 = 1_000;
@@ -18,12 +18,21 @@
 
 impl Relay {
     /// Records that the log service, or a daemon that reaches it, has answered a read of the
-    /// configuration that was sent at `sent` and may have waited for `wait_ms`.
-    pub fn record_config_heard(&self, sent: TimeMs, wait_ms: u64) {
+    /// configuration that was sent at `sent` and may have waited for `wait_ms`. `age_ms` is the age
+    /// of that daemon's own news.
+    pub fn record_config_heard(&self, sent: TimeMs, wait_ms: u64, age_ms: u64) {
         let now = self.clock.now();
         let is_new = now.since_ms(sent) <= wait_ms + ANSWER_DELAY_MS;
-        let heard = if is_new { now } else { sent };
-        self.config_heard.fetch_max(heard.0, Ordering::Relaxed);
+        let answered = if is_new { now } else { sent };
+        let heard_ms = answered.0.saturating_sub(age_ms);
+        self.config_heard.fetch_max(heard_ms, Ordering::Relaxed);
+    }
+
+    /// Age that is stated to peers, in milliseconds; only under `strict_revoke`, where it keeps
+    /// readers that are cut off together from taking each other's answers for news.
+    pub fn stated_config_age_ms(&self) -> Option<u64> {
+        let is_strict = self.settings.load().bounds.strict_revoke;
+        is_strict.then(|| self.config_age_ms())
     }
 
     /// Time since the newest configuration was heard of, in milliseconds; `u64::MAX` for never.
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -170,7 +170,7 @@
                 next = (!is_new_era).then_some(read_to);
                 records.iter().for_each(&apply);
                 if topic.is_config {
-                    relay.record_config_heard(sent, wait_ms);
+                    relay.record_config_heard(sent, wait_ms, 0);
                 }
                 if !is_new_era {
                     progress.advance_own(read_to);
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -127,6 +127,9 @@
     era: Option<u64>,
     config_read: LogPosition,
     members_read: LogPosition,
+    /// Time since the answering daemon had news of the configuration, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    config_age_ms: Option<u64>,
 }
 
 /// Answers with what the asking daemon lacks; waits for something new if it lacks nothing.
@@ -191,6 +194,7 @@
         era: *relay.log_era.borrow(),
         config_read,
         members_read,
+        config_age_ms: relay.stated_config_age_ms(),
     }
 }
 
@@ -309,7 +313,8 @@
     let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
     if state.reaches_log {
-        relay.record_config_heard(sent, wait_ms);
+        let age_ms = state.config_age_ms.unwrap_or(0);
+        relay.record_config_heard(sent, wait_ms, age_ms);
     }
     if is_same {
         relay.confirm_worker();
