--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -109,7 +109,8 @@
     }
 }
 
-#[derive(Debug, Default, Serialize, Deserialize)]
+/// Not `Debug`, since the configuration's record contains API keys.
+#[derive(Default, Serialize, Deserialize)]
 #[serde(default)]
 struct State {
     incarnation: u64,
@@ -126,6 +127,9 @@
     era: Option<u64>,
     config_read: LogPosition,
     members_read: LogPosition,
+    /// Time since the answering daemon had news of the configuration, in milliseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    config_age_ms: Option<u64>,
 }
 
 /// Answers with what the asking daemon lacks; waits for something new if it lacks nothing.
@@ -190,6 +194,7 @@
         era: *relay.log_era.borrow(),
         config_read,
         members_read,
+        config_age_ms: relay.stated_config_age_ms(),
     }
 }
 
@@ -294,6 +299,7 @@
         0 => TIMEOUT_MS,
         wait_ms => wait_ms + FOLLOW_MARGIN_MS,
     };
+    let sent = relay.clock.now();
     let bytes = exchange(relay, peer, request, timeout_ms).await?;
     let mut state = match serde_json::from_slice::<State>(&bytes) {
         Ok(state) => state,
@@ -306,6 +312,10 @@
     // The whole directory was asked for, and nothing differs.
     let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
+    if state.reaches_log {
+        let age_ms = state.config_age_ms.unwrap_or(0);
+        relay.record_config_heard(sent, wait_ms, age_ms);
+    }
     if is_same {
         relay.confirm_worker();
     }
