--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -12,12 +12,14 @@
 pub mod pause;
 pub mod peer_statements;
 pub mod proof;
+pub mod quotas;
 pub mod rate_limiter;
 pub mod readers;
 pub mod request_digest;
 pub mod retry_budget;
 pub mod routes;
 pub mod shares;
+pub mod silent_peers;
 pub mod stated_rate;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
--- /dev/null
+++ b/src/decide/relay/quotas/member.rs
@@ -0,0 +1,192 @@
+//! The decision at an entry: admits root requests of an organisation by the share that the aggregator
+//! has set, or alone from this daemon's own portion.
+
+use std::collections::HashMap;
+
+use rand::{Rng, RngExt};
+
+use super::{Allowance, QuotaTable, Standing, Uplink};
+use crate::model::{OrganisationName, TimeMs};
+
+/// Time in which those refused are to come back at a rate that there is room for, in milliseconds, as
+/// long as the bucket of a decider needs to follow.
+const SHARE_RETRY_MS: f64 = 500.0;
+/// Retry-after time of a request for which no answer of an aggregator is there yet, in milliseconds.
+const UNCOUNTED_RETRY_MS: f64 = 250.0;
+/// Bounds of retry-after times before jitter, in milliseconds.
+const RETRY_MS: (f64, f64) = (200.0, 10_000.0);
+/// Jitter of retry-after times, as a ratio.
+const JITTER: std::ops::Range<f64> = 0.75..1.5;
+/// How long a token of a daemon on its own must have been there to count as saved up, in
+/// milliseconds.
+const SAVED_MS: u64 = 1_000;
+/// Fraction of reserve and burst that all daemons on their own together may have saved up.
+const SAVED_FRACTION: f64 = 0.5;
+
+/// Why a request is refused for the quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum RefusalCause {
+    /// The organisation exceeds its quota, by the share of the aggregator.
+    Share,
+    /// Too many requests are admitted that no aggregator has counted.
+    Uncounted,
+    /// This daemon decides alone, and its portion is used up.
+    Portion,
+}
+
+/// A refusal for the quota.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaRefusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// When there is room for this organisation, with jitter, in milliseconds from now.
+    pub retry_after_ms: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Entry {
+    /// At 1 the next request is admitted.
+    credit: f64,
+    /// Tokens of this daemon's own portion, and since when there is a whole one.
+    tokens: f64,
+    whole_since: Option<TimeMs>,
+    updated_at: TimeMs,
+    /// The period of deciding alone that the tokens belong to.
+    period: u64,
+}
+
+/// What this daemon knows of each organisation whose requests it receives.
+#[derive(Debug, Default)]
+pub struct Member {
+    entries: HashMap<OrganisationName, Entry>,
+    /// Counts the periods in which this daemon decides alone.
+    period: u64,
+}
+
+impl Member {
+    /// Begins to decide alone, with tokens that no earlier period has left.
+    pub fn begin_alone(&mut self) {
+        self.period += 1;
+    }
+
+    /// Forgets organisations without a quota.
+    pub fn retain(&mut self, table: &QuotaTable) {
+        self.entries
+            .retain(|name, _| table.allowances.contains_key(name));
+    }
+
+    /// Decides about one root request.
+    pub fn check(
+        &mut self,
+        now: TimeMs,
+        table: &QuotaTable,
+        uplink: &mut Uplink,
+        name: &OrganisationName,
+        rng: &mut impl Rng,
+    ) -> Result<(), QuotaRefusal> {
+        let Some(allowance) = table.allowances.get(name) else {
+            return Ok(());
+        };
+        uplink.record(now, name, 1, 0);
+        let entry = match self.entries.get_mut(name) {
+            Some(entry) => entry,
+            None => self.entries.entry(name.clone()).or_insert(Entry {
+                credit: rng.random(),
+                tokens: 0.0,
+                whole_since: None,
+                updated_at: now,
+                period: 0,
+            }),
+        };
+        let decided = match uplink.standing(now) {
+            Standing::Standalone => {
+                if entry.period != self.period {
+                    entry.period = self.period;
+                    entry.tokens = rng.random();
+                    entry.whole_since = None;
+                    entry.updated_at = now;
+                }
+                entry.take_own(now, table, allowance, rng)
+            }
+            Standing::Leased | Standing::Transferring => {
+                let most = table.member_uncounted(allowance);
+                let uncounted = f64::from(uplink.uncounted(name)) + 1.0;
+                if uncounted >= most / 2.0 {
+                    uplink.hurry();
+                }
+                if uncounted > most {
+                    Err((RefusalCause::Uncounted, UNCOUNTED_RETRY_MS))
+                } else {
+                    entry.take_share(uplink.share(name))
+                }
+            }
+        };
+        decided.map_err(|(cause, after_ms)| {
+            let (least, most) = RETRY_MS;
+            let retry_after_ms = after_ms.clamp(least, most) * rng.random_range(JITTER);
+            QuotaRefusal {
+                cause,
+                retry_after_ms: retry_after_ms as u64,
+            }
+        })
+    }
+}
+
+impl Entry {
+    fn take_share(&mut self, share: f64) -> Result<(), (RefusalCause, f64)> {
+        if share >= 1.0 {
+            return Ok(());
+        }
+        self.credit += share;
+        if self.credit >= 1.0 {
+            self.credit -= 1.0;
+            return Ok(());
+        }
+        // Those refused in this time, coming back in the time returned, use the rate that there is.
+        let after_ms = SHARE_RETRY_MS * (1.0 - share) / share.max(0.01);
+        Err((RefusalCause::Share, after_ms))
+    }
+
+    /// Takes a token of this daemon's own portion. A token that was saved up is valid only with such
+    /// a probability that all daemons together, deciding alone, keep the bound; otherwise it is lost.
+    fn take_own(
+        &mut self,
+        now: TimeMs,
+        table: &QuotaTable,
+        allowance: &Allowance,
+        rng: &mut impl Rng,
+    ) -> Result<(), (RefusalCause, f64)> {
+        let daemons = f64::from(table.fleet.daemons.max(1));
+        let per_ms = allowance.per_s / daemons / 1_000.0;
+        let before = self.tokens;
+        let elapsed_ms = now.since_ms(self.updated_at) as f64;
+        let most = (allowance.burst / daemons).max(1.0);
+        self.tokens = (before + per_ms * elapsed_ms).min(most);
+        if self.tokens >= 1.0 && self.whole_since.is_none() {
+            let whole_ms = ((1.0 - before).max(0.0) / per_ms) as u64;
+            self.whole_since = Some(self.updated_at.plus_ms(whole_ms));
+        }
+        self.updated_at = now;
+        if self.tokens < 1.0 {
+            let after_ms = (1.0 - self.tokens) / per_ms;
+            return Err((RefusalCause::Portion, after_ms));
+        }
+        let is_saved = self
+            .whole_since
+            .is_some_and(|since| now.since_ms(since) >= SAVED_MS);
+        self.tokens -= 1.0;
+        if self.tokens < 1.0 {
+            self.whole_since = None;
+        }
+        let valid = (allowance.burst + allowance.reserve) * SAVED_FRACTION / daemons;
+        if is_saved && valid < 1.0 {
+            // Daemons that lose or use a saved token together must not have the next one together.
+            self.tokens -= rng.random::<f64>();
+            if !rng.random_bool(valid) {
+                return Err((RefusalCause::Portion, 1.0 / per_ms));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/decide/relay/quotas/mod.rs
@@ -0,0 +1,205 @@
+//! Quotas: rate limits of organisations, summed over all daemons.
+//!
+//! Each daemon owns a portion of each quota and leases it up a tree: daemon, aggregator of its
+//! availability zone, root aggregator. Whoever holds portions decides for those that leased them, so
+//! that two deciders which exist while views differ never hold more than the quota together.
+
+pub mod aggregator;
+pub mod bucket;
+pub mod member;
+pub mod node;
+pub mod ranking;
+pub mod uplink;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::organisations::Quota;
+use crate::model::OrganisationName;
+
+pub use aggregator::Aggregator;
+pub use bucket::Bucket;
+pub use member::{Member, QuotaRefusal};
+pub use node::{LimitChange, Outgoing, QuotaNode, QuotaRole};
+pub use ranking::Ranking;
+pub use uplink::{Standing, Uplink};
+
+/// Fraction of the excess that deciders add to the rate, so that an organisation that keeps its quota
+/// on average is not limited because of random variation. The rest covers the delay of reports.
+const RATE_EXCESS_FRACTION: f64 = 0.3;
+/// Fraction of the slack that deciders add to the burst, for the same reason.
+const BURST_SLACK_FRACTION: f64 = 0.4;
+/// Fraction of the reserve and the burst that may be admitted before anyone has counted it, at each of
+/// the two levels: by all daemons together, and by all aggregators together.
+const UNCOUNTED_FRACTION: f64 = 0.5;
+/// Requests that a daemon may have admitted without an answer, whatever the quota: two that come
+/// together by chance are not refused.
+const MIN_MEMBER_UNCOUNTED: f64 = 3.0;
+/// The same for an aggregator of an availability zone.
+const MIN_ZONE_UNCOUNTED: f64 = 4.0;
+
+/// How far the requests of an organisation in one window may exceed its quota, over all daemons.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the window, in seconds.
+    pub window_s: f64,
+    /// Excess over rate and burst, as a ratio.
+    pub excess: f64,
+    /// Requests in addition to that.
+    pub slack: f64,
+}
+
+impl Default for QuotaBounds {
+    fn default() -> QuotaBounds {
+        QuotaBounds {
+            window_s: 5.0,
+            excess: 0.1,
+            slack: 20.0,
+        }
+    }
+}
+
+/// What deciders allow one organisation, over all portions.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Allowance {
+    /// Rate, in requests a second.
+    pub per_s: f64,
+    /// Largest number of tokens.
+    pub burst: f64,
+    /// Requests in one window that the bound allows beyond the quota.
+    pub reserve: f64,
+}
+
+impl QuotaBounds {
+    /// Most requests of an organisation in one window.
+    pub fn window_limit(&self, quota: Quota) -> f64 {
+        (quota.per_s * self.window_s + quota.burst) * (1.0 + self.excess) + self.slack
+    }
+
+    /// What deciders allow an organisation with this quota.
+    pub fn allowance(&self, quota: Quota) -> Allowance {
+        Allowance {
+            per_s: quota.per_s * (1.0 + self.excess * RATE_EXCESS_FRACTION),
+            burst: quota.burst + self.slack * BURST_SLACK_FRACTION,
+            reserve: self.window_limit(quota) - quota.per_s * self.window_s - quota.burst,
+        }
+    }
+}
+
+/// Numbers of daemons that share the quotas.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FleetSize {
+    /// Active daemons.
+    pub daemons: u32,
+    /// Aggregators of availability zones.
+    pub aggregators: u32,
+}
+
+impl Default for FleetSize {
+    fn default() -> FleetSize {
+        FleetSize {
+            daemons: 1,
+            aggregators: 1,
+        }
+    }
+}
+
+/// Quotas of one version of the configuration, and between how many daemons they are divided.
+#[derive(Debug, Default)]
+pub struct QuotaTable {
+    /// Organisations that have a quota.
+    pub allowances: HashMap<OrganisationName, Allowance>,
+    /// Numbers of daemons.
+    pub fleet: FleetSize,
+}
+
+impl QuotaTable {
+    /// Requests that one daemon may have admitted without an answer to its report of them.
+    pub fn member_uncounted(&self, allowance: &Allowance) -> f64 {
+        let all = (allowance.reserve + allowance.burst) * UNCOUNTED_FRACTION;
+        (all / f64::from(self.fleet.daemons.max(1))).max(MIN_MEMBER_UNCOUNTED)
+    }
+
+    /// Requests that the daemons of one aggregator may have admitted without an answer of the root.
+    pub fn zone_uncounted(&self, allowance: &Allowance) -> f64 {
+        let all = (allowance.reserve + allowance.burst) * UNCOUNTED_FRACTION;
+        (all / f64::from(self.fleet.aggregators.max(1))).max(MIN_ZONE_UNCOUNTED)
+    }
+
+    /// The fraction of each quota that belongs to `portions` daemons.
+    pub fn fraction(&self, portions: u32) -> f64 {
+        (f64::from(portions) / f64::from(self.fleet.daemons.max(1))).min(1.0)
+    }
+}
+
+/// Requests of one organisation since the last report.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Received from clients.
+    pub received: u32,
+    /// Admitted to backend servers.
+    pub admitted: u32,
+}
+
+/// The level of the tree that a report is from.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::IntoStaticStr,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum Level {
+    /// A daemon reports to the aggregator of its availability zone.
+    #[serde(rename = "d")]
+    Daemon,
+    /// An aggregator of an availability zone reports to the root.
+    #[serde(rename = "z")]
+    Zone,
+}
+
+/// A report to an aggregator. Keys are short, since reports cross regions ten times a second.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct QuotaReport {
+    /// Hop address of the reporting daemon.
+    #[serde(rename = "f")]
+    pub from: SocketAddr,
+    /// Level of the reporting daemon.
+    #[serde(rename = "l")]
+    pub level: Level,
+    /// Identifies the start of the reporting daemon.
+    #[serde(rename = "i")]
+    pub incarnation: u32,
+    /// Number of the report within the incarnation; a repeated report has the same number.
+    #[serde(rename = "n")]
+    pub number: u64,
+    /// Portions that are leased, in daemons; 0 while the portions may be leased elsewhere.
+    #[serde(rename = "h", default, skip_serializing_if = "is_zero")]
+    pub portions: u32,
+    /// Time since the reporting daemon knows that it leases them here, in milliseconds.
+    #[serde(rename = "a", default, skip_serializing_if = "is_zero_ms")]
+    pub age_ms: u64,
+    /// Requests received and admitted since the last report, by organisation.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub counts: Vec<(OrganisationName, u32, u32)>,
+}
+
+/// The answer to a report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct QuotaAnswer {
+    /// Shares of requests to admit, in ten-thousandths, of the organisations that are limited.
+    #[serde(rename = "s", default, skip_serializing_if = "Vec::is_empty")]
+    pub shares: Vec<(OrganisationName, u16)>,
+}
+
+/// The unit of shares in answers.
+pub const FULL_SHARE: u16 = 10_000;
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_zero_ms(number: &u64) -> bool {
+    *number == 0
+}
--- /dev/null
+++ b/src/decide/relay/quotas/ranking.rs
@@ -0,0 +1,109 @@
+//! Which daemons are aggregators: the first of each availability zone by rendezvous hashing, and the
+//! first of these as the root. There is no election; each daemon decides by its own view.
+
+use std::net::SocketAddr;
+
+use super::FleetSize;
+use crate::decide::relay::directory::Directory;
+use crate::decide::relay::silent_peers::{SilentPeers, rendezvous_hash};
+use crate::model::{Place, TimeMs};
+
+/// Daemons of a zone for each aggregator beyond the first, which bounds the reports to one.
+const DAEMONS_PER_AGGREGATOR: usize = 64;
+
+/// The active daemons of each availability zone, the likeliest aggregators first.
+#[derive(Debug, Default)]
+pub struct Ranking {
+    own: Option<SocketAddr>,
+    own_zone: usize,
+    zones: Vec<Vec<SocketAddr>>,
+    change: Option<u64>,
+}
+
+impl Ranking {
+    /// Follows the directory; true if it has changed.
+    pub fn update(&mut self, directory: &Directory) -> bool {
+        let change = Some(directory.last_change());
+        if self.change == change {
+            return false;
+        }
+        let zones = directory.active_zones();
+        let zones = zones.map(|(place, daemons)| (place, daemons.iter().copied()));
+        self.rank(directory.own_address(), directory.place(), zones);
+        self.change = change;
+        true
+    }
+
+    /// Ranks the daemons of each zone; `own` is the daemon that decides, at `place`.
+    pub fn rank<'a>(
+        &mut self,
+        own: SocketAddr,
+        place: &Place,
+        zones: impl Iterator<Item = (&'a Place, impl Iterator<Item = SocketAddr>)>,
+    ) {
+        self.own = Some(own);
+        self.zones.clear();
+        self.own_zone = usize::MAX;
+        for (zone, daemons) in zones {
+            if zone == place {
+                self.own_zone = self.zones.len();
+            }
+            let role = format!("quota {} {}", zone.region.as_str(), zone.zone.as_str());
+            let mut ranked: Vec<_> = daemons.collect();
+            ranked.sort_by_cached_key(|daemon| {
+                std::cmp::Reverse(rendezvous_hash(&role, *daemon))
+            });
+            self.zones.push(ranked);
+        }
+    }
+
+    /// Numbers of active daemons and of aggregators.
+    pub fn fleet(&self) -> FleetSize {
+        let daemons: usize = self.zones.iter().map(Vec::len).sum();
+        let aggregators: usize = self.zones.iter().map(|zone| count(zone.len())).sum();
+        FleetSize {
+            daemons: daemons.max(1) as u32,
+            aggregators: aggregators.max(1) as u32,
+        }
+    }
+
+    /// The aggregator of this daemon's zone that this daemon reports to; `None` if no other daemon of
+    /// the zone answers.
+    pub fn aggregator(&self, now: TimeMs, silent: &SilentPeers) -> Option<SocketAddr> {
+        let own = self.own?;
+        let zone = self.zones.get(self.own_zone)?;
+        let first: Vec<_> = usable(zone, own, now, silent).collect();
+        if zone.len() > 1 && first == [own] {
+            return None;
+        }
+        let first = &first[..first.len().min(count(zone.len()))];
+        let role = own.to_string();
+        first
+            .iter()
+            .copied()
+            .max_by_key(|daemon| rendezvous_hash(&role, *daemon))
+    }
+
+    /// The root aggregator: the first among the aggregators that answer.
+    pub fn root(&self, now: TimeMs, silent: &SilentPeers) -> Option<SocketAddr> {
+        let own = self.own?;
+        let aggregators = self.zones.iter().flat_map(|zone| {
+            usable(zone, own, now, silent).take(count(zone.len()))
+        });
+        aggregators.max_by_key(|daemon| rendezvous_hash("quota root", *daemon))
+    }
+}
+
+fn usable<'a>(
+    zone: &'a [SocketAddr],
+    own: SocketAddr,
+    now: TimeMs,
+    silent: &'a SilentPeers,
+) -> impl Iterator<Item = SocketAddr> + 'a {
+    let daemons = zone.iter().copied();
+    daemons.filter(move |daemon| *daemon == own || !silent.is_passed_over(now, *daemon))
+}
+
+fn count(daemons: usize) -> usize {
+    1 + daemons / DAEMONS_PER_AGGREGATOR
+}
--- /dev/null
+++ b/src/decide/relay/quotas/uplink.rs
@@ -0,0 +1,286 @@
+//! The way up: reports counts to an aggregator and leases portions to it, such that two aggregators
+//! never hold the same portions.
+//!
+//! A lease begins with a report that names portions, and counts from the sending of the newest
+//! report that was answered. Before another aggregator gets the portions, the old lease runs out;
+//! until then the last shares hold, and the number of requests admitted is bounded.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use super::{Counts, FULL_SHARE, Level, QuotaAnswer, QuotaReport};
+use crate::model::{OrganisationName, TimeMs};
+
+/// How long portions count as leased after the sending of the last report that was answered, by
+/// level, in milliseconds. An aggregator drops them earlier ([`super::aggregator::HOLD_MS`]), by at
+/// least the delay of a report; a daemon waits for both levels above it.
+const LEASE_MS: (u64, u64) = (1_400, 700);
+/// Shortest time between two reports, by level, in milliseconds; an aggregator's cross regions.
+const MIN_INTERVAL_MS: (u64, u64) = (20, 100);
+/// How long a daemon collects requests before it reports them, in milliseconds.
+const COLLECT_MS: u64 = 50;
+/// Longest time between two reports, by level, in milliseconds. Two of them fit into the time for
+/// which an aggregator holds portions.
+const IDLE_INTERVAL_MS: (u64, u64) = (250, 250);
+/// Timeout of a report, in milliseconds. Above the round trip between regions.
+pub const REPORT_TIMEOUT_MS: u64 = 300;
+
+/// Who decides about this daemon's or zone's portions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum Standing {
+    /// The aggregator above.
+    Leased,
+    /// Nobody new yet: an earlier lease may still be in force, so its last shares hold.
+    Transferring,
+    /// This daemon or zone itself.
+    Standalone,
+}
+
+#[derive(Debug)]
+struct InFlight {
+    to: SocketAddr,
+    number: u64,
+    portions: u32,
+    counts: HashMap<OrganisationName, Counts>,
+    sent_at: TimeMs,
+    is_open: bool,
+}
+
+/// One daemon's or zone's relation to the aggregator above it.
+#[derive(Debug)]
+pub struct Uplink {
+    own: SocketAddr,
+    level: Level,
+    incarnation: u32,
+    last_number: u64,
+    parent: Option<SocketAddr>,
+    is_leased: bool,
+    /// Sending of the newest answered report that leased portions to whomever.
+    leased_at: Option<TimeMs>,
+    /// Sending of the first report that leased portions to the parent, until one is answered.
+    claimed_at: Option<TimeMs>,
+    /// From then on portions may be leased to the parent.
+    free_at: TimeMs,
+    in_flight: Option<InFlight>,
+    pending: HashMap<OrganisationName, Counts>,
+    pending_since: Option<TimeMs>,
+    is_urgent: bool,
+    sent_at: Option<TimeMs>,
+    shares: HashMap<OrganisationName, u16>,
+}
+
+impl Uplink {
+    /// An uplink without an aggregator.
+    pub fn new(own: SocketAddr, level: Level, incarnation: u32) -> Uplink {
+        Uplink {
+            own,
+            level,
+            incarnation,
+            last_number: 0,
+            parent: None,
+            is_leased: false,
+            leased_at: None,
+            claimed_at: None,
+            free_at: TimeMs(0),
+            in_flight: None,
+            pending: HashMap::new(),
+            pending_since: None,
+            is_urgent: false,
+            sent_at: None,
+            shares: HashMap::new(),
+        }
+    }
+
+    /// Who decides now.
+    pub fn standing(&self, now: TimeMs) -> Standing {
+        match self.leased_at {
+            Some(at) if now.since_ms(at) >= self.by_level(LEASE_MS) => Standing::Standalone,
+            Some(_) if self.is_leased => Standing::Leased,
+            Some(_) => Standing::Transferring,
+            None => Standing::Standalone,
+        }
+    }
+
+    /// The aggregator above, if one has answered.
+    pub fn parent(&self) -> Option<SocketAddr> {
+        self.parent
+    }
+
+    /// Share of an organisation's requests that the aggregator above has last set.
+    pub fn share(&self, name: &OrganisationName) -> f64 {
+        let share = self.shares.get(name).copied().unwrap_or(FULL_SHARE);
+        f64::from(share) / f64::from(FULL_SHARE)
+    }
+
+    /// All organisations that the aggregator above limits.
+    pub fn limited(&self) -> &HashMap<OrganisationName, u16> {
+        &self.shares
+    }
+
+    /// Counts requests for the next report.
+    pub fn record(&mut self, now: TimeMs, name: &OrganisationName, received: u32, admitted: u32) {
+        let counts = match self.pending.get_mut(name) {
+            Some(counts) => counts,
+            None => self.pending.entry(name.clone()).or_default(),
+        };
+        counts.received += received;
+        counts.admitted += admitted;
+        self.pending_since.get_or_insert(now);
+    }
+
+    /// Has the next report sent without collecting further requests.
+    pub fn hurry(&mut self) {
+        self.is_urgent = true;
+    }
+
+    /// Requests of an organisation that were admitted and that no answer has covered.
+    pub fn uncounted(&self, name: &OrganisationName) -> u32 {
+        let pending = self.pending.get(name).map_or(0, |counts| counts.admitted);
+        let sent = self.in_flight.as_ref();
+        let sent = sent.and_then(|sent| sent.counts.get(name));
+        pending + sent.map_or(0, |counts| counts.admitted)
+    }
+
+    /// Organisations with requests that no answer has covered, and how many were admitted.
+    pub fn all_uncounted(&self) -> impl Iterator<Item = (&OrganisationName, u32)> {
+        let names = self.pending.keys();
+        let sent = self.in_flight.iter().flat_map(|sent| sent.counts.keys());
+        let sent = sent.filter(|name| !self.pending.contains_key(*name));
+        names
+            .chain(sent)
+            .map(|name| (name, self.uncounted(name)))
+    }
+
+    /// The report that is due now, and where to. `chosen` is the aggregator that ranks first among
+    /// those that answer; `portions` is the number of daemons whose portions can be leased.
+    pub fn due(
+        &mut self,
+        now: TimeMs,
+        chosen: Option<SocketAddr>,
+        portions: u32,
+    ) -> Option<(SocketAddr, QuotaReport)> {
+        let chosen = chosen?;
+        if self.in_flight.as_ref().is_some_and(|sent| sent.is_open) || !self.is_due(now, chosen) {
+            return None;
+        }
+        self.sent_at = Some(now);
+        self.is_urgent = false;
+        // Another aggregator must answer before anything changes.
+        let may_lease = self.parent == Some(chosen) && now >= self.free_at && portions > 0;
+        let portions = if may_lease { portions } else { 0 };
+        let unanswered = self.in_flight.take();
+        let (number, mut counts) = match unanswered {
+            Some(sent) if sent.to == chosen && may_lease => (sent.number, sent.counts),
+            unanswered => {
+                for (name, counts) in unanswered.into_iter().flat_map(|sent| sent.counts) {
+                    self.record(now, &name, counts.received, counts.admitted);
+                }
+                self.last_number += 1;
+                (self.last_number, HashMap::new())
+            }
+        };
+        let mut age_ms = 0;
+        if may_lease && self.is_leased {
+            if counts.is_empty() {
+                counts = std::mem::take(&mut self.pending);
+                self.pending_since = None;
+            }
+            age_ms = self.leased_at.map_or(0, |at| now.since_ms(at));
+        } else if may_lease {
+            age_ms = now.since_ms(*self.claimed_at.get_or_insert(now));
+        }
+        let report = QuotaReport {
+            from: self.own,
+            level: self.level,
+            incarnation: self.incarnation,
+            number,
+            portions,
+            age_ms,
+            counts: counts
+                .iter()
+                .map(|(name, counts)| (name.clone(), counts.received, counts.admitted))
+                .collect(),
+        };
+        self.in_flight = Some(InFlight {
+            to: chosen,
+            number,
+            portions,
+            counts,
+            sent_at: now,
+            is_open: true,
+        });
+        Some((chosen, report))
+    }
+
+    /// Takes over the answer to the report in flight.
+    pub fn answered(&mut self, now: TimeMs, from: SocketAddr, answer: QuotaAnswer) {
+        let Some(sent) = self.in_flight.take_if(|sent| sent.is_open && sent.to == from) else {
+            return;
+        };
+        if self.parent != Some(from) {
+            self.switch(now, from);
+            return;
+        }
+        if sent.portions == 0 {
+            return;
+        }
+        if !self.is_leased {
+            // Until now admitted on an earlier lease or alone.
+            self.pending.clear();
+            self.pending_since = None;
+        }
+        self.is_leased = true;
+        self.claimed_at = None;
+        self.leased_at = Some(sent.sent_at);
+        self.shares = answer.shares.into_iter().collect();
+    }
+
+    /// Records that the report in flight was not answered; it is repeated under the same number.
+    pub fn failed(&mut self) {
+        if let Some(sent) = &mut self.in_flight {
+            sent.is_open = false;
+        }
+    }
+
+    fn switch(&mut self, now: TimeMs, parent: SocketAddr) {
+        let lease_ms = self.by_level(LEASE_MS);
+        let free_at = |at: Option<TimeMs>| at.map_or(TimeMs(0), |at| at.plus_ms(lease_ms));
+        let claimed = free_at(self.claimed_at.take());
+        self.free_at = self.free_at.max(free_at(self.leased_at)).max(claimed);
+        self.parent = Some(parent);
+        self.is_leased = false;
+        // Has the lease begin at once if nothing stands against it.
+        if now >= self.free_at {
+            self.sent_at = None;
+        }
+    }
+
+    fn is_due(&self, now: TimeMs, chosen: SocketAddr) -> bool {
+        let Some(sent_at) = self.sent_at else {
+            return true;
+        };
+        let since_ms = now.since_ms(sent_at);
+        if since_ms < self.by_level(MIN_INTERVAL_MS) {
+            return false;
+        }
+        let has_failed = self.in_flight.is_some();
+        let is_switching = self.parent != Some(chosen);
+        let is_claim_due = !self.is_leased && now >= self.free_at;
+        if has_failed || is_switching || is_claim_due || self.is_urgent {
+            return true;
+        }
+        let is_collected = self.is_leased
+            && self.pending_since.is_some_and(|since| {
+                self.level == Level::Zone || now.since_ms(since) >= COLLECT_MS
+            });
+        is_collected || since_ms >= self.by_level(IDLE_INTERVAL_MS)
+    }
+
+    fn by_level(&self, (daemon_ms, zone_ms): (u64, u64)) -> u64 {
+        match self.level {
+            Level::Daemon => daemon_ms,
+            Level::Zone => zone_ms,
+        }
+    }
+}
--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -2,12 +2,10 @@
 //! a reader of their zone. Each daemon decides by what it believes about the zone; two daemons that
 //! disagree cost some calls to the log service or a short delay.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use xxhash_rust::xxh3::xxh3_64;
-
 use super::directory::Directory;
+use super::silent_peers::{SilentPeers, rendezvous_hash};
 use crate::model::{Distance, Place, TimeMs};
 
 /// Readers in each availability zone, whatever its size.
@@ -17,9 +15,6 @@
 /// How long a daemon without an answer from a reader that reaches the log service waits before it
 /// reads by itself, in milliseconds. Below the time within which a configuration must be in force.
 const UNHEARD_MS: u64 = 1_200;
-/// How long a daemon that does not answer is passed over: the first time and at most, in
-/// milliseconds.
-const SILENT_MS: (u64, u64) = (2_000, 16_000);
 /// How long a daemon that answers but does not reach the log service is passed over, in
 /// milliseconds.
 const NO_LOG_MS: u64 = 1_000;
@@ -45,16 +40,10 @@
     pub follows: Option<SocketAddr>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Passed {
-    until: TimeMs,
-    failures: u32,
-}
-
 /// What this daemon believes about the readers of its availability zone.
 #[derive(Debug, Default)]
 pub struct Readers {
-    passed_over: HashMap<SocketAddr, Passed>,
+    silent: SilentPeers,
     /// When a reader that reaches the log service last answered.
     heard_at: Option<TimeMs>,
     peer_polls: u64,
@@ -81,19 +70,15 @@
     pub fn answered(&mut self, now: TimeMs, reader: SocketAddr, reaches_log: bool) {
         if reaches_log {
             self.heard_at = Some(now);
-            self.passed_over.remove(&reader);
+            self.silent.answered(reader);
             return;
         }
-        self.pass_over(now, reader, NO_LOG_MS, 0);
+        self.silent.pass_over(now, reader, NO_LOG_MS, 0);
     }
 
     /// Records that a reader has not answered.
     pub fn failed(&mut self, now: TimeMs, reader: SocketAddr) {
-        let known = self.passed_over.get(&reader);
-        let failures = known.map_or(0, |passed| passed.failures);
-        let (first_ms, longest_ms) = SILENT_MS;
-        let wait_ms = (first_ms << failures.min(8)).min(longest_ms);
-        self.pass_over(now, reader, wait_ms, failures + 1);
+        self.silent.failed(now, reader);
     }
 
     /// How long a read of the log service waits for new records, in milliseconds. The readers of the
@@ -181,7 +166,7 @@
         let count = zone_reader_count(daemons.len());
         let usable = daemons
             .into_iter()
-            .filter(|daemon| *daemon == own || !self.is_passed_over(now, *daemon));
+            .filter(|daemon| *daemon == own || !self.silent.is_passed_over(now, *daemon));
         let mut ranked: Vec<_> = usable.collect();
         ranked
             .sort_by_cached_key(|daemon| std::cmp::Reverse(zone_hash(directory.place(), *daemon)));
@@ -198,25 +183,11 @@
     ) -> Vec<SocketAddr> {
         let mut ranked: Vec<_> = daemons.collect();
         ranked.sort_by_cached_key(|daemon| {
-            let is_passed_over = self.is_passed_over(now, *daemon);
+            let is_passed_over = self.silent.is_passed_over(now, *daemon);
             (is_passed_over, std::cmp::Reverse(zone_hash(place, *daemon)))
         });
         ranked
     }
-
-    fn pass_over(&mut self, now: TimeMs, reader: SocketAddr, wait_ms: u64, failures: u32) {
-        let until = now.plus_ms(wait_ms);
-        self.passed_over.insert(reader, Passed { until, failures });
-        // Entries of daemons that are gone for good are dropped long after their time.
-        let longest_ms = 4 * SILENT_MS.1;
-        self.passed_over
-            .retain(|_, passed| now.since_ms(passed.until) < longest_ms);
-    }
-
-    fn is_passed_over(&self, now: TimeMs, daemon: SocketAddr) -> bool {
-        let passed = self.passed_over.get(&daemon);
-        passed.is_some_and(|passed| now < passed.until)
-    }
 }
 
 fn zone_reader_count(daemons: usize) -> usize {
@@ -225,9 +196,9 @@
 
 /// Rendezvous hash of a daemon in its zone.
 fn zone_hash(place: &Place, daemon: SocketAddr) -> u64 {
-    xxh3_64(format!("{} {daemon}", place.zone.as_str()).as_bytes())
+    rendezvous_hash(place.zone.as_str(), daemon)
 }
 
 fn pair_hash(follower: SocketAddr, reader: SocketAddr) -> u64 {
-    xxh3_64(format!("{follower} {reader}").as_bytes())
+    rendezvous_hash(&follower.to_string(), reader)
 }
