Quotas: carry debts over changes of the decider

Cause: the randomised test found windows above the bound after restarts of aggregators, since each new decider began without the debt of the last one, and daemons without an answer admitted too much.

Change: debts of limited organisations move with the lease; fewer requests are admitted while nobody answers; the moving average of the demand is corrected at its start.

--- a/src/decide/relay/quotas/aggregator.rs
+++ b/src/decide/relay/quotas/aggregator.rs
@@ -91,13 +91,34 @@
         });
     }
 
-    /// Begins to decide, with empty buckets, so that no restart and no change of view adds a burst.
-    pub fn begin(&mut self, now: TimeMs) {
-        self.buckets.clear();
+    /// Begins to decide, with almost empty buckets, so that no restart and no change of view adds a
+    /// burst. An organisation that was limited, as `was_limited` tells, keeps its debt.
+    pub fn begin(
+        &mut self,
+        now: TimeMs,
+        table: &QuotaTable,
+        was_limited: impl Fn(&OrganisationName) -> bool,
+    ) {
+        let held = table.fraction(self.portions(now));
+        for (name, bucket) in &mut self.buckets {
+            let allowance = table.allowances.get(name);
+            let allowance = allowance.filter(|_| was_limited(name));
+            let most_debt = allowance.map_or(0.0, |allowance| {
+                (allowance.burst + allowance.reserve) * held
+            });
+            bucket.restart(table.start_tokens * held, most_debt);
+        }
         self.decides_since = now;
         self.shares_at = None;
     }
 
+    /// Debts of organisations, in whole requests.
+    pub fn debts(&self) -> impl Iterator<Item = (&OrganisationName, u32)> {
+        let debts = self.buckets.iter();
+        let debts = debts.map(|(name, bucket)| (name, bucket.debt() as u32));
+        debts.filter(|(_, debt)| *debt > 0)
+    }
+
     /// Counts the requests of a report in the buckets.
     pub fn record(&mut self, now: TimeMs, table: &QuotaTable, report: &QuotaReport) {
         let held = table.fraction(self.portions(now));
@@ -109,7 +130,8 @@
                 Some(bucket) => bucket,
                 None => {
                     let idle_s = now.since_ms(self.decides_since) as f64 / 1_000.0;
-                    let tokens = (allowance.per_s * held * idle_s).min(allowance.burst * held);
+                    let tokens = (table.start_tokens + allowance.per_s * idle_s) * held;
+                    let tokens = tokens.min(allowance.burst * held);
                     let bucket = Bucket::new(now, tokens);
                     self.buckets.entry(name.clone()).or_insert(bucket)
                 }
--- a/src/decide/relay/quotas/bucket.rs
+++ b/src/decide/relay/quotas/bucket.rs
@@ -9,7 +9,9 @@
 const HORIZON_S: f64 = 0.5;
 /// Time constant of the moving average of the demand, in seconds. About the delay of reports: a jump
 /// is noticed at once, and requests that are reported together are not taken for a jump.
-const DEMAND_S: f64 = 0.3;
+const DEMAND_S: f64 = 0.15;
+/// Time that the first report of an organisation covers, in seconds.
+const FIRST_REPORT_S: f64 = 0.1;
 /// Demand below which an organisation counts as idle, in requests a second.
 const IDLE_PER_S: f64 = 0.01;
 
@@ -18,6 +20,7 @@
 pub struct Bucket {
     tokens: f64,
     demand_per_s: f64,
+    since: TimeMs,
     updated_at: TimeMs,
 }
 
@@ -27,6 +30,7 @@
         Bucket {
             tokens,
             demand_per_s: 0.0,
+            since: now,
             updated_at: now,
         }
     }
@@ -50,10 +54,13 @@
     /// Share of requests to admit, from 0 to 1, for the fraction `held` of the quota.
     pub fn share(&self, allowance: &Allowance, held: f64) -> f64 {
         let allowed_per_s = allowance.per_s * held + self.tokens / HORIZON_S;
-        if allowed_per_s >= self.demand_per_s {
+        // A moving average that has just begun is too low.
+        let known_s = self.updated_at.since_ms(self.since) as f64 / 1_000.0 + FIRST_REPORT_S;
+        let demand_per_s = self.demand_per_s / (1.0 - (-known_s / DEMAND_S).exp());
+        if allowed_per_s >= demand_per_s {
             return 1.0;
         }
-        allowed_per_s.max(0.0) / self.demand_per_s
+        allowed_per_s.max(0.0) / demand_per_s
     }
 
     /// Whether nothing would change if the bucket were created anew, full.
@@ -61,8 +68,13 @@
         self.demand_per_s < IDLE_PER_S && self.tokens >= allowance.burst * held
     }
 
-    /// Tokens, negative after more was admitted than had accrued.
-    pub fn tokens(&self) -> f64 {
-        self.tokens
+    /// Drops all tokens but these and keeps the demand; a debt stays, up to `most_debt`.
+    pub fn restart(&mut self, tokens: f64, most_debt: f64) {
+        self.tokens = self.tokens.clamp(-most_debt, tokens);
+    }
+
+    /// Requests admitted beyond the tokens that had accrued.
+    pub fn debt(&self) -> f64 {
+        (-self.tokens).max(0.0)
     }
 }
--- a/src/decide/relay/quotas/member.rs
+++ b/src/decide/relay/quotas/member.rs
@@ -20,6 +20,8 @@
 /// How long a token of a daemon on its own must have been there to count as saved up, in
 /// milliseconds.
 const SAVED_MS: u64 = 1_000;
+/// Tokens that a daemon which begins to decide alone starts without if the organisation was limited.
+const LIMITED_DEBT: f64 = 0.5;
 /// Fraction of reserve and burst that all daemons on their own together may have saved up.
 const SAVED_FRACTION: f64 = 0.5;
 
@@ -76,18 +78,20 @@
             .retain(|name, _| table.allowances.contains_key(name));
     }
 
-    /// Decides about one root request.
+    /// Decides about one root request. A daemon that is not listed as active has no portion.
     pub fn check(
         &mut self,
         now: TimeMs,
         table: &QuotaTable,
         uplink: &mut Uplink,
         name: &OrganisationName,
+        is_listed: bool,
         rng: &mut impl Rng,
     ) -> Result<(), QuotaRefusal> {
         let Some(allowance) = table.allowances.get(name) else {
             return Ok(());
         };
+        let portion = if is_listed { table.fraction(1) } else { 0.0 };
         uplink.record(now, name, 1, 0);
         let entry = match self.entries.get_mut(name) {
             Some(entry) => entry,
@@ -103,19 +107,23 @@
             Standing::Standalone => {
                 if entry.period != self.period {
                     entry.period = self.period;
-                    entry.tokens = rng.random();
+                    // What a limited organisation had beyond its quota is not counted by anyone else.
+                    let is_limited = uplink.share(name) < 1.0;
+                    let debt = if is_limited { LIMITED_DEBT } else { 0.0 };
+                    entry.tokens = rng.random::<f64>() - debt;
                     entry.whole_since = None;
                     entry.updated_at = now;
                 }
-                entry.take_own(now, table, allowance, rng)
+                entry.take_own(now, portion, allowance, rng)
             }
             Standing::Leased | Standing::Transferring => {
-                let most = table.member_uncounted(allowance);
-                let uncounted = f64::from(uplink.uncounted(name)) + 1.0;
-                if uncounted >= most / 2.0 {
+                let most = table.member_uncounted(allowance, uplink.answers(now));
+                let uncounted = f64::from(uplink.uncounted(name));
+                if uncounted + 1.0 >= most / 2.0 {
                     uplink.hurry();
                 }
-                if uncounted > most {
+                // Below one request by chance.
+                if uncounted + rng.random::<f64>() >= most {
                     Err((RefusalCause::Uncounted, UNCOUNTED_RETRY_MS))
                 } else {
                     entry.take_share(uplink.share(name))
@@ -153,15 +161,17 @@
     fn take_own(
         &mut self,
         now: TimeMs,
-        table: &QuotaTable,
+        portion: f64,
         allowance: &Allowance,
         rng: &mut impl Rng,
     ) -> Result<(), (RefusalCause, f64)> {
-        let daemons = f64::from(table.fleet.daemons.max(1));
-        let per_ms = allowance.per_s / daemons / 1_000.0;
+        if portion <= 0.0 {
+            return Err((RefusalCause::Portion, UNCOUNTED_RETRY_MS));
+        }
+        let per_ms = allowance.per_s * portion / 1_000.0;
         let before = self.tokens;
         let elapsed_ms = now.since_ms(self.updated_at) as f64;
-        let most = (allowance.burst / daemons).max(1.0);
+        let most = (allowance.burst * portion).max(1.0);
         self.tokens = (before + per_ms * elapsed_ms).min(most);
         if self.tokens >= 1.0 && self.whole_since.is_none() {
             let whole_ms = ((1.0 - before).max(0.0) / per_ms) as u64;
@@ -179,7 +189,7 @@
         if self.tokens < 1.0 {
             self.whole_since = None;
         }
-        let valid = (allowance.burst + allowance.reserve) * SAVED_FRACTION / daemons;
+        let valid = (allowance.burst + allowance.reserve) * SAVED_FRACTION * portion;
         if is_saved && valid < 1.0 {
             // Daemons that lose or use a saved token together must not have the next one together.
             self.tokens -= rng.random::<f64>();
--- a/src/decide/relay/quotas/mod.rs
+++ b/src/decide/relay/quotas/mod.rs
@@ -24,21 +24,26 @@
 pub use member::{Member, QuotaRefusal};
 pub use node::{LimitChange, Outgoing, QuotaNode, QuotaRole};
 pub use ranking::Ranking;
-pub use uplink::{Standing, Uplink};
+pub use uplink::{Answers, Standing, Uplink};
 
 /// Fraction of the excess that deciders add to the rate, so that an organisation that keeps its quota
 /// on average is not limited because of random variation. The rest covers the delay of reports.
-const RATE_EXCESS_FRACTION: f64 = 0.3;
+const RATE_EXCESS_FRACTION: f64 = 0.2;
 /// Fraction of the slack that deciders add to the burst, for the same reason.
-const BURST_SLACK_FRACTION: f64 = 0.4;
+const BURST_SLACK_FRACTION: f64 = 0.3;
+/// Fraction of the slack with which buckets start, so that single requests of a small organisation are
+/// not refused after a restart.
+const START_SLACK_FRACTION: f64 = 0.05;
 /// Fraction of the reserve and the burst that may be admitted before anyone has counted it, at each of
 /// the two levels: by all daemons together, and by all aggregators together.
 const UNCOUNTED_FRACTION: f64 = 0.5;
+/// The same for all daemons while no aggregator answers them.
+const UNANSWERED_FRACTION: f64 = 0.1;
 /// Requests that a daemon may have admitted without an answer, whatever the quota: two that come
 /// together by chance are not refused.
 const MIN_MEMBER_UNCOUNTED: f64 = 3.0;
 /// The same for an aggregator of an availability zone.
-const MIN_ZONE_UNCOUNTED: f64 = 4.0;
+const MIN_ZONE_UNCOUNTED: f64 = 3.0;
 
 /// How far the requests of an organisation in one window may exceed its quota, over all daemons.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -113,13 +118,36 @@
     pub allowances: HashMap<OrganisationName, Allowance>,
     /// Numbers of daemons.
     pub fleet: FleetSize,
+    /// Tokens with which buckets of the whole quota start.
+    pub start_tokens: f64,
 }
 
 impl QuotaTable {
-    /// Requests that one daemon may have admitted without an answer to its report of them.
-    pub fn member_uncounted(&self, allowance: &Allowance) -> f64 {
-        let all = (allowance.reserve + allowance.burst) * UNCOUNTED_FRACTION;
-        (all / f64::from(self.fleet.daemons.max(1))).max(MIN_MEMBER_UNCOUNTED)
+    /// A table of these quotas.
+    pub fn new<'a>(
+        bounds: &QuotaBounds,
+        quotas: impl Iterator<Item = (&'a OrganisationName, Quota)>,
+        fleet: FleetSize,
+    ) -> QuotaTable {
+        QuotaTable {
+            allowances: quotas
+                .map(|(name, quota)| (name.clone(), bounds.allowance(quota)))
+                .collect(),
+            fleet,
+            start_tokens: bounds.slack * START_SLACK_FRACTION,
+        }
+    }
+
+    /// Requests that one daemon may have admitted without an answer to its report of them: its part of
+    /// what all daemons together may, and more while an aggregator answers.
+    pub fn member_uncounted(&self, allowance: &Allowance, answers: Answers) -> f64 {
+        let all = allowance.reserve + allowance.burst;
+        let part = all / f64::from(self.fleet.daemons.max(1));
+        match answers {
+            Answers::Counted => (part * UNCOUNTED_FRACTION).max(MIN_MEMBER_UNCOUNTED),
+            Answers::Prompt => (part * UNANSWERED_FRACTION).max(1.0),
+            Answers::Late => part * UNANSWERED_FRACTION,
+        }
     }
 
     /// Requests that the daemons of one aggregator may have admitted without an answer of the root.
--- a/src/decide/relay/quotas/node.rs
+++ b/src/decide/relay/quotas/node.rs
@@ -130,8 +130,9 @@
         rng: &mut impl Rng,
     ) -> Result<(), QuotaRefusal> {
         self.note_standing(now);
-        self.member
-            .check(now, &self.table, &mut self.daemon_uplink, name, rng)
+        let (table, uplink) = (&self.table, &mut self.daemon_uplink);
+        let is_listed = self.ranking.is_listed();
+        self.member.check(now, table, uplink, name, is_listed, rng)
     }
 
     /// Records that a request which was checked is sent to a backend server.
@@ -277,14 +278,15 @@
 
     fn receive_as_zone(&mut self, now: TimeMs, report: &QuotaReport) -> QuotaAnswer {
         if self.is_zone_alone && self.zone.portions(now) == 0 {
-            self.zone.begin(now);
+            self.zone.begin(now, &self.table, |_| false);
         }
         let is_new = self.zone.accept(now, report);
         let mut shares: Vec<(OrganisationName, u16)> = Vec::new();
+        if is_new {
+            // Followed also while the root decides, so that demand and debt are known if it fails.
+            self.zone.record(now, &self.table, report);
+        }
         if self.is_zone_alone {
-            if is_new {
-                self.zone.record(now, &self.table, report);
-            }
             shares.extend_from_slice(self.zone.shares(now, &self.table));
             return QuotaAnswer { shares };
         }
@@ -311,7 +313,7 @@
 
     fn receive_as_root(&mut self, now: TimeMs, report: &QuotaReport) -> QuotaAnswer {
         if self.root.portions(now) == 0 {
-            self.root.begin(now);
+            self.root.begin(now, &self.table, |_| false);
         }
         if self.root.accept(now, report) {
             self.root.record(now, &self.table, report);
@@ -351,7 +353,16 @@
         self.is_alone = is_alone;
         let is_zone_alone = self.zone_uplink.standing(now) == Standing::Standalone;
         if is_zone_alone && !self.is_zone_alone {
-            self.zone.begin(now);
+            let limited = self.zone_uplink.limited();
+            let was_limited = |name: &OrganisationName| limited.contains_key(name);
+            self.zone.begin(now, &self.table, was_limited);
+        }
+        if !is_zone_alone && self.is_zone_alone {
+            let shares = self.zone.shares(now, &self.table);
+            self.zone_uplink.keep_shares(shares);
+            for (name, debt) in self.zone.debts() {
+                self.zone_uplink.record(now, name, 0, debt);
+            }
         }
         self.is_zone_alone = is_zone_alone;
     }
--- a/src/decide/relay/quotas/ranking.rs
+++ b/src/decide/relay/quotas/ranking.rs
@@ -16,6 +16,7 @@
 pub struct Ranking {
     own: Option<SocketAddr>,
     own_zone: usize,
+    is_listed: bool,
     zones: Vec<Vec<SocketAddr>>,
     change: Option<u64>,
 }
@@ -44,12 +45,14 @@
         self.own = Some(own);
         self.zones.clear();
         self.own_zone = usize::MAX;
+        self.is_listed = false;
         for (zone, daemons) in zones {
             if zone == place {
                 self.own_zone = self.zones.len();
             }
             let role = format!("quota {} {}", zone.region.as_str(), zone.zone.as_str());
             let mut ranked: Vec<_> = daemons.collect();
+            self.is_listed |= ranked.contains(&own);
             ranked.sort_by_cached_key(|daemon| {
                 std::cmp::Reverse(rendezvous_hash(&role, *daemon))
             });
@@ -57,6 +60,11 @@
         }
     }
 
+    /// Whether this daemon is among the active ones.
+    pub fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
     /// Numbers of active daemons and of aggregators.
     pub fn fleet(&self) -> FleetSize {
         let daemons: usize = self.zones.iter().map(Vec::len).sum();
@@ -67,11 +75,13 @@
         }
     }
 
-    /// The aggregator of this daemon's zone that this daemon reports to; `None` if no other daemon of
-    /// the zone answers.
+    /// The aggregator of this daemon's zone that this daemon reports to, or the root if no daemon of the
+    /// zone is active; `None` if no other daemon of the zone answers.
     pub fn aggregator(&self, now: TimeMs, silent: &SilentPeers) -> Option<SocketAddr> {
         let own = self.own?;
-        let zone = self.zones.get(self.own_zone)?;
+        let Some(zone) = self.zones.get(self.own_zone) else {
+            return self.root(now, silent);
+        };
         let first: Vec<_> = usable(zone, own, now, silent).collect();
         if zone.len() > 1 && first == [own] {
             return None;
--- a/src/decide/relay/quotas/uplink.rs
+++ b/src/decide/relay/quotas/uplink.rs
@@ -25,6 +25,15 @@
 /// Timeout of a report, in milliseconds. Above the round trip between regions.
 pub const REPORT_TIMEOUT_MS: u64 = 300;
 
+/// How long an answer takes at most while all is well, in milliseconds, within a zone.
+const PROMPT_MS: u64 = 100;
+
+/// How long a transfer may take beyond the end of the earlier lease, in milliseconds.
+const BRIEFLY_ALONE_MS: u64 = 200;
+/// Time after which the shares of a lease take account of all daemons, even if this one had nothing to
+/// report, in milliseconds.
+const SETTLED_MS: u64 = 400;
+
 /// Who decides about this daemon's or zone's portions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -37,6 +46,17 @@
     Standalone,
 }
 
+/// How promptly the aggregator above answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Answers {
+    /// At once, and it has counted requests of this daemon or zone.
+    Counted,
+    /// At once, while an earlier lease runs out.
+    Prompt,
+    /// Not at once, or it has counted nothing since this daemon or zone decided alone.
+    Late,
+}
+
 #[derive(Debug)]
 struct InFlight {
     to: SocketAddr,
@@ -56,8 +76,12 @@
     last_number: u64,
     parent: Option<SocketAddr>,
     is_leased: bool,
+    /// Whether counts of this daemon or zone have been answered since it decided alone.
+    is_counted: bool,
     /// Sending of the newest answered report that leased portions to whomever.
     leased_at: Option<TimeMs>,
+    /// When the lease of the parent began.
+    lease_began: Option<TimeMs>,
     /// Sending of the first report that leased portions to the parent, until one is answered.
     claimed_at: Option<TimeMs>,
     /// From then on portions may be leased to the parent.
@@ -80,7 +104,9 @@
             last_number: 0,
             parent: None,
             is_leased: false,
+            is_counted: false,
             leased_at: None,
+            lease_began: None,
             claimed_at: None,
             free_at: TimeMs(0),
             in_flight: None,
@@ -102,6 +128,27 @@
         }
     }
 
+    /// How the aggregator above answers.
+    pub fn answers(&self, now: TimeMs) -> Answers {
+        let is_prompt = self
+            .in_flight
+            .as_ref()
+            .is_none_or(|sent| sent.is_open && now.since_ms(sent.sent_at) <= PROMPT_MS);
+        match () {
+            () if !is_prompt || !self.is_counted => Answers::Late,
+            () if self.is_leased => Answers::Counted,
+            () => Answers::Prompt,
+        }
+    }
+
+    /// Keeps to shares of before the lease until the aggregator above has counted something.
+    pub fn keep_shares(&mut self, shares: &[(OrganisationName, u16)]) {
+        for (name, share) in shares {
+            let kept = self.shares.entry(name.clone()).or_insert(FULL_SHARE);
+            *kept = (*kept).min(*share);
+        }
+    }
+
     /// The aggregator above, if one has answered.
     pub fn parent(&self) -> Option<SocketAddr> {
         self.parent
@@ -225,15 +272,31 @@
         if sent.portions == 0 {
             return;
         }
-        if !self.is_leased {
-            // Until now admitted on an earlier lease or alone.
-            self.pending.clear();
-            self.pending_since = None;
+        // A transfer ends with a moment of deciding alone.
+        let alone_ms = self.by_level(LEASE_MS) + BRIEFLY_ALONE_MS;
+        if self.leased_at.is_none_or(|at| now.since_ms(at) >= alone_ms) {
+            self.is_counted = false;
+            self.shares.clear();
+        }
+        if self.is_leased {
+            let lease_ms = self.lease_began.map_or(0, |at| now.since_ms(at));
+            self.is_counted |= !sent.counts.is_empty() || lease_ms >= SETTLED_MS;
+            self.shares = answer.shares.into_iter().collect();
+        } else {
+            // Nobody has counted what limited organisations had while an earlier lease ran out; an
+            // aggregator's own buckets have. The aggregator above knows nothing yet.
+            let (level, shares) = (self.level, &self.shares);
+            self.pending.retain(|name, counts| {
+                counts.received = 0;
+                level == Level::Daemon && counts.admitted > 0 && shares.contains_key(name)
+            });
+            self.pending_since = (!self.pending.is_empty()).then_some(now);
+            self.lease_began = Some(now);
+            self.keep_shares(&answer.shares);
         }
         self.is_leased = true;
         self.claimed_at = None;
         self.leased_at = Some(sent.sent_at);
-        self.shares = answer.shares.into_iter().collect();
     }
 
     /// Records that the report in flight was not answered; it is repeated under the same number.
