--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Logging, SettingsError, check};
+use crate::decide::relay::quotas::QuotaBounds;
 use crate::model::{Place, ServiceName};
 
 /// Settings of a relay.
@@ -63,11 +64,33 @@
     /// revocation.
     #[serde(default)]
     pub strict_revoke: bool,
+    /// Length of the window in which requests of an organisation are counted against its quota, in
+    /// seconds.
+    #[serde(default = "default_quota_window_s")]
+    pub quota_window_s: f64,
+    /// Excess over quotas in one window, as a ratio of it, over all daemons.
+    #[serde(default = "default_quota_excess")]
+    pub quota_excess: f64,
+    /// Number of requests allowed in one window in addition to that, over all daemons.
+    #[serde(default = "default_quota_slack")]
+    pub quota_slack: f64,
 }
 
 /// Default of [`RelayBounds::revoke_s`], in seconds.
 pub const DEFAULT_REVOKE_S: f64 = 5.0;
 
+fn default_quota_window_s() -> f64 {
+    QuotaBounds::default().window_s
+}
+
+fn default_quota_excess() -> f64 {
+    QuotaBounds::default().excess
+}
+
+fn default_quota_slack() -> f64 {
+    QuotaBounds::default().slack
+}
+
 fn default_revoke_s() -> f64 {
     DEFAULT_REVOKE_S
 }
@@ -118,6 +141,9 @@
                 retry_slack: 48.0,
                 revoke_s: DEFAULT_REVOKE_S,
                 strict_revoke: false,
+                quota_window_s: default_quota_window_s(),
+                quota_excess: default_quota_excess(),
+                quota_slack: default_quota_slack(),
             },
         }
     }
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -364,6 +364,21 @@
         Kind::Flag,
         "Whether requests that need an API key get status 503 while this daemon may not have heard of a revocation.",
     ),
+    optional(
+        "quota_window_s",
+        DURATION_S,
+        "Window in which requests of an organisation are counted against its quota.",
+    ),
+    optional(
+        "quota_excess",
+        Kind::Decimal { min: 0.0, max: 1.0 },
+        "Excess over a quota in one window, as a share of it, by all daemons together.",
+    ),
+    optional(
+        "quota_slack",
+        Kind::Decimal { min: 0.0, max: 1e6 },
+        "Requests of an organisation in one window that are allowed beyond that, by all daemons together.",
+    ),
 ];
 
 /// Fields of a relay's settings file.
--- a/src/decide/relay/quotas/mod.rs
+++ b/src/decide/relay/quotas/mod.rs
@@ -172,9 +172,7 @@
 }
 
 /// The level of the tree that a report is from.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::IntoStaticStr,
-)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum Level {
     /// A daemon reports to the aggregator of its availability zone.
@@ -222,12 +220,18 @@
 /// The unit of shares in answers.
 pub const FULL_SHARE: u16 = 10_000;
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
 
-#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde passes a reference"
+)]
 fn is_zero_ms(number: &u64) -> bool {
     *number == 0
 }
--- a/src/decide/relay/quotas/node.rs
+++ b/src/decide/relay/quotas/node.rs
@@ -27,7 +27,9 @@
 const LIMIT_ENDS_MS: u64 = 3_000;
 
 /// What a daemon is to the others, for metrics and log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr, strum::EnumIter)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, strum::Display, strum::IntoStaticStr, strum::EnumIter,
+)]
 #[strum(serialize_all = "snake_case")]
 pub enum QuotaRole {
     /// Leases its portion to an aggregator.
@@ -301,9 +303,8 @@
         let table = &self.table;
         let exhausted = self.zone_uplink.all_uncounted().filter(|(name, admitted)| {
             let allowance = table.allowances.get(*name);
-            allowance.is_some_and(|allowance| {
-                f64::from(*admitted) >= table.zone_uncounted(allowance)
-            })
+            allowance
+                .is_some_and(|allowance| f64::from(*admitted) >= table.zone_uncounted(allowance))
         });
         let mut limited = self.zone_uplink.limited().clone();
         limited.extend(exhausted.map(|(name, _)| (name.clone(), 0)));
--- a/src/decide/relay/quotas/ranking.rs
+++ b/src/decide/relay/quotas/ranking.rs
@@ -53,9 +53,7 @@
             let role = format!("quota {} {}", zone.region.as_str(), zone.zone.as_str());
             let mut ranked: Vec<_> = daemons.collect();
             self.is_listed |= ranked.contains(&own);
-            ranked.sort_by_cached_key(|daemon| {
-                std::cmp::Reverse(rendezvous_hash(&role, *daemon))
-            });
+            ranked.sort_by_cached_key(|daemon| std::cmp::Reverse(rendezvous_hash(&role, *daemon)));
             self.zones.push(ranked);
         }
     }
@@ -97,9 +95,10 @@
     /// The root aggregator: the first among the aggregators that answer.
     pub fn root(&self, now: TimeMs, silent: &SilentPeers) -> Option<SocketAddr> {
         let own = self.own?;
-        let aggregators = self.zones.iter().flat_map(|zone| {
-            usable(zone, own, now, silent).take(count(zone.len()))
-        });
+        let aggregators = self
+            .zones
+            .iter()
+            .flat_map(|zone| usable(zone, own, now, silent).take(count(zone.len())));
         aggregators.max_by_key(|daemon| rendezvous_hash("quota root", *daemon))
     }
 }
--- a/src/decide/relay/quotas/uplink.rs
+++ b/src/decide/relay/quotas/uplink.rs
@@ -194,9 +194,7 @@
         let names = self.pending.keys();
         let sent = self.in_flight.iter().flat_map(|sent| sent.counts.keys());
         let sent = sent.filter(|name| !self.pending.contains_key(*name));
-        names
-            .chain(sent)
-            .map(|name| (name, self.uncounted(name)))
+        names.chain(sent).map(|name| (name, self.uncounted(name)))
     }
 
     /// The report that is due now, and where to. `chosen` is the aggregator that ranks first among
@@ -262,7 +260,10 @@
 
     /// Takes over the answer to the report in flight.
     pub fn answered(&mut self, now: TimeMs, from: SocketAddr, answer: QuotaAnswer) {
-        let Some(sent) = self.in_flight.take_if(|sent| sent.is_open && sent.to == from) else {
+        let Some(sent) = self
+            .in_flight
+            .take_if(|sent| sent.is_open && sent.to == from)
+        else {
             return;
         };
         if self.parent != Some(from) {
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -16,7 +16,7 @@
 use super::identify::{self, identify};
 use super::log_limiter::LineKind;
 use super::state::{Configuration, Relay, Stage};
-use crate::decide::relay::{RequestDigest, RootRequest, Route};
+use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route};
 use crate::model::{ServiceName, TimeMs};
 
 /// Time left for a request whose caller states none, in milliseconds.
@@ -79,7 +79,13 @@
 
 /// A response with status 503 and a retry-after time, which states that the request has not run.
 pub(super) fn refusal(retry_after_ms: u64) -> Response<RelayBody> {
-    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    refusal_with(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+}
+
+/// A response with this status and a retry-after time. Like status 503, 429 states that the request
+/// has not run.
+fn refusal_with(status: StatusCode, retry_after_ms: u64) -> Response<RelayBody> {
+    let mut response = empty_response(status);
     let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
     if let Ok(value) = HeaderValue::try_from(seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
@@ -165,9 +171,17 @@
     let root = match parent {
         Some((_, parent)) => parent.root,
         None => {
+            if let Some(organisation) = organisation
+                && let Err(retry_after_ms) = relay.check_quota(organisation)
+            {
+                return exceeded(relay, id, route, organisation, retry_after_ms);
+            }
             let Some(admitted) = relay.tables().admit(started, &route.name) else {
                 return shed(relay, id, route, table.version);
             };
+            if let Some(organisation) = organisation {
+                relay.record_admitted(organisation);
+            }
             RootRequest {
                 route: route.name.clone(),
                 priority,
@@ -212,6 +226,24 @@
     response
 }
 
+/// Refuses a root request whose organisation exceeds its quota.
+fn exceeded(
+    relay: &Relay,
+    request_id: &str,
+    route: &Route,
+    organisation: &Organisation,
+    retry_after_ms: u64,
+) -> Response<RelayBody> {
+    if relay.may_log(LineKind::Failed) {
+        let (route, organisation) = (route.name.as_str(), organisation.name.as_str());
+        let status = StatusCode::TOO_MANY_REQUESTS.as_u16();
+        spdlog::info!("a request was refused for the quota of its organisation", kv: {
+            request_id, route, organisation, status, retry_after_ms
+        });
+    }
+    refusal_with(StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+}
+
 fn shed(relay: &Relay, request_id: &str, route: &Route, config: u64) -> Response<RelayBody> {
     let retry_after_ms = {
         let mut tables = relay.tables();
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -15,7 +15,7 @@
 use super::executor::{self, ExecutionOutcome, LocalRequest};
 use super::log_progress::LogPosition;
 use super::state::{Relay, Tables};
-use super::{peers, settle};
+use super::{peers, quotas, settle};
 use crate::decide::relay::{
     Arrivals, Member, MemberState, RelayedRate, Reporter, RequestDigest, RootRequest, ShareReport,
 };
@@ -147,6 +147,7 @@
         return match request.uri().path() {
             peers::STATE_PATH => peers::answer_state(&relay, request.uri()).await,
             peers::RECORD_PATH => peers::receive_record(&relay, request).await,
+            quotas::QUOTAS_PATH => quotas::answer(&relay, request).await,
             settle::PATH => settle::answer(&relay, request).await,
             _ => empty_response(StatusCode::NOT_FOUND),
         };
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -21,6 +21,8 @@
 pub mod offer;
 pub mod peers;
 pub mod pool;
+mod quota_metrics;
+pub mod quotas;
 pub mod record_log;
 pub mod relay_metrics;
 pub mod settle;
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -371,7 +371,7 @@
 }
 
 /// The body of a peer's answer; `None` if the exchange fails or times out.
-async fn exchange(
+pub(super) async fn exchange(
     relay: &Arc<Relay>,
     peer: SocketAddr,
     request: Request<RelayBody>,
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -8,6 +8,7 @@
 
 use super::executor::ExecutionOutcome;
 use super::identify::IdentityError;
+use super::quota_metrics::QuotaMetrics;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -18,6 +19,8 @@
 #[derive(Debug)]
 pub struct RelayMetrics {
     registry: Registry,
+    /// Metrics of quotas.
+    pub(super) quotas: QuotaMetrics,
     answers: IntCounterVec,
     answer_seconds: Histogram,
     executions: IntCounterVec,
@@ -35,6 +38,7 @@
     fn default() -> RelayMetrics {
         let registry = Registry::new();
         let metrics = RelayMetrics {
+            quotas: QuotaMetrics::default(),
             answers: counters(
                 "burdockhall_relay_answers_total",
                 "Answers to callers by status.",
@@ -105,7 +109,7 @@
             Box::new(self.organisations.clone()),
             Box::new(self.api_keys.clone()),
         ];
-        for collector in collectors {
+        for collector in collectors.into_iter().chain(self.quotas.collectors()) {
             // The names are distinct constants, so registration cannot fail.
             let registered = self.registry.register(collector);
             debug_assert!(registered.is_ok());
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -17,6 +17,7 @@
 use super::log_limiter::{LineKind, LogLimiter};
 use super::log_progress::LogProgress;
 use super::pool::Pool;
+use super::quotas::Quotas;
 use super::relay_metrics::RelayMetrics;
 use super::settle::Settlements;
 use crate::config::RelaySettings;
@@ -195,6 +196,8 @@
     pub settlements: Settlements,
     /// Tells whether the backend server beside this daemon has ended.
     pub(super) crash_probe: CrashProbe,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Rate limiter of log lines about requests.
     pub log_limiter: LogLimiter,
     /// Counters and histograms for the metrics listener.
@@ -229,6 +232,7 @@
         );
         let sequence_offset = rng.random();
         let incarnation = rng.random();
+        let quotas = Quotas::new(&settings, &mut rng);
         Arc::new(Relay {
             header_names,
             started: clock.now(),
@@ -248,6 +252,7 @@
             config_heard: AtomicU64::new(0),
             settlements: Settlements::default(),
             crash_probe: CrashProbe::default(),
+            quotas,
             log_limiter: LogLimiter::default(),
             metrics: RelayMetrics::default(),
             log_unavailable: AtomicBool::new(false),
@@ -358,6 +363,7 @@
         spdlog::info!("a configuration is in force", kv: {
             from, to, routes, organisations, keys, source
         });
+        self.sync_quotas();
         self.state_changed.notify_waiters();
         true
     }
--- a/tests/quota_world/mod.rs
+++ b/tests/quota_world/mod.rs
@@ -94,11 +94,32 @@
 }
 
 enum Event {
-    Report { from: usize, to: usize, sent: u64, report: QuotaReport },
-    Answer { from: usize, to: usize, sent: u64, level: Level, answer: QuotaAnswer },
-    Timeout { of: usize, to: SocketAddr, sent: u64, level: Level },
-    View { of: usize },
-    Quotas { of: usize, quotas: Vec<(OrganisationName, Quota)> },
+    Report {
+        from: usize,
+        to: usize,
+        sent: u64,
+        report: QuotaReport,
+    },
+    Answer {
+        from: usize,
+        to: usize,
+        sent: u64,
+        level: Level,
+        answer: QuotaAnswer,
+    },
+    Timeout {
+        of: usize,
+        to: SocketAddr,
+        sent: u64,
+        level: Level,
+    },
+    View {
+        of: usize,
+    },
+    Quotas {
+        of: usize,
+        quotas: Vec<(OrganisationName, Quota)>,
+    },
 }
 
 pub struct World {
@@ -213,7 +234,11 @@
         let customer = &mut self.customers[customer];
         let before = customer.quota;
         customer.quota = quota;
-        let larger = if quota.per_s > before.per_s { quota } else { before };
+        let larger = if quota.per_s > before.per_s {
+            quota
+        } else {
+            before
+        };
         customer.limits.push((self.now_ms, larger));
         customer.limits.push((self.now_ms + 3_000, quota));
         for (name, known) in &mut self.quotas {
@@ -250,7 +275,9 @@
         let mut view: BTreeMap<Place, Vec<SocketAddr>> = BTreeMap::new();
         for (daemon, is_member) in self.daemons.iter().zip(&self.is_member) {
             if *is_member {
-                view.entry(daemon.place.clone()).or_default().push(daemon.address);
+                view.entry(daemon.place.clone())
+                    .or_default()
+                    .push(daemon.address);
             }
         }
         self.daemons[of].view = view;
@@ -259,7 +286,13 @@
     }
 
     fn apply_view(&mut self, of: usize) {
-        let Daemon { node, address, place, view, .. } = &mut self.daemons[of];
+        let Daemon {
+            node,
+            address,
+            place,
+            view,
+            ..
+        } = &mut self.daemons[of];
         let zones = view.iter().map(|(zone, all)| (zone, all.iter().copied()));
         node.ranking.rank(*address, place, zones);
     }
@@ -305,14 +338,25 @@
             let Some(target) = self.daemons.iter().position(|daemon| daemon.address == to) else {
                 continue;
             };
-            let timeout = Event::Timeout { of, to, sent, level };
+            let timeout = Event::Timeout {
+                of,
+                to,
+                sent,
+                level,
+            };
             self.at(self.now_ms + REPORT_TIMEOUT_MS, timeout);
             if self.communicate(of, target) {
                 if self.counts_bytes && level == Level::Zone {
-                    self.zone_bytes += serde_json::to_vec(&report).map_or(0, |all| all.len() as u64);
+                    self.zone_bytes +=
+                        serde_json::to_vec(&report).map_or(0, |all| all.len() as u64);
                 }
                 let at = self.now_ms + self.delay_ms(of, target);
-                let report = Event::Report { from: of, to: target, sent, report };
+                let report = Event::Report {
+                    from: of,
+                    to: target,
+                    sent,
+                    report,
+                };
                 self.at(at, report);
             }
         }
@@ -321,14 +365,27 @@
     fn handle(&mut self, event: Event) {
         let now = self.now();
         match event {
-            Event::Report { from, to, sent, report } => {
+            Event::Report {
+                from,
+                to,
+                sent,
+                report,
+            } => {
                 if !self.daemons[to].is_up || !self.communicate(from, to) {
                     return;
                 }
                 if !self.is_running(to) {
                     // Waits in the socket.
                     let at = self.daemons[to].paused_until;
-                    self.at(at, Event::Report { from, to, sent, report });
+                    self.at(
+                        at,
+                        Event::Report {
+                            from,
+                            to,
+                            sent,
+                            report,
+                        },
+                    );
                     return;
                 }
                 let level = report.level;
@@ -336,13 +393,26 @@
                     return;
                 };
                 if self.counts_bytes && level == Level::Zone {
-                    self.zone_bytes += serde_json::to_vec(&answer).map_or(0, |all| all.len() as u64);
+                    self.zone_bytes +=
+                        serde_json::to_vec(&answer).map_or(0, |all| all.len() as u64);
                 }
                 let at = self.now_ms + self.delay_ms(from, to);
-                let answer = Event::Answer { from: to, to: from, sent, level, answer };
+                let answer = Event::Answer {
+                    from: to,
+                    to: from,
+                    sent,
+                    level,
+                    answer,
+                };
                 self.at(at, answer);
             }
-            Event::Answer { from, to, sent, level, answer } => {
+            Event::Answer {
+                from,
+                to,
+                sent,
+                level,
+                answer,
+            } => {
                 if !self.is_running(to) || !self.communicate(from, to) {
                     return;
                 }
@@ -353,7 +423,12 @@
                     daemon.node.answered(now, level, address, answer);
                 }
             }
-            Event::Timeout { of, to, sent, level } => {
+            Event::Timeout {
+                of,
+                to,
+                sent,
+                level,
+            } => {
                 let daemon = &mut self.daemons[of];
                 if daemon.sent[level as usize] == sent {
                     daemon.sent[level as usize] = 0;
--- a/tests/quotas_random.rs
+++ b/tests/quotas_random.rs
@@ -70,8 +70,17 @@
         (surge_at + rng.random_range(1_000..6_000), per_s / 1.6),
     ];
     let zones = rng.random_range(2..=6);
-    let daemons = if rng.random_bool(0.03) { 80 } else { rng.random_range(zones.max(6)..=24) };
-    let mut world = World::new(seed, zones, daemons, vec![Customer::new("o", quota, demand)]);
+    let daemons = if rng.random_bool(0.03) {
+        80
+    } else {
+        rng.random_range(zones.max(6)..=24)
+    };
+    let mut world = World::new(
+        seed,
+        zones,
+        daemons,
+        vec![Customer::new("o", quota, demand)],
+    );
     world.is_limiting = is_limiting;
     for daemon in &mut world.daemons {
         daemon.weight = rng.random_range(0.2..1.0);
@@ -132,7 +141,17 @@
         daemon.group = 0;
     }
     world.run(SPAN_MS);
-    if std::env::var("DBG").is_ok() { let c=&world.customers[0]; println!("fails {fails_at} then {then} root {root} agg {aggregator} any {any} {:?} {:?}", c.quota, c.demand); for t in 0..(SPAN_MS/100) { let (a,r)=c.answered(t*100..t*100+100); println!("{} {a} {r}", t*100); } }
+    if std::env::var("DBG").is_ok() {
+        let c = &world.customers[0];
+        println!(
+            "fails {fails_at} then {then} root {root} agg {aggregator} any {any} {:?} {:?}",
+            c.quota, c.demand
+        );
+        for t in 0..(SPAN_MS / 100) {
+            let (a, r) = c.answered(t * 100..t * 100 + 100);
+            println!("{} {a} {r}", t * 100);
+        }
+    }
     world
 }
 
@@ -178,7 +197,10 @@
         joined.flatten().collect::<Vec<_>>()
     });
     let count = all.len() as u64;
-    (count, all.into_iter().max().map_or(String::new(), |worst| worst.1))
+    (
+        count,
+        all.into_iter().max().map_or(String::new(), |worst| worst.1),
+    )
 }
 
 /// Guards against more requests than the bound while daemons, links or quotas change.
@@ -266,7 +288,10 @@
         let expected = (per_s * 55.0).min((admitted + refused) as f64) * 0.95;
         let excess = customer.worst_excess(&QuotaBounds::default());
         println!("{times} x {per_s}: {admitted} + {refused}, {expected}, {excess}");
-        assert!(admitted as f64 >= expected, "{times} x {per_s}: {admitted} < {expected}");
+        assert!(
+            admitted as f64 >= expected,
+            "{times} x {per_s}: {admitted} < {expected}"
+        );
         assert!(excess <= 0.0, "{times} x {per_s}: {excess} above");
     }
 }
--- a/tests/settings_check.rs
+++ b/tests/settings_check.rs
@@ -262,6 +262,34 @@
     }
 }
 
+/// Guards against quota bounds that the platform cannot generate, or that a missing section changes.
+#[test]
+fn the_template_makes_valid_settings_with_quota_bounds() {
+    let template = include_str!("../deploy/settings.template");
+    let (open, close) = ("{{#bounds.quotaWindowS}}", "{{/bounds.quotaWindowS}}");
+    let (before, after) = template.split_once(open).expect("the section");
+    let (section, after) = after.split_once(close).expect("its end");
+    let (_, before) = before.split_once("\"bounds\":").expect("the bounds");
+    let section = section
+        .replace("{{bounds.quotaWindowS|json}}", "4")
+        .replace("{{bounds.quotaExcess|json}}", "0.2")
+        .replace("{{bounds.quotaSlack|json}}", "30");
+    for (section, expected) in [("", (5.0, 0.1, 20.0)), (&*section, (4.0, 0.2, 30.0))] {
+        let text = fill(&format!("{{\"bounds\":{before}{section}{after}"));
+        let filled: Value = serde_json::from_str(&text).expect(&text);
+        let mut file = serde_json::to_value(RelaySettings::example(BASE_PORT)).expect("JSON");
+        file["bounds"] = filled["bounds"].clone();
+        let settings = RelaySettings::parse("settings.json", &file.to_string()).expect("valid");
+        let bounds = settings.bounds;
+        let bounds = (
+            bounds.quota_window_s,
+            bounds.quota_excess,
+            bounds.quota_slack,
+        );
+        assert_eq!(bounds, expected);
+    }
+}
+
 /// Puts 1 in place of every value that the platform fills in, and leaves out other sections.
 fn fill(template: &str) -> String {
     let mut filled = String::new();
