Shares of root requests by priority and organisation; fair order of waiting requests

One organisation that sends several times its usual rate lowered the share of its route for all. Demand is now kept by route and priority and by organisation. A report lists the organisations above the max-min level with their own shares. Waiting requests of one priority and kind are served by deficit round robin over organisations.

--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -6,10 +6,11 @@
 //! plain FIFO queue makes calls of half-finished requests wait behind new root requests, and
 //! gives slots to requests that can no longer meet their deadline.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, VecDeque};
 
 use super::rate_limiter::RateLimiter;
-use crate::model::{ServiceName, TimeMs};
+use super::wait_queue::{WaitQueue, Waiting};
+use crate::model::{OrganisationName, ServiceName, TimeMs};
 
 /// Fraction of the slots that is used; a backend server may slow down when it is nearly full.
 const USABLE_SLOTS_RATIO: f64 = 0.94;
@@ -38,6 +39,8 @@
     pub route: &'a ServiceName,
     /// Priority of its root request; 0 is the highest.
     pub priority: u8,
+    /// Organisation of its root request.
+    pub organisation: Option<&'a OrganisationName>,
     /// Whether a running request makes this call; refusing it wastes that request's work.
     pub is_call: bool,
     /// Time after which the answer is of no use.
@@ -66,7 +69,7 @@
 pub enum QueueDecision {
     /// Starts now; its end must be reported as after [`AdmissionDecision::Start`].
     Start(WaiterId),
-    /// Can no longer meet its deadline.
+    /// Can no longer meet its deadline, or has made room for a request of another organisation.
     Refuse {
         /// The refused request.
         waiter_id: WaiterId,
@@ -75,22 +78,15 @@
     },
 }
 
-/// Position in the queue: by priority, calls before root requests, earliest deadline, arrival.
-type QueueKey = (u8, bool, TimeMs, WaiterId);
-
-#[derive(Debug, Clone, Copy)]
-struct QueuedRequest {
-    expected_ms: f64,
-}
-
 /// Running and waiting requests of one backend server.
 #[derive(Debug)]
 pub struct Admission {
     limit: u32,
     rate: Option<RateLimiter>,
     running: u32,
-    waiting: BTreeMap<QueueKey, QueuedRequest>,
-    queue_keys: HashMap<WaiterId, QueueKey>,
+    waiting: WaitQueue,
+    /// Requests that have made room for others and are to be refused.
+    dropped: VecDeque<WaiterId>,
     mean_ms: f64,
     mean_by_route: HashMap<ServiceName, f64>,
     next_waiter_id: u64,
@@ -103,8 +99,8 @@
             limit: limit_for_slots(slots),
             rate: None,
             running: 0,
-            waiting: BTreeMap::new(),
-            queue_keys: HashMap::new(),
+            waiting: WaitQueue::default(),
+            dropped: VecDeque::new(),
             mean_ms: INITIAL_EXPECTED_MS,
             mean_by_route: HashMap::new(),
             next_waiter_id: 0,
@@ -187,14 +183,10 @@
                 return AdmissionDecision::Start;
             }
         }
-        let waiter_id = WaiterId(self.next_waiter_id);
-        let key = (
-            request.priority,
-            !request.is_call,
-            request.deadline,
-            waiter_id,
-        );
-        let ahead = self.waiting.range(..key).count();
+        let rank = (request.priority, !request.is_call);
+        let ahead = self
+            .waiting
+            .ahead(rank, request.organisation, request.deadline);
         let wait_ms = self.wait_ms(now, ahead);
         let max_wait_ratio = if request.is_call {
             MAX_CALL_WAIT_RATIO
@@ -206,12 +198,36 @@
         {
             return self.refuse(now, ahead);
         }
+        // Where several organisations wait, the whole rank must be served in time: the new request
+        // pushes others back.
+        if let Some(count) = self.waiting.contended(rank, request.organisation)
+            && self.wait_ms(now, count) > left_ms * max_wait_ratio
+        {
+            let to_drop = self
+                .waiting
+                .to_drop(rank, request.organisation, expected_ms);
+            let Some(to_drop) = to_drop else {
+                return self.refuse(now, count);
+            };
+            self.waiting.remove(to_drop);
+            self.dropped.push_back(to_drop);
+        }
+        let waiter_id = WaiterId(self.next_waiter_id);
         self.next_waiter_id += 1;
-        self.waiting.insert(key, QueuedRequest { expected_ms });
-        self.queue_keys.insert(waiter_id, key);
+        let waiting = Waiting {
+            waiter_id,
+            deadline: request.deadline,
+            expected_ms,
+        };
+        self.waiting.insert(rank, request.organisation, waiting);
         AdmissionDecision::Wait(waiter_id)
     }
 
+    /// Whether requests have made room for others; [`Self::next`] refuses them.
+    pub fn has_dropped(&self) -> bool {
+        !self.dropped.is_empty()
+    }
+
     /// Frees the slot of a request that did not run to completion, without recording a duration.
     pub fn released(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -233,29 +249,36 @@
 
     /// Removes a waiting request; returns false if it is no longer in the queue.
     pub fn cancel(&mut self, waiter_id: WaiterId) -> bool {
-        match self.queue_keys.remove(&waiter_id) {
-            Some(key) => self.waiting.remove(&key).is_some(),
-            None => false,
-        }
+        self.dropped.retain(|dropped| *dropped != waiter_id);
+        self.waiting.remove(waiter_id)
     }
 
     /// Removes the head of the queue if it can start or has become too late. Call it again until
     /// it returns `None`.
     pub fn next(&mut self, now: TimeMs) -> Option<QueueDecision> {
-        let (key, waiting) = self.waiting.first_key_value()?;
-        let (_, _, deadline, waiter_id) = *key;
-        let is_late = (deadline.since_ms(now) as f64) < waiting.expected_ms * MIN_TIME_LEFT_RATIO;
+        if let Some(waiter_id) = self.dropped.pop_front() {
+            let retry_after_ms = self.retry_after_ms(now, self.waiting.len());
+            return Some(QueueDecision::Refuse {
+                waiter_id,
+                retry_after_ms,
+            });
+        }
+        let head = self.waiting.head()?;
+        let waiter_id = head.waiter_id;
+        let left_ms = head.deadline.since_ms(now) as f64;
+        let is_late = left_ms < head.expected_ms * MIN_TIME_LEFT_RATIO;
         if !is_late && (self.running >= self.limit || !self.take_token(now)) {
             return None;
         }
-        self.cancel(waiter_id);
         if is_late {
+            self.waiting.remove(waiter_id);
             let retry_after_ms = self.retry_after_ms(now, self.waiting.len());
             return Some(QueueDecision::Refuse {
                 waiter_id,
                 retry_after_ms,
             });
         }
+        self.waiting.serve(head);
         self.running += 1;
         Some(QueueDecision::Start(waiter_id))
     }
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -19,6 +19,7 @@
 pub mod routes;
 pub mod shares;
 pub mod stated_rate;
+mod wait_queue;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
@@ -34,5 +35,7 @@
 pub use request_digest::RequestDigest;
 pub use retry_budget::{Arrivals, RetryBudget, RetryRequest, RetryWindow};
 pub use routes::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
-pub use shares::{EntryShares, Reporter, RootRequest, ShareReport, WorkerShares};
+pub use shares::{
+    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, Shed, WorkerShares,
+};
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
--- /dev/null
+++ b/src/decide/relay/shares/entry.rs
@@ -0,0 +1,184 @@
+//! The entry's side of load shedding: admits root requests by the shares that the workers of
+//! overloaded services report.
+
+use std::collections::{BTreeSet, HashMap};
+
+use super::turn::retry_after_ms;
+use super::{
+    FULL_SHARE, MIN_ORGANISATION_SHARE, MIN_SHARE, RootKind, ShareReport,
+};
+use crate::model::{OrganisationName, ServiceName, TimeMs};
+
+/// Maximum age of a report that is used or forwarded, in milliseconds.
+const MAX_REPORT_AGE_MS: u64 = 1_500;
+/// Maximum number of reports that are forwarded in one message.
+const MAX_FORWARDED_REPORTS: usize = 8;
+
+/// Newest report of one worker.
+#[derive(Debug, Clone)]
+struct ReceivedReport {
+    at: TimeMs,
+    report: ShareReport,
+}
+
+/// A root request of an organisation that is shed.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shed {
+    /// Share of the organisation that is admitted, in 0..=1.
+    pub share: f64,
+    /// Time until the request is admitted if the share stays, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// Reports of overloaded services received by an entry daemon, and the admission based on them.
+#[derive(Debug, Default)]
+pub struct EntryShares {
+    /// By overloaded service, then by worker.
+    received: HashMap<ServiceName, HashMap<u32, ReceivedReport>>,
+    /// Credit of each route; at 1 the next root request is admitted.
+    credits: HashMap<ServiceName, f64>,
+}
+
+impl EntryShares {
+    /// Stores a report, received directly or forwarded by another daemon, if it is the newest of
+    /// its worker and not too old.
+    pub fn record_report(&mut self, now: TimeMs, report: &ShareReport) {
+        if report.age_ms > MAX_REPORT_AGE_MS {
+            return;
+        }
+        let at = TimeMs(now.0.saturating_sub(report.age_ms));
+        if !self.received.contains_key(&report.service) {
+            self.received.insert(report.service.clone(), HashMap::new());
+        }
+        let Some(workers) = self.received.get_mut(&report.service) else {
+            return;
+        };
+        let is_outdated = workers
+            .get(&report.worker)
+            .is_some_and(|known| known.at >= at);
+        if !is_outdated {
+            let received = ReceivedReport {
+                at,
+                report: report.clone(),
+            };
+            workers.insert(report.worker, received);
+        }
+    }
+
+    /// Reports to forward to other daemons, newest first. Expired reports are dropped.
+    pub fn reports(&mut self, now: TimeMs) -> Vec<ShareReport> {
+        if self.received.is_empty() {
+            return Vec::new();
+        }
+        self.received.retain(|_, workers| {
+            workers.retain(|_, received| now.since_ms(received.at) <= MAX_REPORT_AGE_MS);
+            !workers.is_empty()
+        });
+        let mut reports: Vec<ShareReport> = Vec::new();
+        for workers in self.received.values() {
+            reports.extend(workers.values().map(|received| ShareReport {
+                age_ms: now.since_ms(received.at),
+                ..received.report.clone()
+            }));
+        }
+        reports.sort_by_key(|report| report.age_ms);
+        reports.truncate(MAX_FORWARDED_REPORTS);
+        reports
+    }
+
+    /// The share of a kind of root request that is admitted now: the lowest share over all
+    /// services. The share at a service is the mean over its workers, whose number `workers_of`
+    /// returns, weighted by the capacity that rate limits leave them: what a limited worker cannot
+    /// take, the others may have room for. Workers without a report count as 1.
+    pub fn share<'a>(
+        &self,
+        now: TimeMs,
+        kind: impl Into<RootKind<'a>>,
+        workers_of: impl Fn(&ServiceName) -> usize,
+    ) -> f64 {
+        let kind = kind.into();
+        let mut least: f64 = 1.0;
+        for (service, workers) in &self.received {
+            let fresh = workers
+                .values()
+                .filter(|received| now.since_ms(received.at) <= MAX_REPORT_AGE_MS);
+            let (mut missing, mut capacity) = (0.0, workers_of(service).max(workers.len()) as f64);
+            for received in fresh {
+                let ShareReport { capacity_ratio, .. } = received.report;
+                missing += (1.0 - received.report.share(kind)) * capacity_ratio;
+                capacity -= 1.0 - capacity_ratio;
+            }
+            least = least.min(1.0 - missing / capacity);
+        }
+        if least >= FULL_SHARE {
+            1.0
+        } else if kind.organisation.is_some() {
+            least.max(MIN_ORGANISATION_SHARE)
+        } else {
+            least.max(MIN_SHARE)
+        }
+    }
+
+    /// Admits one root request without an organisation and returns the share in force, or `None` if
+    /// it is shed.
+    pub fn admit(
+        &mut self,
+        now: TimeMs,
+        route: &ServiceName,
+        workers_of: impl Fn(&ServiceName) -> usize,
+    ) -> Option<f64> {
+        let share = self.share(now, route, workers_of);
+        if share >= 1.0 {
+            return Some(1.0);
+        }
+        let credit = match self.credits.get_mut(route) {
+            Some(credit) => credit,
+            None => self.credits.entry(route.clone()).or_insert(0.5),
+        };
+        *credit += share;
+        if *credit < 1.0 {
+            return None;
+        }
+        *credit -= 1.0;
+        Some(share)
+    }
+
+    /// Admits one root request of an organisation and returns the share in force, or sheds it.
+    /// `turn` is that of its request id (see [`super::turn`]); `jitter` is a random number in 0..1.
+    ///
+    /// # Errors
+    ///
+    /// Returns the share and the retry delay if the request is shed.
+    pub fn admit_turn(
+        &self,
+        now: TimeMs,
+        kind: RootKind<'_>,
+        turn: f64,
+        jitter: f64,
+        workers_of: impl Fn(&ServiceName) -> usize,
+    ) -> Result<f64, Shed> {
+        let share = self.share(now, kind, workers_of);
+        if share >= 1.0 || turn < share {
+            return Ok(share);
+        }
+        let retry_after_ms = retry_after_ms(turn, share, jitter);
+        Err(Shed {
+            share,
+            retry_after_ms,
+        })
+    }
+
+    /// Organisations that some report in force lists as above the level, at most `max_count`.
+    pub fn limited(&self, now: TimeMs, max_count: usize) -> BTreeSet<&OrganisationName> {
+        let workers = self.received.values().flat_map(HashMap::values);
+        let fresh = workers.filter(|received| now.since_ms(received.at) <= MAX_REPORT_AGE_MS);
+        let priorities = fresh.flat_map(|received| received.report.priorities.iter().flatten());
+        let mut limited = BTreeSet::new();
+        for (name, _) in priorities.flat_map(|shares| &shares.listed) {
+            if limited.len() < max_count {
+                limited.insert(name);
+            }
+        }
+        limited
+    }
+}
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -226,9 +226,9 @@
     }
     let mut tables = relay.tables();
     let tables = &mut *tables;
-    // The route is already shed because a service lacks capacity; a retry would only move the
+    // The kind of root request is already shed because a service lacks capacity; a retry would only move the
     // failure to another request.
-    if tables.share(now, &call.root.route) < 1.0 {
+    if tables.share(now, call.root.kind()) < 1.0 {
         return false;
     }
     let daemons = tables.directory.active_count().max(1);
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -7,7 +7,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use rand::RngExt;
 
 use super::attempt::attempt;
 use super::body::RelayBody;
@@ -15,7 +14,7 @@
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::log_limiter::LineKind;
 use super::state::{Configuration, Relay, RunningRequest, Stage};
-use crate::decide::relay::{RequestDigest, RootRequest, Route};
+use crate::decide::relay::{RequestDigest, RootRequest, Route, Shed};
 use crate::model::{ServiceName, TimeMs};
 
 /// Time left for a request whose caller states none, in milliseconds.
@@ -24,10 +23,6 @@
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Retry-after time while this daemon has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
-/// Range of the retry-after time for a request shed at the entry, in milliseconds. The admitted
-/// share adapts to a change of load within about this time.
-const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
-
 /// Handles one request of a caller.
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
     let _open = OpenRequest::new(&relay);
@@ -157,15 +152,18 @@
     let root = match parent {
         Some((_, parent)) => parent.root,
         None => {
-            let Some(admitted) = relay.tables().admit(started, &route.name) else {
-                return shed(relay, id, route, table.version);
-            };
-            RootRequest {
+            let mut root = RootRequest {
                 route: route.name.clone(),
                 priority: route.priority,
                 organisation: None,
-                admitted,
+                admitted: 1.0,
+            };
+            let admitted = relay.tables().admit(started, root.kind(), id);
+            match admitted {
+                Ok(admitted) => root.admitted = admitted,
+                Err(refused) => return shed(relay, id, &root, refused, table.version),
             }
+            root
         }
     };
     let body = match RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes).await {
@@ -216,19 +214,30 @@
     None
 }
 
-fn shed(relay: &Relay, request_id: &str, route: &Route, config: u64) -> Response<RelayBody> {
-    let retry_after_ms = {
-        let mut tables = relay.tables();
-        tables.rng.random_range(SHED_RETRY_MS)
-    };
-    relay.metrics.shed();
+fn shed(
+    relay: &Relay,
+    request_id: &str,
+    root: &RootRequest,
+    refused: Shed,
+    config: u64,
+) -> Response<RelayBody> {
+    let retry_after_ms = refused.retry_after_ms;
+    relay.metrics.shed(root.priority);
     if relay.may_log(LineKind::Failed) {
-        let share = relay.tables().share(relay.clock.now(), &route.name);
-        let (route, priority) = (route.name.as_str(), u64::from(route.priority));
-        let share = format!("{share:.2}");
-        spdlog::info!("a request was shed at the entry", kv: {
-            request_id, route, priority, share, retry_after_ms, config
-        });
+        let (route, priority) = (root.route.as_str(), u64::from(root.priority));
+        let share = format!("{:.2}", refused.share);
+        match &root.organisation {
+            None => spdlog::info!("a request was shed at the entry", kv: {
+                request_id, route, priority, share, retry_after_ms, config
+            }),
+            Some(organisation) => {
+                let organisation = organisation.as_str();
+                let share = format!("{:.3}", refused.share);
+                spdlog::info!("a request was shed by the share of its organisation", kv: {
+                    request_id, organisation, route, priority, share, retry_after_ms, config
+                });
+            }
+        }
     }
     refusal(retry_after_ms)
 }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -265,6 +265,7 @@
         let request = AdmissionRequest {
             route: &local_request.hop.route,
             priority: local_request.hop.root.priority,
+            organisation: local_request.hop.root.organisation.as_ref(),
             is_call: local_request.hop.is_call,
             deadline: local_request.deadline,
         };
@@ -283,7 +284,12 @@
             AdmissionDecision::Wait(waiter_id) => {
                 let (sender, receiver) = oneshot::channel();
                 tables.waiting.insert(waiter_id, sender);
-                pace(relay, tables);
+                if tables.admission.has_dropped() {
+                    tables.worker_shares.record_refusal();
+                    start_waiting(relay, tables);
+                } else {
+                    pace(relay, tables);
+                }
                 QueueEntry {
                     relay: Arc::clone(relay),
                     waiter_id,
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -291,9 +291,17 @@
     let service = own.service.as_str();
     let shares = format!("{:?}", own.shares);
     let mean_ms = tables.admission.mean_ms() as u64;
-    spdlog::info!("the backend server is scarce", kv: {
-        service, demand, limit, pressure, running, waiting, mean_ms, shares
-    });
+    match &own.priorities {
+        None => spdlog::info!("the backend server is scarce", kv: {
+            service, demand, limit, pressure, running, waiting, mean_ms, shares
+        }),
+        Some(priorities) => {
+            let organisations = format!("{priorities:?}");
+            spdlog::info!("the backend server is scarce", kv: {
+                service, demand, limit, pressure, running, waiting, mean_ms, shares, organisations
+            });
+        }
+    }
 }
 
 /// An answer without a body.
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -22,6 +22,8 @@
     executions: IntCounterVec,
     execution_seconds: Histogram,
     shed: IntCounter,
+    shed_by_priority: IntCounterVec,
+    limited_organisations: IntGauge,
     stated_rate: Gauge,
     crash_runs: IntCounter,
     held_back: IntGauge,
@@ -53,6 +55,15 @@
                 "burdockhall_relay_shed_total",
                 "Root requests shed at this entry before any work.",
             ),
+            shed_by_priority: counters(
+                "burdockhall_relay_shed_by_priority_total",
+                "Root requests shed at this entry by priority.",
+                "priority",
+            ),
+            limited_organisations: int_gauge(
+                "burdockhall_relay_limited_organisations",
+                "Organisations that scarce services hold to the level, as far as this entry knows; at most 64.",
+            ),
             crash_runs: counter(
                 "burdockhall_relay_crash_runs_total",
                 "Runs during which the backend server beside this daemon has ended.",
@@ -75,12 +86,14 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 10] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
             Box::new(self.executions.clone()),
             Box::new(self.execution_seconds.clone()),
             Box::new(self.shed.clone()),
+            Box::new(self.shed_by_priority.clone()),
+            Box::new(self.limited_organisations.clone()),
             Box::new(self.stated_rate.clone()),
             Box::new(self.crash_runs.clone()),
             Box::new(self.held_back.clone()),
@@ -110,9 +123,16 @@
         self.execution_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
-    /// Counts a root request that was shed.
-    pub fn shed(&self) {
+    /// Counts a root request of this priority that was shed.
+    pub fn shed(&self, priority: u8) {
         self.shed.inc();
+        let priority = priority.to_string();
+        self.shed_by_priority.with_label_values(&[&priority]).inc();
+    }
+
+    /// Shows how many organisations are held to the level.
+    pub fn organisations_limited(&self, count: usize) {
+        self.limited_organisations.set(count as i64);
     }
 
     /// Counts a run during which the backend server has ended.
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -21,12 +21,18 @@
 use crate::config::RelaySettings;
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
+use crate::decide::relay::shares::turn;
 use crate::decide::relay::{
     Admission, CrashWitness, Directory, EntryShares, LoadBalancer, LocalWorker, PauseDetector,
-    PeerStatements, Readers, ReadingPlan, RequestDigest, RetryBudget, RetryWindow, RootRequest,
-    RouteTable, WaiterId, WorkerShares,
+    PeerStatements, Readers, ReadingPlan, RequestDigest, RetryBudget, RetryWindow, RootKind,
+    RootRequest, RouteTable, Shed, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
+use crate::net::daemon::unix_ms;
+
+/// Range of the retry-after time of a request without an organisation that is shed at the entry,
+/// in milliseconds. The admitted share adapts to a change of load within about this time.
+const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
 
 /// A configuration and its encoded record.
 #[derive(Debug)]
@@ -114,10 +120,10 @@
 }
 
 impl Tables {
-    /// Share of a route's root requests that is admitted now, from 0 to 1.
-    pub fn share(&self, now: TimeMs, route: &ServiceName) -> f64 {
+    /// Share of a kind of root request that is admitted now, from 0 to 1.
+    pub fn share(&self, now: TimeMs, kind: RootKind<'_>) -> f64 {
         let workers_of = |service: &ServiceName| self.directory.ready_count(service);
-        self.entry_shares.share(now, route, workers_of)
+        self.entry_shares.share(now, kind, workers_of)
     }
 
     /// Whether a request is held back because backend servers have crashed while it ran.
@@ -137,12 +143,32 @@
         self.worker.as_ref().and_then(|worker| worker.rate.per_s())
     }
 
-    /// Decides whether to admit a root request at this entry: the share at which it was admitted,
-    /// or `None` if it is shed.
-    pub fn admit(&mut self, now: TimeMs, route: &ServiceName) -> Option<f64> {
+    /// Decides whether to admit a root request at this entry, and returns the share at which it was
+    /// admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the share and when to retry if the request is shed.
+    pub fn admit(
+        &mut self,
+        now: TimeMs,
+        kind: RootKind<'_>,
+        request_id: &str,
+    ) -> Result<f64, Shed> {
         let directory = &self.directory;
         let workers_of = |service: &ServiceName| directory.ready_count(service);
-        self.entry_shares.admit(now, route, workers_of)
+        if kind.organisation.is_some() {
+            let turn = turn(request_id, unix_ms());
+            let jitter = self.rng.random();
+            return self
+                .entry_shares
+                .admit_turn(now, kind, turn, jitter, workers_of);
+        }
+        let admitted = self.entry_shares.admit(now, kind.route, workers_of);
+        admitted.ok_or_else(|| Shed {
+            share: self.entry_shares.share(now, kind, workers_of),
+            retry_after_ms: self.rng.random_range(SHED_RETRY_MS),
+        })
     }
 }
 
--- a/tests/limit_random.rs
+++ b/tests/limit_random.rs
@@ -207,6 +207,7 @@
         let asked = AdmissionRequest {
             route: &route,
             priority: (request % 3) as u8,
+            organisation: None,
             is_call: false,
             deadline: now.plus_ms(5_000),
         };
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -275,6 +275,7 @@
     AdmissionRequest {
         route,
         priority,
+        organisation: None,
         is_call,
         deadline: TimeMs(deadline_ms),
     }
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -218,6 +218,7 @@
         let request = AdmissionRequest {
             route: &route,
             priority: root_request.priority,
+            organisation: None,
             is_call: true,
             deadline,
         };
--- a/tests/relay_statements.rs
+++ b/tests/relay_statements.rs
@@ -183,6 +183,7 @@
                 worker: worker as u32,
                 age_ms: 0,
                 shares: vec![(route.clone(), *share)],
+                priorities: None,
                 capacity_ratio: *capacity_ratio,
             };
             entry.record_report(TimeMs(1_000), &report);
