--- a/src/decide/relay/shares/entry.rs
+++ b/src/decide/relay/shares/entry.rs
@@ -3,16 +3,17 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::turn::retry_after_ms;
-use super::{
-    FULL_SHARE, MIN_ORGANISATION_SHARE, MIN_SHARE, RootKind, ShareReport,
-};
+use super::turn::{TurnCredit, retry_after_ms};
+use super::{FULL_SHARE, MIN_ORGANISATION_SHARE, MIN_SHARE, RootKind, ShareReport};
 use crate::model::{OrganisationName, ServiceName, TimeMs};
 
 /// Maximum age of a report that is used or forwarded, in milliseconds.
 const MAX_REPORT_AGE_MS: u64 = 1_500;
 /// Maximum number of reports that are forwarded in one message.
 const MAX_FORWARDED_REPORTS: usize = 8;
+/// Most organisations whose admitted fraction is followed, which bounds memory. Beyond, all start
+/// anew, which admits at most a few requests more.
+const MAX_TURN_CREDITS: usize = 1_024;
 
 /// Newest report of one worker.
 #[derive(Debug, Clone)]
@@ -26,7 +27,7 @@
 pub struct Shed {
     /// Share of the organisation that is admitted, in 0..=1.
     pub share: f64,
-    /// Time until the request is admitted if the share stays, in milliseconds.
+    /// Time until the request has a good chance if the share stays, in milliseconds.
     pub retry_after_ms: u64,
 }
 
@@ -37,6 +38,8 @@
     received: HashMap<ServiceName, HashMap<u32, ReceivedReport>>,
     /// Credit of each route; at 1 the next root request is admitted.
     credits: HashMap<ServiceName, f64>,
+    /// Of organisations that are held back, at most [`MAX_TURN_CREDITS`].
+    turn_credits: HashMap<OrganisationName, TurnCredit>,
 }
 
 impl EntryShares {
@@ -150,7 +153,7 @@
     ///
     /// Returns the share and the retry delay if the request is shed.
     pub fn admit_turn(
-        &self,
+        &mut self,
         now: TimeMs,
         kind: RootKind<'_>,
         turn: f64,
@@ -158,7 +161,21 @@
         workers_of: impl Fn(&ServiceName) -> usize,
     ) -> Result<f64, Shed> {
         let share = self.share(now, kind, workers_of);
-        if share >= 1.0 || turn < share {
+        let Some(organisation) = kind.organisation else {
+            return Ok(share);
+        };
+        if share >= 1.0 {
+            self.turn_credits.remove(organisation);
+            return Ok(1.0);
+        }
+        if self.turn_credits.len() >= MAX_TURN_CREDITS {
+            self.turn_credits.clear();
+        }
+        let credit = match self.turn_credits.get_mut(organisation) {
+            Some(credit) => credit,
+            None => self.turn_credits.entry(organisation.clone()).or_default(),
+        };
+        if credit.admit(turn, share) {
             return Ok(share);
         }
         let retry_after_ms = retry_after_ms(turn, share, jitter);
--- a/src/decide/relay/shares/turn.rs
+++ b/src/decide/relay/shares/turn.rs
@@ -2,20 +2,43 @@
 //! a refused one should come again.
 //!
 //! Addresses clients that repeat a refused request at once. Each request id has a turn, a point
-//! that moves around a circle once in a period; the request is admitted while its turn is below
-//! the share. All daemons agree on the turn as far as their clocks agree, so that repeating at once,
-//! at this daemon or another, gains nothing, and a request that comes back when asked is admitted.
+//! that moves around a circle once in a period; the requests with the lowest turns are admitted.
+//! All daemons agree on the turn as far as their clocks agree, so that repeating at once, at this
+//! daemon or another, gains little, and a request that comes back when asked has a low turn.
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Time in which each request id has its turn once, in milliseconds. Bounds the retry delay; of the
-/// order in which shares adapt to a change of load.
+/// Time in which each request id has its turn once, in milliseconds. Bounds the retry delay; about
+/// the time in which the shares adapt to a change of load.
 pub const TURN_PERIOD_MS: u64 = 2_000;
-/// Least retry delay, in milliseconds: below it the share in force has hardly changed.
+/// Least retry delay, in milliseconds: the shares are computed at this interval.
 const MIN_RETRY_MS: f64 = 200.0;
-/// Part of the admitted span of a period over which returns are spread, so that those refused
-/// together do not return together. Below 1, to leave room for a share that shrinks meanwhile.
-const SPREAD: std::ops::Range<f64> = 0.1..0.7;
+/// Part of the admitted turns over which returns are spread, so that those refused together do not
+/// return together. Below 1, so that they come before new requests.
+const RETURN_SPREAD: f64 = 0.5;
+/// Change of the highest admitted turn for each request that was admitted too few or too many, as
+/// a part of the share.
+const CREDIT_GAIN: f64 = 0.25;
+/// Most requests that count as admitted too few or too many: then no turn is admitted, or twice as
+/// many as usual.
+const MAX_CREDIT: f64 = 4.0;
+
+/// Holds the admitted fraction of one organisation's requests at its share, whatever their turns.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct TurnCredit {
+    /// Requests that should have been admitted and were not.
+    missing: f64,
+}
+
+impl TurnCredit {
+    pub(super) fn admit(&mut self, turn: f64, share: f64) -> bool {
+        let limit = share * (1.0 + self.missing * CREDIT_GAIN);
+        let is_admitted = turn < limit;
+        let missing = self.missing + share - f64::from(u8::from(is_admitted));
+        self.missing = missing.clamp(-MAX_CREDIT, MAX_CREDIT);
+        is_admitted
+    }
+}
 
 /// The turn of a request id at a time, in milliseconds since the Unix epoch: in 0..1, falling with
 /// time.
@@ -25,17 +48,11 @@
     ((start + TURN_PERIOD_MS - passed) % TURN_PERIOD_MS) as f64 / TURN_PERIOD_MS as f64
 }
 
-/// Time until a request with this turn is admitted at this share, in milliseconds. `jitter` is a
-/// random number in 0..1.
+/// Time until a request with this turn has a low one, in milliseconds. `jitter` is a random number
+/// in 0..1.
 pub(super) fn retry_after_ms(turn: f64, share: f64, jitter: f64) -> u64 {
     let period = TURN_PERIOD_MS as f64;
-    let spread = SPREAD.start + (SPREAD.end - SPREAD.start) * jitter;
-    let wait_ms = (turn - share + share * spread) * period;
-    let wait_ms = if wait_ms < MIN_RETRY_MS && share * period < MIN_RETRY_MS {
-        // The span of this period would be over.
-        wait_ms + period
-    } else {
-        wait_ms.max(MIN_RETRY_MS)
-    };
-    wait_ms as u64
+    let wait_ms = (turn - share * RETURN_SPREAD * jitter) * period;
+    let is_over = wait_ms < MIN_RETRY_MS;
+    (wait_ms + period * f64::from(u8::from(is_over))) as u64
 }
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -33,6 +33,9 @@
 /// Range of the retry-after time of a request without an organisation that is shed at the entry,
 /// in milliseconds. The admitted share adapts to a change of load within about this time.
 const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
+/// Most organisations that the metric counts, and that a log line names.
+const MAX_SHOWN_ORGANISATIONS: usize = 64;
+const MAX_NAMED_ORGANISATIONS: usize = 8;
 
 /// A configuration and its encoded record.
 #[derive(Debug)]
@@ -77,8 +80,10 @@
     pub budget: RetryBudget,
     /// Counts requests and retries that arrive for the backend server beside this daemon.
     pub arrivals: RetryWindow,
-    /// Share of root requests admitted at this entry, by route.
+    /// Share of root requests admitted at this entry, by route and organisation.
     pub entry_shares: EntryShares,
+    /// Whether some organisation was held to its level when last looked at.
+    pub has_limited: bool,
     /// The backend server beside this daemon; `None` until its first heartbeat or its record from
     /// before a restart of the daemon.
     pub worker: Option<LocalWorker>,
@@ -276,6 +281,7 @@
                 budget,
                 arrivals: RetryWindow::new(seconds_to_ms(bounds.retry_window_s)),
                 entry_shares: EntryShares::default(),
+                has_limited: false,
                 worker: None,
                 worker_unreachable_since: None,
                 admission: Admission::new(1),
@@ -404,6 +410,29 @@
         plan
     }
 
+    /// Shows how many organisations scarce services hold to the level, and logs when that begins and
+    /// ends. Called once a second, which bounds the lines.
+    pub fn observe_limited(&self) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let limited = tables.entry_shares.limited(now, MAX_SHOWN_ORGANISATIONS);
+        let count = limited.len();
+        let begins = (count > 0 && !tables.has_limited).then(|| {
+            let names = limited.iter().take(MAX_NAMED_ORGANISATIONS);
+            let names: Vec<&str> = names.map(|name| name.as_str()).collect();
+            names.join(" ")
+        });
+        let ends = count == 0 && tables.has_limited;
+        tables.has_limited = count > 0;
+        drop(tables);
+        self.metrics.organisations_limited(count);
+        if let Some(organisations) = begins {
+            spdlog::info!("organisations are held to their level", kv: { count, organisations });
+        } else if ends {
+            spdlog::info!("no organisation is held to its level any more");
+        }
+    }
+
     /// Whether this daemon reads the log service and gets answers.
     pub fn reaches_log(&self) -> bool {
         *self.reads_log.borrow()
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -60,6 +60,7 @@
         relay.observe_pauses();
         relay.pool.sweep();
         relay.expire_suspects();
+        relay.observe_limited();
         relay.settlements.sweep(relay.clock.now());
         let Dropped { served, failed } = relay.log_limiter.take_dropped();
         if served + failed > 0 {
