--- a/src/decide/relay/shares/turn.rs
+++ b/src/decide/relay/shares/turn.rs
@@ -19,8 +19,8 @@
 /// Change of the highest admitted turn for each request that was admitted too few or too many, as
 /// a part of the share.
 const CREDIT_GAIN: f64 = 0.25;
-/// Most requests that count as admitted too few or too many: then no turn is admitted, or twice as
-/// many as usual.
+/// Most requests that count as admitted too few: then twice as many turns are admitted as usual. As
+/// many admitted too many let none in.
 const MAX_CREDIT: f64 = 4.0;
 
 /// Holds the admitted fraction of one organisation's requests at its share, whatever their turns.
@@ -35,7 +35,7 @@
         let limit = share * (1.0 + self.missing * CREDIT_GAIN);
         let is_admitted = turn < limit;
         let missing = self.missing + share - f64::from(u8::from(is_admitted));
-        self.missing = missing.clamp(-MAX_CREDIT, MAX_CREDIT);
+        self.missing = missing.min(MAX_CREDIT);
         is_admitted
     }
 }
--- a/src/decide/relay/wait_queue.rs
+++ b/src/decide/relay/wait_queue.rs
@@ -50,6 +50,8 @@
     /// The owners in the order of the round robin.
     turns: VecDeque<Owner>,
     count: usize,
+    /// Whether the owner whose turn it is has got its quantum.
+    front_has_quantum: bool,
     /// Longest expected time that has waited, in milliseconds: the time that an organisation is due
     /// in each round, so that each visit serves at least one request.
     quantum_ms: f64,
@@ -180,7 +182,7 @@
 
 impl RankQueue {
     fn head(&mut self) -> Option<Waiting> {
-        // An owner gets a quantum when its turn comes, which suffices for any request.
+        // A quantum suffices for any request.
         for _ in 0..=self.turns.len() {
             let owner = self.turns.front()?;
             let own = self.owners.get_mut(owner)?;
@@ -190,12 +192,15 @@
                 deadline: *deadline,
                 expected_ms: *expected_ms,
             };
+            if !self.front_has_quantum {
+                self.front_has_quantum = true;
+                own.deficit_ms += self.quantum_ms;
+            }
             if own.deficit_ms >= *expected_ms || self.turns.len() == 1 {
                 return Some(head);
             }
             self.turns.rotate_left(1);
-            let next = self.owners.get_mut(self.turns.front()?)?;
-            next.deficit_ms += self.quantum_ms;
+            self.front_has_quantum = false;
         }
         None
     }
@@ -210,6 +215,9 @@
         }
         if own.waiting.is_empty() {
             self.owners.remove(&place.owner);
+            if self.turns.front() == Some(&place.owner) {
+                self.front_has_quantum = false;
+            }
             self.turns.retain(|owner| *owner != place.owner);
         }
     }
