--- a/tests/cmd_explain.rs
+++ b/tests/cmd_explain.rs
@@ -4,6 +4,11 @@
 use std::process::{Command, Output};
 
 const LOG: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fixtures/relay.log");
+/// Lines as the relay writes them, made up for the test.
+const FAIR_SHARES_LOG: &str = concat!(
+    env!("CARGO_MANIFEST_DIR"),
+    "/tests/fixtures/fair-shares.log"
+);
 
 fn explain(args: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_burdockhall"))
@@ -71,6 +76,31 @@
     }
 }
 
+/// Guards against a request refused by its organisation's share that looks like any other.
+#[test]
+fn a_request_refused_by_the_share_of_its_organisation_is_explained() {
+    let output = explain(&["5be0d1c2a9f47f13", FAIR_SHARES_LOG]);
+    assert!(output.status.success());
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    let [shed, run] = lines[..] else {
+        panic!("{text}");
+    };
+    for part in [
+        "shed by the share of its organisation",
+        "organisation=acme",
+        "priority=1",
+        "share=0.212",
+        "retry_after_ms=1284",
+    ] {
+        assert!(shed.contains(part), "{part} in {text}");
+    }
+    assert!(
+        run.starts_with("+1291") && run.contains("is handed"),
+        "{text}"
+    );
+}
+
 #[test]
 fn unusable_arguments_are_reported() {
     struct Case {
