--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -23,12 +23,21 @@
 use crate::config::RelaySettings;
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
+use crate::decide::relay::shares::turn;
 use crate::decide::relay::{
     Admission, CrashWitness, Directory, EndedRequests, EntryShares, LoadBalancer, LocalWorker,
     OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan, RequestDigest,
-    RetryBudget, RetryWindow, RootRequest, RouteTable, WaiterId, WorkerShares,
+    RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, Shed, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
+use crate::net::daemon::unix_ms;
+
+/// Range of the retry-after time of a request without an organisation that is shed at the entry,
+/// in milliseconds. The admitted share adapts to a change of load within about this time.
+const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
+/// Most organisations that the metric counts, and that a log line names.
+const MAX_SHOWN_ORGANISATIONS: usize = 64;
+const MAX_NAMED_ORGANISATIONS: usize = 8;
 
 /// A configuration and its encoded record.
 pub struct Configuration {
@@ -80,8 +89,10 @@
     pub budget: RetryBudget,
     /// Counts requests and retries that arrive for the backend server beside this daemon.
     pub arrivals: RetryWindow,
-    /// Share of root requests admitted at this entry, by route.
+    /// Share of root requests admitted at this entry, by route and organisation.
     pub entry_shares: EntryShares,
+    /// Whether some organisation was held to its level when last looked at.
+    pub has_limited: bool,
     /// The backend server beside this daemon; `None` until its first heartbeat or its record from
     /// before a restart of the daemon.
     pub worker: Option<LocalWorker>,
@@ -125,10 +136,10 @@
 }
 
 impl Tables {
-    /// Share of a route's root requests that is admitted now, from 0 to 1.
-    pub fn share(&self, now: TimeMs, route: &ServiceName) -> f64 {
+    /// Share of a kind of root request that is admitted now, from 0 to 1.
+    pub fn share(&self, now: TimeMs, kind: RootKind<'_>) -> f64 {
         let workers_of = |service: &ServiceName| self.directory.ready_count(service);
-        self.entry_shares.share(now, route, workers_of)
+        self.entry_shares.share(now, kind, workers_of)
     }
 
     /// Whether a request is held back because backend servers have crashed while it ran.
@@ -148,12 +159,32 @@
         self.worker.as_ref().and_then(|worker| worker.rate.per_s())
     }
 
-    /// Decides whether to admit a root request at this entry: the share at which it was admitted,
-    /// or `None` if it is shed.
-    pub fn admit(&mut self, now: TimeMs, route: &ServiceName) -> Option<f64> {
+    /// Decides whether to admit a root request at this entry, and returns the share at which it was
+    /// admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the share and when to retry if the request is shed.
+    pub fn admit(
+        &mut self,
+        now: TimeMs,
+        kind: RootKind<'_>,
+        request_id: &str,
+    ) -> Result<f64, Shed> {
         let directory = &self.directory;
         let workers_of = |service: &ServiceName| directory.ready_count(service);
-        self.entry_shares.admit(now, route, workers_of)
+        if kind.organisation.is_some() {
+            let turn = turn(request_id, unix_ms());
+            let jitter = self.rng.random();
+            return self
+                .entry_shares
+                .admit_turn(now, kind, turn, jitter, workers_of);
+        }
+        let admitted = self.entry_shares.admit(now, kind.route, workers_of);
+        admitted.ok_or_else(|| Shed {
+            share: self.entry_shares.share(now, kind, workers_of),
+            retry_after_ms: self.rng.random_range(SHED_RETRY_MS),
+        })
     }
 }
 
@@ -268,6 +299,7 @@
                 budget,
                 arrivals: RetryWindow::new(seconds_to_ms(bounds.retry_window_s)),
                 entry_shares: EntryShares::default(),
+                has_limited: false,
                 worker: None,
                 worker_unreachable_since: None,
                 admission: Admission::new(1),
@@ -412,6 +444,29 @@
         plan
     }
 
+    /// Shows how many organisations scarce services hold to the level, and logs when that begins and
+    /// ends. Called once a second, which bounds the lines.
+    pub fn observe_limited(&self) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let limited = tables.entry_shares.limited(now, MAX_SHOWN_ORGANISATIONS);
+        let count = limited.len();
+        let begins = (count > 0 && !tables.has_limited).then(|| {
+            let names = limited.iter().take(MAX_NAMED_ORGANISATIONS);
+            let names: Vec<&str> = names.map(|name| name.as_str()).collect();
+            names.join(" ")
+        });
+        let ends = count == 0 && tables.has_limited;
+        tables.has_limited = count > 0;
+        drop(tables);
+        self.metrics.organisations_limited(count);
+        if let Some(organisations) = begins {
+            spdlog::info!("organisations are held to their level", kv: { count, organisations });
+        } else if ends {
+            spdlog::info!("no organisation is held to its level any more");
+        }
+    }
+
     /// Whether this daemon reads the log service and gets answers.
     pub fn reaches_log(&self) -> bool {
         *self.reads_log.borrow()
