--- a/src/decide/relay/quotas/member.rs
+++ b/src/decide/relay/quotas/member.rs
@@ -21,7 +21,7 @@
 /// milliseconds.
 const SAVED_MS: u64 = 1_000;
 /// Tokens that a daemon which begins to decide alone starts without if the organisation was limited.
-const LIMITED_DEBT: f64 = 0.5;
+const LIMITED_DEBT: f64 = 1.0;
 /// Fraction of reserve and burst that all daemons on their own together may have saved up.
 const SAVED_FRACTION: f64 = 0.5;
 
--- a/src/decide/relay/quotas/mod.rs
+++ b/src/decide/relay/quotas/mod.rs
@@ -29,11 +29,14 @@
 /// Fraction of the excess that deciders add to the rate, so that an organisation that keeps its quota
 /// on average is not limited because of random variation. The rest covers the delay of reports.
 const RATE_EXCESS_FRACTION: f64 = 0.2;
+/// Fraction of the slack that deciders add to the rate, over one window: the bucket of an organisation
+/// that sends few requests a minute is full again within some windows.
+const RATE_SLACK_FRACTION: f64 = 0.1;
 /// Fraction of the slack that deciders add to the burst, for the same reason.
-const BURST_SLACK_FRACTION: f64 = 0.3;
+const BURST_SLACK_FRACTION: f64 = 0.2;
 /// Fraction of the slack with which buckets start, so that single requests of a small organisation are
 /// not refused after a restart.
-const START_SLACK_FRACTION: f64 = 0.05;
+const START_SLACK_FRACTION: f64 = 0.025;
 /// Fraction of the reserve and the burst that may be admitted before anyone has counted it, at each of
 /// the two levels: by all daemons together, and by all aggregators together.
 const UNCOUNTED_FRACTION: f64 = 0.5;
@@ -86,7 +89,8 @@
     /// What deciders allow an organisation with this quota.
     pub fn allowance(&self, quota: Quota) -> Allowance {
         Allowance {
-            per_s: quota.per_s * (1.0 + self.excess * RATE_EXCESS_FRACTION),
+            per_s: quota.per_s * (1.0 + self.excess * RATE_EXCESS_FRACTION)
+                + self.slack * RATE_SLACK_FRACTION / self.window_s,
             burst: quota.burst + self.slack * BURST_SLACK_FRACTION,
             reserve: self.window_limit(quota) - quota.per_s * self.window_s - quota.burst,
         }
