Quotas: bound requests while reports stay unanswered, also over several attempts

Cause: each attempt to reach another aggregator counted as a prompt answer for 100 ms, so that daemons cut off from all others admitted more than their part of the reserve; a root that got portions back kept an old moving average.

Change: time without an answer counts from the first report to whomever; the part below one request is drawn once; a root without portions forgets its buckets.

--- a/src/decide/relay/quotas/aggregator.rs
+++ b/src/decide/relay/quotas/aggregator.rs
@@ -91,6 +91,13 @@
         });
     }
 
+    /// Begins to decide about organisations of which nothing is known.
+    pub fn begin_anew(&mut self, now: TimeMs) {
+        self.buckets.clear();
+        self.decides_since = now;
+        self.shares_at = None;
+    }
+
     /// Begins to decide, with almost empty buckets, so that no restart and no change of view adds a
     /// burst. An organisation that was limited, as `was_limited` tells, keeps its debt.
     pub fn begin(
--- a/src/decide/relay/quotas/member.rs
+++ b/src/decide/relay/quotas/member.rs
@@ -5,7 +5,7 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Allowance, QuotaTable, Standing, Uplink};
+use super::{Allowance, Answers, QuotaTable, Standing, Uplink};
 use crate::model::{OrganisationName, TimeMs};
 
 /// Time in which those refused are to come back at a rate that there is room for, in milliseconds, as
@@ -50,6 +50,8 @@
 struct Entry {
     /// At 1 the next request is admitted.
     credit: f64,
+    /// Random, from 0 to 1; rounds the number of requests that are admitted without an answer.
+    chance: f64,
     /// Tokens of this daemon's own portion, and since when there is a whole one.
     tokens: f64,
     whole_since: Option<TimeMs>,
@@ -97,6 +99,7 @@
             Some(entry) => entry,
             None => self.entries.entry(name.clone()).or_insert(Entry {
                 credit: rng.random(),
+                chance: rng.random(),
                 tokens: 0.0,
                 whole_since: None,
                 updated_at: now,
@@ -117,13 +120,17 @@
                 entry.take_own(now, portion, allowance, rng)
             }
             Standing::Leased | Standing::Transferring => {
-                let most = table.member_uncounted(allowance, uplink.answers(now));
+                let answers = uplink.answers(now);
+                let most = table.member_uncounted(allowance, answers);
                 let uncounted = f64::from(uplink.uncounted(name));
                 if uncounted + 1.0 >= most / 2.0 {
                     uplink.hurry();
                 }
-                // Below one request by chance.
-                if uncounted + rng.random::<f64>() >= most {
+                if answers == Answers::Counted {
+                    entry.chance = rng.random();
+                }
+                // Below one request by chance, drawn once for all requests without an answer.
+                if uncounted + entry.chance >= most {
                     Err((RefusalCause::Uncounted, UNCOUNTED_RETRY_MS))
                 } else {
                     entry.take_share(uplink.share(name))
--- a/src/decide/relay/quotas/node.rs
+++ b/src/decide/relay/quotas/node.rs
@@ -280,7 +280,7 @@
 
     fn receive_as_zone(&mut self, now: TimeMs, report: &QuotaReport) -> QuotaAnswer {
         if self.is_zone_alone && self.zone.portions(now) == 0 {
-            self.zone.begin(now, &self.table, |_| false);
+            self.zone.begin_anew(now);
         }
         let is_new = self.zone.accept(now, report);
         let mut shares: Vec<(OrganisationName, u16)> = Vec::new();
@@ -314,7 +314,7 @@
 
     fn receive_as_root(&mut self, now: TimeMs, report: &QuotaReport) -> QuotaAnswer {
         if self.root.portions(now) == 0 {
-            self.root.begin(now, &self.table, |_| false);
+            self.root.begin_anew(now);
         }
         if self.root.accept(now, report) {
             self.root.record(now, &self.table, report);
--- a/src/decide/relay/quotas/uplink.rs
+++ b/src/decide/relay/quotas/uplink.rs
@@ -87,6 +87,8 @@
     /// From then on portions may be leased to the parent.
     free_at: TimeMs,
     in_flight: Option<InFlight>,
+    /// Sending of the first report to whomever since the last answer.
+    unanswered_since: Option<TimeMs>,
     pending: HashMap<OrganisationName, Counts>,
     pending_since: Option<TimeMs>,
     is_urgent: bool,
@@ -110,6 +112,7 @@
             claimed_at: None,
             free_at: TimeMs(0),
             in_flight: None,
+            unanswered_since: None,
             pending: HashMap::new(),
             pending_since: None,
             is_urgent: false,
@@ -131,9 +134,8 @@
     /// How the aggregator above answers.
     pub fn answers(&self, now: TimeMs) -> Answers {
         let is_prompt = self
-            .in_flight
-            .as_ref()
-            .is_none_or(|sent| sent.is_open && now.since_ms(sent.sent_at) <= PROMPT_MS);
+            .unanswered_since
+            .is_none_or(|since| now.since_ms(since) <= PROMPT_MS);
         match () {
             () if !is_prompt || !self.is_counted => Answers::Late,
             () if self.is_leased => Answers::Counted,
@@ -210,6 +212,7 @@
             return None;
         }
         self.sent_at = Some(now);
+        self.unanswered_since.get_or_insert(now);
         self.is_urgent = false;
         // Another aggregator must answer before anything changes.
         let may_lease = self.parent == Some(chosen) && now >= self.free_at && portions > 0;
@@ -266,6 +269,7 @@
         else {
             return;
         };
+        self.unanswered_since = None;
         if self.parent != Some(from) {
             self.switch(now, from);
             return;
