--- a/src/decide/relay/shares/entry.rs
+++ b/src/decide/relay/shares/entry.rs
@@ -77,16 +77,15 @@
             workers.retain(|_, received| now.since_ms(received.at) <= MAX_REPORT_AGE_MS);
             !workers.is_empty()
         });
-        let mut reports: Vec<ShareReport> = Vec::new();
-        for workers in self.received.values() {
-            reports.extend(workers.values().map(|received| ShareReport {
-                age_ms: now.since_ms(received.at),
-                ..received.report.clone()
-            }));
-        }
-        reports.sort_by_key(|report| report.age_ms);
-        reports.truncate(MAX_FORWARDED_REPORTS);
-        reports
+        let received = self.received.values().flat_map(HashMap::values);
+        let mut newest: Vec<&ReceivedReport> = received.collect();
+        newest.sort_by_key(|received| now.since_ms(received.at));
+        newest.truncate(MAX_FORWARDED_REPORTS);
+        let reports = newest.into_iter().map(|received| ShareReport {
+            age_ms: now.since_ms(received.at),
+            ..received.report.clone()
+        });
+        reports.collect()
     }
 
     /// The share of a kind of root request that is admitted now: the lowest share over all
