Speed of a backend server in hop replies and worker loads

Entries are to place requests by the time that a server needs. HopReply gains the key x, in hundredths, and WorkerLoad the field speed. Nothing sets it yet, so no byte on the wire changes.

--- a/src/decide/relay/load_balancer.rs
+++ b/src/decide/relay/load_balancer.rs
@@ -87,6 +87,10 @@
     pub rate_wait_ms: u64,
     /// Requests that arrived there within the window of the retry budget.
     pub arrivals: Arrivals,
+    /// Usual duration of a route over all workers of the service, divided by the duration on this
+    /// worker, as a mean over recent requests; 2 is twice as fast as usual. `None` if its daemon does
+    /// not estimate it.
+    pub speed: Option<f64>,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -115,6 +115,10 @@
     /// Mean service time of a request, in milliseconds.
     #[serde(rename = "m")]
     pub mean_ms: u32,
+    /// Usual duration of a route over all workers of the service, divided by the duration on this
+    /// one, in hundredths; absent if unknown.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<u32>,
     /// Time that the backend server took for this request, in milliseconds; 0 if it has not run.
     #[serde(rename = "t", default)]
     pub took_ms: u64,
@@ -260,6 +264,7 @@
                 worker.rate.relayed(now, instance, born_unix_ms)
             }),
             mean_ms: tables.admission.mean_ms() as u32,
+            speed: None,
             took_ms,
             arrivals: tables.arrivals.arrivals(now),
             shares,
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -160,6 +160,7 @@
         mean_ms: reply.mean_ms,
         rate_wait_ms: reply.rate_wait_ms,
         arrivals: reply.arrivals,
+        speed: reply.speed.map(|percent| f64::from(percent) / 100.0),
     };
     tables.load_balancer.reported(now, address, load);
     if let Some(rate) = &reply.rate {
