Estimator of the best concurrency of a backend server, not yet in use

The estimator compares curves of slowdown against load by the durations of requests. Admission takes a limit and how many requests may run now. The header X-Server-Load is parsed and checked.

--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -87,6 +87,8 @@
 #[derive(Debug)]
 pub struct Admission {
     limit: u32,
+    /// How many requests may run now; `limit` unless another limit is tried.
+    limit_now: u32,
     rate: Option<RateLimiter>,
     running: u32,
     waiting: BTreeMap<QueueKey, QueuedRequest>,
@@ -100,7 +102,8 @@
     /// Creates an idle admission for a backend server with `slots` slots.
     pub fn new(slots: u32) -> Admission {
         Admission {
-            limit: limit_for_slots(slots),
+            limit: fixed_limit(slots),
+            limit_now: fixed_limit(slots),
             rate: None,
             running: 0,
             waiting: BTreeMap::new(),
@@ -111,9 +114,16 @@
         }
     }
 
-    /// Sets the limit from a new number of slots; running requests continue.
+    /// Sets the fixed limit for a number of slots; running requests continue.
     pub fn set_slots(&mut self, slots: u32) {
-        self.limit = limit_for_slots(slots);
+        let limit = fixed_limit(slots);
+        self.set_limit(limit, limit);
+    }
+
+    /// Sets the limit and how many requests may run now; running requests continue.
+    pub fn set_limit(&mut self, limit: u32, limit_now: u32) {
+        self.limit = limit.max(1);
+        self.limit_now = limit_now.max(1);
     }
 
     /// Sets the rate limit in requests a second; `None` for no limit.
@@ -146,7 +156,7 @@
 
     /// When the head of the queue may start, if only the rate limit holds it back.
     pub fn paced_until(&self, now: TimeMs) -> Option<TimeMs> {
-        if self.waiting.is_empty() || self.running >= self.limit {
+        if self.waiting.is_empty() || self.running >= self.limit_now {
             return None;
         }
         let wait_ms = self.rate?.wait_ms(now, 0);
@@ -178,7 +188,7 @@
     pub fn admit(&mut self, now: TimeMs, request: AdmissionRequest<'_>) -> AdmissionDecision {
         let expected_ms = self.expected_ms(request.route);
         let left_ms = request.deadline.since_ms(now) as f64;
-        if self.running < self.limit && self.waiting.is_empty() {
+        if self.running < self.limit_now && self.waiting.is_empty() {
             if left_ms < expected_ms * MIN_TIME_LEFT_RATIO * MIN_TIME_LEFT_RATIO {
                 return AdmissionDecision::TooLate;
             }
@@ -245,7 +255,7 @@
         let (key, waiting) = self.waiting.first_key_value()?;
         let (_, _, deadline, waiter_id) = *key;
         let is_late = (deadline.since_ms(now) as f64) < waiting.expected_ms * MIN_TIME_LEFT_RATIO;
-        if !is_late && (self.running >= self.limit || !self.take_token(now)) {
+        if !is_late && (self.running >= self.limit_now || !self.take_token(now)) {
             return None;
         }
         self.cancel(waiter_id);
@@ -286,6 +296,7 @@
     }
 }
 
-fn limit_for_slots(slots: u32) -> u32 {
+/// The limit for a backend server with `slots` slots whose best concurrency is not estimated.
+pub fn fixed_limit(slots: u32) -> u32 {
     ((f64::from(slots) * USABLE_SLOTS_RATIO) as u32).max(1)
 }
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -4,9 +4,11 @@
 //! As everywhere in [`crate::decide`], time and randomness are passed as arguments.
 
 pub mod admission;
+pub mod capacity;
 pub mod crash_witness;
 pub mod directory;
 pub mod load_balancer;
+pub mod load_curve;
 pub mod local_worker;
 pub mod organisations;
 pub mod pause;
@@ -17,10 +19,13 @@
 pub mod request_digest;
 pub mod retry_budget;
 pub mod routes;
+pub mod server_load;
 pub mod shares;
+pub mod speed;
 pub mod stated_rate;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
+pub use capacity::{CapacityEstimator, CapacityState, RunEnd, RunStart};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
 pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
@@ -34,5 +39,7 @@
 pub use request_digest::RequestDigest;
 pub use retry_budget::{Arrivals, RetryBudget, RetryRequest, RetryWindow};
 pub use routes::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
+pub use server_load::{IgnoredLoad, KnownLoad, LoadStatements, ServerLoad};
 pub use shares::{EntryShares, Reporter, RootRequest, ShareReport, WorkerShares};
+pub use speed::SpeedMeter;
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
