--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -9,28 +9,38 @@
 
 use rand::{Rng, RngExt};
 
-use super::load_curve::{LOAD_STEPS, LoadCurve, Observation};
+use super::load_curve::{LOAD_STEPS, LoadCurve, MAX_ADVANTAGE, Observation};
 use super::server_load::ServerLoad;
 use super::speed::SpeedMeter;
 use crate::model::{ServiceName, TimeMs};
 
-/// Variance of the logarithm of durations of one route at constant speed.
-const DURATION_VARIANCE: f64 = 0.7;
+/// Variance of the number of requests that end in a period, divided by that number.
+const COUNT_VARIANCE: f64 = 1.1;
 /// Variance of the logarithm of the fourth figure at constant speed.
-const STATED_VARIANCE: f64 = 0.02;
+const STATED_VARIANCE: f64 = 0.005;
 /// How fast the speed changes by itself, as a variance of its logarithm a second.
-const DRIFT_PER_S: f64 = 0.15;
-/// Smallest weight of the newest duration in the usual duration of a route.
-const USUAL_WEIGHT: f64 = 0.01;
-/// Shortest time between two decisions, in milliseconds.
-const MIN_PERIOD_MS: f64 = 100.0;
-/// Time between two decisions as a multiple of the mean duration, so that most requests of a
-/// period have run at its limit.
-const PERIOD_PER_DURATION: f64 = 1.0;
+const DRIFT_PER_S: f64 = 0.03;
+/// Smallest weight of the newest duration in the mean duration.
+const MEAN_WEIGHT: f64 = 0.01;
+/// Fraction of the usual rates of the routes that is kept from one period to the next.
+const USUAL_KEPT: f64 = 0.995;
+/// Number of ended requests of a route from which its usual rate is used.
+const MIN_USUAL_ENDED: f64 = 5.0;
+/// Shortest period, in milliseconds.
+const MIN_PERIOD_MS: f64 = 60.0;
+/// Shortest period as a multiple of the mean duration.
+const PERIOD_PER_DURATION: f64 = 0.8;
+/// Time before a period in which a changed limit takes effect, as a multiple of the mean duration.
+const SETTLE_PER_DURATION: f64 = 0.5;
+/// Fewest requests that end in a period.
+const MIN_ENDED: f64 = 12.0;
+/// Largest advantage of one curve over another while the server is in state slow, since it may have
+/// changed for good.
+const SLOW_ADVANTAGE: f64 = 4.0;
 /// Time constant with which evidence is forgotten while requests wait, in milliseconds.
-const MEMORY_MS: f64 = 6_000.0;
+const MEMORY_MS: f64 = 60_000.0;
 /// The same while the server is in state slow, since it may have changed for good.
-const SLOW_MEMORY_MS: f64 = 1_000.0;
+const SLOW_MEMORY_MS: f64 = 10_000.0;
 /// Lowest concurrency that is tried, as a fraction of the slots.
 const FLOOR_RATIO: f64 = 0.4;
 /// Expected gain of throughput from which the limit is moved at once, as a fraction.
@@ -65,19 +75,9 @@
     Slow,
 }
 
-/// Start of a request, to be handed back at its end.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RunStart {
-    at: TimeMs,
-    /// Running requests summed over time up to the start, in request-milliseconds.
-    running_ms: f64,
-}
-
 /// End of a request that the backend server has answered.
 #[derive(Debug, Clone, Copy)]
-pub struct RunEnd<'a> {
-    /// Its route.
-    pub route: &'a ServiceName,
+pub struct RunEnd {
     /// Its duration, in milliseconds.
     pub took_ms: u64,
     /// Usual duration of the route over all workers of the service, in milliseconds, if the entry
@@ -85,11 +85,27 @@
     pub usual_ms: Option<u32>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct RouteUsual {
-    /// Logarithm of the usual duration without load, in milliseconds.
-    level: f64,
-    durations: u32,
+/// Requests of one route.
+#[derive(Debug, Clone, Copy, Default)]
+struct RouteRuns {
+    running: u32,
+    /// Running requests summed over the time of this period, in request-milliseconds.
+    running_ms: f64,
+    /// Requests that have ended in this period.
+    ended: f64,
+    /// Moving sum of ended requests.
+    usual_ended: f64,
+    /// Moving sum of `running_ms`, as if the server had worked at its usual speed without load.
+    usual_running_ms: f64,
+}
+
+impl RouteRuns {
+    /// Requests that would have ended in this period at usual speed without load; `None` while
+    /// too few are known.
+    fn expected(&self) -> Option<f64> {
+        let is_known = self.usual_ended >= MIN_USUAL_ENDED;
+        is_known.then(|| self.running_ms * self.usual_ended / self.usual_running_ms.max(1.0))
+    }
 }
 
 /// The estimates for one process of a backend server.
@@ -101,12 +117,12 @@
     curve: LoadCurve,
     /// Learns from the fourth figure whether it rises with the load.
     stated_curve: LoadCurve,
-    routes: HashMap<ServiceName, RouteUsual>,
+    routes: HashMap<ServiceName, RouteRuns>,
     durations: u32,
     running: u32,
-    running_ms: f64,
-    running_since: TimeMs,
-    observed_at: TimeMs,
+    counted_at: TimeMs,
+    /// Start of the period, without the time in which the limit took effect.
+    period_at: TimeMs,
     stated_at: TimeMs,
     /// Logarithm of the last fourth figure.
     stated: Option<f64>,
@@ -134,9 +150,8 @@
             routes: HashMap::new(),
             durations: 0,
             running: 0,
-            running_ms: 0.0,
-            running_since: now,
-            observed_at: now,
+            counted_at: now,
+            period_at: now,
             stated_at: now,
             stated: None,
             usual_level: 0.0,
@@ -151,31 +166,38 @@
     }
 
     /// Records that a request has started.
-    pub fn started(&mut self, now: TimeMs) -> RunStart {
+    pub fn started(&mut self, now: TimeMs, route: &ServiceName) {
         self.count_running(now);
         self.running += 1;
-        RunStart {
-            at: now,
-            running_ms: self.running_ms,
+        match self.routes.get_mut(route) {
+            Some(runs) => runs.running += 1,
+            None => {
+                let runs = RouteRuns {
+                    running: 1,
+                    ..RouteRuns::default()
+                };
+                self.routes.insert(route.clone(), runs);
+            }
         }
     }
 
     /// Records that a request has ended; `end` only if the backend server has answered it.
-    pub fn finished(&mut self, now: TimeMs, start: RunStart, end: Option<RunEnd<'_>>) {
+    pub fn finished(&mut self, now: TimeMs, route: &ServiceName, end: Option<RunEnd>) {
         self.count_running(now);
         self.running = self.running.saturating_sub(1);
+        let Some(runs) = self.routes.get_mut(route) else {
+            return;
+        };
+        runs.running = runs.running.saturating_sub(1);
         let Some(end) = end else { return };
         if now < self.cold_until {
             return;
         }
-        let span_ms = now.since_ms(start.at) as f64;
-        let running = if span_ms > 0.0 {
-            (self.running_ms - start.running_ms) / span_ms
-        } else {
-            f64::from(self.running + 1)
-        };
+        runs.ended += 1.0;
+        self.durations = self.durations.saturating_add(1);
+        let weight = (1.0 / f64::from(self.durations)).max(MEAN_WEIGHT);
+        self.mean_ms += (end.took_ms as f64 - self.mean_ms) * weight;
         self.speed.record(now, end.took_ms, end.usual_ms);
-        self.learn(now, end.route, end.took_ms, self.step(running));
     }
 
     /// Records the figures that an answer states, if it has a fourth one.
@@ -187,9 +209,9 @@
             return;
         }
         let stated = (f64::from(percent.max(1)) / 100.0).ln();
-        let load = self.step(f64::from(load.running));
+        let load = self.steps(f64::from(load.running));
         let drift = DRIFT_PER_S * now.since_ms(self.stated_at) as f64 / 1_000.0;
-        self.stated_curve.loosen(drift + STATED_VARIANCE);
+        self.stated_curve.loosen(drift);
         self.stated_at = now;
         let unloaded = stated - self.stated_curve.slowdown(load);
         if let Some(before) = self.stated.replace(unloaded) {
@@ -216,10 +238,11 @@
         if (slots, start_limit) == (self.slots, self.start_limit) {
             return;
         }
-        let (running, running_ms) = (self.running, self.running_ms);
+        let running = self.running;
+        let routes = std::mem::take(&mut self.routes);
         *self = CapacityEstimator {
             running,
-            running_ms,
+            routes,
             ..CapacityEstimator::new(now, slots, start_limit)
         };
     }
@@ -233,16 +256,28 @@
         rng: &mut impl Rng,
     ) -> Option<CapacityState> {
         let span_ms = now.since_ms(self.decided_at) as f64;
-        if span_ms < (self.mean_ms * PERIOD_PER_DURATION).max(MIN_PERIOD_MS) {
+        let settled_ms = self.mean_ms * SETTLE_PER_DURATION;
+        if self.period_at <= self.decided_at && span_ms >= settled_ms {
+            self.start_period(now);
+        }
+        let period_ms = now.since_ms(self.period_at) as f64;
+        let ended: f64 = self.routes.values().map(|runs| runs.ended).sum();
+        let is_short = period_ms < (self.mean_ms * PERIOD_PER_DURATION).max(MIN_PERIOD_MS);
+        if self.period_at <= self.decided_at || is_short || ended < MIN_ENDED {
             return None;
         }
+        self.learn(now);
         self.decided_at = now;
         let before = self.state;
         self.set_state(now, span_ms);
         let is_learning = matches!(self.state, CapacityState::Steady | CapacityState::Slow);
         if is_learning {
-            self.curve.normalise(Some(&self.stated_curve));
-            self.stated_curve.normalise(None);
+            let advantage = match self.state {
+                CapacityState::Slow => SLOW_ADVANTAGE,
+                _ => MAX_ADVANTAGE,
+            };
+            self.curve.normalise(Some(&self.stated_curve), advantage);
+            self.stated_curve.normalise(None, advantage);
             if is_limited {
                 self.forget(span_ms);
             }
@@ -286,47 +321,57 @@
     }
 
     fn count_running(&mut self, now: TimeMs) {
-        let span_ms = now.since_ms(self.running_since) as f64;
-        self.running_ms += f64::from(self.running) * span_ms;
-        self.running_since = now;
+        let span_ms = now.since_ms(self.counted_at) as f64;
+        if span_ms > 0.0 {
+            for runs in self.routes.values_mut() {
+                runs.running_ms += f64::from(runs.running) * span_ms;
+            }
+            self.counted_at = now;
+        }
+    }
+
+    fn start_period(&mut self, now: TimeMs) {
+        self.period_at = now;
+        for runs in self.routes.values_mut() {
+            (runs.running_ms, runs.ended) = (0.0, 0.0);
+        }
+    }
+
+    fn steps(&self, running: f64) -> f64 {
+        running * LOAD_STEPS as f64 / f64::from(self.slots.max(1))
     }
 
     fn step(&self, running: f64) -> usize {
-        let step = running * LOAD_STEPS as f64 / f64::from(self.slots.max(1));
-        (step.round() as usize).min(LOAD_STEPS)
+        (self.steps(running).round() as usize).min(LOAD_STEPS)
     }
 
-    fn learn(&mut self, now: TimeMs, route: &ServiceName, took_ms: u64, load: usize) {
-        // Half a millisecond: durations are rounded down.
-        let duration = (took_ms as f64 + 0.5).ln();
-        let span_s = now.since_ms(self.observed_at) as f64 / 1_000.0;
-        self.observed_at = now;
-        self.curve.loosen(DRIFT_PER_S * span_s);
-        let expected = self.curve.level() + self.curve.slowdown(load);
-        let usual = match self.routes.get_mut(route) {
-            Some(usual) => usual,
-            None => {
-                let usual = RouteUsual {
-                    level: duration - expected,
-                    durations: 0,
-                };
-                self.routes.entry(route.clone()).or_insert(usual)
+    /// Learns from a period: how many requests have ended, compared with how many would have ended
+    /// at usual speed.
+    fn learn(&mut self, now: TimeMs) {
+        let period_ms = now.since_ms(self.period_at) as f64;
+        self.curve.loosen(DRIFT_PER_S * period_ms / 1_000.0);
+        let (mut ended, mut expected, mut running_ms) = (0.0, 0.0, 0.0);
+        for runs in self.routes.values() {
+            running_ms += runs.running_ms;
+            if let Some(usual) = runs.expected() {
+                ended += runs.ended;
+                expected += usual;
             }
-        };
-        usual.durations += 1;
-        let weight = 1.0 / f64::from(usual.durations);
-        let error = duration - usual.level - expected;
-        if usual.durations > 1 {
+        }
+        let load = self.steps(running_ms / period_ms);
+        if ended >= 1.0 && expected > 0.0 {
             self.curve.observe(Observation {
                 load,
-                slowdown: duration - usual.level,
-                variance: DURATION_VARIANCE * (1.0 + weight),
+                slowdown: (expected / ended).ln(),
+                variance: COUNT_VARIANCE / ended,
             });
         }
-        usual.level += error * weight.max(USUAL_WEIGHT);
-        self.durations = self.durations.saturating_add(1);
-        let mean_weight = (1.0 / f64::from(self.durations)).max(USUAL_WEIGHT);
-        self.mean_ms += (took_ms as f64 - self.mean_ms) * mean_weight;
+        let slowdown = self.curve.level() + self.curve.slowdown(load);
+        for runs in self.routes.values_mut() {
+            runs.usual_ended = runs.usual_ended * USUAL_KEPT + runs.ended;
+            runs.usual_running_ms =
+                runs.usual_running_ms * USUAL_KEPT + runs.running_ms * (-slowdown).exp();
+        }
     }
 
     fn set_state(&mut self, now: TimeMs, span_ms: f64) {
--- a/src/decide/relay/load_curve.rs
+++ b/src/decide/relay/load_curve.rs
@@ -21,22 +21,24 @@
 const CURVES: usize = 1 + 12 * STEEPNESS.len();
 /// Initial weight of the flat curve, relative to one of the others.
 const FLAT_WEIGHT: f64 = 6.0;
-/// Prediction errors count as at most this many standard deviations, so that single very long
-/// requests and sudden changes of speed do not decide.
+/// Prediction errors count as at most this many standard deviations; larger ones mean a sudden
+/// change of speed, which is no evidence about the load.
 const MAX_DEVIATIONS: f64 = 2.5;
 /// Uncertainty of the speed before the first duration, as a variance of its logarithm.
 const INITIAL_VARIANCE: f64 = 1.0;
 /// Least and highest uncertainty of the speed, as variances of its logarithm.
 const VARIANCE_RANGE: (f64, f64) = (1e-4, 1.0);
+/// Uncertainty of the speed after a sudden change, as a variance of its logarithm.
+const JUMP_VARIANCE: f64 = 0.5;
 /// Largest advantage of one curve over another, as a difference of log-likelihoods. It bounds how
 /// much evidence is needed to notice that the server has changed.
-const MAX_ADVANTAGE: f64 = 9.0;
+pub const MAX_ADVANTAGE: f64 = 9.0;
 
 /// One measured duration or stated figure.
 #[derive(Debug, Clone, Copy)]
 pub struct Observation {
     /// Mean number of running requests during the time observed, in steps of the slots.
-    pub load: usize,
+    pub load: f64,
     /// Logarithm of the duration, relative to the usual duration of its route.
     pub slowdown: f64,
     /// Variance of `slowdown` between equal requests at the same speed and load.
@@ -61,7 +63,7 @@
     /// Logarithm of the unloaded duration if the curve held, relative to the usual one.
     level: [f64; CURVES],
     /// Uncertainty of `level`, as a variance.
-    variance: f64,
+    variance: [f64; CURVES],
 }
 
 impl Default for LoadCurve {
@@ -98,9 +100,9 @@
             likelihood: prior,
             probability: [0.0; CURVES],
             level: [0.0; CURVES],
-            variance: INITIAL_VARIANCE,
+            variance: [INITIAL_VARIANCE; CURVES],
         };
-        curve.normalise(None);
+        curve.normalise(None, MAX_ADVANTAGE);
         curve
     }
 }
@@ -113,21 +115,26 @@
             slowdown,
             variance,
         } = observation;
-        let load = load.min(LOAD_STEPS);
-        let total = self.variance + variance;
-        let most = MAX_DEVIATIONS * total.sqrt();
-        let gain = self.variance / total;
+        let (below, part) = split(load);
         for (index, slowdowns) in self.slowdowns.iter().enumerate() {
-            let error = (slowdown - slowdowns[load] - self.level[index]).clamp(-most, most);
-            self.likelihood[index] -= error * error / (2.0 * total);
+            let total = self.variance[index] + variance;
+            let error = slowdown - between(slowdowns, below, part) - self.level[index];
+            let squared = (error * error / total).min(MAX_DEVIATIONS * MAX_DEVIATIONS);
+            self.likelihood[index] -= (squared + total.ln()) / 2.0;
+            if squared >= MAX_DEVIATIONS * MAX_DEVIATIONS {
+                self.variance[index] += JUMP_VARIANCE;
+            }
+            let gain = self.variance[index] / (self.variance[index] + variance);
             self.level[index] += gain * error;
+            self.variance[index] = (gain * variance).max(VARIANCE_RANGE.0);
         }
-        self.variance = (self.variance * variance / total).max(VARIANCE_RANGE.0);
     }
 
     /// Allows for a change of speed by `variance`, as a variance of its logarithm.
     pub fn loosen(&mut self, variance: f64) {
-        self.variance = (self.variance + variance).min(VARIANCE_RANGE.1);
+        for known in &mut self.variance {
+            *known = (*known + variance).min(VARIANCE_RANGE.1);
+        }
     }
 
     /// Forgets a fraction of what was learned, in 0..=1.
@@ -139,15 +146,15 @@
 
     /// Computes the probabilities of the curves. Evidence of `other`, which observes another
     /// quantity, counts only for curves that it finds more likely than no effect of load at all.
-    pub fn normalise(&mut self, other: Option<&LoadCurve>) {
+    pub fn normalise(&mut self, other: Option<&LoadCurve>, advantage: f64) {
         let highest = self.likelihood.iter().copied().fold(f64::MIN, f64::max);
         for likelihood in &mut self.likelihood {
-            *likelihood = (*likelihood - highest).max(-MAX_ADVANTAGE);
+            *likelihood = (*likelihood - highest).max(-advantage);
         }
         let mut sum = 0.0;
         for (index, probability) in self.probability.iter_mut().enumerate() {
             let more = other.map_or(0.0, |other| {
-                (other.likelihood[index] - other.likelihood[0]).clamp(0.0, MAX_ADVANTAGE)
+                (other.likelihood[index] - other.likelihood[0]).clamp(0.0, advantage)
             });
             *probability = (self.likelihood[index] + more).exp();
             sum += *probability;
@@ -163,8 +170,9 @@
     }
 
     /// Expected logarithm of the slowdown at a load.
-    pub fn slowdown(&self, load: usize) -> f64 {
-        self.mean(|index| self.slowdowns[index][load.min(LOAD_STEPS)])
+    pub fn slowdown(&self, load: f64) -> f64 {
+        let (below, part) = split(load);
+        self.mean(|index| between(&self.slowdowns[index], below, part))
     }
 
     /// Expected logarithm of the unloaded duration, relative to the usual one.
@@ -191,3 +199,13 @@
             .sum()
     }
 }
+
+/// The step below a load, and the part of the way to the next one, in 0..=1.
+fn split(load: f64) -> (usize, f64) {
+    let below = (load as usize).min(LOAD_STEPS - 1);
+    (below, (load - below as f64).clamp(0.0, 1.0))
+}
+
+fn between(values: &[f64; LOAD_STEPS + 1], below: usize, part: f64) -> f64 {
+    values[below] + (values[below + 1] - values[below]) * part
+}
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -25,7 +25,7 @@
 pub mod stated_rate;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
-pub use capacity::{CapacityEstimator, CapacityState, RunEnd, RunStart};
+pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
 pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
--- a/tests/capacity_estimator.rs
+++ b/tests/capacity_estimator.rs
@@ -6,7 +6,7 @@
 use burdockhall::decide::relay::admission::{QueueDecision, fixed_limit};
 use burdockhall::decide::relay::{
     Admission, AdmissionDecision, AdmissionRequest, CapacityEstimator, CapacityState, RunEnd,
-    RunStart, ServerLoad, WaiterId,
+    ServerLoad, WaiterId,
 };
 use burdockhall::model::{ServiceName, TimeMs};
 use rand::{RngExt, SeedableRng};
@@ -57,7 +57,6 @@
     work_ms: f64,
     call_ms: f64,
     arrived: u64,
-    start: RunStart,
     started: u64,
 }
 
@@ -124,7 +123,6 @@
                 outcome.served[(ms / 1_000) as usize] += ROUTES_MS[run.route];
             }
             let end = RunEnd {
-                route: &routes[run.route],
                 took_ms,
                 usual_ms: None,
             };
@@ -137,7 +135,7 @@
                 };
                 estimator.stated(now, load);
             }
-            estimator.finished(now, run.start, Some(end));
+            estimator.finished(now, &routes[run.route], Some(end));
             admission.finished(&routes[run.route], Some(took_ms));
             estimator.decide(now, admission.waiting() > 0, &mut estimator_rng);
         }
@@ -146,12 +144,12 @@
             None => admission.set_limit(estimator.concurrency(), estimator.limit_now()),
         }
         let mut start = |(route, work_ms, call_ms, arrived): (usize, f64, f64, u64)| {
+            estimator.started(now, &routes[route]);
             running.push(Run {
                 route,
                 work_ms,
                 call_ms,
                 arrived,
-                start: estimator.started(now),
                 started: ms,
             });
         };
