--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -32,11 +32,13 @@
 const PERIOD_PER_DURATION: f64 = 0.8;
 /// Time before a period in which a changed limit takes effect, as a multiple of the mean duration.
 const SETTLE_PER_DURATION: f64 = 0.5;
+/// Change of the limit, as a fraction, that needs no time to take effect.
+const SMALL_CHANGE: f64 = 0.1;
 /// Fewest requests that end in a period.
 const MIN_ENDED: f64 = 12.0;
 /// Largest advantage of one curve over another while the server is in state slow, since it may have
 /// changed for good.
-const SLOW_ADVANTAGE: f64 = 4.0;
+const SLOW_ADVANTAGE: f64 = 3.0;
 /// Time constant with which evidence is forgotten while requests wait, in milliseconds.
 const MEMORY_MS: f64 = 60_000.0;
 /// The same while the server is in state slow, since it may have changed for good.
@@ -57,6 +59,9 @@
 const MIN_DURATIONS: u32 = 40;
 /// Time constant of the usual speed, in milliseconds.
 const USUAL_LEVEL_MS: f64 = 6_000.0;
+/// Time in state slow from which lower limits are tried, since the server may slow down earlier
+/// than before, in milliseconds. Longer than the moments in which servers are slow at any load.
+const LONG_SLOW_MS: u64 = 800;
 /// Slowdown against the usual speed from which the server is in state slow, and up to which it
 /// stays in it.
 const SLOW_FACTORS: (f64, f64) = (1.5, 1.25);
@@ -122,13 +127,14 @@
     running: u32,
     counted_at: TimeMs,
     /// Start of the period, without the time in which the limit took effect.
-    period_at: TimeMs,
+    period_at: Option<TimeMs>,
     stated_at: TimeMs,
     /// Logarithm of the last fourth figure.
     stated: Option<f64>,
     /// Logarithm of the usual duration over some seconds; [`LoadCurve::level`] varies around it.
     usual_level: f64,
     cold_until: TimeMs,
+    slow_since: Option<TimeMs>,
     found: f64,
     tried: f64,
     is_trying: bool,
@@ -151,11 +157,12 @@
             durations: 0,
             running: 0,
             counted_at: now,
-            period_at: now,
+            period_at: Some(now),
             stated_at: now,
             stated: None,
             usual_level: 0.0,
             cold_until: now,
+            slow_since: None,
             found: start,
             tried: start,
             is_trying: false,
@@ -257,24 +264,26 @@
     ) -> Option<CapacityState> {
         let span_ms = now.since_ms(self.decided_at) as f64;
         let settled_ms = self.mean_ms * SETTLE_PER_DURATION;
-        if self.period_at <= self.decided_at && span_ms >= settled_ms {
+        if self.period_at.is_none() && span_ms >= settled_ms {
             self.start_period(now);
         }
-        let period_ms = now.since_ms(self.period_at) as f64;
+        let period_ms = now.since_ms(self.period_at?) as f64;
         let ended: f64 = self.routes.values().map(|runs| runs.ended).sum();
         let is_short = period_ms < (self.mean_ms * PERIOD_PER_DURATION).max(MIN_PERIOD_MS);
-        if self.period_at <= self.decided_at || is_short || ended < MIN_ENDED {
+        if is_short || ended < MIN_ENDED {
             return None;
         }
-        self.learn(now);
+        self.learn(period_ms);
+        self.period_at = None;
         self.decided_at = now;
         let before = self.state;
         self.set_state(now, span_ms);
         let is_learning = matches!(self.state, CapacityState::Steady | CapacityState::Slow);
         if is_learning {
-            let advantage = match self.state {
-                CapacityState::Slow => SLOW_ADVANTAGE,
-                _ => MAX_ADVANTAGE,
+            let advantage = if self.is_slow_for_long(now) {
+                SLOW_ADVANTAGE
+            } else {
+                MAX_ADVANTAGE
             };
             self.curve.normalise(Some(&self.stated_curve), advantage);
             self.stated_curve.normalise(None, advantage);
@@ -283,10 +292,17 @@
             }
             self.search(span_ms);
         }
-        self.tried = self.found;
-        self.is_trying = is_learning && is_limited && !self.is_trying;
-        if self.is_trying {
-            self.tried = self.limit_to_try(rng);
+        let before_limit = self.limit_now();
+        let is_uncertain = 1.0 - self.curve.efficiency(self.step(self.found)) > UNCERTAIN_LOSS;
+        self.is_trying = is_learning && is_limited && (is_uncertain || !self.is_trying);
+        self.tried = if self.is_trying {
+            self.limit_to_try(now, rng)
+        } else {
+            self.found
+        };
+        let change = f64::from(self.limit_now().abs_diff(before_limit));
+        if change <= self.found * SMALL_CHANGE {
+            self.start_period(now);
         }
         (before != self.state).then_some(before)
     }
@@ -331,7 +347,7 @@
     }
 
     fn start_period(&mut self, now: TimeMs) {
-        self.period_at = now;
+        self.period_at = Some(now);
         for runs in self.routes.values_mut() {
             (runs.running_ms, runs.ended) = (0.0, 0.0);
         }
@@ -347,8 +363,7 @@
 
     /// Learns from a period: how many requests have ended, compared with how many would have ended
     /// at usual speed.
-    fn learn(&mut self, now: TimeMs) {
-        let period_ms = now.since_ms(self.period_at) as f64;
+    fn learn(&mut self, period_ms: f64) {
         self.curve.loosen(DRIFT_PER_S * period_ms / 1_000.0);
         let (mut ended, mut expected, mut running_ms) = (0.0, 0.0, 0.0);
         for runs in self.routes.values() {
@@ -396,12 +411,19 @@
             _ => SLOW_FACTORS.0,
         };
         self.state = if slower > factor.ln() {
+            self.slow_since.get_or_insert(now);
             CapacityState::Slow
         } else {
+            self.slow_since = None;
             CapacityState::Steady
         };
     }
 
+    fn is_slow_for_long(&self, now: TimeMs) -> bool {
+        let since = self.slow_since;
+        since.is_some_and(|since| now.since_ms(since) >= LONG_SLOW_MS)
+    }
+
     fn forget(&mut self, span_ms: f64) {
         let memory_ms = match self.state {
             CapacityState::Slow => SLOW_MEMORY_MS,
@@ -431,9 +453,11 @@
         };
     }
 
-    fn limit_to_try(&self, rng: &mut impl Rng) -> f64 {
+    fn limit_to_try(&self, now: TimeMs, rng: &mut impl Rng) -> f64 {
         let loss = 1.0 - self.curve.efficiency(self.step(self.found));
-        let tried = if loss > UNCERTAIN_LOSS {
+        let tried = if self.is_slow_for_long(now) {
+            self.found * TRIED_RATIOS.0
+        } else if loss > UNCERTAIN_LOSS {
             let best = self.curve.draw_best(rng);
             let best = f64::from(self.slots) * best as f64 / LOAD_STEPS as f64;
             best.clamp(self.found * TRIED_RATIOS.0, self.found * TRIED_RATIOS.1)
