--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -33,7 +33,7 @@
 /// Time before a period in which a changed limit takes effect, as a multiple of the mean duration.
 const SETTLE_PER_DURATION: f64 = 0.5;
 /// Change of the limit, as a fraction, that needs no time to take effect.
-const SMALL_CHANGE: f64 = 0.1;
+const SMALL_CHANGE: f64 = 0.25;
 /// Fewest requests that end in a period.
 const MIN_ENDED: f64 = 12.0;
 /// Largest advantage of one curve over another while the server is in state slow, since it may have
@@ -55,6 +55,10 @@
 const UNCERTAIN_LOSS: f64 = 0.01;
 /// Range of the limits that are tried, as multiples of the one found.
 const TRIED_RATIOS: (f64, f64) = (0.7, 1.15);
+/// Number of periods from one trial of another limit to the next while the best one is known.
+const TRIAL_INTERVAL: u32 = 3;
+/// Fraction of these trials with a higher limit, which may overload the server.
+const UPWARD_TRIALS: f64 = 0.35;
 /// Number of durations from which the estimates are used.
 const MIN_DURATIONS: u32 = 40;
 /// Time constant of the usual speed, in milliseconds.
@@ -137,7 +141,7 @@
     slow_since: Option<TimeMs>,
     found: f64,
     tried: f64,
-    is_trying: bool,
+    periods: u32,
     decided_at: TimeMs,
     mean_ms: f64,
     speed: SpeedMeter,
@@ -165,7 +169,7 @@
             slow_since: None,
             found: start,
             tried: start,
-            is_trying: false,
+            periods: 0,
             decided_at: now,
             mean_ms: 0.0,
             speed: SpeedMeter::default(),
@@ -293,9 +297,10 @@
             self.search(span_ms);
         }
         let before_limit = self.limit_now();
-        let is_uncertain = 1.0 - self.curve.efficiency(self.step(self.found)) > UNCERTAIN_LOSS;
-        self.is_trying = is_learning && is_limited && (is_uncertain || !self.is_trying);
-        self.tried = if self.is_trying {
+        let is_uncertain = 1.0 - self.curve.efficiency(self.steps(self.found)) > UNCERTAIN_LOSS;
+        self.periods = self.periods.wrapping_add(1);
+        let is_due = is_uncertain || self.periods.is_multiple_of(TRIAL_INTERVAL);
+        self.tried = if is_learning && is_limited && is_due {
             self.limit_to_try(now, rng)
         } else {
             self.found
@@ -309,13 +314,13 @@
 
     /// Concurrency at which the backend server serves best, as far as known.
     pub fn concurrency(&self) -> u32 {
-        rounded(self.found).min(self.slots).max(1)
+        whole(self.found).min(self.slots).max(1)
     }
 
     /// How many requests may run now; differs from [`CapacityEstimator::concurrency`] while another
     /// limit is tried.
     pub fn limit_now(&self) -> u32 {
-        rounded(self.tried).min(self.slots).max(1)
+        whole(self.tried).min(self.slots).max(1)
     }
 
     /// Requests a second at the concurrency found; `None` before the first duration.
@@ -357,10 +362,6 @@
         running * LOAD_STEPS as f64 / f64::from(self.slots.max(1))
     }
 
-    fn step(&self, running: f64) -> usize {
-        (self.steps(running).round() as usize).min(LOAD_STEPS)
-    }
-
     /// Learns from a period: how many requests have ended, compared with how many would have ended
     /// at usual speed.
     fn learn(&mut self, period_ms: f64) {
@@ -436,15 +437,14 @@
 
     /// Moves the limit towards the highest expected throughput.
     fn search(&mut self, span_ms: f64) {
-        let floor = self.step(f64::from(self.slots) * FLOOR_RATIO);
-        let efficiency: Vec<f64> = (0..=LOAD_STEPS)
-            .map(|load| self.curve.efficiency(load))
-            .collect();
-        let highest = efficiency.iter().copied().fold(0.0, f64::max);
-        let is_good = |load: &usize| efficiency[*load] >= highest - SPARED_THROUGHPUT;
-        let best = (floor..=LOAD_STEPS).find(is_good).unwrap_or(LOAD_STEPS);
-        let target = f64::from(self.slots) * best as f64 / LOAD_STEPS as f64;
-        let gain = highest - efficiency[self.step(self.found)];
+        let floor = (f64::from(self.slots) * FLOOR_RATIO) as u32;
+        let limits = floor.max(1)..=self.slots;
+        let efficiency = |limit: &u32| self.curve.efficiency(self.steps(f64::from(*limit)));
+        let highest = limits.clone().map(|limit| efficiency(&limit));
+        let highest = highest.fold(0.0, f64::max);
+        let is_good = |limit: &u32| efficiency(limit) >= highest - SPARED_THROUGHPUT;
+        let target = f64::from(limits.clone().find(is_good).unwrap_or(self.slots));
+        let gain = highest - self.curve.efficiency(self.steps(self.found));
         let most = self.found * MAX_DRIFT_PER_S * span_ms.min(1_000.0) / 1_000.0;
         self.found = if gain > CLEAR_GAIN {
             target
@@ -454,7 +454,7 @@
     }
 
     fn limit_to_try(&self, now: TimeMs, rng: &mut impl Rng) -> f64 {
-        let loss = 1.0 - self.curve.efficiency(self.step(self.found));
+        let loss = 1.0 - self.curve.efficiency(self.steps(self.found));
         let tried = if self.is_slow_for_long(now) {
             self.found * TRIED_RATIOS.0
         } else if loss > UNCERTAIN_LOSS {
@@ -462,13 +462,14 @@
             let best = f64::from(self.slots) * best as f64 / LOAD_STEPS as f64;
             best.clamp(self.found * TRIED_RATIOS.0, self.found * TRIED_RATIOS.1)
         } else {
-            let sign = if rng.random::<bool>() { 1.0 } else { -1.0 };
-            self.found * (1.0 + sign * MAX_DRIFT_PER_S)
+            let is_up = rng.random::<f64>() < UPWARD_TRIALS;
+            let change = (self.found * MAX_DRIFT_PER_S).max(1.0);
+            self.found + if is_up { change } else { -change }
         };
         tried.max(f64::from(self.slots) * FLOOR_RATIO)
     }
 }
 
-fn rounded(limit: f64) -> u32 {
+fn whole(limit: f64) -> u32 {
     limit.round() as u32
 }
--- a/src/decide/relay/load_curve.rs
+++ b/src/decide/relay/load_curve.rs
@@ -19,8 +19,11 @@
 const STEEPNESS: [f64; 4] = [0.7, 1.8, 3.5, 7.0];
 /// Number of curves: a flat one, and each steepness at each knee.
 const CURVES: usize = 1 + 12 * STEEPNESS.len();
-/// Initial weight of the flat curve, relative to one of the others.
-const FLAT_WEIGHT: f64 = 6.0;
+/// Initial weight of the curve by which only the last slots slow requests down, relative to one of
+/// the others: most servers are best at the fixed limit.
+const USUAL_WEIGHT: f64 = 8.0;
+/// Initial weight of the curve without an effect of load, relative to one of the others.
+const FLAT_WEIGHT: f64 = 2.0;
 /// Prediction errors count as at most this many standard deviations; larger ones mean a sudden
 /// change of speed, which is no evidence about the load.
 const MAX_DEVIATIONS: f64 = 2.5;
@@ -32,7 +35,7 @@
 const JUMP_VARIANCE: f64 = 0.5;
 /// Largest advantage of one curve over another, as a difference of log-likelihoods. It bounds how
 /// much evidence is needed to notice that the server has changed.
-pub const MAX_ADVANTAGE: f64 = 9.0;
+pub const MAX_ADVANTAGE: f64 = 6.0;
 
 /// One measured duration or stated figure.
 #[derive(Debug, Clone, Copy)]
@@ -92,6 +95,8 @@
         }
         let mut prior = [0.0; CURVES];
         prior[0] = FLAT_WEIGHT.ln();
+        // The last curve has the highest knee and is the steepest.
+        prior[CURVES - 1] = USUAL_WEIGHT.ln();
         let mut curve = LoadCurve {
             slowdowns,
             throughputs,
@@ -165,8 +170,9 @@
     }
 
     /// Expected throughput at a load, relative to the best for the server, in 0..=1.
-    pub fn efficiency(&self, load: usize) -> f64 {
-        self.mean(|index| self.throughputs[index][load.min(LOAD_STEPS)])
+    pub fn efficiency(&self, load: f64) -> f64 {
+        let (below, part) = split(load);
+        self.mean(|index| between(&self.throughputs[index], below, part))
     }
 
     /// Expected logarithm of the slowdown at a load.
--- a/tests/capacity_estimator.rs
+++ b/tests/capacity_estimator.rs
@@ -28,6 +28,8 @@
     knee: f64,
     /// Slowdown at twice the knee, as a fraction.
     steepness: f64,
+    /// Fraction of the slots from which on all requests take 1.3 times as long.
+    step: f64,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -104,7 +106,10 @@
         }
         // Requests that work, as opposed to those that wait for calls, share the server.
         let excess = (running.len() as f64 / f64::from(case.slots) - server.knee).max(0.0);
-        let slowdown = 1.0 + server.steepness * excess / server.knee;
+        let mut slowdown = 1.0 + server.steepness * excess / server.knee;
+        if running.len() as f64 >= server.step * f64::from(case.slots) {
+            slowdown *= 1.3;
+        }
         let pace = server.speed / noise / slowdown;
         let mut ended = Vec::new();
         for (index, run) in running.iter_mut().enumerate() {
@@ -197,11 +202,21 @@
     outcomes.iter().map(of).sum()
 }
 
+const fn stepped(speed: f64) -> Server {
+    Server {
+        speed,
+        knee: 2.0,
+        steepness: 0.0,
+        step: 0.95,
+    }
+}
+
 const fn server(speed: f64, knee: f64, steepness: f64) -> Server {
     Server {
         speed,
         knee,
         steepness,
+        step: 2.0,
     }
 }
 
