--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -15,7 +15,7 @@
 use crate::model::{ServiceName, TimeMs};
 
 /// Variance of the number of requests that end in a period, divided by that number.
-const COUNT_VARIANCE: f64 = 1.1;
+const COUNT_VARIANCE: f64 = 0.9;
 /// Variance of the logarithm of the fourth figure at constant speed.
 const STATED_VARIANCE: f64 = 0.005;
 /// How fast the speed changes by itself, as a variance of its logarithm a second.
@@ -66,6 +66,8 @@
 /// Time in state slow from which lower limits are tried, since the server may slow down earlier
 /// than before, in milliseconds. Longer than the moments in which servers are slow at any load.
 const LONG_SLOW_MS: u64 = 800;
+/// Most trials of lower limits in one slow phase.
+const MAX_SLOW_TRIALS: u32 = 5;
 /// Slowdown against the usual speed from which the server is in state slow, and up to which it
 /// stays in it.
 const SLOW_FACTORS: (f64, f64) = (1.5, 1.25);
@@ -139,6 +141,7 @@
     usual_level: f64,
     cold_until: TimeMs,
     slow_since: Option<TimeMs>,
+    slow_trials: u32,
     found: f64,
     tried: f64,
     periods: u32,
@@ -167,6 +170,7 @@
             usual_level: 0.0,
             cold_until: now,
             slow_since: None,
+            slow_trials: 0,
             found: start,
             tried: start,
             periods: 0,
@@ -415,7 +419,7 @@
             self.slow_since.get_or_insert(now);
             CapacityState::Slow
         } else {
-            self.slow_since = None;
+            (self.slow_since, self.slow_trials) = (None, 0);
             CapacityState::Steady
         };
     }
@@ -453,9 +457,10 @@
         };
     }
 
-    fn limit_to_try(&self, now: TimeMs, rng: &mut impl Rng) -> f64 {
+    fn limit_to_try(&mut self, now: TimeMs, rng: &mut impl Rng) -> f64 {
         let loss = 1.0 - self.curve.efficiency(self.steps(self.found));
-        let tried = if self.is_slow_for_long(now) {
+        let tried = if self.is_slow_for_long(now) && self.slow_trials < MAX_SLOW_TRIALS {
+            self.slow_trials += 1;
             self.found * TRIED_RATIOS.0
         } else if loss > UNCERTAIN_LOSS {
             let best = self.curve.draw_best(rng);
--- a/src/decide/relay/load_curve.rs
+++ b/src/decide/relay/load_curve.rs
@@ -9,15 +9,17 @@
 use rand::{Rng, RngExt};
 
 /// Steps into which the slots are divided; loads in between count as the nearest step.
-pub const LOAD_STEPS: usize = 40;
-/// Lowest and highest knee that is considered, as steps of the slots: 0.4 and 0.975 of them.
-const KNEE_STEPS: std::ops::RangeInclusive<usize> = 16..=39;
+pub const LOAD_STEPS: usize = 80;
+/// Lowest and highest knee that is considered, as steps of the slots: 0.4 and 0.95 of them.
+const KNEE_STEPS: std::ops::RangeInclusive<usize> = 32..=76;
 /// Distance between two knees that are considered, in steps: 0.05 of the slots.
-const KNEE_STRIDE: usize = 2;
+const KNEE_STRIDE: usize = 4;
 /// Steepness that is considered: by what fraction of the unloaded duration a load of twice the
 /// knee would slow requests. Below 1, more running requests always give a higher throughput.
 const STEEPNESS: [f64; 4] = [0.7, 1.8, 3.5, 7.0];
-/// Number of curves: a flat one, and each steepness at each knee.
+/// Slowdown while the last slots are in use, from the highest knee on, in the last curve.
+const LAST_SLOTS_SLOWDOWN: f64 = 1.3;
+/// Number of curves: a flat one, and each steepness at each knee, but for the last one.
 const CURVES: usize = 1 + 12 * STEEPNESS.len();
 /// Initial weight of the curve by which only the last slots slow requests down, relative to one of
 /// the others: most servers are best at the fixed limit.
@@ -81,6 +83,11 @@
                 }));
             }
         }
+        slowdowns.pop();
+        slowdowns.push(std::array::from_fn(|load| {
+            let is_last = load >= *KNEE_STEPS.end();
+            if is_last { LAST_SLOTS_SLOWDOWN.ln() } else { 0.0 }
+        }));
         let mut best = [LOAD_STEPS; CURVES];
         let mut throughputs = Vec::with_capacity(CURVES);
         for (best, slowdown) in best.iter_mut().zip(&slowdowns) {
@@ -95,7 +102,6 @@
         }
         let mut prior = [0.0; CURVES];
         prior[0] = FLAT_WEIGHT.ln();
-        // The last curve has the highest knee and is the steepest.
         prior[CURVES - 1] = USUAL_WEIGHT.ln();
         let mut curve = LoadCurve {
             slowdowns,
