--- a/src/config/relay.rs
+++ b/src/config/relay.rs
@@ -38,9 +38,9 @@
     /// Level and format of log lines.
     pub logging: Logging,
     /// Whether the capacity of the backend server is estimated even if it does not state how long
-    /// work takes.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub adaptive_capacity: bool,
+    /// work takes; `None` for false.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub adaptive_capacity: Option<bool>,
     /// Limits that hold for the whole deployment.
     pub bounds: RelayBounds,
 }
@@ -99,7 +99,7 @@
                 level: super::LogLevel::Info,
                 format: super::LogFormat::Json,
             },
-            adaptive_capacity: false,
+            adaptive_capacity: None,
             bounds: RelayBounds {
                 drain_s: 2.0,
                 grace_s: 6.0,
--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -18,6 +18,13 @@
 const COUNT_VARIANCE: f64 = 0.9;
 /// Variance of the logarithm of the fourth figure at constant speed.
 const STATED_VARIANCE: f64 = 0.005;
+/// Change of the logarithm of the fourth figure from one answer to the next that is abrupt.
+const ABRUPT_CHANGE: f64 = 0.25;
+/// Number of abrupt changes within about [`ABRUPT_CHANGES_MS`] from which the figure is ignored: it
+/// says nothing about durations, which are much longer than the time between the changes.
+const MAX_ABRUPT_CHANGES: f64 = 6.0;
+/// Time constant of the count of abrupt changes, in milliseconds.
+const ABRUPT_CHANGES_MS: f64 = 1_000.0;
 /// How fast the speed changes by itself, as a variance of its logarithm a second.
 const DRIFT_PER_S: f64 = 0.03;
 /// Smallest weight of the newest duration in the mean duration.
@@ -134,6 +141,8 @@
     /// Start of the period, without the time in which the limit took effect.
     period_at: Option<TimeMs>,
     stated_at: TimeMs,
+    /// Moving count of abrupt changes of the fourth figure.
+    abrupt_changes: f64,
     /// Logarithm of the last fourth figure.
     stated: Option<f64>,
     /// Logarithm of the usual duration over some seconds; [`LoadCurve::level`] varies around it.
@@ -164,6 +173,7 @@
             counted_at: now,
             period_at: Some(now),
             stated_at: now,
+            abrupt_changes: 0.0,
             stated: None,
             usual_level: 0.0,
             cold_until: now,
@@ -221,13 +231,20 @@
         }
         let stated = (f64::from(percent.max(1)) / 100.0).ln();
         let load = self.steps(f64::from(load.running));
-        let drift = DRIFT_PER_S * now.since_ms(self.stated_at) as f64 / 1_000.0;
-        self.stated_curve.loosen(drift);
+        let span_ms = now.since_ms(self.stated_at) as f64;
+        self.stated_curve.loosen(DRIFT_PER_S * span_ms / 1_000.0);
         self.stated_at = now;
+        self.abrupt_changes *= (-span_ms / ABRUPT_CHANGES_MS).exp();
         let unloaded = stated - self.stated_curve.slowdown(load);
         if let Some(before) = self.stated.replace(unloaded) {
             // The same sudden change is to be expected in durations, whatever the load.
             let change = unloaded - before;
+            if change.abs() > ABRUPT_CHANGE {
+                self.abrupt_changes += 1.0;
+            }
+            if self.abrupt_changes > MAX_ABRUPT_CHANGES {
+                return;
+            }
             self.curve.loosen(change * change);
         }
         self.stated_curve.observe(Observation {
@@ -292,7 +309,7 @@
             if is_limited {
                 self.forget(span_ms);
             }
-            self.search(span_ms);
+            self.search(span_ms, is_limited);
         }
         let before_limit = self.limit_now();
         let is_uncertain = 1.0 - self.curve.efficiency(self.steps(self.found)) > UNCERTAIN_LOSS;
@@ -433,8 +450,8 @@
         self.stated_curve.forget(fraction);
     }
 
-    /// Moves the limit towards the highest expected throughput.
-    fn search(&mut self, span_ms: f64) {
+    /// Moves the limit towards the highest expected throughput; slowly while it holds nothing back.
+    fn search(&mut self, span_ms: f64, is_limited: bool) {
         let floor = (f64::from(self.slots) * FLOOR_RATIO) as u32;
         let limits = floor.max(1)..=self.slots;
         let efficiency = |limit: &u32| self.curve.efficiency(self.steps(f64::from(*limit)));
@@ -444,7 +461,7 @@
         let target = f64::from(limits.clone().find(is_good).unwrap_or(self.slots));
         let gain = highest - self.curve.efficiency(self.steps(self.found));
         let most = self.found * MAX_DRIFT_PER_S * span_ms.min(1_000.0) / 1_000.0;
-        self.found = if gain > CLEAR_GAIN {
+        self.found = if is_limited && gain > CLEAR_GAIN {
             target
         } else {
             target.clamp(self.found - most, self.found + most)
--- a/src/net/relay/capacity.rs
+++ b/src/net/relay/capacity.rs
@@ -100,7 +100,7 @@
         let cold_ms = worker.heartbeat.cold_ms;
         let is_known = tables.capacity.as_ref().map(|known| known.process) == Some(process);
         if !is_known {
-            let is_on = self.settings.load().adaptive_capacity;
+            let is_on = self.settings.load().adaptive_capacity == Some(true);
             tables.capacity = is_on.then(|| LocalCapacity::new(now, process, slots));
         }
         if let Some(capacity) = &mut tables.capacity {
