Learn the effect of load only while the limit sets the load

A server that is slow for a moment has more requests running because it is slow. Counting by route moves to its own file.

--- a/src/decide/relay/capacity.rs
+++ b/src/decide/relay/capacity.rs
@@ -5,11 +5,10 @@
 //! throughput, which by Little's law is the number of running requests divided by their duration.
 //! Durations are compared only with those of the same route, by [`LoadCurve`].
 
-use std::collections::HashMap;
-
 use rand::{Rng, RngExt};
 
 use super::load_curve::{LOAD_STEPS, LoadCurve, MAX_ADVANTAGE, Observation};
+use super::run_counts::RunCounts;
 use super::server_load::ServerLoad;
 use super::speed::SpeedMeter;
 use crate::model::{ServiceName, TimeMs};
@@ -29,25 +28,21 @@
 const DRIFT_PER_S: f64 = 0.03;
 /// Smallest weight of the newest duration in the mean duration.
 const MEAN_WEIGHT: f64 = 0.01;
-/// Fraction of the usual rates of the routes that is kept from one period to the next.
-const USUAL_KEPT: f64 = 0.995;
-/// Number of ended requests of a route from which its usual rate is used.
-const MIN_USUAL_ENDED: f64 = 5.0;
 /// Shortest period, in milliseconds.
 const MIN_PERIOD_MS: f64 = 60.0;
 /// Shortest period as a multiple of the mean duration.
-const PERIOD_PER_DURATION: f64 = 0.8;
+const PERIOD_PER_DURATION: f64 = 0.5;
 /// Time before a period in which a changed limit takes effect, as a multiple of the mean duration.
 const SETTLE_PER_DURATION: f64 = 0.5;
 /// Change of the limit, as a fraction, that needs no time to take effect.
 const SMALL_CHANGE: f64 = 0.25;
 /// Fewest requests that end in a period.
-const MIN_ENDED: f64 = 12.0;
+const MIN_ENDED: f64 = 8.0;
 /// Largest advantage of one curve over another while the server is in state slow, since it may have
 /// changed for good.
 const SLOW_ADVANTAGE: f64 = 3.0;
 /// Time constant with which evidence is forgotten while requests wait, in milliseconds.
-const MEMORY_MS: f64 = 60_000.0;
+const MEMORY_MS: f64 = 30_000.0;
 /// The same while the server is in state slow, since it may have changed for good.
 const SLOW_MEMORY_MS: f64 = 10_000.0;
 /// Lowest concurrency that is tried, as a fraction of the slots.
@@ -70,7 +65,9 @@
 const MIN_DURATIONS: u32 = 40;
 /// Time constant of the usual speed, in milliseconds.
 const USUAL_LEVEL_MS: f64 = 6_000.0;
-/// Time in state slow from which lower limits are tried, since the server may slow down earlier
+/// Slowdown against the usual speed that may be an effect of load at the limit found.
+const VERY_SLOW_FACTOR: f64 = 2.0;
+/// Time with such a slowdown from which lower limits are tried, since the server may slow down earlier
 /// than before, in milliseconds. Longer than the moments in which servers are slow at any load.
 const LONG_SLOW_MS: u64 = 800;
 /// Most trials of lower limits in one slow phase.
@@ -103,29 +100,6 @@
     pub usual_ms: Option<u32>,
 }
 
-/// Requests of one route.
-#[derive(Debug, Clone, Copy, Default)]
-struct RouteRuns {
-    running: u32,
-    /// Running requests summed over the time of this period, in request-milliseconds.
-    running_ms: f64,
-    /// Requests that have ended in this period.
-    ended: f64,
-    /// Moving sum of ended requests.
-    usual_ended: f64,
-    /// Moving sum of `running_ms`, as if the server had worked at its usual speed without load.
-    usual_running_ms: f64,
-}
-
-impl RouteRuns {
-    /// Requests that would have ended in this period at usual speed without load; `None` while
-    /// too few are known.
-    fn expected(&self) -> Option<f64> {
-        let is_known = self.usual_ended >= MIN_USUAL_ENDED;
-        is_known.then(|| self.running_ms * self.usual_ended / self.usual_running_ms.max(1.0))
-    }
-}
-
 /// The estimates for one process of a backend server.
 #[derive(Debug, Clone)]
 pub struct CapacityEstimator {
@@ -135,9 +109,8 @@
     curve: LoadCurve,
     /// Learns from the fourth figure whether it rises with the load.
     stated_curve: LoadCurve,
-    routes: HashMap<ServiceName, RouteRuns>,
+    runs: RunCounts,
     durations: u32,
-    counted_at: TimeMs,
     /// Start of the period, without the time in which the limit took effect.
     period_at: Option<TimeMs>,
     stated_at: TimeMs,
@@ -148,11 +121,13 @@
     /// Logarithm of the usual duration over some seconds; [`LoadCurve::level`] varies around it.
     usual_level: f64,
     cold_until: TimeMs,
-    slow_since: Option<TimeMs>,
+    very_slow_since: Option<TimeMs>,
     slow_trials: u32,
     found: f64,
     tried: f64,
     periods: u32,
+    /// Whether requests waited at the end of the last period.
+    was_limited: bool,
     decided_at: TimeMs,
     mean_ms: f64,
     speed: SpeedMeter,
@@ -168,20 +143,20 @@
             state: CapacityState::Unknown,
             curve: LoadCurve::default(),
             stated_curve: LoadCurve::default(),
-            routes: HashMap::new(),
+            runs: RunCounts::new(now),
             durations: 0,
-            counted_at: now,
             period_at: Some(now),
             stated_at: now,
             abrupt_changes: 0.0,
             stated: None,
             usual_level: 0.0,
             cold_until: now,
-            slow_since: None,
+            very_slow_since: None,
             slow_trials: 0,
             found: start,
             tried: start,
             periods: 0,
+            was_limited: false,
             decided_at: now,
             mean_ms: 0.0,
             speed: SpeedMeter::default(),
@@ -190,31 +165,14 @@
 
     /// Records that a request has started.
     pub fn started(&mut self, now: TimeMs, route: &ServiceName) {
-        self.count_running(now);
-        match self.routes.get_mut(route) {
-            Some(runs) => runs.running += 1,
-            None => {
-                let runs = RouteRuns {
-                    running: 1,
-                    ..RouteRuns::default()
-                };
-                self.routes.insert(route.clone(), runs);
-            }
-        }
+        self.runs.started(now, route);
     }
 
     /// Records that a request has ended; `end` only if the backend server has answered it.
     pub fn finished(&mut self, now: TimeMs, route: &ServiceName, end: Option<RunEnd>) {
-        self.count_running(now);
-        let Some(runs) = self.routes.get_mut(route) else {
-            return;
-        };
-        runs.running = runs.running.saturating_sub(1);
+        let end = end.filter(|_| now >= self.cold_until);
+        self.runs.finished(now, route, end.is_some());
         let Some(end) = end else { return };
-        if now < self.cold_until {
-            return;
-        }
-        runs.ended += 1.0;
         self.durations = self.durations.saturating_add(1);
         let weight = (1.0 / f64::from(self.durations)).max(MEAN_WEIGHT);
         self.mean_ms += (end.took_ms as f64 - self.mean_ms) * weight;
@@ -251,6 +209,7 @@
             load,
             slowdown: stated,
             variance: STATED_VARIANCE,
+            is_evidence: self.was_limited,
         });
     }
 
@@ -266,9 +225,10 @@
         if (slots, start_limit) == (self.slots, self.start_limit) {
             return;
         }
-        let routes = std::mem::take(&mut self.routes);
+        let mut runs = self.runs.clone();
+        runs.forget();
         *self = CapacityEstimator {
-            routes,
+            runs,
             ..CapacityEstimator::new(now, slots, start_limit)
         };
     }
@@ -287,12 +247,12 @@
             self.start_period(now);
         }
         let period_ms = now.since_ms(self.period_at?) as f64;
-        let ended: f64 = self.routes.values().map(|runs| runs.ended).sum();
         let is_short = period_ms < (self.mean_ms * PERIOD_PER_DURATION).max(MIN_PERIOD_MS);
-        if is_short || ended < MIN_ENDED {
+        if is_short || self.runs.ended() < MIN_ENDED {
             return None;
         }
-        self.learn(period_ms);
+        self.learn(period_ms, is_limited && self.was_limited);
+        self.was_limited = is_limited;
         self.period_at = None;
         self.decided_at = now;
         let before = self.state;
@@ -356,21 +316,9 @@
         self.state
     }
 
-    fn count_running(&mut self, now: TimeMs) {
-        let span_ms = now.since_ms(self.counted_at) as f64;
-        if span_ms > 0.0 {
-            for runs in self.routes.values_mut() {
-                runs.running_ms += f64::from(runs.running) * span_ms;
-            }
-            self.counted_at = now;
-        }
-    }
-
     fn start_period(&mut self, now: TimeMs) {
         self.period_at = Some(now);
-        for runs in self.routes.values_mut() {
-            (runs.running_ms, runs.ended) = (0.0, 0.0);
-        }
+        self.runs.start_period();
     }
 
     fn steps(&self, running: f64) -> f64 {
@@ -379,30 +327,20 @@
 
     /// Learns from a period: how many requests have ended, compared with how many would have ended
     /// at usual speed.
-    fn learn(&mut self, period_ms: f64) {
+    fn learn(&mut self, period_ms: f64, is_evidence: bool) {
         self.curve.loosen(DRIFT_PER_S * period_ms / 1_000.0);
-        let (mut ended, mut expected, mut running_ms) = (0.0, 0.0, 0.0);
-        for runs in self.routes.values() {
-            running_ms += runs.running_ms;
-            if let Some(usual) = runs.expected() {
-                ended += runs.ended;
-                expected += usual;
-            }
-        }
-        let load = self.steps(running_ms / period_ms);
-        if ended >= 1.0 && expected > 0.0 {
+        let sums = self.runs.sums();
+        let load = self.steps(sums.running_ms / period_ms);
+        if sums.ended >= 1.0 && sums.expected > 0.0 {
             self.curve.observe(Observation {
                 load,
-                slowdown: (expected / ended).ln(),
-                variance: COUNT_VARIANCE / ended,
+                slowdown: (sums.expected / sums.ended).ln(),
+                variance: COUNT_VARIANCE / sums.ended,
+                is_evidence,
             });
         }
         let slowdown = self.curve.level() + self.curve.slowdown(load);
-        for runs in self.routes.values_mut() {
-            runs.usual_ended = runs.usual_ended * USUAL_KEPT + runs.ended;
-            runs.usual_running_ms =
-                runs.usual_running_ms * USUAL_KEPT + runs.running_ms * (-slowdown).exp();
-        }
+        self.runs.learn(slowdown.exp());
     }
 
     fn set_state(&mut self, now: TimeMs, span_ms: f64) {
@@ -427,16 +365,19 @@
             _ => SLOW_FACTORS.0,
         };
         self.state = if slower > factor.ln() {
-            self.slow_since.get_or_insert(now);
             CapacityState::Slow
         } else {
-            (self.slow_since, self.slow_trials) = (None, 0);
             CapacityState::Steady
         };
+        if slower > VERY_SLOW_FACTOR.ln() {
+            self.very_slow_since.get_or_insert(now);
+        } else {
+            (self.very_slow_since, self.slow_trials) = (None, 0);
+        }
     }
 
     fn is_slow_for_long(&self, now: TimeMs) -> bool {
-        let since = self.slow_since;
+        let since = self.very_slow_since;
         since.is_some_and(|since| now.since_ms(since) >= LONG_SLOW_MS)
     }
 
--- a/src/decide/relay/load_curve.rs
+++ b/src/decide/relay/load_curve.rs
@@ -48,6 +48,9 @@
     pub slowdown: f64,
     /// Variance of `slowdown` between equal requests at the same speed and load.
     pub variance: f64,
+    /// Whether the load was set by the limit. Otherwise a slow server has more requests running
+    /// because it is slow, which tells nothing about the effect of load.
+    pub is_evidence: bool,
 }
 
 /// Compares curves of slowdown against load by the durations observed.
@@ -129,13 +132,16 @@
             load,
             slowdown,
             variance,
+            is_evidence,
         } = observation;
         let (below, part) = split(load);
         for (index, slowdowns) in self.slowdowns.iter().enumerate() {
             let total = self.variance[index] + variance;
             let error = slowdown - between(slowdowns, below, part) - self.level[index];
             let squared = (error * error / total).min(MAX_DEVIATIONS * MAX_DEVIATIONS);
-            self.likelihood[index] -= (squared + total.ln()) / 2.0;
+            if is_evidence {
+                self.likelihood[index] -= (squared + total.ln()) / 2.0;
+            }
             if squared >= MAX_DEVIATIONS * MAX_DEVIATIONS {
                 self.variance[index] += JUMP_VARIANCE;
             }
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -20,6 +20,7 @@
 pub mod request_digest;
 pub mod retry_budget;
 pub mod routes;
+pub mod run_counts;
 pub mod server_load;
 pub mod shares;
 pub mod speed;
--- a/src/net/relay/capacity.rs
+++ b/src/net/relay/capacity.rs
@@ -101,6 +101,9 @@
         let is_known = tables.capacity.as_ref().map(|known| known.process) == Some(process);
         if !is_known {
             let is_on = self.settings.load().adaptive_capacity == Some(true);
+            if tables.capacity.is_some() {
+                self.metrics.capacity_unknown();
+            }
             tables.capacity = is_on.then(|| LocalCapacity::new(now, process, slots));
         }
         if let Some(capacity) = &mut tables.capacity {
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -178,6 +178,14 @@
         }
     }
 
+    /// Shows that nothing is estimated, as after the start of another process.
+    pub fn capacity_unknown(&self) {
+        self.capacity_concurrency.set(0);
+        self.capacity_per_s.set(0.0);
+        self.speed.set(0.0);
+        self.capacity_state.reset();
+    }
+
     /// Counts a stated load that was ignored.
     pub fn load_ignored(&self, reason: &str) {
         self.load_ignored.with_label_values(&[reason]).inc();
