--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -17,7 +17,7 @@
 use super::pool::ExchangeError;
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
-use crate::decide::relay::{AdmissionDecision, AdmissionRequest, WaiterId};
+use crate::decide::relay::{AdmissionDecision, AdmissionRequest, RunEnd, WaiterId};
 use crate::model::{NotRunReason, ServiceName, TimeMs, UnknownReason};
 
 /// Fraction of the drain time for which a draining backend server still gets requests that were
@@ -163,6 +163,10 @@
     request_id: String,
     started: TimeMs,
     took_ms: Option<u64>,
+    /// Usual duration of the route over all workers, in milliseconds, if the entry knows it.
+    usual_ms: Option<u32>,
+    /// Process whose capacity estimates count the request.
+    counted_by: Option<u64>,
 }
 
 impl Slot {
@@ -174,12 +178,16 @@
             has_failed_call: false,
         };
         tables.running.insert(request_id.clone(), running);
+        let started = relay.clock.now();
+        let counted_by = tables.count_start(started, &local_request.hop.route);
         Slot {
             relay: Arc::clone(relay),
             route: local_request.hop.route.clone(),
             request_id,
-            started: relay.clock.now(),
+            started,
             took_ms: None,
+            usual_ms: local_request.hop.usual_ms,
+            counted_by,
         }
     }
 }
@@ -195,6 +203,13 @@
             tables.ended.record(now, &self.request_id, ended);
         }
         tables.admission.finished(&self.route, self.took_ms);
+        let now = self.relay.clock.now();
+        let end = self.took_ms.map(|took_ms| RunEnd {
+            took_ms,
+            usual_ms: self.usual_ms,
+        });
+        tables.count_end(now, self.counted_by, &self.route, end);
+        self.relay.decide_capacity(&mut tables, now);
         start_waiting(&self.relay, &mut tables);
     }
 }
