--- a/src/decide/relay/load_balancer.rs
+++ b/src/decide/relay/load_balancer.rs
@@ -7,33 +7,19 @@
 //! The expected wait counts because in zones whose workers differ in speed, workers otherwise
 //! fill up one by one while others have free slots.
 
+mod cost;
+mod stats;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
-use rand::{Rng, RngExt};
+use rand::Rng;
 
+use self::cost::{RatedCandidate, cheapest, without_outliers};
+use self::stats::WorkerStats;
 use super::retry_budget::Arrivals;
 use crate::model::{Distance, ServiceName, TimeMs};
 
-/// Utilization above which requests begin to slow each other down.
-const BUSY_UTILIZATION: f64 = 0.75;
-/// Cost of a worker that is full but has no queue, in milliseconds.
-const BUSY_COST_MS: f64 = 5.0;
-/// Cost for each multiple of the typical request duration, in milliseconds.
-const SLOWNESS_COST_MS: f64 = 10.0;
-/// Assumed mean duration of a worker that has not reported one, in milliseconds.
-const DEFAULT_MEAN_MS: f64 = 20.0;
-/// Cost of another VM in the same availability zone, in milliseconds.
-const OTHER_VM_COST_MS: f64 = 1.0;
-/// Cost of another availability zone in the same region, in milliseconds.
-const OTHER_ZONE_COST_MS: f64 = 6.0;
-/// Cost of another region, in milliseconds: a round trip on the link and billed traffic.
-const OTHER_REGION_COST_MS: f64 = 25.0;
-/// Relative random jitter of the costs, so that daemons with the same view do not all choose the
-/// same worker.
-const JITTER: f64 = 0.2;
-/// Half-life of a reported load that no newer report replaces, in milliseconds.
-const REPORT_HALF_LIFE_MS: f64 = 500.0;
 /// Initial backoff from an unreachable worker, in milliseconds.
 const INITIAL_BACKOFF_MS: u64 = 250;
 /// Maximum backoff from an unreachable worker, in milliseconds.
@@ -42,18 +28,8 @@
 const MAX_DOUBLINGS: u32 = 4;
 /// Weight of the newest outcome in a worker's failure rate, a moving average.
 const FAILURE_WEIGHT: f64 = 0.08;
-/// Failure rate from which a worker counts as an outlier.
-const OUTLIER_FAILURE_RATE: f64 = 0.2;
-/// Cost at a failure rate of 1, in milliseconds: a failed request is retried or lost. It makes the
-/// difference where most workers fail occasionally, since then none is excluded as an outlier.
-const FAILURE_COST_MS: f64 = 50.0;
 /// Maximum age of a load report whose arrivals are used, in milliseconds.
 const MAX_ARRIVALS_AGE_MS: u64 = 2_000;
-/// Half-life of failure rate and slowness, in milliseconds, so that a worker that has recovered
-/// gets requests again.
-const PENALTY_HALF_LIFE_MS: f64 = 2_000.0;
-/// Multiple of the typical request duration above which a worker counts as an outlier.
-const OUTLIER_SLOWDOWN: f64 = 3.0;
 /// Weight of the newest duration in the moving averages of routes and workers.
 const DURATION_WEIGHT: f64 = 0.1;
 /// Lower bound for the durations that slowness is computed from, in milliseconds.
@@ -93,51 +69,6 @@
     pub speed: Option<f64>,
 }
 
-#[derive(Debug, Clone, Copy, Default)]
-struct WorkerStats {
-    load: WorkerLoad,
-    reported_at: TimeMs,
-    sent_since_report: u32,
-    in_flight: u32,
-    consecutive_failures: u32,
-    avoid_until: TimeMs,
-    failure_rate: f64,
-    failure_rate_at: TimeMs,
-    /// Request duration as a multiple of the typical one, minus 1.
-    slowness: f64,
-    slowness_at: TimeMs,
-}
-
-impl WorkerStats {
-    fn utilization(&self, now: TimeMs, slots: u32) -> f64 {
-        let limit = match self.load.limit {
-            0 => slots,
-            limit => limit,
-        };
-        let age_ms = now.since_ms(self.reported_at) as f64;
-        let decay = 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
-        let reported = f64::from(self.load.running + self.load.waiting) * decay;
-        let busy = (reported + f64::from(self.sent_since_report)).max(f64::from(self.in_flight));
-        busy / f64::from(limit.max(1))
-    }
-
-    /// Time until a rate limit lets another request start, by the newest report.
-    fn rate_wait_ms(&self, now: TimeMs) -> f64 {
-        let age_ms = now.since_ms(self.reported_at);
-        self.load.rate_wait_ms.saturating_sub(age_ms) as f64
-    }
-
-    fn slowness(&self, now: TimeMs) -> f64 {
-        let age_ms = now.since_ms(self.slowness_at) as f64;
-        self.slowness * 0.5_f64.powf(age_ms / PENALTY_HALF_LIFE_MS)
-    }
-
-    fn failure_rate(&self, now: TimeMs) -> f64 {
-        let age_ms = now.since_ms(self.failure_rate_at) as f64;
-        self.failure_rate * 0.5_f64.powf(age_ms / PENALTY_HALF_LIFE_MS)
-    }
-}
-
 /// Load, latency and failures of each worker, as this daemon observes them.
 #[derive(Debug, Default)]
 pub struct LoadBalancer {
@@ -313,73 +244,3 @@
         }
     }
 }
-
-#[derive(Debug, Clone, Copy)]
-struct RatedCandidate {
-    candidate: Candidate,
-    utilization: f64,
-    mean_ms: f64,
-    rate_wait_ms: f64,
-    is_avoided: bool,
-    failure_rate: f64,
-    /// Request duration as a multiple of the typical one.
-    slowdown: f64,
-}
-
-impl RatedCandidate {
-    fn cost_ms(&self, median_slowdown: f64) -> f64 {
-        let mean_ms = if self.mean_ms > 0.0 {
-            self.mean_ms
-        } else {
-            DEFAULT_MEAN_MS
-        };
-        let queue_wait_ms = (self.utilization - 1.0).max(0.0) * mean_ms;
-        let queue_wait_ms = queue_wait_ms.max(self.rate_wait_ms);
-        let busy =
-            ((self.utilization - BUSY_UTILIZATION) / (1.0 - BUSY_UTILIZATION)).clamp(0.0, 1.0);
-        let distance_cost_ms = match self.candidate.distance {
-            _ if self.candidate.is_own => 0.0,
-            Distance::SameZone => OTHER_VM_COST_MS,
-            Distance::SameRegion => OTHER_ZONE_COST_MS,
-            Distance::OtherRegion => OTHER_REGION_COST_MS,
-        };
-        let slowness_cost_ms = (self.slowdown / median_slowdown - 1.0).max(0.0) * SLOWNESS_COST_MS;
-        let failure_cost_ms = self.failure_rate * FAILURE_COST_MS;
-        queue_wait_ms + busy * BUSY_COST_MS + slowness_cost_ms + failure_cost_ms + distance_cost_ms
-    }
-}
-
-/// Removes workers that fail often or are slow; keeps all if fewer than half would be left.
-fn without_outliers(rated: &[RatedCandidate]) -> Vec<RatedCandidate> {
-    let median = median_slowdown(rated);
-    let is_good = |rated: &&RatedCandidate| {
-        rated.failure_rate < OUTLIER_FAILURE_RATE && rated.slowdown <= median * OUTLIER_SLOWDOWN
-    };
-    let good: Vec<RatedCandidate> = rated.iter().filter(is_good).copied().collect();
-    if good.len() * 2 < rated.len() {
-        return rated.to_vec();
-    }
-    good
-}
-
-/// The lower median of the workers' relative durations, which is robust against a few slow ones.
-fn median_slowdown(rated: &[RatedCandidate]) -> f64 {
-    let mut slowdown: Vec<f64> = rated.iter().map(|rated| rated.slowdown).collect();
-    slowdown.sort_by(f64::total_cmp);
-    slowdown
-        .get(slowdown.len().saturating_sub(1) / 2)
-        .copied()
-        .unwrap_or(1.0)
-}
-
-fn cheapest(rated: &[RatedCandidate], rng: &mut impl Rng) -> Option<RatedCandidate> {
-    let median = median_slowdown(rated);
-    let mut best: Option<(f64, RatedCandidate)> = None;
-    for rated in rated {
-        let cost_ms = rated.cost_ms(median) * (1.0 + JITTER * rng.random::<f64>());
-        if best.is_none_or(|(least_ms, _)| cost_ms < least_ms) {
-            best = Some((cost_ms, *rated));
-        }
-    }
-    best.map(|(_, rated)| rated)
-}
