Place requests by expected time until completion

Servers of one service differ in speed by a factor of three, and the cost of a worker did not contain how long it needs. Where a worker of the service states its speed, place() draws two candidates in proportion to what they can serve and prefers the one with the lower expected time; the zone is drawn from smoothed utilizations. Without a stated speed the decisions are those of before.

--- a/src/decide/relay/load_balancer.rs
+++ b/src/decide/relay/load_balancer.rs
@@ -8,7 +8,10 @@
 //! fill up one by one while others have free slots.
 
 mod cost;
+mod expected_time;
+mod round_trip;
 mod stats;
+mod trend;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -16,6 +19,9 @@
 use rand::Rng;
 
 use self::cost::{RatedCandidate, cheapest, without_outliers};
+pub use self::expected_time::{Placement, PlacementRequest};
+pub use self::round_trip::PlaceKey;
+use self::round_trip::RoundTrips;
 use self::stats::WorkerStats;
 use super::retry_budget::Arrivals;
 use crate::model::{Distance, ServiceName, TimeMs};
@@ -42,6 +48,8 @@
     pub address: SocketAddr,
     /// Distance from this daemon.
     pub distance: Distance,
+    /// Its availability zone.
+    pub place: PlaceKey,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is the backend server on this VM.
@@ -75,6 +83,10 @@
     stats: HashMap<SocketAddr, WorkerStats>,
     /// Typical request duration by route over all workers, in milliseconds.
     typical_ms: HashMap<ServiceName, f64>,
+    /// Mean duration by route on a worker of speed 1, in milliseconds, from the workers that state
+    /// their speed.
+    usual_ms: HashMap<ServiceName, f64>,
+    round_trips: RoundTrips,
 }
 
 impl LoadBalancer {
@@ -156,6 +168,7 @@
     /// Records a load report, which also ends any backoff from the worker.
     pub fn reported(&mut self, now: TimeMs, address: SocketAddr, load: WorkerLoad) {
         let worker = self.stats.entry(address).or_default();
+        worker.trend.record(now, &load);
         worker.load = load;
         worker.reported_at = now;
         worker.sent_since_report = 0;
@@ -183,6 +196,7 @@
         took_ms: u64,
     ) {
         let took_ms = took_ms as f64;
+        self.record_usual(now, address, route, took_ms);
         let typical_ms = match self.typical_ms.get_mut(route) {
             Some(typical_ms) => typical_ms,
             None => self.typical_ms.entry(route.clone()).or_insert(took_ms),
@@ -198,6 +212,14 @@
         worker.slowness_at = now;
     }
 
+    /// Records the time of a hop less the time that the server took, in milliseconds, if the reply
+    /// shows that nothing waits there.
+    pub fn record_round_trip(&mut self, candidate: &Candidate, load: &WorkerLoad, rest_ms: u64) {
+        if load.waiting == 0 && load.running < load.limit && !candidate.is_own {
+            self.round_trips.record(candidate.place, rest_ms);
+        }
+    }
+
     /// Records that a daemon could not be reached or closed the connection early; returns the
     /// backoff in milliseconds.
     pub fn unreachable(&mut self, now: TimeMs, address: SocketAddr) -> u64 {
@@ -230,6 +252,27 @@
         }
     }
 
+    /// Records the duration that the request would have had on a worker of speed 1.
+    fn record_usual(
+        &mut self,
+        now: TimeMs,
+        address: SocketAddr,
+        route: &ServiceName,
+        took_ms: f64,
+    ) {
+        let worker = self.stats.get(&address);
+        let Some(speed) = worker.and_then(|worker| worker.trend.speed(now)) else {
+            return;
+        };
+        let sample_ms = took_ms * speed;
+        match self.usual_ms.get_mut(route) {
+            Some(usual_ms) => *usual_ms += (sample_ms - *usual_ms) * DURATION_WEIGHT,
+            None => {
+                self.usual_ms.insert(route.clone(), sample_ms);
+            }
+        }
+    }
+
     fn rate(&self, now: TimeMs, candidate: &Candidate) -> RatedCandidate {
         let worker = self.stats.get(&candidate.address);
         let worker = worker.copied().unwrap_or_default();
--- a/src/decide/relay/load_balancer/cost.rs
+++ b/src/decide/relay/load_balancer/cost.rs
@@ -13,7 +13,7 @@
 /// Cost for each multiple of the typical request duration, in milliseconds.
 const SLOWNESS_COST_MS: f64 = 10.0;
 /// Assumed mean duration of a worker that has not reported one, in milliseconds.
-const DEFAULT_MEAN_MS: f64 = 20.0;
+pub(super) const DEFAULT_MEAN_MS: f64 = 20.0;
 /// Cost of another VM in the same availability zone, in milliseconds.
 const OTHER_VM_COST_MS: f64 = 1.0;
 /// Cost of another availability zone in the same region, in milliseconds.
@@ -24,10 +24,10 @@
 /// same worker.
 const JITTER: f64 = 0.2;
 /// Failure rate from which a worker counts as an outlier.
-const OUTLIER_FAILURE_RATE: f64 = 0.2;
+pub(super) const OUTLIER_FAILURE_RATE: f64 = 0.2;
 /// Cost at a failure rate of 1, in milliseconds: a failed request is retried or lost. It makes the
 /// difference where most workers fail occasionally, since then none is excluded as an outlier.
-const FAILURE_COST_MS: f64 = 50.0;
+pub(super) const FAILURE_COST_MS: f64 = 50.0;
 /// Multiple of the typical request duration above which a worker counts as an outlier.
 const OUTLIER_SLOWDOWN: f64 = 3.0;
 
@@ -54,28 +54,38 @@
         let queue_wait_ms = queue_wait_ms.max(self.rate_wait_ms);
         let busy =
             ((self.utilization - BUSY_UTILIZATION) / (1.0 - BUSY_UTILIZATION)).clamp(0.0, 1.0);
-        let distance_cost_ms = match self.candidate.distance {
-            _ if self.candidate.is_own => 0.0,
-            Distance::SameZone => OTHER_VM_COST_MS,
-            Distance::SameRegion => OTHER_ZONE_COST_MS,
-            Distance::OtherRegion => OTHER_REGION_COST_MS,
-        };
+        let distance_cost_ms = distance_cost_ms(&self.candidate);
         let slowness_cost_ms = (self.slowdown / median_slowdown - 1.0).max(0.0) * SLOWNESS_COST_MS;
         let failure_cost_ms = self.failure_rate * FAILURE_COST_MS;
         queue_wait_ms + busy * BUSY_COST_MS + slowness_cost_ms + failure_cost_ms + distance_cost_ms
     }
 }
 
+/// Cost of sending a request to a worker: time on the network and billed traffic, in milliseconds.
+pub(super) fn distance_cost_ms(candidate: &Candidate) -> f64 {
+    match candidate.distance {
+        _ if candidate.is_own => 0.0,
+        Distance::SameZone => OTHER_VM_COST_MS,
+        Distance::SameRegion => OTHER_ZONE_COST_MS,
+        Distance::OtherRegion => OTHER_REGION_COST_MS,
+    }
+}
+
+/// Removes the workers that are not good, unless fewer than half would be left.
+pub(super) fn keep_most<T>(workers: &mut Vec<T>, is_good: impl Fn(&T) -> bool) {
+    let good = workers.iter().filter(|worker| is_good(worker)).count();
+    if good * 2 >= workers.len() {
+        workers.retain(is_good);
+    }
+}
+
 /// Removes workers that fail often or are slow; keeps all if fewer than half would be left.
 pub(super) fn without_outliers(rated: &[RatedCandidate]) -> Vec<RatedCandidate> {
     let median = median_slowdown(rated);
-    let is_good = |rated: &&RatedCandidate| {
+    let mut good = rated.to_vec();
+    keep_most(&mut good, |rated| {
         rated.failure_rate < OUTLIER_FAILURE_RATE && rated.slowdown <= median * OUTLIER_SLOWDOWN
-    };
-    let good: Vec<RatedCandidate> = rated.iter().filter(is_good).copied().collect();
-    if good.len() * 2 < rated.len() {
-        return rated.to_vec();
-    }
+    });
     good
 }
 
--- a/src/decide/relay/load_balancer/stats.rs
+++ b/src/decide/relay/load_balancer/stats.rs
@@ -1,6 +1,7 @@
 //! What the load balancer knows about one worker: its newest load report and its own observations.
 
 use super::WorkerLoad;
+use super::trend::{ASSUMED_UTILIZATION, Trend};
 use crate::model::TimeMs;
 
 /// Half-life of a reported load that no newer report replaces, in milliseconds.
@@ -12,6 +13,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct WorkerStats {
     pub(super) load: WorkerLoad,
+    pub(super) trend: Trend,
     pub(super) reported_at: TimeMs,
     pub(super) sent_since_report: u32,
     pub(super) in_flight: u32,
@@ -26,15 +28,32 @@
 
 impl WorkerStats {
     pub(super) fn utilization(&self, now: TimeMs, slots: u32) -> f64 {
-        let limit = match self.load.limit {
-            0 => slots,
-            limit => limit,
-        };
         let age_ms = now.since_ms(self.reported_at) as f64;
         let decay = 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
         let reported = f64::from(self.load.running + self.load.waiting) * decay;
         let busy = (reported + f64::from(self.sent_since_report)).max(f64::from(self.in_flight));
-        busy / f64::from(limit.max(1))
+        busy / self.limit(slots)
+    }
+
+    /// Requests there relative to its limit, where a report that grows old gives way to an assumed
+    /// utilization.
+    pub(super) fn assumed_utilization(&self, now: TimeMs, slots: u32) -> f64 {
+        let limit = self.limit(slots);
+        let age_ms = now.since_ms(self.reported_at) as f64;
+        let decay = 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
+        let reported = f64::from(self.load.running + self.load.waiting) / limit;
+        let assumed = reported * decay + ASSUMED_UTILIZATION * (1.0 - decay);
+        let sent = f64::from(self.sent_since_report) / limit;
+        (assumed + sent).max(f64::from(self.in_flight) / limit)
+    }
+
+    /// Number of requests that it runs concurrently.
+    pub(super) fn limit(&self, slots: u32) -> f64 {
+        let limit = match self.load.limit {
+            0 => slots,
+            limit => limit,
+        };
+        f64::from(limit.max(1))
     }
 
     /// Time until a rate limit lets another request start, by the newest report.
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -23,7 +23,9 @@
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
-pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
+pub use load_balancer::{
+    Candidate, LoadBalancer, PlaceKey, Placement, PlacementRequest, WorkerLoad,
+};
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use organisations::{KeyDigest, Organisation, OrganisationTable, Quota};
 pub use pause::PauseDetector;
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use hyper::body::Body;
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
@@ -15,7 +16,9 @@
 use super::log_limiter::LineKind;
 use super::offer::offer;
 use super::state::Relay;
-use crate::decide::relay::{Candidate, RelayedRate, RetryRequest};
+use crate::decide::relay::{
+    Candidate, PlaceKey, Placement, PlacementRequest, RelayedRate, RetryRequest,
+};
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
 
 /// Most workers that a request is offered to before it is refused.
@@ -46,8 +49,10 @@
     call: &Call<'_>,
     body: RelayBody,
 ) -> Response<RelayBody> {
+    let body_bytes = body.size_hint().lower();
     let mut body = Some(body);
     let mut tried: Vec<SocketAddr> = Vec::new();
+    let mut expected: Vec<u64> = Vec::new();
     // Attempts that reached a backend server, and those of them that it may have run.
     let (mut arrivals, mut possible_runs) = (0, 0);
     let mut failure = Failure::NotRun {
@@ -77,7 +82,7 @@
         if is_retry && !may_retry(relay, call, now, possible_runs, left_ms) {
             break;
         }
-        let Some(chosen) = choose_worker(relay, call, &tried, now) else {
+        let Some(chosen) = choose_worker(relay, call, body_bytes, &tried, now) else {
             break;
         };
         let Some(sent_body) = next_body(&mut body) else {
@@ -100,6 +105,8 @@
             log_retry(relay, call, &failure, &chosen);
         }
         tried.push(chosen.candidate.address);
+        expected.extend(chosen.expected_ms);
+        relay.metrics.placed(chosen.candidate.distance);
         let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
         match executed {
             ExecutionOutcome::Done(done) => {
@@ -125,7 +132,14 @@
                 }
                 relay.record_ended_well(call.digest);
                 if !failed {
-                    log_answer(relay, call, "done", &tried, done.response.status());
+                    log_answer(
+                        relay,
+                        call,
+                        "done",
+                        &tried,
+                        &expected,
+                        done.response.status(),
+                    );
                     return *done.response;
                 }
                 (arrivals, possible_runs) = (arrivals + 1, possible_runs + 1);
@@ -180,7 +194,7 @@
             }
         }
     }
-    failure_response(relay, call, failure, &tried)
+    failure_response(relay, call, failure, &tried, &expected)
 }
 
 fn next_body(body: &mut Option<RelayBody>) -> Option<RelayBody> {
@@ -253,11 +267,14 @@
     /// Load estimate by which it was chosen, and the age of the report behind it in
     /// milliseconds; no age if the worker has not reported.
     load_and_age: (f64, Option<u64>),
+    /// Expected time until its answer arrives, in milliseconds, if it was chosen by that.
+    expected_ms: Option<u64>,
 }
 
 fn choose_worker(
     relay: &Relay,
     call: &Call<'_>,
+    body_bytes: u64,
     tried: &[SocketAddr],
     now: TimeMs,
 ) -> Option<Chosen> {
@@ -271,13 +288,22 @@
         .map(|known| Candidate {
             address: known.member.address,
             distance: known.distance,
+            place: PlaceKey::of(&known.member.place),
             slots: known.member.slots,
             is_own: known.member.address == own,
         })
         .collect();
-    let candidate = tables
+    let request = PlacementRequest {
+        route: &call.route.name,
+        objective_left_ms: call.objective_left_ms(now),
+        body_bytes,
+    };
+    let Placement {
+        candidate,
+        expected_ms,
+    } = tables
         .load_balancer
-        .choose(now, &candidates, tried, &mut tables.rng)?;
+        .place(now, request, &candidates, tried, &mut tables.rng)?;
     let member = &tables.directory.get(candidate.address)?.member;
     Some(Chosen {
         candidate,
@@ -285,6 +311,7 @@
         born_unix_ms: member.born_unix_ms,
         rate: tables.peer_statements.relayed_rate(now, member),
         load_and_age: tables.load_balancer.utilization(now, &candidate),
+        expected_ms: expected_ms.map(|expected_ms| expected_ms as u64),
     })
 }
 
@@ -294,10 +321,11 @@
     call: &Call<'_>,
     failure: Failure,
     tried: &[SocketAddr],
+    expected: &[u64],
 ) -> Response<RelayBody> {
     match failure {
         Failure::Answered(response) => {
-            log_answer(relay, call, "failed", tried, response.status());
+            log_answer(relay, call, "failed", tried, expected, response.status());
             *response
         }
         Failure::NotRun {
@@ -313,6 +341,7 @@
                 call,
                 reason.into(),
                 tried,
+                expected,
                 StatusCode::SERVICE_UNAVAILABLE,
             );
             refusal(retry_after_ms)
@@ -322,17 +351,31 @@
                 UnknownReason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
                 _ => StatusCode::BAD_GATEWAY,
             };
-            log_answer(relay, call, reason.into(), tried, status);
+            log_answer(relay, call, reason.into(), tried, expected, status);
             empty_response(status)
         }
     }
 }
 
+/// The workers asked, in order, each with the expected time by which it was chosen in milliseconds
+/// if there is one.
+fn workers_text(tried: &[SocketAddr], expected: &[u64]) -> String {
+    if expected.len() != tried.len() {
+        return format!("{tried:?}");
+    }
+    let workers = tried.iter().zip(expected);
+    let workers: Vec<String> = workers
+        .map(|(address, expected_ms)| format!("{address} expected_ms={expected_ms}"))
+        .collect();
+    format!("[{}]", workers.join(", "))
+}
+
 fn log_answer(
     relay: &Relay,
     call: &Call<'_>,
     outcome: &str,
     tried: &[SocketAddr],
+    expected: &[u64],
     status: StatusCode,
 ) {
     let now = relay.clock.now();
@@ -340,7 +383,7 @@
     let took_ms = now.since_ms(call.started);
     let left_ms = call.deadline.since_ms(now);
     let status = u64::from(status.as_u16());
-    let workers = format!("{tried:?}");
+    let workers = workers_text(tried, expected);
     let root = call.root.route.as_str();
     let config = call.config;
     if status < 400 {
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -104,6 +104,14 @@
     pub(super) digest: RequestDigest,
 }
 
+impl Call<'_> {
+    /// Time left until the latency objective of the route, in milliseconds.
+    pub(super) fn objective_left_ms(&self, now: TimeMs) -> u64 {
+        let objective = self.started.plus_ms(self.route.objective_ms);
+        objective.since_ms(now)
+    }
+}
+
 async fn serve(
     relay: &Arc<Relay>,
     configuration: &Configuration,
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -88,7 +88,16 @@
     let address = candidate.address;
     let reply = async {
         let exchange = relay.pool.exchange(address, request, HOP_IDLE_MS);
-        let answered = read_reply(relay, address, exchange.await?).await?;
+        let exchanged = exchange.await?;
+        let hop_ms = relay.clock.now().since_ms(sent);
+        let answered = read_reply(relay, address, exchanged).await?;
+        if let (ExecutionOutcome::Done(done), Some(load)) = (&answered.executed, answered.load) {
+            let rest_ms = hop_ms.saturating_sub(done.took_ms);
+            let mut tables = relay.tables();
+            tables
+                .load_balancer
+                .record_round_trip(candidate, &load, rest_ms);
+        }
         Ok::<_, ExchangeError>(answered.executed)
     };
     let answered = match tokio::time::timeout(timeout, reply).await {
@@ -153,16 +162,9 @@
 fn apply_load(relay: &Relay, address: SocketAddr, reply: &HopReply) {
     let now = relay.clock.now();
     let mut tables = relay.tables();
-    let load = WorkerLoad {
-        running: reply.running,
-        waiting: reply.waiting,
-        limit: reply.limit,
-        mean_ms: reply.mean_ms,
-        rate_wait_ms: reply.rate_wait_ms,
-        arrivals: reply.arrivals,
-        speed: reply.speed.map(|percent| f64::from(percent) / 100.0),
-    };
-    tables.load_balancer.reported(now, address, load);
+    tables
+        .load_balancer
+        .reported(now, address, worker_load(reply));
     if let Some(rate) = &reply.rate {
         tables.peer_statements.record_rate(now, address, rate);
     }
@@ -174,9 +176,23 @@
     }
 }
 
+fn worker_load(reply: &HopReply) -> WorkerLoad {
+    WorkerLoad {
+        running: reply.running,
+        waiting: reply.waiting,
+        limit: reply.limit,
+        mean_ms: reply.mean_ms,
+        rate_wait_ms: reply.rate_wait_ms,
+        arrivals: reply.arrivals,
+        speed: reply.speed.map(|percent| f64::from(percent) / 100.0),
+    }
+}
+
 /// Answer of another daemon.
 struct HopAnswer {
     executed: ExecutionOutcome,
+    /// Load that it reports; `None` if its answer is incomplete.
+    load: Option<WorkerLoad>,
     /// Uptime of that daemon, in milliseconds, if its answer includes it.
     up_ms: Option<u64>,
 }
@@ -203,6 +219,7 @@
         let reason = UnknownReason::ExecutorSilent;
         return Ok(HopAnswer {
             executed: ExecutionOutcome::Unknown { reason },
+            load: None,
             up_ms: None,
         });
     };
@@ -231,8 +248,11 @@
             reason: UnknownReason::BackendBroke,
         },
     };
-    let up_ms = reply.up_ms;
-    Ok(HopAnswer { executed, up_ms })
+    Ok(HopAnswer {
+        executed,
+        load: Some(worker_load(&reply)),
+        up_ms: reply.up_ms,
+    })
 }
 
 /// Queries the outcome of a non-idempotent request that was sent at `sent`, over a new connection.
@@ -260,7 +280,9 @@
         read_reply(relay, address, exchange.await?).await
     };
     let (executed, up_ms) = match tokio::time::timeout(timeout, reply).await {
-        Ok(Ok(HopAnswer { executed, up_ms })) => (executed, up_ms),
+        Ok(Ok(HopAnswer {
+            executed, up_ms, ..
+        })) => (executed, up_ms),
         Ok(Err(_)) | Err(_) => (unknown(), None),
     };
     let since_sent_ms = relay.clock.now().since_ms(sent);
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -7,6 +7,7 @@
 };
 
 use super::executor::ExecutionOutcome;
+use crate::model::Distance;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -25,6 +26,7 @@
     stated_rate: Gauge,
     crash_runs: IntCounter,
     held_back: IntGauge,
+    placed: IntCounterVec,
 }
 
 impl Default for RelayMetrics {
@@ -65,6 +67,11 @@
                 "burdockhall_relay_stated_rate",
                 "Requests a second that the backend server beside this daemon takes; +Inf while it states no limit.",
             ),
+            placed: counters(
+                "burdockhall_relay_placed_total",
+                "Requests sent to a worker by its distance: same_zone, same_region, other_region.",
+                "distance",
+            ),
             registry,
         };
         metrics.stated_rate.set(f64::INFINITY);
@@ -75,7 +82,7 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 8] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 9] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
             Box::new(self.executions.clone()),
@@ -84,6 +91,7 @@
             Box::new(self.stated_rate.clone()),
             Box::new(self.crash_runs.clone()),
             Box::new(self.held_back.clone()),
+            Box::new(self.placed.clone()),
         ];
         for collector in collectors {
             // The names are distinct constants, so registration cannot fail.
@@ -110,6 +118,13 @@
         self.execution_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Counts a request that is sent to a worker at this distance.
+    pub fn placed(&self, distance: Distance) {
+        self.placed
+            .with_label_values(&[<&str>::from(distance)])
+            .inc();
+    }
+
     /// Counts a root request that was shed.
     pub fn shed(&self) {
         self.shed.inc();
--- a/tests/load_balancer.rs
+++ b/tests/load_balancer.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use burdockhall::decide::relay::{Candidate, LoadBalancer};
+use burdockhall::decide::relay::{Candidate, LoadBalancer, PlaceKey};
 use burdockhall::prelude::*;
 use rand::SeedableRng;
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -12,6 +12,7 @@
     let candidate = |port| Candidate {
         address: SocketAddr::from(([127, 0, 0, 1], port)),
         distance: Distance::SameZone,
+        place: PlaceKey::default(),
         slots: 8,
         is_own: false,
     };
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -6,8 +6,8 @@
 use burdockhall::decide::relay::admission::QueueDecision;
 use burdockhall::decide::relay::{
     Admission, AdmissionDecision, AdmissionRequest, Arrivals, Candidate, Heartbeat,
-    HeartbeatOutcome, Limits, LoadBalancer, LocalWorker, MemberState, RetryBudget, RetryRequest,
-    RetryWindow, Route, RouteTable, WeightedService, WorkerLoad,
+    HeartbeatOutcome, Limits, LoadBalancer, LocalWorker, MemberState, PlaceKey, RetryBudget,
+    RetryRequest, RetryWindow, Route, RouteTable, WeightedService, WorkerLoad,
 };
 use burdockhall::prelude::*;
 use rand::{RngExt, SeedableRng};
@@ -471,6 +471,7 @@
     Candidate {
         address: address(number),
         distance,
+        place: PlaceKey::default(),
         slots: 10,
         is_own: false,
     }
--- a/tests/relay_overload.rs
+++ b/tests/relay_overload.rs
@@ -3,8 +3,8 @@
 //! Runs the real admission, share computation and entry decision on a virtual clock and checks
 //! which root requests are served.
 
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+#[path = "support/simulation.rs"]
+mod simulation;
 
 use burdockhall::decide::relay::admission::QueueDecision;
 use burdockhall::decide::relay::{
@@ -12,8 +12,8 @@
     WorkerShares,
 };
 use burdockhall::prelude::*;
-use rand::{RngExt, SeedableRng};
-use rand_xoshiro::Xoshiro256PlusPlus;
+use rand::RngExt;
+use simulation::Events;
 
 /// Number of workers of the downstream service, and slots of each.
 const WORKERS: usize = 6;
@@ -84,10 +84,7 @@
 
 struct Simulation {
     with_shares: bool,
-    rng: Xoshiro256PlusPlus,
-    events: BinaryHeap<Reverse<(TimeMs, u64, Event)>>,
-    next_sequence: u64,
-    now: TimeMs,
+    events: Events<Event>,
     roots: Vec<SimulatedRoot>,
     admissions: Vec<Admission>,
     shares: Vec<WorkerShares>,
@@ -101,10 +98,7 @@
     fn new(with_shares: bool, seed: u64, seconds: usize) -> Simulation {
         Simulation {
             with_shares,
-            rng: Xoshiro256PlusPlus::seed_from_u64(seed),
-            events: BinaryHeap::new(),
-            next_sequence: 0,
-            now: TimeMs(0),
+            events: Events::new(seed),
             roots: Vec::new(),
             admissions: (0..WORKERS).map(|_| Admission::new(SLOTS)).collect(),
             shares: (0..WORKERS).map(|_| WorkerShares::default()).collect(),
@@ -114,16 +108,6 @@
         }
     }
 
-    fn schedule(&mut self, after_ms: u64, event: Event) {
-        self.next_sequence += 1;
-        let entry = (self.now.plus_ms(after_ms), self.next_sequence, event);
-        self.events.push(Reverse(entry));
-    }
-
-    fn exponential(&mut self, mean: f64) -> f64 {
-        -mean * (1.0 - self.rng.random::<f64>()).ln()
-    }
-
     /// Simulates root requests; `load` returns the arrival rate in a second as a multiple of the
     /// service's capacity.
     fn simulate(mut self, load: impl Fn(u64) -> f64) -> Vec<[Counts; KINDS.len()]> {
@@ -132,22 +116,19 @@
             .map(|kind| kind.share * f64::from(kind.calls))
             .sum();
         let capacity = WORKERS as f64 * f64::from(SLOTS) / CALL_MS / calls;
-        self.schedule(0, Event::Arrive);
-        self.schedule(0, Event::ReportShares);
-        while let Some(Reverse((time, _, event))) = self.events.pop() {
-            self.now = time;
+        self.events.schedule(0, Event::Arrive);
+        self.events.schedule(0, Event::ReportShares);
+        while let Some(event) = self.events.pop() {
+            let time = self.events.now;
             if time.0 / 1_000 >= self.results.len() as u64 {
                 break;
             }
             match event {
                 Event::Arrive => {
                     let rate = capacity * load(time.0 / 1_000);
-                    let gap_ms = self.exponential(1.0 / rate);
-                    // The gap may be 0 ms: several requests may arrive in one millisecond.
+                    let gap_ms = self.events.exponential(1.0 / rate);
                     self.arrive();
-                    let whole = gap_ms as u64;
-                    let rest = u64::from(self.rng.random_bool(gap_ms.fract()));
-                    self.schedule(whole + rest, Event::Arrive);
+                    self.events.schedule_rounded(gap_ms, Event::Arrive);
                 }
                 Event::Call { root } => self.call(root),
                 Event::CallEnded { root, worker } => self.call_ended(root, worker),
@@ -163,13 +144,13 @@
     }
 
     fn arrive(&mut self) {
-        let point = self.rng.random::<f64>();
+        let point = self.events.rng.random::<f64>();
         let kind = usize::from(point >= KINDS[0].share);
-        let second = (self.now.0 / 1_000) as usize;
+        let second = (self.events.now.0 / 1_000) as usize;
         self.results[second][kind].arrived += 1;
         let route = ServiceName::from(KINDS[kind].name);
         let admitted = if self.with_shares {
-            self.entry.admit(self.now, &route, |_| WORKERS)
+            self.entry.admit(self.events.now, &route, |_| WORKERS)
         } else {
             Some(1.0)
         };
@@ -180,11 +161,11 @@
         self.roots.push(SimulatedRoot {
             kind,
             admitted,
-            started: self.now,
+            started: self.events.now,
             calls_left: KINDS[kind].calls,
         });
         let root = self.roots.len() - 1;
-        self.schedule(10, Event::Call { root });
+        self.events.schedule(10, Event::Call { root });
     }
 
     fn call(&mut self, root: usize) {
@@ -194,7 +175,7 @@
             started,
             ..
         } = self.roots[root];
-        let deadline = self.now.plus_ms(CALL_TIMEOUT_MS);
+        let deadline = self.events.now.plus_ms(CALL_TIMEOUT_MS);
         let deadline = deadline.min(started.plus_ms(ROOT_TIMEOUT_MS));
         let route = ServiceName::from("lookup");
         let root_request = RootRequest {
@@ -205,8 +186,8 @@
         };
         // Power of two choices: the less loaded of two random workers.
         let (one, other) = (
-            self.rng.random_range(0..WORKERS),
-            self.rng.random_range(0..WORKERS),
+            self.events.rng.random_range(0..WORKERS),
+            self.events.rng.random_range(0..WORKERS),
         );
         let load = |worker: usize| {
             let admission = &self.admissions[worker];
@@ -221,7 +202,7 @@
             is_call: true,
             deadline,
         };
-        match self.admissions[worker].admit(self.now, request) {
+        match self.admissions[worker].admit(self.events.now, request) {
             AdmissionDecision::Start => self.run(root, worker),
             AdmissionDecision::Wait(waiter_id) => {
                 self.waiting[worker].insert(waiter_id, root);
@@ -235,13 +216,14 @@
     }
 
     fn run(&mut self, root: usize, worker: usize) {
-        let took_ms = (CALL_MS * 0.5 + self.exponential(CALL_MS * 0.5)) as u64;
-        self.schedule(took_ms, Event::CallEnded { root, worker });
+        let took_ms = (CALL_MS * 0.5 + self.events.exponential(CALL_MS * 0.5)) as u64;
+        self.events
+            .schedule(took_ms, Event::CallEnded { root, worker });
     }
 
     fn call_ended(&mut self, root: usize, worker: usize) {
         self.admissions[worker].finished(&"lookup".into(), Some(CALL_MS as u64));
-        while let Some(decision) = self.admissions[worker].next(self.now) {
+        while let Some(decision) = self.admissions[worker].next(self.events.now) {
             match decision {
                 QueueDecision::Start(waiter_id) => {
                     let started = self.waiting[worker][&waiter_id];
@@ -254,13 +236,13 @@
             }
         }
         self.roots[root].calls_left -= 1;
-        let is_late = self.now.since_ms(self.roots[root].started) > ROOT_TIMEOUT_MS;
+        let is_late = self.events.now.since_ms(self.roots[root].started) > ROOT_TIMEOUT_MS;
         if is_late {
             self.counts(root).failed += 1;
         } else if self.roots[root].calls_left == 0 {
             self.counts(root).served += 1;
         } else {
-            self.schedule(20, Event::Call { root });
+            self.events.schedule(20, Event::Call { root });
         }
     }
 
@@ -274,11 +256,12 @@
                 capacity_ratio: 1.0,
                 waiting: self.admissions[worker].waiting(),
             };
-            if let Some(report) = self.shares[worker].report(self.now, reporter) {
-                self.entry.record_report(self.now, &report);
+            if let Some(report) = self.shares[worker].report(self.events.now, reporter) {
+                self.entry.record_report(self.events.now, &report);
             }
         }
-        self.schedule(REPORT_INTERVAL_MS, Event::ReportShares);
+        self.events
+            .schedule(REPORT_INTERVAL_MS, Event::ReportShares);
     }
 }
 
