--- a/src/decide/relay/load_balancer/expected_time.rs
+++ b/src/decide/relay/load_balancer/expected_time.rs
@@ -22,9 +22,10 @@
 /// after it wait, and reports of a worker that is about to be full come late. At 1.2 times its
 /// limit, the fastest of four workers (speed 1.5) costs more than the slowest (0.5) at half of it.
 const CONGESTION_COST: f64 = 2.0;
-/// Power of the costs of two candidates that their odds are in proportion to. Twice the cost is
-/// chosen once in 17 times, 1.1 times the cost 4 times in 10.
-const ODDS_POWER: i32 = 4;
+/// Power of the costs of two candidates that their odds are in proportion to: twice the cost is
+/// chosen once in 5 times. With a power of 4, servers were above 1.2 times their limit beside ones
+/// under half of it twice as often, with reports up to 450 ms late (tests/uneven_servers.rs).
+const ODDS_POWER: i32 = 2;
 /// Excess in cost, as a multiple of the service time, at which requests are spread over this and a
 /// farther zone in proportion to what both can serve.
 const SPREAD_EXCESS: f64 = 2.0;
@@ -196,7 +197,7 @@
         } else {
             service_ms
         };
-        let utilization = worker.assumed_utilization(now, candidate.slots);
+        let utilization = worker.expected_utilization(now, candidate.slots, service_ms);
         let queue_wait_ms = (utilization + 1.0 / limit - 1.0).max(0.0) * mean_ms;
         let round_trip_ms = if candidate.is_own {
             0.0
--- a/src/decide/relay/load_balancer/stats.rs
+++ b/src/decide/relay/load_balancer/stats.rs
@@ -1,11 +1,14 @@
 //! What the load balancer knows about one worker: its newest load report and its own observations.
 
 use super::WorkerLoad;
-use super::trend::{ASSUMED_UTILIZATION, Trend};
+use super::trend::Trend;
 use crate::model::TimeMs;
 
 /// Half-life of a reported load that no newer report replaces, in milliseconds.
 const REPORT_HALF_LIFE_MS: f64 = 500.0;
+/// Half-life of the difference between a report and the smoothed reports, in durations of a
+/// request: by then half of the requests that it counts have ended.
+const REPORT_HALF_LIFE_REQUESTS: f64 = 1.0;
 /// Half-life of failure rate and slowness, in milliseconds, so that a worker that has recovered
 /// gets requests again.
 const PENALTY_HALF_LIFE_MS: f64 = 2_000.0;
@@ -35,16 +38,17 @@
         busy / self.limit(slots)
     }
 
-    /// Requests there relative to its limit, where a report that grows old gives way to an assumed
-    /// utilization.
-    pub(super) fn assumed_utilization(&self, now: TimeMs, slots: u32) -> f64 {
+    /// Requests there relative to its limit: the newest report, which after a few requests' time
+    /// gives way to the smoothed reports, and what was sent since.
+    pub(super) fn expected_utilization(&self, now: TimeMs, slots: u32, service_ms: f64) -> f64 {
         let limit = self.limit(slots);
         let age_ms = now.since_ms(self.reported_at) as f64;
-        let decay = 0.5_f64.powf(age_ms / REPORT_HALF_LIFE_MS);
+        let decay = 0.5_f64.powf(age_ms / (service_ms * REPORT_HALF_LIFE_REQUESTS));
         let reported = f64::from(self.load.running + self.load.waiting) / limit;
-        let assumed = reported * decay + ASSUMED_UTILIZATION * (1.0 - decay);
+        let smoothed = self.trend.utilization(now);
+        let expected = smoothed + (reported - smoothed) * decay;
         let sent = f64::from(self.sent_since_report) / limit;
-        (assumed + sent).max(f64::from(self.in_flight) / limit)
+        (expected + sent).max(f64::from(self.in_flight) / limit)
     }
 
     /// Number of requests that it runs concurrently.
--- a/src/decide/relay/load_balancer/trend.rs
+++ b/src/decide/relay/load_balancer/trend.rs
@@ -14,7 +14,7 @@
 const UTILIZATION_HALF_LIFE_MS: f64 = 1_000.0;
 /// Assumed utilization of a worker without a recent report: neither idle, which would draw all
 /// requests, nor busy, which would exclude it.
-pub(super) const ASSUMED_UTILIZATION: f64 = 0.5;
+const ASSUMED_UTILIZATION: f64 = 0.5;
 /// Utilizations above this one are not told apart, so that a long queue that has gone is
 /// forgotten quickly.
 const MAX_UTILIZATION: f64 = 1.5;
