--- a/src/decide/relay/load_balancer/expected_time.rs
+++ b/src/decide/relay/load_balancer/expected_time.rs
@@ -171,7 +171,11 @@
         keep_most(&mut estimates, |estimate| {
             estimate.failure_rate < OUTLIER_FAILURE_RATE
         });
-        let distance = choose_distance(&estimates, request, rng)?;
+        let is_remote = |candidate: &Candidate| candidate.distance != Distance::SameZone;
+        let tried_remote = candidates
+            .iter()
+            .any(|candidate| is_remote(candidate) && tried.contains(&candidate.address));
+        let distance = choose_distance(&estimates, request, tried_remote, rng)?;
         estimates.retain(|estimate| estimate.candidate.distance == distance);
         let chosen = one_of_two(&mut estimates, rng)?;
         Some(Placement {
@@ -219,10 +223,13 @@
     }
 }
 
-/// Chooses between the workers of this zone, of the region's other zones and of other regions.
+/// Chooses between the workers of this zone, of the region's other zones and of other regions. A
+/// request that has failed in another zone is offered to the nearest workers, since that zone may be
+/// unreachable.
 fn choose_distance(
     estimates: &[Estimate],
     request: PlacementRequest<'_>,
+    tried_remote: bool,
     rng: &mut impl Rng,
 ) -> Option<Distance> {
     let own = Tier::of(estimates, Distance::SameZone);
@@ -232,6 +239,9 @@
         (None, Some(region)) => (Distance::SameRegion, region),
         (None, None) => return estimates.first().map(|only| only.candidate.distance),
     };
+    if tried_remote {
+        return Some(nearest);
+    }
     let mut point = rng.random::<f64>();
     if nearest == Distance::SameZone
         && let Some(region) = region
