--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -35,7 +35,9 @@
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
 pub use ended_requests::EndedRequests;
-pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
+pub use load_balancer::{
+    Candidate, LoadBalancer, PlaceKey, Placement, PlacementRequest, WorkerLoad,
+};
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use organisations::{KeyDigest, Organisation, OrganisationTable, Quota};
 pub use pause::PauseDetector;
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -11,6 +11,7 @@
 use super::identify::IdentityError;
 use super::quota_metrics::QuotaMetrics;
 use crate::decide::relay::{CapacityEstimator, CapacityState};
+use crate::model::Distance;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -41,6 +42,7 @@
     speed: Gauge,
     capacity_state: IntGaugeVec,
     load_ignored: IntCounterVec,
+    placed: IntCounterVec,
 }
 
 impl Default for RelayMetrics {
@@ -126,6 +128,11 @@
                 "Stated loads of the backend server beside this daemon that were ignored, by reason.",
                 "reason",
             ),
+            placed: counters(
+                "burdockhall_relay_placed_total",
+                "Requests sent to a worker by its distance: same_zone, same_region, other_region.",
+                "distance",
+            ),
             registry,
         };
         metrics.stated_rate.set(f64::INFINITY);
@@ -136,7 +143,7 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 18] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
             Box::new(self.executions.clone()),
@@ -155,6 +162,7 @@
             Box::new(self.speed.clone()),
             Box::new(self.capacity_state.clone()),
             Box::new(self.load_ignored.clone()),
+            Box::new(self.placed.clone()),
         ];
         for collector in collectors.into_iter().chain(self.quotas.collectors()) {
             // The names are distinct constants, so registration cannot fail.
@@ -181,6 +189,13 @@
         self.execution_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Counts a request that is sent to a worker at this distance.
+    pub fn placed(&self, distance: Distance) {
+        self.placed
+            .with_label_values(&[<&str>::from(distance)])
+            .inc();
+    }
+
     /// Counts a root request of this priority that was shed.
     pub fn shed(&self, priority: u8) {
         self.shed.inc();
