--- a/tests/capacity_estimator.rs
+++ b/tests/capacity_estimator.rs
@@ -191,6 +191,7 @@
             let share = case.waiting / (1.0 - case.waiting);
             let call_ms = ROUTES_MS[route] * share * (0.8 * normal(&mut rng)).exp();
             let request = AdmissionRequest {
+                organisation: None,
                 route: &routes[route],
                 priority: 0,
                 is_call: false,
