--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -27,6 +27,7 @@
 pub mod record_log;
 pub mod relay_metrics;
 pub mod settle;
+mod slot;
 pub mod state;
 pub mod stop;
 
