Admit organisations by a credit in place of turns of request ids

Cause: each attempt of a client has its own request id, so that a request that comes back after a refusal has another turn, which says nothing about when it was refused.

Change: EntryShares::admit_organisation keeps a credit for each organisation, as for routes, with a random start, since a daemon sees most organisations rarely. The credit is kept while the share is 1 and at most 1,024 are kept. A shed request is told to retry after 600 to 1,400 ms, with or without an organisation. The wall clock and the request id no longer count.

--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -38,6 +38,6 @@
 pub use retry_budget::{Arrivals, RetryBudget, RetryRequest, RetryWindow};
 pub use routes::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
 pub use shares::{
-    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, Shed, WorkerShares,
+    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, WorkerShares,
 };
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
--- a/src/decide/relay/shares/entry.rs
+++ b/src/decide/relay/shares/entry.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use super::turn::{TurnCredit, retry_after_ms};
 use super::{FULL_SHARE, MIN_ORGANISATION_SHARE, MIN_SHARE, RootKind, ShareReport};
 use crate::model::{OrganisationName, ServiceName, TimeMs};
 
@@ -11,9 +10,9 @@
 const MAX_REPORT_AGE_MS: u64 = 1_500;
 /// Maximum number of reports that are forwarded in one message.
 const MAX_FORWARDED_REPORTS: usize = 8;
-/// Most organisations whose admitted fraction is followed, which bounds memory. Beyond, all start
-/// anew, which admits at most a few requests more.
-const MAX_TURN_CREDITS: usize = 1_024;
+/// Most organisations with a credit, which bounds memory. Beyond, all start anew at random, which
+/// keeps the admitted fraction on average.
+const MAX_ORGANISATION_CREDITS: usize = 1_024;
 
 /// Newest report of one worker.
 #[derive(Debug, Clone)]
@@ -22,15 +21,6 @@
     report: ShareReport,
 }
 
-/// A root request of an organisation that is shed.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Shed {
-    /// Share of the organisation that is admitted, in 0..=1.
-    pub share: f64,
-    /// Time until the request has a good chance if the share stays, in milliseconds.
-    pub retry_after_ms: u64,
-}
-
 /// Reports of overloaded services received by an entry daemon, and the admission based on them.
 #[derive(Debug, Default)]
 pub struct EntryShares {
@@ -38,8 +28,8 @@
     received: HashMap<ServiceName, HashMap<u32, ReceivedReport>>,
     /// Credit of each route; at 1 the next root request is admitted.
     credits: HashMap<ServiceName, f64>,
-    /// Of organisations that are held back, at most [`MAX_TURN_CREDITS`].
-    turn_credits: HashMap<OrganisationName, TurnCredit>,
+    /// Credits of organisations that are or were held back, at most [`MAX_ORGANISATION_CREDITS`].
+    organisation_credits: HashMap<OrganisationName, f64>,
 }
 
 impl EntryShares {
@@ -137,51 +127,34 @@
             Some(credit) => credit,
             None => self.credits.entry(route.clone()).or_insert(0.5),
         };
-        *credit += share;
-        if *credit < 1.0 {
-            return None;
-        }
-        *credit -= 1.0;
-        Some(share)
+        take_credit(credit, share).then_some(share)
     }
 
-    /// Admits one root request of an organisation and returns the share in force, or sheds it.
-    /// `turn` is that of its request id (see [`super::turn`]); `jitter` is a random number in 0..1.
-    ///
-    /// # Errors
-    ///
-    /// Returns the share and the retry delay if the request is shed.
-    pub fn admit_turn(
+    /// Admits one root request of an organisation and returns the share in force, or `None` if it is
+    /// shed. `start` is a random number in 0..1, with which the credit of an organisation that has
+    /// none begins: a daemon sees most organisations rarely, and with a fixed start would admit the
+    /// first request of each always or never.
+    pub fn admit_organisation(
         &mut self,
         now: TimeMs,
         kind: RootKind<'_>,
-        turn: f64,
-        jitter: f64,
+        start: f64,
         workers_of: impl Fn(&ServiceName) -> usize,
-    ) -> Result<f64, Shed> {
+    ) -> Option<f64> {
         let share = self.share(now, kind, workers_of);
-        let Some(organisation) = kind.organisation else {
-            return Ok(share);
+        let Some(organisation) = kind.organisation.filter(|_| share < 1.0) else {
+            return Some(share);
         };
-        if share >= 1.0 {
-            self.turn_credits.remove(organisation);
-            return Ok(1.0);
-        }
-        if self.turn_credits.len() >= MAX_TURN_CREDITS {
-            self.turn_credits.clear();
-        }
-        let credit = match self.turn_credits.get_mut(organisation) {
-            Some(credit) => credit,
-            None => self.turn_credits.entry(organisation.clone()).or_default(),
-        };
-        if credit.admit(turn, share) {
-            return Ok(share);
+        let credits = &mut self.organisation_credits;
+        if !credits.contains_key(organisation) {
+            if credits.len() >= MAX_ORGANISATION_CREDITS {
+                credits.clear();
+            }
+            credits.insert(organisation.clone(), start);
         }
-        let retry_after_ms = retry_after_ms(turn, share, jitter);
-        Err(Shed {
-            share,
-            retry_after_ms,
-        })
+        // Kept while the share is 1, so that what is left of the credit still counts later.
+        let credit = credits.get_mut(organisation)?;
+        take_credit(credit, share).then_some(share)
     }
 
     /// Organisations that some report in force lists as above the level, at most `max_count`.
@@ -198,3 +171,14 @@
         limited
     }
 }
+
+/// Adds the share to a credit and takes 1 from it for a request that is admitted. The credit stays
+/// below 1, so that the admitted fraction follows the share.
+fn take_credit(credit: &mut f64, share: f64) -> bool {
+    *credit += share;
+    let is_admitted = *credit >= 1.0;
+    if is_admitted {
+        *credit -= 1.0;
+    }
+    is_admitted
+}
--- a/src/decide/relay/shares/mod.rs
+++ b/src/decide/relay/shares/mod.rs
@@ -12,12 +12,10 @@
 mod entry;
 mod level;
 mod organisation_demand;
-mod turn;
 mod worker;
 
-pub use entry::{EntryShares, Shed};
+pub use entry::EntryShares;
 pub use level::{MAX_LISTED, OrganisationShares, divide};
-pub use turn::{TURN_PERIOD_MS, turn};
 pub use worker::{Reporter, WorkerShares};
 
 use serde::{Deserialize, Serialize};
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -14,8 +14,8 @@
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::identify::{self, identify};
 use super::log_limiter::LineKind;
-use super::state::{Configuration, Relay, Stage};
-use crate::decide::relay::{RequestDigest, RootRequest, Route, Shed};
+use super::state::{Configuration, Relay, Shed, Stage};
+use crate::decide::relay::{RequestDigest, RootRequest, Route};
 use crate::model::{ServiceName, TimeMs};
 
 /// Time left for a request whose caller states none, in milliseconds.
@@ -166,7 +166,7 @@
                 organisation: organisation.map(|organisation| organisation.name.clone()),
                 admitted: 1.0,
             };
-            let admitted = relay.tables().admit(started, root.kind(), id);
+            let admitted = relay.tables().admit(started, root.kind());
             match admitted {
                 Ok(admitted) => root.admitted = admitted,
                 Err(refused) => return shed(relay, id, &root, refused, table.version),
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -22,17 +22,15 @@
 use crate::config::RelaySettings;
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
-use crate::decide::relay::shares::turn;
 use crate::decide::relay::{
     Admission, CrashWitness, Directory, EndedRequests, EntryShares, LoadBalancer, LocalWorker,
     OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan, RequestDigest,
-    RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, Shed, WaiterId, WorkerShares,
+    RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
-use crate::net::daemon::unix_ms;
 
-/// Range of the retry-after time of a request without an organisation that is shed at the entry,
-/// in milliseconds. The admitted share adapts to a change of load within about this time.
+/// Range of the retry-after time of a request that is shed at the entry, in milliseconds. The
+/// admitted share adapts to a change of load within about this time.
 const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
 /// Most organisations that the metric counts, and that a log line names.
 const MAX_SHOWN_ORGANISATIONS: usize = 64;
@@ -164,22 +162,14 @@
     /// # Errors
     ///
     /// Returns the share and when to retry if the request is shed.
-    pub fn admit(
-        &mut self,
-        now: TimeMs,
-        kind: RootKind<'_>,
-        request_id: &str,
-    ) -> Result<f64, Shed> {
+    pub fn admit(&mut self, now: TimeMs, kind: RootKind<'_>) -> Result<f64, Shed> {
         let directory = &self.directory;
         let workers_of = |service: &ServiceName| directory.ready_count(service);
-        if kind.organisation.is_some() {
-            let turn = turn(request_id, unix_ms());
-            let jitter = self.rng.random();
-            return self
-                .entry_shares
-                .admit_turn(now, kind, turn, jitter, workers_of);
-        }
-        let admitted = self.entry_shares.admit(now, kind.route, workers_of);
+        let shares = &mut self.entry_shares;
+        let admitted = match kind.organisation {
+            Some(_) => shares.admit_organisation(now, kind, self.rng.random(), workers_of),
+            None => shares.admit(now, kind.route, workers_of),
+        };
         admitted.ok_or_else(|| Shed {
             share: self.entry_shares.share(now, kind, workers_of),
             retry_after_ms: self.rng.random_range(SHED_RETRY_MS),
@@ -187,6 +177,15 @@
     }
 }
 
+/// A root request that is shed at the entry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shed {
+    /// Share of this kind of root request that is admitted, in 0..=1.
+    pub share: f64,
+    /// Time after which the caller may retry, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
 /// State of one relay daemon.
 #[derive(Debug)]
 pub struct Relay {
