--- a/tests/relay_fair_shares.rs
+++ b/tests/relay_fair_shares.rs
@@ -2,7 +2,8 @@
 
 mod deployment;
 
-use burdockhall::decide::relay::{PriorityShares, ShareReport};
+use burdockhall::decide::relay::{PriorityShares, RootKind, ShareReport};
+use burdockhall::prelude::*;
 use deployment::{Deployment, config, route};
 use serde_json::json;
 
@@ -69,3 +70,35 @@
         assert!(page.contains(&line), "{line} is not in {page}");
     }
 }
+
+/// Guards against credits with a fixed start, by which a daemon admits the first request of each
+/// organisation always or never.
+#[tokio::test]
+async fn the_first_requests_of_organisations_are_admitted_by_chance() {
+    let deployment = Deployment::start(&["a"]).await;
+    let relay = &deployment.hosts[0].relay;
+    let route = ServiceName::from("safe");
+    let report = ShareReport {
+        service: "a".into(),
+        worker: 77,
+        age_ms: 0,
+        shares: vec![("safe".into(), 0.5)],
+        priorities: None,
+        capacity_ratio: 1.0,
+    };
+    let mut tables = relay.tables();
+    let now = relay.clock.now();
+    tables.entry_shares.record_report(now, &report);
+    let mut admitted = 0;
+    for number in 0..1_000 {
+        let organisation = OrganisationName::from(format!("o{number}").as_str());
+        let kind = RootKind {
+            route: &route,
+            priority: 1,
+            organisation: Some(&organisation),
+        };
+        admitted += u32::from(tables.admit(now, kind).is_ok());
+    }
+    // Six standard deviations around the mean.
+    assert!((405..=595).contains(&admitted), "{admitted} admitted");
+}
