--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -50,7 +50,7 @@
 pub use routes::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
 pub use server_load::{IgnoredLoad, KnownLoad, LoadStatements, ServerLoad};
 pub use shares::{
-    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, Shed, WorkerShares,
+    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, WorkerShares,
 };
 pub use speed::SpeedMeter;
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
