Soak: runs with API keys, revocation and a quota

The randomised soak named no organisations, so nothing exercised API keys and quotas under faults of real processes.

With SOAK_KEYS=1 the configuration names three organisations. Each version adds a key of one of them and removes the key added two versions before; callers of another send several times its quota. Checks compare X-Tenant-Id and the key with what the caller sent, look for runs with keys that were never held or are revoked, for 401 answers to keys in force, and count runs in every window of 5 s. The configuration record moves from fleet.rs to configuration.rs.

--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 
 use crate::fleet::SERVICES;
+use crate::keys::{ApiKey, KeyChooser};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time past its deadline for which a caller waits for an answer.
@@ -50,6 +51,7 @@
     pub request_line: String,
     pub host: usize,
     pub service: &'static str,
+    pub api_key: Option<ApiKey>,
     pub is_idempotent: bool,
     pub sent_at: Instant,
     pub deadline: Instant,
@@ -62,6 +64,8 @@
     pub number: usize,
     pub address: SocketAddr,
     pub max_pause_ms: u64,
+    /// Chooses the API key of each request, if the configuration names organisations.
+    pub keys: Option<KeyChooser>,
     rng: Xoshiro256PlusPlus,
     connection: Option<SendRequest<Full<Bytes>>>,
 }
@@ -74,6 +78,7 @@
             number,
             address,
             max_pause_ms: 40,
+            keys: None,
             rng: Xoshiro256PlusPlus::seed_from_u64(seed),
             connection: None,
         }
@@ -107,12 +112,17 @@
         }
         let sent_at = Instant::now();
         let deadline = sent_at + Duration::from_millis(deadline_ms);
-        let request = Request::post(&path)
+        let mut request = Request::post(&path)
             .header("host", "calls.example")
             .header("x-request-id", &id)
             .header("x-deadline-ms", deadline_ms)
-            .header("x-caller-service", "forged")
-            .body(Full::new(body.clone()));
+            .header("x-caller-service", "forged");
+        let api_key = self.keys.as_mut().map(KeyChooser::choose);
+        if let Some(key) = api_key {
+            request = request.header("x-credential", key.text());
+            request = request.header("x-tenant-id", "forged");
+        }
+        let request = request.body(Full::new(body.clone()));
         let request = request.expect("cannot build the request");
         let timeout = match abandon_after_ms {
             Some(abandon_after_ms) => Duration::from_millis(abandon_after_ms),
@@ -132,6 +142,7 @@
             id,
             host: self.host,
             service,
+            api_key,
             is_idempotent,
             sent_at,
             deadline,
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -7,9 +7,10 @@
 
 use crate::callers::{Outcome, RequestRecord};
 use crate::fleet::{DRAIN_LIMIT, Disturbance, DisturbanceKind, Fleet, History};
+use crate::keys;
 
 /// Statuses that guarantee to the caller that its request was not executed.
-const NOT_EXECUTED_STATUSES: [u16; 4] = [408, 421, 429, 503];
+const NOT_EXECUTED_STATUSES: [u16; 5] = [401, 408, 421, 429, 503];
 /// A request sent at least this long after SIGTERM may find its connection closed.
 const CLOSE_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
 /// Time past its deadline within which the user documentation allows an answer to arrive.
@@ -18,7 +19,7 @@
 const STABLE: Duration = Duration::from_secs(3);
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 /// Longest delay between an event in a process and its recording here.
-const RECORDING_DELAY: Duration = Duration::from_millis(100);
+pub const RECORDING_DELAY: Duration = Duration::from_millis(100);
 
 /// A request and its executions on backend servers.
 struct TracedRequest<'a> {
@@ -47,14 +48,16 @@
         .collect();
     let mut violations = history.violations.clone();
     for (host, run) in &runs {
-        violations.extend(check_run(fleet, *host, run, &mut traced));
+        violations.extend(check_run(fleet, *host, run, &mut traced, history));
         violations.extend(check_drain(run, history));
     }
     for traced in traced.values() {
         violations.extend(check_request(traced, &history.disturbances));
+        violations.extend(keys::check_answer(traced.request, history));
     }
     violations.extend(check_late(requests, &history.disturbances));
     violations.extend(check_limits(&runs, requests, history));
+    violations.extend(keys::check_quota(&runs));
     violations
 }
 
@@ -63,6 +66,7 @@
     host: usize,
     run: &'a Run,
     traced: &mut HashMap<&str, TracedRequest<'a>>,
+    history: &History,
 ) -> Option<String> {
     let id = run.headers.get("x-request-id").map_or("", String::as_str);
     if run.line.contains(" /shows/") {
@@ -88,7 +92,7 @@
             request.service
         ));
     }
-    None
+    keys::check_run(run, request, history)
 }
 
 fn check_drain(run: &Run, history: &History) -> Option<String> {
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -10,9 +10,9 @@
 
 use burdockhall::config::RelaySettings;
 use burdockhall::standin::platform::{StandInStore, StandInWorker};
-use serde_json::{Value, json};
 use tokio::task::JoinHandle;
 
+use crate::configuration;
 use crate::proxy::Proxy;
 use crate::workdir::{raw, request, signal};
 
@@ -113,6 +113,8 @@
     pub store: StandInStore,
     pub hosts: Vec<Host>,
     pub history: Mutex<History>,
+    /// Whether the configuration names organisations with API keys.
+    has_keys: bool,
 }
 
 pub fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
@@ -126,43 +128,8 @@
     Ipv4Addr::new(127, high, low, NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
-/// Returns a version of the configuration. Each version adds a route `/shows/VERSION/`, by which
-/// [`crate::watch_configurations`] tells whether a host applies it.
-fn config_record(version: usize) -> Value {
-    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
-        json!({
-            "name": name, "host": "calls.example", "pathPrefix": prefix, "kind": kind,
-            "timeoutS": 2.5, "targetLatencyS": 0.5, "priority": 0, "service": service,
-            "maxAttempts": 2,
-        })
-    };
-    let mut routes = vec![
-        route("safe-a", "/safe/a/", "safe", "a"),
-        route("safe-b", "/safe/b/", "safe", "b"),
-        route("once-a", "/once/a/", "unsafe", "a"),
-        route("once-b", "/once/b/", "unsafe", "b"),
-    ];
-    for shown_version in 1..=version {
-        let name = format!("shows-{shown_version}");
-        routes.push(route(
-            &name,
-            &format!("/shows/{shown_version}/"),
-            "safe",
-            "a",
-        ));
-    }
-    let service =
-        |name: &str| json!({ "name": name, "healthPath": "/healthz", "maxConnections": 500 });
-    json!({
-        "version": format!("r{version}"), "routes": routes,
-        "services": SERVICES.map(service),
-        "limits": { "maxHeaderBytes": 16384, "maxBodyBytes": 4_194_304,
-            "headerTimeoutS": 3, "idleTimeoutS": 15 },
-    })
-}
-
 impl Fleet {
-    pub async fn start(hosts: usize, dir: &Path) -> Fleet {
+    pub async fn start(hosts: usize, dir: &Path, has_keys: bool) -> Fleet {
         let store_address = SocketAddr::from((free_ip(), 7000));
         let store = StandInStore::start(store_address)
             .await
@@ -171,6 +138,7 @@
             store,
             hosts: Vec::new(),
             history: Mutex::default(),
+            has_keys,
         };
         fleet.publish_config();
         for number in 0..hosts {
@@ -184,7 +152,8 @@
     /// come back from an older copy.
     pub fn publish_config_again(&self) {
         let history = lock(&self.history);
-        let record = config_record(history.config_acked_at.len()).to_string();
+        let record =
+            configuration::record(history.config_acked_at.len(), self.has_keys).to_string();
         self.store.put(CONFIG_TOPIC, "config", record.as_bytes());
     }
 
@@ -192,7 +161,7 @@
     pub fn publish_config(&self) {
         let mut history = lock(&self.history);
         let version = history.config_acked_at.len() + 1;
-        let record = config_record(version).to_string();
+        let record = configuration::record(version, self.has_keys).to_string();
         self.store.put(CONFIG_TOPIC, "config", record.as_bytes());
         history.config_acked_at.push(Instant::now());
     }
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,12 +4,14 @@
 //! CI runs a few short seeds. To run others, set `SOAK_SEEDS=100..150` and `SOAK_SECONDS=20` and
 //! run `cargo test --release --test soak -- --ignored --nocapture`. `SOAK_HOSTS` sets the number
 //! of relays, `SOAK_OLDER_STORES=1` lets the store come back from older copies, `SOAK_LIMITS=1` has backend
-//! servers state rate limits, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
+//! servers state rate limits, `SOAK_KEYS=1` names organisations with API keys and a quota, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
 //! the log files of failed seeds.
 
 mod callers;
 mod checks;
+mod configuration;
 mod fleet;
+mod keys;
 mod proxy;
 mod script;
 #[path = "../workdir/mod.rs"]
@@ -21,7 +23,8 @@
 use std::time::{Duration, Instant};
 
 use callers::{Caller, Outcome, RequestRecord, probe_status};
-use fleet::{Fleet, lock};
+use fleet::{Fleet, History, lock};
+use keys::KeyChooser;
 use tokio::task::JoinSet;
 
 const CALLERS_PER_HOST: usize = 4;
@@ -48,6 +51,8 @@
     has_older_stores: bool,
     /// Whether backend servers state rate limits.
     has_limits: bool,
+    /// Whether the configuration names organisations with API keys, one with a quota.
+    has_keys: bool,
 }
 
 /// A seed that once failed, replayed to guard against the fault that it found.
@@ -83,26 +88,34 @@
 #[test]
 fn short_runs_keep_the_guarantees() {
     for seed in [2, 3] {
-        check_short_run(seed, 250, false);
+        check_plan(&short_plan(seed, 250));
     }
 }
 
 #[test]
 fn a_store_that_comes_back_older_undoes_nothing() {
     for seed in [5, 6] {
-        check_short_run(seed, 250, true);
+        check_plan(&Plan {
+            has_older_stores: true,
+            ..short_plan(seed, 250)
+        });
     }
 }
 
 #[test]
 fn rate_limits_of_backend_servers_are_kept() {
     check_plan(&Plan {
-        seed: 7,
-        hosts: 6,
         span_ms: 9_000,
-        gap_ms: 300,
-        has_older_stores: false,
         has_limits: true,
+        ..short_plan(7, 300)
+    });
+}
+
+#[test]
+fn api_keys_and_quotas_hold() {
+    check_plan(&Plan {
+        has_keys: true,
+        ..short_plan(8, 250)
     });
 }
 
@@ -115,7 +128,7 @@
     } in REGRESSIONS
     {
         eprintln!("seed {seed}: {cause}");
-        check_short_run(seed, gap_ms, false);
+        check_plan(&short_plan(seed, gap_ms));
     }
 }
 
@@ -143,6 +156,7 @@
             gap_ms: number("SOAK_GAP_MS", 200),
             has_older_stores: number("SOAK_OLDER_STORES", 0) > 0,
             has_limits: number("SOAK_LIMITS", 0) > 0,
+            has_keys: number("SOAK_KEYS", 0) > 0,
         };
         if let Err(violations) = run_plan(&plan) {
             eprintln!("seed {seed} failed: {violations:#?}");
@@ -152,15 +166,16 @@
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
 
-fn check_short_run(seed: u64, gap_ms: u64, has_older_stores: bool) {
-    check_plan(&Plan {
+fn short_plan(seed: u64, gap_ms: u64) -> Plan {
+    Plan {
         seed,
         hosts: 6,
         span_ms: 6_000,
         gap_ms,
-        has_older_stores,
+        has_older_stores: false,
         has_limits: false,
-    });
+        has_keys: false,
+    }
 }
 
 fn check_plan(plan: &Plan) {
@@ -196,7 +211,7 @@
 }
 
 async fn run_on_fleet(plan: &Plan, dir: &Path) -> Vec<String> {
-    let fleet = Arc::new(Fleet::start(plan.hosts, dir).await);
+    let fleet = Arc::new(Fleet::start(plan.hosts, dir, plan.has_keys).await);
     if !wait_ready(&fleet).await {
         return vec![format!(
             "START: not all daemons were ready within {READY_TIMEOUT:?}"
@@ -206,7 +221,11 @@
     for host in &fleet.hosts {
         for number in 0..CALLERS_PER_HOST {
             let address = host.settings.callers_address;
-            let caller = Caller::new(host.number, number, address, plan.seed);
+            let mut caller = Caller::new(host.number, number, address, plan.seed);
+            if plan.has_keys {
+                let seed = plan.seed ^ ((host.number as u64) << 32);
+                caller.keys = Some(KeyChooser::new(&fleet, number, seed));
+            }
             callers.spawn(caller.run(Arc::clone(&stop)));
         }
     }
@@ -218,6 +237,9 @@
     if plan.has_limits {
         script::add_limits(&mut steps, plan.seed, plan.hosts, plan.span_ms);
     }
+    if plan.has_keys {
+        script::add_key_changes(&mut steps, plan.seed, plan.span_ms);
+    }
     script::run(&fleet, &steps).await;
     let healed_at = Instant::now();
     tokio::time::sleep(RECOVERY / 2).await;
@@ -231,7 +253,7 @@
     let mut violations = watcher.await.expect("the configuration watcher failed");
     let history = std::mem::take(&mut *lock(&fleet.history));
     violations.extend(checks::find_violations(&fleet, &records, &history));
-    violations.extend(check_recovery(&records, healed_at, measured_from));
+    violations.extend(check_recovery(&records, &history, healed_at, measured_from));
     print_summary(plan, &records, steps.len());
     violations
 }
@@ -306,12 +328,18 @@
 
 fn check_recovery(
     records: &[RequestRecord],
+    history: &History,
     healed_at: Instant,
     measured_from: Instant,
 ) -> Option<String> {
     let measured: Vec<&RequestRecord> = records
         .iter()
         .filter(|record| record.sent_at >= measured_from && record.outcome != Outcome::Abandoned)
+        .filter(|record| {
+            record.api_key.is_none_or(|key| {
+                !key.has_quota() && key.is_held(history, record.sent_at, record.ended_at)
+            })
+        })
         .collect();
     let served = measured.iter().filter(|record| is_served(record)).count();
     let share = served as f64 / measured.len().max(1) as f64;
--- a/tests/soak/script.rs
+++ b/tests/soak/script.rs
@@ -118,6 +118,22 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds versions of the configuration, each of which adds an API key and revokes another.
+pub fn add_key_changes(steps: &mut Vec<Step>, seed: u64, span_ms: u64) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed ^ 0x6b65);
+    let mut at_ms = rng.random_range(0..1_000);
+    while at_ms < span_ms {
+        steps.push(Step {
+            at_ms,
+            fault: Fault::ConfigChange,
+            host: 0,
+            duration_ms: 0,
+        });
+        at_ms += rng.random_range(1_000..=3_000);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Runs all steps and removes the remaining faults at the end.
 pub async fn run(fleet: &Arc<Fleet>, steps: &[Step]) {
     let start = Instant::now();
