--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -364,6 +364,21 @@
         Kind::Flag,
         "Whether requests that need an API key get status 503 while this daemon may not have heard of a revocation.",
     ),
+    optional(
+        "quota_window_s",
+        DURATION_S,
+        "Window in which requests of an organisation are counted against its quota.",
+    ),
+    optional(
+        "quota_excess",
+        Kind::Decimal { min: 0.0, max: 1.0 },
+        "Excess over a quota in one window, as a share of it, by all daemons together.",
+    ),
+    optional(
+        "quota_slack",
+        Kind::Decimal { min: 0.0, max: 1e6 },
+        "Requests of an organisation in one window that are allowed beyond that, by all daemons together.",
+    ),
 ];
 
 /// Fields of a relay's settings file.
@@ -408,6 +423,11 @@
         Kind::Group(LOGGING),
         "What the daemon writes about itself, to standard output.",
     ),
+    optional(
+        "adaptive_capacity",
+        Kind::Flag,
+        "Whether to estimate how many requests the backend server serves best even if it does not state how long work takes; if absent, only if it states this.",
+    ),
     required(
         "bounds",
         Kind::Group(RELAY_BOUNDS),
--- a/src/decide/relay/admission.rs
+++ b/src/decide/relay/admission.rs
@@ -6,10 +6,11 @@
 //! plain FIFO queue makes calls of half-finished requests wait behind new root requests, and
 //! gives slots to requests that can no longer meet their deadline.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{HashMap, VecDeque};
 
 use super::rate_limiter::RateLimiter;
-use crate::model::{ServiceName, TimeMs};
+use super::wait_queue::{WaitQueue, Waiting};
+use crate::model::{OrganisationName, ServiceName, TimeMs};
 
 /// Fraction of the slots that is used; a backend server may slow down when it is nearly full.
 const USABLE_SLOTS_RATIO: f64 = 0.94;
@@ -38,6 +39,8 @@
     pub route: &'a ServiceName,
     /// Priority of its root request; 0 is the highest.
     pub priority: u8,
+    /// Organisation of its root request.
+    pub organisation: Option<&'a OrganisationName>,
     /// Whether a running request makes this call; refusing it wastes that request's work.
     pub is_call: bool,
     /// Time after which the answer is of no use.
@@ -66,7 +69,7 @@
 pub enum QueueDecision {
     /// Starts now; its end must be reported as after [`AdmissionDecision::Start`].
     Start(WaiterId),
-    /// Can no longer meet its deadline.
+    /// Can no longer meet its deadline, or has made room for a request of another organisation.
     Refuse {
         /// The refused request.
         waiter_id: WaiterId,
@@ -75,22 +78,17 @@
     },
 }
 
-/// Position in the queue: by priority, calls before root requests, earliest deadline, arrival.
-type QueueKey = (u8, bool, TimeMs, WaiterId);
-
-#[derive(Debug, Clone, Copy)]
-struct QueuedRequest {
-    expected_ms: f64,
-}
-
 /// Running and waiting requests of one backend server.
 #[derive(Debug)]
 pub struct Admission {
     limit: u32,
+    /// How many requests may run now; `limit` unless another limit is tried.
+    limit_now: u32,
     rate: Option<RateLimiter>,
     running: u32,
-    waiting: BTreeMap<QueueKey, QueuedRequest>,
-    queue_keys: HashMap<WaiterId, QueueKey>,
+    waiting: WaitQueue,
+    /// Requests that have made room for others and are to be refused.
+    dropped: VecDeque<WaiterId>,
     mean_ms: f64,
     mean_by_route: HashMap<ServiceName, f64>,
     next_waiter_id: u64,
@@ -100,20 +98,28 @@
     /// Creates an idle admission for a backend server with `slots` slots.
     pub fn new(slots: u32) -> Admission {
         Admission {
-            limit: limit_for_slots(slots),
+            limit: fixed_limit(slots),
+            limit_now: fixed_limit(slots),
             rate: None,
             running: 0,
-            waiting: BTreeMap::new(),
-            queue_keys: HashMap::new(),
+            waiting: WaitQueue::default(),
+            dropped: VecDeque::new(),
             mean_ms: INITIAL_EXPECTED_MS,
             mean_by_route: HashMap::new(),
             next_waiter_id: 0,
         }
     }
 
-    /// Sets the limit from a new number of slots; running requests continue.
+    /// Sets the fixed limit for a number of slots; running requests continue.
     pub fn set_slots(&mut self, slots: u32) {
-        self.limit = limit_for_slots(slots);
+        let limit = fixed_limit(slots);
+        self.set_limit(limit, limit);
+    }
+
+    /// Sets the limit and how many requests may run now; running requests continue.
+    pub fn set_limit(&mut self, limit: u32, limit_now: u32) {
+        self.limit = limit.max(1);
+        self.limit_now = limit_now.max(1);
     }
 
     /// Sets the rate limit in requests a second; `None` for no limit.
@@ -146,7 +152,7 @@
 
     /// When the head of the queue may start, if only the rate limit holds it back.
     pub fn paced_until(&self, now: TimeMs) -> Option<TimeMs> {
-        if self.waiting.is_empty() || self.running >= self.limit {
+        if self.waiting.is_empty() || self.running >= self.limit_now {
             return None;
         }
         let wait_ms = self.rate?.wait_ms(now, 0);
@@ -178,7 +184,7 @@
     pub fn admit(&mut self, now: TimeMs, request: AdmissionRequest<'_>) -> AdmissionDecision {
         let expected_ms = self.expected_ms(request.route);
         let left_ms = request.deadline.since_ms(now) as f64;
-        if self.running < self.limit && self.waiting.is_empty() {
+        if self.running < self.limit_now && self.waiting.is_empty() {
             if left_ms < expected_ms * MIN_TIME_LEFT_RATIO * MIN_TIME_LEFT_RATIO {
                 return AdmissionDecision::TooLate;
             }
@@ -187,14 +193,10 @@
                 return AdmissionDecision::Start;
             }
         }
-        let waiter_id = WaiterId(self.next_waiter_id);
-        let key = (
-            request.priority,
-            !request.is_call,
-            request.deadline,
-            waiter_id,
-        );
-        let ahead = self.waiting.range(..key).count();
+        let rank = (request.priority, !request.is_call);
+        let ahead = self
+            .waiting
+            .ahead(rank, request.organisation, request.deadline);
         let wait_ms = self.wait_ms(now, ahead);
         let max_wait_ratio = if request.is_call {
             MAX_CALL_WAIT_RATIO
@@ -206,12 +208,36 @@
         {
             return self.refuse(now, ahead);
         }
+        // Where several organisations wait, the whole rank must be served in time: the new request
+        // pushes others back.
+        if let Some(count) = self.waiting.contended(rank, request.organisation)
+            && self.wait_ms(now, count) > left_ms * max_wait_ratio
+        {
+            let to_drop = self
+                .waiting
+                .to_drop(rank, request.organisation, expected_ms);
+            let Some(to_drop) = to_drop else {
+                return self.refuse(now, count);
+            };
+            self.waiting.remove(to_drop);
+            self.dropped.push_back(to_drop);
+        }
+        let waiter_id = WaiterId(self.next_waiter_id);
         self.next_waiter_id += 1;
-        self.waiting.insert(key, QueuedRequest { expected_ms });
-        self.queue_keys.insert(waiter_id, key);
+        let waiting = Waiting {
+            waiter_id,
+            deadline: request.deadline,
+            expected_ms,
+        };
+        self.waiting.insert(rank, request.organisation, waiting);
         AdmissionDecision::Wait(waiter_id)
     }
 
+    /// Whether requests have made room for others; [`Self::next`] refuses them.
+    pub fn has_dropped(&self) -> bool {
+        !self.dropped.is_empty()
+    }
+
     /// Frees the slot of a request that did not run to completion, without recording a duration.
     pub fn released(&mut self) {
         self.running = self.running.saturating_sub(1);
@@ -233,29 +259,36 @@
 
     /// Removes a waiting request; returns false if it is no longer in the queue.
     pub fn cancel(&mut self, waiter_id: WaiterId) -> bool {
-        match self.queue_keys.remove(&waiter_id) {
-            Some(key) => self.waiting.remove(&key).is_some(),
-            None => false,
-        }
+        self.dropped.retain(|dropped| *dropped != waiter_id);
+        self.waiting.remove(waiter_id)
     }
 
     /// Removes the head of the queue if it can start or has become too late. Call it again until
     /// it returns `None`.
     pub fn next(&mut self, now: TimeMs) -> Option<QueueDecision> {
-        let (key, waiting) = self.waiting.first_key_value()?;
-        let (_, _, deadline, waiter_id) = *key;
-        let is_late = (deadline.since_ms(now) as f64) < waiting.expected_ms * MIN_TIME_LEFT_RATIO;
-        if !is_late && (self.running >= self.limit || !self.take_token(now)) {
+        if let Some(waiter_id) = self.dropped.pop_front() {
+            let retry_after_ms = self.retry_after_ms(now, self.waiting.len());
+            return Some(QueueDecision::Refuse {
+                waiter_id,
+                retry_after_ms,
+            });
+        }
+        let head = self.waiting.head()?;
+        let waiter_id = head.waiter_id;
+        let left_ms = head.deadline.since_ms(now) as f64;
+        let is_late = left_ms < head.expected_ms * MIN_TIME_LEFT_RATIO;
+        if !is_late && (self.running >= self.limit_now || !self.take_token(now)) {
             return None;
         }
-        self.cancel(waiter_id);
         if is_late {
+            self.waiting.remove(waiter_id);
             let retry_after_ms = self.retry_after_ms(now, self.waiting.len());
             return Some(QueueDecision::Refuse {
                 waiter_id,
                 retry_after_ms,
             });
         }
+        self.waiting.serve(head);
         self.running += 1;
         Some(QueueDecision::Start(waiter_id))
     }
@@ -286,6 +319,7 @@
     }
 }
 
-fn limit_for_slots(slots: u32) -> u32 {
+/// The limit for a backend server with `slots` slots whose best concurrency is not estimated.
+pub fn fixed_limit(slots: u32) -> u32 {
     ((f64::from(slots) * USABLE_SLOTS_RATIO) as u32).max(1)
 }
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -3,29 +3,41 @@
 //!
 //! As everywhere in [`crate::decide`], time and randomness are passed as arguments.
 
+pub mod accepted;
 pub mod admission;
+pub mod capacity;
 pub mod crash_witness;
 pub mod directory;
 pub mod ended_requests;
 pub mod load_balancer;
+pub mod load_curve;
 pub mod local_worker;
 pub mod organisations;
 pub mod pause;
 pub mod peer_statements;
 pub mod proof;
+pub mod quotas;
 pub mod rate_limiter;
 pub mod readers;
 pub mod request_digest;
 pub mod retry_budget;
 pub mod routes;
+pub mod run_counts;
+pub mod server_load;
 pub mod shares;
+pub mod silent_peers;
+pub mod speed;
 pub mod stated_rate;
+mod wait_queue;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
+pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
 pub use ended_requests::EndedRequests;
-pub use load_balancer::{Candidate, LoadBalancer, WorkerLoad};
+pub use load_balancer::{
+    Candidate, LoadBalancer, PlaceKey, Placement, PlacementRequest, WorkerLoad,
+};
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use organisations::{KeyDigest, Organisation, OrganisationTable, Quota};
 pub use pause::PauseDetector;
@@ -36,5 +48,9 @@
 pub use request_digest::RequestDigest;
 pub use retry_budget::{Arrivals, RetryBudget, RetryRequest, RetryWindow};
 pub use routes::{Limits, Route, RouteTable, ServiceConfig, WeightedService};
-pub use shares::{EntryShares, Reporter, RootRequest, ShareReport, WorkerShares};
+pub use server_load::{IgnoredLoad, KnownLoad, LoadStatements, ServerLoad};
+pub use shares::{
+    EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, WorkerShares,
+};
+pub use speed::SpeedMeter;
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -7,7 +7,6 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use rand::RngExt;
 
 use super::attempt::attempt;
 use super::body::RelayBody;
@@ -15,8 +14,8 @@
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::identify::{self, identify};
 use super::log_limiter::LineKind;
-use super::state::{Configuration, Relay, Stage};
-use crate::decide::relay::{RequestDigest, RootRequest, Route};
+use super::state::{Configuration, Relay, Shed, Stage};
+use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route};
 use crate::model::{ServiceName, TimeMs};
 
 /// Time left for a request whose caller states none, in milliseconds.
@@ -25,10 +24,6 @@
 const MAX_BUFFERED_BYTES: usize = 64 * 1024;
 /// Retry-after time while this daemon has no configuration, in milliseconds.
 const NO_CONFIG_RETRY_MS: u64 = 500;
-/// Range of the retry-after time for a request shed at the entry, in milliseconds. The admitted
-/// share adapts to a change of load within about this time.
-const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
-
 /// Handles one request of a caller.
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
     let _open = OpenRequest::new(&relay);
@@ -79,7 +74,13 @@
 
 /// A response with status 503 and a retry-after time, which states that the request has not run.
 pub(super) fn refusal(retry_after_ms: u64) -> Response<RelayBody> {
-    let mut response = empty_response(StatusCode::SERVICE_UNAVAILABLE);
+    refusal_with(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
+}
+
+/// A response with this status and a retry-after time. Like status 503, 429 states that the request
+/// has not run.
+fn refusal_with(status: StatusCode, retry_after_ms: u64) -> Response<RelayBody> {
+    let mut response = empty_response(status);
     let seconds = format!("{:.3}", retry_after_ms as f64 / 1_000.0);
     if let Ok(value) = HeaderValue::try_from(seconds) {
         response.headers_mut().insert(RETRY_AFTER, value);
@@ -105,6 +106,14 @@
     pub(super) digest: RequestDigest,
 }
 
+impl Call<'_> {
+    /// Time left until the latency objective of the route, in milliseconds.
+    pub(super) fn objective_left_ms(&self, now: TimeMs) -> u64 {
+        let objective = self.started.plus_ms(self.route.objective_ms);
+        objective.since_ms(now)
+    }
+}
+
 async fn serve(
     relay: &Arc<Relay>,
     configuration: &Configuration,
@@ -165,15 +174,26 @@
     let root = match parent {
         Some((_, parent)) => parent.root,
         None => {
-            let Some(admitted) = relay.tables().admit(started, &route.name) else {
-                return shed(relay, id, route, table.version);
-            };
-            RootRequest {
+            if let Some(organisation) = organisation
+                && let Err(retry_after_ms) = relay.check_quota(organisation)
+            {
+                return exceeded(relay, id, route, organisation, retry_after_ms);
+            }
+            let mut root = RootRequest {
                 route: route.name.clone(),
                 priority,
                 organisation: organisation.map(|organisation| organisation.name.clone()),
-                admitted,
+                admitted: 1.0,
+            };
+            let admitted = relay.tables().admit(started, root.kind());
+            match admitted {
+                Ok(admitted) => root.admitted = admitted,
+                Err(refused) => return shed(relay, id, &root, refused, table.version),
+            }
+            if let Some(organisation) = organisation {
+                relay.record_admitted(organisation);
             }
+            root
         }
     };
     let organisation = root.organisation.as_ref();
@@ -212,19 +232,48 @@
     response
 }
 
-fn shed(relay: &Relay, request_id: &str, route: &Route, config: u64) -> Response<RelayBody> {
-    let retry_after_ms = {
-        let mut tables = relay.tables();
-        tables.rng.random_range(SHED_RETRY_MS)
-    };
-    relay.metrics.shed();
+/// Refuses a root request whose organisation exceeds its quota.
+fn exceeded(
+    relay: &Relay,
+    request_id: &str,
+    route: &Route,
+    organisation: &Organisation,
+    retry_after_ms: u64,
+) -> Response<RelayBody> {
     if relay.may_log(LineKind::Failed) {
-        let share = relay.tables().share(relay.clock.now(), &route.name);
-        let (route, priority) = (route.name.as_str(), u64::from(route.priority));
-        let share = format!("{share:.2}");
-        spdlog::info!("a request was shed at the entry", kv: {
-            request_id, route, priority, share, retry_after_ms, config
+        let (route, organisation) = (route.name.as_str(), organisation.name.as_str());
+        let status = StatusCode::TOO_MANY_REQUESTS.as_u16();
+        spdlog::info!("a request was refused for the quota of its organisation", kv: {
+            request_id, route, organisation, status, retry_after_ms
         });
     }
+    refusal_with(StatusCode::TOO_MANY_REQUESTS, retry_after_ms)
+}
+
+fn shed(
+    relay: &Relay,
+    request_id: &str,
+    root: &RootRequest,
+    refused: Shed,
+    config: u64,
+) -> Response<RelayBody> {
+    let retry_after_ms = refused.retry_after_ms;
+    relay.metrics.shed(root.priority);
+    if relay.may_log(LineKind::Failed) {
+        let (route, priority) = (root.route.as_str(), u64::from(root.priority));
+        let share = format!("{:.2}", refused.share);
+        match &root.organisation {
+            None => spdlog::info!("a request was shed at the entry", kv: {
+                request_id, route, priority, share, retry_after_ms, config
+            }),
+            Some(organisation) => {
+                let organisation = organisation.as_str();
+                let share = format!("{:.3}", refused.share);
+                spdlog::info!("a request was shed by the share of its organisation", kv: {
+                    request_id, organisation, route, priority, share, retry_after_ms, config
+                });
+            }
+        }
+    }
     refusal(retry_after_ms)
 }
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -12,10 +12,11 @@
 use serde::{Deserialize, Serialize};
 
 use super::body::RelayBody;
+use super::capacity::LocalCapacity;
 use super::executor::{self, ExecutionOutcome, LocalRequest};
 use super::log_progress::LogPosition;
 use super::state::{Relay, Tables};
-use super::{peers, settle};
+use super::{peers, quotas, settle};
 use crate::decide::relay::{
     Arrivals, Member, MemberState, RelayedRate, Reporter, RequestDigest, RootRequest, ShareReport,
 };
@@ -62,6 +63,10 @@
     /// Digest of the request, by which it is recognised when it comes again.
     #[serde(rename = "h", default)]
     pub digest: RequestDigest,
+    /// Usual duration of the route over all workers, in milliseconds, as far as the entry daemon
+    /// knows; only to workers that state a speed.
+    #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
+    pub usual_ms: Option<u32>,
     /// Rate limit that the backend server has stated, as far as the entry daemon knows.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub rate: Option<RelayedRate>,
@@ -115,6 +120,10 @@
     /// Mean service time of a request, in milliseconds.
     #[serde(rename = "m")]
     pub mean_ms: u32,
+    /// Usual duration of a route over all workers of the service, divided by the duration on this
+    /// one, in hundredths; absent if unknown.
+    #[serde(rename = "x", default, skip_serializing_if = "Option::is_none")]
+    pub speed: Option<u32>,
     /// Time that the backend server took for this request, in milliseconds; 0 if it has not run.
     #[serde(rename = "t", default)]
     pub took_ms: u64,
@@ -147,6 +156,7 @@
         return match request.uri().path() {
             peers::STATE_PATH => peers::answer_state(&relay, request.uri()).await,
             peers::RECORD_PATH => peers::receive_record(&relay, request).await,
+            quotas::QUOTAS_PATH => quotas::answer(&relay, request).await,
             settle::PATH => settle::answer(&relay, request).await,
             _ => empty_response(StatusCode::NOT_FOUND),
         };
@@ -229,12 +239,15 @@
         let tables = &mut *tables;
         let mut shares = tables.entry_shares.reports(now);
         let limit = tables.admission.capacity();
+        let capacity = tables.capacity.as_ref();
+        let speed = capacity.and_then(LocalCapacity::speed_percent);
+        let accepted = capacity.map_or(1.0, |capacity| capacity.accepted_share(now));
         if let Some(worker) = &tables.worker {
             let reporter = Reporter {
                 service: &worker.heartbeat.service,
                 worker: self.worker_id,
-                slots: limit,
-                capacity_ratio: f64::from(limit) / f64::from(tables.admission.limit()),
+                slots: accepted_slots(limit, accepted),
+                capacity_ratio: f64::from(limit) / f64::from(tables.admission.limit()) * accepted,
                 waiting: tables.admission.waiting(),
             };
             let own = tables.worker_shares.report(now, reporter);
@@ -260,6 +273,7 @@
                 worker.rate.relayed(now, instance, born_unix_ms)
             }),
             mean_ms: tables.admission.mean_ms() as u32,
+            speed,
             took_ms,
             arrivals: tables.arrivals.arrivals(now),
             shares,
@@ -271,6 +285,11 @@
     }
 }
 
+/// Slots that count if the backend server accepts only a share of the requests.
+fn accepted_slots(limit: u32, accepted: f64) -> u32 {
+    ((f64::from(limit) * accepted).round() as u32).max(1)
+}
+
 /// Adds the reply metadata to an answer.
 pub fn attach_reply(response: &mut Response<RelayBody>, reply: &HopReply) {
     match serde_json::to_vec(reply).map(HeaderValue::try_from) {
@@ -291,9 +310,17 @@
     let service = own.service.as_str();
     let shares = format!("{:?}", own.shares);
     let mean_ms = tables.admission.mean_ms() as u64;
-    spdlog::info!("the backend server is scarce", kv: {
-        service, demand, limit, pressure, running, waiting, mean_ms, shares
-    });
+    match &own.priorities {
+        None => spdlog::info!("the backend server is scarce", kv: {
+            service, demand, limit, pressure, running, waiting, mean_ms, shares
+        }),
+        Some(priorities) => {
+            let organisations = format!("{priorities:?}");
+            spdlog::info!("the backend server is scarce", kv: {
+                service, demand, limit, pressure, running, waiting, mean_ms, shares, organisations
+            });
+        }
+    }
 }
 
 /// An answer without a body.
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod attempt;
 pub mod body;
+mod capacity;
 mod config_age;
 mod crash_probe;
 pub mod entry;
@@ -21,9 +22,12 @@
 pub mod offer;
 pub mod peers;
 pub mod pool;
+mod quota_metrics;
+pub mod quotas;
 pub mod record_log;
 pub mod relay_metrics;
 pub mod settle;
+mod slot;
 pub mod state;
 pub mod stop;
 
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -2,12 +2,16 @@
 
 use hyper::StatusCode;
 use prometheus::{
-    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    TextEncoder,
+    Encoder, Gauge, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
+use strum::IntoEnumIterator;
 
 use super::executor::ExecutionOutcome;
 use super::identify::IdentityError;
+use super::quota_metrics::QuotaMetrics;
+use crate::decide::relay::{CapacityEstimator, CapacityState};
+use crate::model::Distance;
 
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS_S: &[f64] = &[
@@ -18,23 +22,34 @@
 #[derive(Debug)]
 pub struct RelayMetrics {
     registry: Registry,
+    /// Metrics of quotas.
+    pub(super) quotas: QuotaMetrics,
     answers: IntCounterVec,
     answer_seconds: Histogram,
     executions: IntCounterVec,
     execution_seconds: Histogram,
     shed: IntCounter,
+    shed_by_priority: IntCounterVec,
+    limited_organisations: IntGauge,
     stated_rate: Gauge,
     crash_runs: IntCounter,
     held_back: IntGauge,
     not_identified: IntCounterVec,
     organisations: IntGauge,
     api_keys: IntGauge,
+    capacity_concurrency: IntGauge,
+    capacity_per_s: Gauge,
+    speed: Gauge,
+    capacity_state: IntGaugeVec,
+    load_ignored: IntCounterVec,
+    placed: IntCounterVec,
 }
 
 impl Default for RelayMetrics {
     fn default() -> RelayMetrics {
         let registry = Registry::new();
         let metrics = RelayMetrics {
+            quotas: QuotaMetrics::default(),
             answers: counters(
                 "burdockhall_relay_answers_total",
                 "Answers to callers by status.",
@@ -57,6 +72,15 @@
                 "burdockhall_relay_shed_total",
                 "Root requests shed at this entry before any work.",
             ),
+            shed_by_priority: counters(
+                "burdockhall_relay_shed_by_priority_total",
+                "Root requests shed at this entry by priority.",
+                "priority",
+            ),
+            limited_organisations: int_gauge(
+                "burdockhall_relay_limited_organisations",
+                "Organisations that scarce services hold to the level, as far as this entry knows; at most 64.",
+            ),
             crash_runs: counter(
                 "burdockhall_relay_crash_runs_total",
                 "Runs during which the backend server beside this daemon has ended.",
@@ -82,6 +106,33 @@
                 "burdockhall_relay_api_keys",
                 "API keys of the configuration in force.",
             ),
+            capacity_concurrency: int_gauge(
+                "burdockhall_relay_capacity_concurrency",
+                "Concurrent requests that the backend server beside this daemon serves best; 0 while not estimated.",
+            ),
+            capacity_per_s: gauge(
+                "burdockhall_relay_capacity_per_second",
+                "Requests a second at that concurrency; 0 while not estimated.",
+            ),
+            speed: gauge(
+                "burdockhall_relay_speed",
+                "Speed of the backend server beside this daemon relative to the usual; 0 while unknown.",
+            ),
+            capacity_state: int_gauges(
+                "burdockhall_relay_capacity_state",
+                "1 for the state of the capacity estimates, 0 for the others.",
+                "state",
+            ),
+            load_ignored: counters(
+                "burdockhall_relay_load_ignored_total",
+                "Stated loads of the backend server beside this daemon that were ignored, by reason.",
+                "reason",
+            ),
+            placed: counters(
+                "burdockhall_relay_placed_total",
+                "Requests sent to a worker by its distance: same_zone, same_region, other_region.",
+                "distance",
+            ),
             registry,
         };
         metrics.stated_rate.set(f64::INFINITY);
@@ -92,20 +143,28 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
             Box::new(self.executions.clone()),
             Box::new(self.execution_seconds.clone()),
             Box::new(self.shed.clone()),
+            Box::new(self.shed_by_priority.clone()),
+            Box::new(self.limited_organisations.clone()),
             Box::new(self.stated_rate.clone()),
             Box::new(self.crash_runs.clone()),
             Box::new(self.held_back.clone()),
             Box::new(self.not_identified.clone()),
             Box::new(self.organisations.clone()),
             Box::new(self.api_keys.clone()),
+            Box::new(self.capacity_concurrency.clone()),
+            Box::new(self.capacity_per_s.clone()),
+            Box::new(self.speed.clone()),
+            Box::new(self.capacity_state.clone()),
+            Box::new(self.load_ignored.clone()),
+            Box::new(self.placed.clone()),
         ];
-        for collector in collectors {
+        for collector in collectors.into_iter().chain(self.quotas.collectors()) {
             // The names are distinct constants, so registration cannot fail.
             let registered = self.registry.register(collector);
             debug_assert!(registered.is_ok());
@@ -130,9 +189,23 @@
         self.execution_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
-    /// Counts a root request that was shed.
-    pub fn shed(&self) {
+    /// Counts a request that is sent to a worker at this distance.
+    pub fn placed(&self, distance: Distance) {
+        self.placed
+            .with_label_values(&[<&str>::from(distance)])
+            .inc();
+    }
+
+    /// Counts a root request of this priority that was shed.
+    pub fn shed(&self, priority: u8) {
         self.shed.inc();
+        let priority = priority.to_string();
+        self.shed_by_priority.with_label_values(&[&priority]).inc();
+    }
+
+    /// Shows how many organisations are held to the level.
+    pub fn organisations_limited(&self, count: usize) {
+        self.limited_organisations.set(count as i64);
     }
 
     /// Counts a run during which the backend server has ended.
@@ -162,6 +235,33 @@
         self.stated_rate.set(per_s.unwrap_or(f64::INFINITY));
     }
 
+    /// Shows the estimates of the backend server beside this daemon.
+    pub fn capacity_estimated(&self, estimator: &CapacityEstimator) {
+        let concurrency = i64::from(estimator.concurrency());
+        self.capacity_concurrency.set(concurrency);
+        self.capacity_per_s
+            .set(estimator.rate_per_s().unwrap_or_default());
+        self.speed.set(estimator.speed().unwrap_or_default());
+        for state in CapacityState::iter() {
+            let value = i64::from(state == estimator.state());
+            let name = <&str>::from(state);
+            self.capacity_state.with_label_values(&[name]).set(value);
+        }
+    }
+
+    /// Shows that nothing is estimated, as after the start of another process.
+    pub fn capacity_unknown(&self) {
+        self.capacity_concurrency.set(0);
+        self.capacity_per_s.set(0.0);
+        self.speed.set(0.0);
+        self.capacity_state.reset();
+    }
+
+    /// Counts a stated load that was ignored.
+    pub fn load_ignored(&self, reason: &str) {
+        self.load_ignored.with_label_values(&[reason]).inc();
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn render(&self) -> Result<String, prometheus::Error> {
         let mut page = Vec::new();
@@ -186,6 +286,10 @@
     IntCounterVec::new(Opts::new(name, help), &[label]).expect("the name is valid")
 }
 
+fn int_gauges(name: &str, help: &str, label: &str) -> IntGaugeVec {
+    IntGaugeVec::new(Opts::new(name, help), &[label]).expect("the name is valid")
+}
+
 fn histogram(name: &str, help: &str) -> Histogram {
     let options = HistogramOpts::new(name, help).buckets(LATENCY_BUCKETS_S.to_vec());
     Histogram::with_opts(options).expect("the name is valid")
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -12,11 +12,13 @@
 use rand_xoshiro::Xoshiro256PlusPlus;
 use tokio::sync::{Notify, oneshot, watch};
 
+use super::capacity::LocalCapacity;
 use super::crash_probe::CrashProbe;
 use super::header_names::HeaderNames;
 use super::log_limiter::{LineKind, LogLimiter};
 use super::log_progress::LogProgress;
 use super::pool::Pool;
+use super::quotas::Quotas;
 use super::relay_metrics::RelayMetrics;
 use super::settle::Settlements;
 use crate::config::RelaySettings;
@@ -25,10 +27,17 @@
 use crate::decide::relay::{
     Admission, CrashWitness, Directory, EndedRequests, EntryShares, LoadBalancer, LocalWorker,
     OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan, RequestDigest,
-    RetryBudget, RetryWindow, RootRequest, RouteTable, WaiterId, WorkerShares,
+    RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
+/// Range of the retry-after time of a request that is shed at the entry, in milliseconds. The
+/// admitted share adapts to a change of load within about this time.
+const SHED_RETRY_MS: std::ops::Range<u64> = 600..1_400;
+/// Most organisations that the metric counts, and that a log line names.
+const MAX_SHOWN_ORGANISATIONS: usize = 64;
+const MAX_NAMED_ORGANISATIONS: usize = 8;
+
 /// A configuration and its encoded record.
 pub struct Configuration {
     /// Decoded routes, services and limits.
@@ -79,8 +88,10 @@
     pub budget: RetryBudget,
     /// Counts requests and retries that arrive for the backend server beside this daemon.
     pub arrivals: RetryWindow,
-    /// Share of root requests admitted at this entry, by route.
+    /// Share of root requests admitted at this entry, by route and organisation.
     pub entry_shares: EntryShares,
+    /// Whether some organisation was held to its level when last looked at.
+    pub has_limited: bool,
     /// The backend server beside this daemon; `None` until its first heartbeat or its record from
     /// before a restart of the daemon.
     pub worker: Option<LocalWorker>,
@@ -88,6 +99,9 @@
     pub worker_unreachable_since: Option<TimeMs>,
     /// Concurrency limit and queue of the backend server beside this daemon.
     pub admission: Admission,
+    /// Estimates of what the backend server beside this daemon serves best; `None` while they are
+    /// off.
+    pub capacity: Option<LocalCapacity>,
     /// Requests suspected of having crashed the backend server beside this daemon.
     pub witness: CrashWitness,
     /// Whether a task waits for the rate limit to let the head of the queue start.
@@ -124,10 +138,10 @@
 }
 
 impl Tables {
-    /// Share of a route's root requests that is admitted now, from 0 to 1.
-    pub fn share(&self, now: TimeMs, route: &ServiceName) -> f64 {
+    /// Share of a kind of root request that is admitted now, from 0 to 1.
+    pub fn share(&self, now: TimeMs, kind: RootKind<'_>) -> f64 {
         let workers_of = |service: &ServiceName| self.directory.ready_count(service);
-        self.entry_shares.share(now, route, workers_of)
+        self.entry_shares.share(now, kind, workers_of)
     }
 
     /// Whether a request is held back because backend servers have crashed while it ran.
@@ -147,15 +161,36 @@
         self.worker.as_ref().and_then(|worker| worker.rate.per_s())
     }
 
-    /// Decides whether to admit a root request at this entry: the share at which it was admitted,
-    /// or `None` if it is shed.
-    pub fn admit(&mut self, now: TimeMs, route: &ServiceName) -> Option<f64> {
+    /// Decides whether to admit a root request at this entry, and returns the share at which it was
+    /// admitted.
+    ///
+    /// # Errors
+    ///
+    /// Returns the share and when to retry if the request is shed.
+    pub fn admit(&mut self, now: TimeMs, kind: RootKind<'_>) -> Result<f64, Shed> {
         let directory = &self.directory;
         let workers_of = |service: &ServiceName| directory.ready_count(service);
-        self.entry_shares.admit(now, route, workers_of)
+        let shares = &mut self.entry_shares;
+        let admitted = match kind.organisation {
+            Some(_) => shares.admit_organisation(now, kind, self.rng.random(), workers_of),
+            None => shares.admit(now, kind.route, workers_of),
+        };
+        admitted.ok_or_else(|| Shed {
+            share: self.entry_shares.share(now, kind, workers_of),
+            retry_after_ms: self.rng.random_range(SHED_RETRY_MS),
+        })
     }
 }
 
+/// A root request that is shed at the entry.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shed {
+    /// Share of this kind of root request that is admitted, in 0..=1.
+    pub share: f64,
+    /// Time after which the caller may retry, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
 /// State of one relay daemon.
 #[derive(Debug)]
 pub struct Relay {
@@ -195,6 +230,8 @@
     pub settlements: Settlements,
     /// Tells whether the backend server beside this daemon has ended.
     pub(super) crash_probe: CrashProbe,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
     /// Rate limiter of log lines about requests.
     pub log_limiter: LogLimiter,
     /// Counters and histograms for the metrics listener.
@@ -229,6 +266,7 @@
         );
         let sequence_offset = rng.random();
         let incarnation = rng.random();
+        let quotas = Quotas::new(&settings, &mut rng);
         Arc::new(Relay {
             header_names,
             started: clock.now(),
@@ -248,6 +286,7 @@
             config_heard: AtomicU64::new(0),
             settlements: Settlements::default(),
             crash_probe: CrashProbe::default(),
+            quotas,
             log_limiter: LogLimiter::default(),
             metrics: RelayMetrics::default(),
             log_unavailable: AtomicBool::new(false),
@@ -263,9 +302,11 @@
                 budget,
                 arrivals: RetryWindow::new(seconds_to_ms(bounds.retry_window_s)),
                 entry_shares: EntryShares::default(),
+                has_limited: false,
                 worker: None,
                 worker_unreachable_since: None,
                 admission: Admission::new(1),
+                capacity: None,
                 witness: CrashWitness::default(),
                 is_pacing: false,
                 peer_statements: PeerStatements::default(),
@@ -358,6 +399,7 @@
         spdlog::info!("a configuration is in force", kv: {
             from, to, routes, organisations, keys, source
         });
+        self.sync_quotas();
         self.state_changed.notify_waiters();
         true
     }
@@ -406,6 +448,29 @@
         plan
     }
 
+    /// Shows how many organisations scarce services hold to the level, and logs when that begins and
+    /// ends. Called once a second, which bounds the lines.
+    pub fn observe_limited(&self) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let limited = tables.entry_shares.limited(now, MAX_SHOWN_ORGANISATIONS);
+        let count = limited.len();
+        let begins = (count > 0 && !tables.has_limited).then(|| {
+            let names = limited.iter().take(MAX_NAMED_ORGANISATIONS);
+            let names: Vec<&str> = names.map(|name| name.as_str()).collect();
+            names.join(" ")
+        });
+        let ends = count == 0 && tables.has_limited;
+        tables.has_limited = count > 0;
+        drop(tables);
+        self.metrics.organisations_limited(count);
+        if let Some(organisations) = begins {
+            spdlog::info!("organisations are held to their level", kv: { count, organisations });
+        } else if ends {
+            spdlog::info!("no organisation is held to its level any more");
+        }
+    }
+
     /// Whether this daemon reads the log service and gets answers.
     pub fn reaches_log(&self) -> bool {
         *self.reads_log.borrow()
