Leave quotas alone while the configuration names no organisations

Cause: each change of the directory ranked aggregators also where no organisation exists. Change: nothing is taken over until the configuration names organisations.

--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -241,8 +241,8 @@
     }
     let mut tables = relay.tables();
     let tables = &mut *tables;
-    // The kind of root request is already shed because a service lacks capacity; a retry would only move the
-    // failure to another request.
+    // The kind of root request is already shed because a service lacks capacity; a retry would only
+    // move the failure to another request.
     if tables.share(now, call.root.kind()) < 1.0 {
         return false;
     }
--- a/src/net/relay/quotas.rs
+++ b/src/net/relay/quotas.rs
@@ -126,6 +126,9 @@
         };
         let version = configuration.table.version;
         let organisations = configuration.table.organisations.as_ref();
+        if organisations.is_none() && !self.quotas.is_active() {
+            return;
+        }
         let bounds = QuotaBounds::from(&**self.settings.load());
         let tables = self.tables();
         let mut state = self.quotas.lock();
