Log and measure how old a daemon's configuration is

Cause: a wrong 404 told the version in force only. It could not be told whether a newer version was known, whom the daemon follows, when that one last answered, or where the version came from; and the line shared a limit with all failed requests.

Change: the line names source, age and reporter of the configuration and has a limit of its own (50 a second); the metrics show the version in force, the newest one reported and the age of the news. What another daemon has reported becomes one value with its time in place of a number. No decision changes.

--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -76,6 +76,12 @@
         self.silent.pass_over(now, reader, NO_LOG_MS, 0);
     }
 
+    /// Time since a reader that reaches the log service last answered, in milliseconds; `None` for
+    /// never.
+    pub fn heard_ms(&self, now: TimeMs) -> Option<u64> {
+        self.heard_at.map(|at| now.since_ms(at))
+    }
+
     /// Records that a reader has not answered.
     pub fn failed(&mut self, now: TimeMs, reader: SocketAddr) {
         self.silent.failed(now, reader);
--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -2,8 +2,10 @@
 //! been revoked or added since.
 
 use std::sync::atomic::Ordering;
+use std::sync::{MutexGuard, PoisonError};
 
-use super::state::{Relay, seconds_to_ms};
+use super::log_limiter::LineKind;
+use super::state::{Configuration, Relay, seconds_to_ms};
 use crate::model::TimeMs;
 
 /// Age up to which a daemon that follows a reader counts as up to date, in milliseconds: the time in
@@ -16,7 +18,90 @@
 /// a reader in a quiet deployment hears of the log service in time.
 const POLLS_PER_REVOKE_TIME: u64 = 3;
 
+/// A configuration that another daemon has reported.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ReportedConfig {
+    version: u64,
+    /// When it was first reported.
+    at: TimeMs,
+}
+
 impl Relay {
+    /// Records the configuration version of another daemon; a newer one is fetched.
+    pub fn observe_config(&self, version: u64) {
+        if version <= self.config_version() {
+            return;
+        }
+        {
+            let mut reported = self.reported_config();
+            if reported.version < version {
+                let at = self.clock.now();
+                *reported = ReportedConfig { version, at };
+            }
+        }
+        self.peer_poll_needed.notify_one();
+    }
+
+    /// Whether another daemon has reported a newer configuration than the one in force.
+    pub fn is_config_behind(&self) -> bool {
+        self.reported_config().version > self.config_version()
+    }
+
+    /// Time since another daemon first reported this version or a newer one, in milliseconds; 0 if
+    /// none has.
+    pub(super) fn config_reported_ms(&self, version: u64) -> u64 {
+        let reported = *self.reported_config();
+        if reported.version < version {
+            return 0;
+        }
+        self.clock.now().since_ms(reported.at)
+    }
+
+    /// Logs a request that no route matches, with what this daemon knows of newer configurations.
+    pub(super) fn log_missing_route(
+        &self,
+        known: &Configuration,
+        id: &str,
+        host: &str,
+        path: &str,
+    ) {
+        if !self.may_log(LineKind::NoRoute) {
+            return;
+        }
+        let now = self.clock.now();
+        let (config, source) = (known.table.version, known.source);
+        let in_force_ms = now.since_ms(known.since);
+        let reported = self.reported_config().version;
+        let reported_ms = self.config_reported_ms(config + 1);
+        let age_ms = text_or_never(Some(self.config_age_ms()).filter(|age_ms| *age_ms < u64::MAX));
+        let reads_log = self.reaches_log();
+        let (follows, heard_ms) = {
+            let tables = self.tables();
+            let plan = tables.readers.plan(now, &tables.directory);
+            (plan.follows, tables.readers.heard_ms(now))
+        };
+        let follows = follows.map_or("none".to_owned(), |reader| reader.to_string());
+        let heard_ms = text_or_never(heard_ms);
+        let request_id = id;
+        spdlog::info!("no route matches a request", kv: {
+            request_id, host, path, config, source, in_force_ms, age_ms, reported, reported_ms,
+            reads_log:, follows, heard_ms
+        });
+    }
+
+    /// Shows the version in force, the newest one reported and the age of the news in the metrics.
+    pub fn observe_config_age(&self) {
+        let reported = self.reported_config().version;
+        self.metrics
+            .config
+            .observed(self.config_version(), reported, self.config_age_ms());
+    }
+
+    fn reported_config(&self) -> MutexGuard<'_, ReportedConfig> {
+        let reported = self.reported_config.lock();
+        reported.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Records that the log service, or a daemon that reaches it, has answered a read of the
     /// configuration that was sent at `sent` and may have waited for `wait_ms`. `age_ms` is the age
     /// of that daemon's own news.
@@ -46,7 +131,7 @@
     /// Whether the configuration in force is the newest, as far as this daemon can tell. An API key
     /// that it does not know may otherwise be one that was added since.
     pub fn is_config_up_to_date(&self) -> bool {
-        if self.newest_config_seen.load(Ordering::Relaxed) > self.config_version() {
+        if self.is_config_behind() {
             return false;
         }
         let reads = *self.reads_log.borrow() && self.has_read_log.load(Ordering::Relaxed);
@@ -72,3 +157,7 @@
         }
     }
 }
+
+fn text_or_never(duration_ms: Option<u64>) -> String {
+    duration_ms.map_or("never".to_owned(), |duration_ms| duration_ms.to_string())
+}
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -133,12 +133,7 @@
         .and_then(|host| host.to_str().ok());
     let host = host.or(request.uri().host()).unwrap_or_default();
     let Some(route) = table.find(host, request.uri().path()) else {
-        let (path, config) = (request.uri().path(), table.version);
-        if relay.may_log(LineKind::Failed) {
-            spdlog::info!("no route matches a request", kv: {
-                request_id: = id, host, path, config
-            });
-        }
+        relay.log_missing_route(configuration, id, host, request.uri().path());
         return empty_response(StatusCode::NOT_FOUND);
     };
     let identity = match identify(relay, table, route, id, request.headers()) {
--- a/src/net/relay/log_limiter.rs
+++ b/src/net/relay/log_limiter.rs
@@ -9,6 +9,8 @@
 const MAX_SERVED_LINES_PER_S: u32 = 100;
 /// Most lines a second about requests that failed, were refused or were retried.
 const MAX_FAILED_LINES_PER_S: u32 = 200;
+/// Most lines a second about requests that no route matches.
+const MAX_NO_ROUTE_LINES_PER_S: u32 = 50;
 /// Length of the fixed window in which lines are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
@@ -17,8 +19,11 @@
 pub enum LineKind {
     /// Served, or sent to the backend server.
     Served,
-    /// Failed, refused, retried or without a route.
+    /// Failed, refused or retried.
     Failed,
+    /// Without a route. These have a limit of their own, since a daemon whose configuration is out
+    /// of date shows it here first.
+    NoRoute,
 }
 
 #[derive(Debug, Default)]
@@ -50,12 +55,21 @@
     pub served: u64,
     /// Lines about failed requests.
     pub failed: u64,
+    /// Lines about requests without a route.
+    pub no_route: u64,
+}
+
+#[derive(Debug, Default)]
+struct Windows {
+    served: Window,
+    failed: Window,
+    no_route: Window,
 }
 
 /// The rate limiter of one daemon.
 #[derive(Debug, Default)]
 pub struct LogLimiter {
-    windows: Mutex<(Window, Window)>,
+    windows: Mutex<Windows>,
 }
 
 impl LogLimiter {
@@ -63,8 +77,9 @@
     pub fn allow(&self, now: TimeMs, kind: LineKind) -> bool {
         let mut windows = self.lock();
         match kind {
-            LineKind::Served => windows.0.allow(now, MAX_SERVED_LINES_PER_S),
-            LineKind::Failed => windows.1.allow(now, MAX_FAILED_LINES_PER_S),
+            LineKind::Served => windows.served.allow(now, MAX_SERVED_LINES_PER_S),
+            LineKind::Failed => windows.failed.allow(now, MAX_FAILED_LINES_PER_S),
+            LineKind::NoRoute => windows.no_route.allow(now, MAX_NO_ROUTE_LINES_PER_S),
         }
     }
 
@@ -72,12 +87,13 @@
     pub fn take_dropped(&self) -> Dropped {
         let mut windows = self.lock();
         Dropped {
-            served: std::mem::take(&mut windows.0.dropped),
-            failed: std::mem::take(&mut windows.1.dropped),
+            served: std::mem::take(&mut windows.served.dropped),
+            failed: std::mem::take(&mut windows.failed.dropped),
+            no_route: std::mem::take(&mut windows.no_route.dropped),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, (Window, Window)> {
+    fn lock(&self) -> MutexGuard<'_, Windows> {
         self.windows.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod body;
 mod capacity;
 mod config_age;
+mod config_metrics;
 mod crash_probe;
 pub mod entry;
 pub mod executor;
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -247,15 +247,13 @@
     loop {
         let woken = relay.peer_poll_needed.notified();
         let is_unavailable = || relay.log_unavailable.load(Ordering::Relaxed);
-        let is_behind =
-            || relay.newest_config_seen.load(Ordering::Relaxed) > relay.config_version();
-        if is_unavailable() || is_behind() {
+        if is_unavailable() || relay.is_config_behind() {
             let _ = tokio::time::timeout(Duration::from_millis(POLL_MS), woken).await;
         } else {
             woken.await;
         }
         tokio::time::sleep(Duration::from_millis(CONFIG_DELAY_MS)).await;
-        if !is_unavailable() && !is_behind() {
+        if !is_unavailable() && !relay.is_config_behind() {
             continue;
         }
         let now = relay.clock.now();
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -7,6 +7,7 @@
 };
 use strum::IntoEnumIterator;
 
+use super::config_metrics::ConfigMetrics;
 use super::executor::ExecutionOutcome;
 use super::identify::IdentityError;
 use super::quota_metrics::QuotaMetrics;
@@ -24,6 +25,8 @@
     registry: Registry,
     /// Metrics of quotas.
     pub(super) quotas: QuotaMetrics,
+    /// Metrics of the configuration's age.
+    pub(super) config: ConfigMetrics,
     answers: IntCounterVec,
     answer_seconds: Histogram,
     executions: IntCounterVec,
@@ -50,6 +53,7 @@
         let registry = Registry::new();
         let metrics = RelayMetrics {
             quotas: QuotaMetrics::default(),
+            config: ConfigMetrics::default(),
             answers: counters(
                 "burdockhall_relay_answers_total",
                 "Answers to callers by status.",
@@ -164,7 +168,8 @@
             Box::new(self.load_ignored.clone()),
             Box::new(self.placed.clone()),
         ];
-        for collector in collectors.into_iter().chain(self.quotas.collectors()) {
+        let collectors = collectors.into_iter().chain(self.quotas.collectors());
+        for collector in collectors.chain(self.config.collectors()) {
             // The names are distinct constants, so registration cannot fail.
             let registered = self.registry.register(collector);
             debug_assert!(registered.is_ok());
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -13,6 +13,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::capacity::LocalCapacity;
+use super::config_age::ReportedConfig;
 use super::crash_probe::CrashProbe;
 use super::header_names::HeaderNames;
 use super::log_limiter::{LineKind, LogLimiter};
@@ -44,6 +45,10 @@
     pub table: RouteTable,
     /// The record as stored in the log, for sending to peers.
     pub raw: Bytes,
+    /// Where it came from.
+    pub source: &'static str,
+    /// When it was put in force.
+    pub since: TimeMs,
 }
 
 impl fmt::Debug for Configuration {
@@ -222,8 +227,8 @@
     pub members_read: LogProgress,
     /// How far this daemon and its peers have read the configuration.
     pub config_read: LogProgress,
-    /// Newest configuration version that another daemon has reported.
-    pub newest_config_seen: AtomicU64,
+    /// The newest configuration that another daemon has reported.
+    pub(super) reported_config: Mutex<ReportedConfig>,
     /// When the newest configuration was last heard of, in milliseconds of the clock; 0 for never.
     pub(super) config_heard: AtomicU64,
     /// Non-idempotent requests whose outcome may be queried.
@@ -282,7 +287,7 @@
             log_era: watch::Sender::new(None),
             members_read: LogProgress::default(),
             config_read: LogProgress::default(),
-            newest_config_seen: AtomicU64::new(0),
+            reported_config: Mutex::default(),
             config_heard: AtomicU64::new(0),
             settlements: Settlements::default(),
             crash_probe: CrashProbe::default(),
@@ -384,7 +389,7 @@
     }
 
     /// Puts a configuration in force if it is newer than the current one; true if it is.
-    pub fn install(&self, table: RouteTable, raw: Bytes, source: &str) -> bool {
+    pub fn install(&self, table: RouteTable, raw: Bytes, source: &'static str) -> bool {
         let (from, to) = (self.config_version(), table.version);
         if to <= from {
             return false;
@@ -394,25 +399,21 @@
         let keys = organisations.map_or(0, OrganisationTable::key_count);
         let organisations = organisations.map_or(0, |known| known.all().len());
         self.metrics.organisations_in_force(organisations, keys);
-        self.configuration
-            .store(Some(Arc::new(Configuration { table, raw })));
+        self.configuration.store(Some(Arc::new(Configuration {
+            table,
+            raw,
+            source,
+            since: self.clock.now(),
+        })));
+        let reported_ms = self.config_reported_ms(to);
         spdlog::info!("a configuration is in force", kv: {
-            from, to, routes, organisations, keys, source
+            from, to, routes, organisations, keys, source, reported_ms
         });
         self.sync_quotas();
         self.state_changed.notify_waiters();
         true
     }
 
-    /// Records the configuration version of another daemon; a newer one is fetched.
-    pub fn observe_config(&self, version: u64) {
-        if version > self.config_version() {
-            self.newest_config_seen
-                .fetch_max(version, Ordering::Relaxed);
-            self.peer_poll_needed.notify_one();
-        }
-    }
-
     /// Records the era of an answer of the log service, or one that a peer has seen.
     pub fn observe_era(&self, era: u64) {
         let before = *self.log_era.borrow();
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -64,9 +64,17 @@
         relay.observe_limited();
         relay.tables().ended.expire(relay.clock.now());
         relay.settlements.sweep(relay.clock.now());
-        let Dropped { served, failed } = relay.log_limiter.take_dropped();
-        if served + failed > 0 {
-            spdlog::info!("log lines about requests were left out", kv: { served, failed });
+        relay.observe_config_age();
+        let dropped = relay.log_limiter.take_dropped();
+        if dropped != Dropped::default() {
+            let Dropped {
+                served,
+                failed,
+                no_route,
+            } = dropped;
+            spdlog::info!("log lines about requests were left out", kv: {
+                served, failed, no_route
+            });
         }
     }
 }
