--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -2,6 +2,9 @@
 //! workers.
 #![allow(dead_code)]
 
+#[path = "../support/proxy.rs"]
+pub mod proxy;
+
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
@@ -19,6 +22,7 @@
 use hyper::{HeaderMap, Method, Request, StatusCode};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use proxy::Proxy;
 use serde_json::{Value, json};
 
 /// Timeout for a condition to become true.
@@ -30,6 +34,8 @@
     pub relay: Arc<Relay>,
     pub settings: RelaySettings,
     pub worker: StandInWorker,
+    /// What its calls to the store pass through.
+    pub store_proxy: Proxy,
 }
 
 pub struct Deployment {
@@ -134,7 +140,8 @@
             let instance = format!("i-{number}");
             let worker = StandInWorker::start(free_address(), service, &instance);
             let worker = worker.await.expect("the worker starts");
-            let mut settings = settings(service, store.address, worker.address);
+            let store_proxy = Proxy::start(free_address(), store.address).await;
+            let mut settings = settings(service, store_proxy.address, worker.address);
             settings.place.region = (*region).into();
             let relay = Relay::new(settings.clone(), platform::header_names());
             platform::start(&relay).await.expect("the listeners open");
@@ -148,6 +155,7 @@
                 relay,
                 settings,
                 worker,
+                store_proxy,
             });
         }
         let deployment = Deployment { store, hosts };
--- /dev/null
+++ b/tests/relay_late_config.rs
@@ -0,0 +1,108 @@
+//! A configuration that the operator has written is in force in time on every daemon that is in
+//! touch, whoever's reads of the store hang, and without traffic between the daemons.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::proxy::Direction;
+use deployment::{CONFIG_TOPIC, Deployment, config, route, standard_config};
+use hyper::StatusCode;
+use tokio::time::Instant;
+
+/// Least time in which a configuration must be in force on a daemon in touch, in milliseconds.
+const CONFIG_MS: u64 = 2_000;
+/// Time after a disturbance of its connections from which on a daemon is in touch again, in
+/// milliseconds.
+const STABLE_WINDOW_MS: u64 = 3_000;
+
+fn put_config(deployment: &Deployment, version: u64) {
+    let record = standard_config(version).to_string();
+    let store = &deployment.store;
+    store.put(CONFIG_TOPIC, "config", record.as_bytes());
+}
+
+fn has_config(version: u64) -> impl Fn(&Deployment) -> bool {
+    move |deployment| {
+        let mut hosts = deployment.hosts.iter();
+        hosts.all(|host| host.relay.config_version() == version)
+    }
+}
+
+/// A relay for each region named, once two of each region read the store in long polls.
+async fn settled(regions: &[&'static str]) -> Deployment {
+    let places: Vec<_> = regions.iter().map(|region| ("a", *region)).collect();
+    let deployment = Deployment::start_in(&places).await;
+    deployment
+        .wait("two of each region read the store", |deployment| {
+            regions.iter().all(|region| {
+                let hosts = deployment.hosts.iter();
+                let in_region = hosts.filter(|host| host.settings.place.region.as_str() == *region);
+                in_region
+                    .filter(|host| *host.relay.reads_log.borrow())
+                    .count()
+                    == 2
+            })
+        })
+        .await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment
+}
+
+#[tokio::test]
+async fn a_change_after_which_the_answers_to_all_reads_are_lost_delays_no_later_change() {
+    let regions = ["1", "1", "2", "2", "3", "3", "4", "4", "5", "5", "6", "6"];
+    let deployment = settled(&regions).await;
+    put_config(&deployment, 2);
+    deployment.wait("version 2", has_config(2)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for host in &deployment.hosts {
+        host.store_proxy.silence();
+    }
+    let until = Instant::now() + Duration::from_millis(STABLE_WINDOW_MS);
+    put_config(&deployment, 3);
+    deployment.wait("version 3", has_config(3)).await;
+    assert!(Instant::now() < until, "too late");
+}
+
+#[tokio::test]
+async fn followers_of_readers_that_only_the_store_cannot_answer_hear_of_a_change_in_time() {
+    let regions = ["north", "south"].map(|region| [region; 4]).concat();
+    let deployment = settled(&regions).await;
+    put_config(&deployment, 2);
+    deployment.wait("version 2", has_config(2)).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for host in &deployment.hosts {
+        let is_north = host.settings.place.region.as_str() == "north";
+        if is_north && *host.relay.reads_log.borrow() {
+            host.store_proxy.cut(Direction::FromTarget);
+        }
+    }
+    let until = Instant::now() + Duration::from_millis(CONFIG_MS);
+    put_config(&deployment, 3);
+    deployment.wait("version 3", has_config(3)).await;
+    assert!(Instant::now() < until, "too late");
+}
+
+#[tokio::test]
+async fn a_route_that_a_newer_configuration_may_have_is_not_answered_404() {
+    let deployment = Deployment::start_in(&[("a", "north")]).await;
+    let unknown = deployment.call(0, "/added/x", "r-1", b"").await;
+    assert_eq!(
+        unknown.status,
+        StatusCode::NOT_FOUND,
+        "nothing newer is known"
+    );
+    deployment.hosts[0].store_proxy.cut(Direction::FromTarget);
+    deployment.hosts[0].relay.observe_config(2);
+    let early = deployment.call(0, "/added/x", "r-2", b"").await;
+    assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert!(early.headers.contains_key("retry-after"));
+    let added = config(2, &[route("added", "/added/", "safe", "a")]);
+    deployment.hosts[0].store_proxy.heal();
+    deployment.configure(2, &added).await;
+    let served = deployment.call(0, "/added/x", "r-3", b"").await;
+    assert_eq!(served.status, StatusCode::OK);
+    let gone = deployment.call(0, "/safe/x", "r-4", b"").await;
+    assert_eq!(gone.status, StatusCode::NOT_FOUND);
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod configuration;
 mod fleet;
 mod keys;
+#[path = "../support/proxy.rs"]
 mod proxy;
 mod script;
 #[path = "../workdir/mod.rs"]
