Readers watch the configuration version of another zone

Callers saw: 404 for a route of a confirmed version, seconds after it had to be in force, on daemons in touch whose zone's two readers were cut off from the store and from nothing else.

Cause: versions crossed zones on replies to hops alone, and a daemon that learnt of one that way asked readers of its region in turn, those cut off among them, not the one that had told.

A newer version is fetched from the daemon that has told of it first. A read that hangs is dropped by what a daemon of another zone has read as well.

Why it works: the links between zones form a ring with chords whoever is silent (a_version_read_in_one_zone_reaches_the_readers_of_every_other_without_traffic), and readers of a zone hand a configuration to each other and to the followers at once.

--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -91,26 +91,43 @@
     /// whole deployment together start one read each [`FRESH_READ_MS`]; a daemon on its own does so
     /// at half of it, since nobody else would notice that its read hangs.
     pub fn wait_ms(directory: &Directory) -> u64 {
-        let zones = directory.active_zones();
-        let readers: u64 = zones
-            .map(|(_, daemons)| zone_reader_count(daemons.len()).min(daemons.len()) as u64)
-            .sum();
+        let readers = reader_count(directory);
         if readers <= 1 {
             return FRESH_READ_MS / 2;
         }
         (readers * FRESH_READ_MS).min(MAX_WAIT_MS)
     }
 
+    /// The daemon of another zone whose configuration version this daemon watches if it reads the log
+    /// service: a reader of the next zone, and for every second reader of one halfway around. A
+    /// version that any reader has read thus reaches the readers of all zones, also of those whose
+    /// reads hang.
+    pub fn watches(&self, now: TimeMs, directory: &Directory) -> Option<SocketAddr> {
+        let zones: Vec<_> = directory.active_zones().collect();
+        let own = zones
+            .iter()
+            .position(|(place, _)| *place == directory.place())?;
+        let rank = own_rank(directory);
+        let first = 1 + (rank % 2) * (zones.len() / 2).saturating_sub(1);
+        // All other zones, that one first.
+        let others = (0..zones.len() - 1).map(|step| (first - 1 + step) % (zones.len() - 1) + 1);
+        let mut candidates = others.filter_map(|distance| {
+            let (place, daemons) = zones[(own + distance) % zones.len()];
+            let ranked = self.ranked(now, place, daemons.iter().copied());
+            ranked.first().copied()
+        });
+        candidates.find(|daemon| !self.silent.is_passed_over(now, *daemon))
+    }
+
+    /// Records that a daemon of another zone has answered.
+    pub fn reached(&mut self, daemon: SocketAddr) {
+        self.silent.answered(daemon);
+    }
+
     /// Whether this daemon is to read the log service, whatever it believes about the others.
     pub fn is_appointed(directory: &Directory) -> bool {
-        let own = directory.own_address();
-        let daemons: Vec<_> = directory.active_in_own_zone().collect();
-        let count = zone_reader_count(daemons.len());
-        let own_hash = zone_hash(directory.place(), own);
-        let ahead = daemons
-            .iter()
-            .filter(|daemon| zone_hash(directory.place(), **daemon) > own_hash);
-        ahead.count() < count
+        let daemons = directory.active_in_own_zone().count();
+        own_rank(directory) < zone_reader_count(daemons)
     }
 
     /// Longest time until the next read after `failures` failed ones, in milliseconds.
@@ -200,6 +217,29 @@
     MIN_ZONE_READERS + daemons / DAEMONS_PER_READER
 }
 
+/// Readers of a zone with this many daemons.
+fn zone_readers_of(daemons: usize) -> u64 {
+    zone_reader_count(daemons).min(daemons) as u64
+}
+
+/// Readers of the whole deployment.
+fn reader_count(directory: &Directory) -> u64 {
+    let zones = directory.active_zones();
+    zones
+        .map(|(_, daemons)| zone_readers_of(daemons.len()))
+        .sum()
+}
+
+/// Number of daemons of this daemon's zone that rank before it.
+fn own_rank(directory: &Directory) -> usize {
+    let place = directory.place();
+    let own_hash = zone_hash(place, directory.own_address());
+    let daemons = directory.active_in_own_zone();
+    daemons
+        .filter(|daemon| zone_hash(place, *daemon) > own_hash)
+        .count()
+}
+
 /// Rendezvous hash of a daemon in its zone.
 fn zone_hash(place: &Place, daemon: SocketAddr) -> u64 {
     rendezvous_hash(place.zone.as_str(), daemon)
--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -1,6 +1,7 @@
 //! How long ago this daemon has made sure that its configuration is the newest. An API key may have
 //! been revoked or added since.
 
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::sync::{MutexGuard, PoisonError};
 
@@ -24,11 +25,14 @@
     version: u64,
     /// When it was first reported.
     at: TimeMs,
+    /// The daemon that has it, if that is known and was not asked for it yet.
+    reporter: Option<SocketAddr>,
 }
 
 impl Relay {
-    /// Records the configuration version of another daemon; a newer one is fetched.
-    pub fn observe_config(&self, version: u64) {
+    /// Records the configuration version of another daemon; a newer one is fetched, from the daemon
+    /// at `reporter` first if that is given.
+    pub fn observe_config(&self, version: u64, reporter: Option<SocketAddr>) {
         if version <= self.config_version() {
             return;
         }
@@ -36,12 +40,29 @@
             let mut reported = self.reported_config();
             if reported.version < version {
                 let at = self.clock.now();
-                *reported = ReportedConfig { version, at };
+                *reported = ReportedConfig {
+                    version,
+                    at,
+                    reporter,
+                };
             }
         }
         self.peer_poll_needed.notify_one();
     }
 
+    /// The daemon that has reported a newer configuration; only once for each version, since others
+    /// are asked if it does not answer.
+    pub(super) fn take_config_reporter(&self) -> Option<SocketAddr> {
+        let mut reported = self.reported_config();
+        let reporter = reported.reporter.take();
+        reporter.filter(|_| reported.version > self.config_version())
+    }
+
+    /// The newest configuration version that this daemon has or was told of.
+    pub(super) fn newest_known_config(&self) -> u64 {
+        self.config_version().max(self.reported_config().version)
+    }
+
     /// Whether another daemon has reported a newer configuration than the one in force.
     pub fn is_config_behind(&self) -> bool {
         self.reported_config().version > self.config_version()
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -171,7 +171,7 @@
         }
     };
     hop.left_ms = hop.left_ms.saturating_sub(held_ms);
-    relay.observe_config(hop.config);
+    relay.observe_config(hop.config, None);
     if let Some(rate) = &hop.rate {
         relay.record_relayed_rate(rate);
     }
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -149,7 +149,7 @@
 
 /// Applies the reply metadata of a daemon: load, shares, read offset and member record.
 fn apply_reply(relay: &Relay, address: SocketAddr, reply: &HopReply) {
-    relay.observe_config(reply.config);
+    relay.observe_config(reply.config, Some(address));
     relay.members_read.advance_peer(reply.members_read);
     apply_load(relay, address, reply);
     if let Some(member) = &reply.member {
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -63,6 +63,9 @@
     pub config: u64,
     /// Whether the asking daemon believes that the answering one reaches the log service.
     pub reaches_log: bool,
+    /// Whether only the version of the configuration is asked for, and only a newer one ends the
+    /// wait.
+    pub version_only: bool,
     /// How long to wait for something new, in milliseconds.
     pub wait_ms: u64,
 }
@@ -84,6 +87,7 @@
                 "digest" => decoded.digest = number,
                 "config" => decoded.config = number,
                 "log" => decoded.reaches_log = number > 0,
+                "version" => decoded.version_only = number > 0,
                 "wait" => decoded.wait_ms = number,
                 _ => {}
             }
@@ -99,12 +103,13 @@
             digest,
             config,
             reaches_log,
+            version_only,
             wait_ms,
         } = self;
-        let log = u8::from(*reaches_log);
+        let (log, version) = (u8::from(*reaches_log), u8::from(*version_only));
         format!(
             "{STATE_PATH}?of={incarnation}&since={change}&digest={digest}&config={config}&log={log}\
-             &wait={wait_ms}"
+             &version={version}&wait={wait_ms}"
         )
     }
 }
@@ -154,7 +159,13 @@
 }
 
 fn has_news(relay: &Relay, query: &StateQuery) -> bool {
-    if relay.config_version() > query.config || relay.reaches_log() != query.reaches_log {
+    if relay.config_version() > query.config {
+        return true;
+    }
+    if query.version_only {
+        return false;
+    }
+    if relay.reaches_log() != query.reaches_log {
         return true;
     }
     let tables = relay.tables();
@@ -167,6 +178,14 @@
 fn lacking_state(relay: &Relay, query: &StateQuery) -> State {
     // Read before the records, so that these are at least as new.
     let (config_read, members_read) = (relay.config_read.own(), relay.members_read.own());
+    if query.version_only {
+        return State {
+            config_version: relay.config_version(),
+            config_read,
+            members_read,
+            ..State::default()
+        };
+    }
     let configuration = relay.configuration.load();
     let newer = configuration
         .as_ref()
@@ -256,12 +275,12 @@
         if !is_unavailable() && !relay.is_config_behind() {
             continue;
         }
-        let now = relay.clock.now();
-        let peer = {
+        let peer = relay.take_config_reporter().or_else(|| {
+            let now = relay.clock.now();
             let mut tables = relay.tables();
             let tables = &mut *tables;
             tables.readers.next_peer(now, &tables.directory)
-        };
+        });
         if let Some(peer) = peer
             && poll_peer(&relay, peer, source, false, 0).await.is_none()
         {
@@ -288,25 +307,12 @@
             digest: tables.directory.digest(),
             config: relay.config_version(),
             reaches_log,
+            version_only: false,
             wait_ms,
         }
     };
-    let mut request = Request::new(RelayBody::Empty);
-    *request.uri_mut() = query.encode().parse().ok()?;
-    let timeout_ms = match wait_ms {
-        0 => TIMEOUT_MS,
-        wait_ms => wait_ms + FOLLOW_MARGIN_MS,
-    };
     let sent = relay.clock.now();
-    let bytes = exchange(relay, peer, request, timeout_ms).await?;
-    let mut state = match serde_json::from_slice::<State>(&bytes) {
-        Ok(state) => state,
-        Err(error) => {
-            let error = error.to_string();
-            spdlog::warn!("the state of a peer cannot be decoded", kv: { peer:, error });
-            return None;
-        }
-    };
+    let mut state = query_state(relay, peer, &query).await?;
     // The whole directory was asked for, and nothing differs.
     let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
@@ -320,6 +326,61 @@
     Some(state)
 }
 
+/// Sends a query to a daemon; `None` if it does not answer.
+async fn query_state(relay: &Arc<Relay>, peer: SocketAddr, query: &StateQuery) -> Option<State> {
+    let mut request = Request::new(RelayBody::Empty);
+    *request.uri_mut() = query.encode().parse().ok()?;
+    let timeout_ms = match query.wait_ms {
+        0 => TIMEOUT_MS,
+        wait_ms => wait_ms + FOLLOW_MARGIN_MS,
+    };
+    let bytes = exchange(relay, peer, request, timeout_ms).await?;
+    match serde_json::from_slice(&bytes) {
+        Ok(state) => Some(state),
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::warn!("the state of a peer cannot be decoded", kv: { peer:, error });
+            None
+        }
+    }
+}
+
+/// Watches the configuration version of a daemon in another zone while this daemon reads the log
+/// service, until the runtime ends. A newer version is fetched by [`poll_peers`] if the own read does
+/// not bring it first.
+pub async fn watch_other_zone(relay: Arc<Relay>) {
+    let mut reads_log = relay.reads_log.subscribe();
+    loop {
+        // The sender lives as long as the relay, so an error means that the relay is gone.
+        let _ = reads_log.wait_for(|reads_log| *reads_log).await;
+        let now = relay.clock.now();
+        let watched = {
+            let tables = relay.tables();
+            tables.readers.watches(now, &tables.directory)
+        };
+        let Some(peer) = watched else {
+            tokio::time::sleep(Duration::from_millis(NO_READER_PAUSE_MS)).await;
+            continue;
+        };
+        let query = StateQuery {
+            config: relay.newest_known_config(),
+            version_only: true,
+            wait_ms: FOLLOW_WAIT_MS,
+            ..StateQuery::default()
+        };
+        match query_state(&relay, peer, &query).await {
+            Some(state) => {
+                relay.tables().readers.reached(peer);
+                relay.observe_config(state.config_version, Some(peer));
+                relay.config_read.advance_peer(state.config_read);
+                relay.members_read.advance_peer(state.members_read);
+            }
+            None => relay.tables().readers.failed(relay.clock.now(), peer),
+        }
+        tokio::time::sleep(Duration::from_millis(FOLLOW_PAUSE_MS)).await;
+    }
+}
+
 fn take_over(relay: &Relay, peer: SocketAddr, source: ConfigSource, state: &mut State) {
     if state.config_version > relay.config_version()
         && let Some(config) = state.config.take()
--- a/tests/relay_late_config.rs
+++ b/tests/relay_late_config.rs
@@ -94,7 +94,7 @@
         "nothing newer is known"
     );
     deployment.hosts[0].store_proxy.cut(Direction::FromTarget);
-    deployment.hosts[0].relay.observe_config(2);
+    deployment.hosts[0].relay.observe_config(2, None);
     let early = deployment.call(0, "/added/x", "r-2", b"").await;
     assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(early.headers.contains_key("retry-after"));
--- a/tests/relay_members.rs
+++ b/tests/relay_members.rs
@@ -240,7 +240,7 @@
         assert!(tokio::time::Instant::now() < until, "too late");
         // As the replies to hops tell.
         for host in south {
-            host.relay.observe_config(7);
+            host.relay.observe_config(7, None);
         }
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
--- a/tests/relay_readers.rs
+++ b/tests/relay_readers.rs
@@ -313,6 +313,75 @@
     assert_eq!(peer, Some(address(1)));
 }
 
+#[test]
+fn a_version_read_in_one_zone_reaches_the_readers_of_every_other_without_traffic() {
+    struct Case {
+        name: &'static str,
+        daemons: usize,
+        zones: usize,
+        /// Zones whose daemons do not answer.
+        silent_zones: &'static [usize],
+    }
+    let cases = [
+        Case {
+            name: "two zones",
+            daemons: 8,
+            zones: 2,
+            silent_zones: &[],
+        },
+        Case {
+            name: "one daemon in each zone",
+            daemons: 6,
+            zones: 6,
+            silent_zones: &[],
+        },
+        Case {
+            name: "neighbouring zones are silent",
+            daemons: 99,
+            zones: 9,
+            silent_zones: &[3, 4, 5],
+        },
+    ];
+    for case in cases {
+        let now = TimeMs(10_000);
+        let zone_of = |daemon: SocketAddr| {
+            let number = (0..case.daemons).find(|number| address(*number) == daemon);
+            number.expect("a daemon") % case.zones
+        };
+        // From which zones the readers of each zone hear.
+        let mut heard: BTreeMap<usize, BTreeSet<usize>> = BTreeMap::new();
+        for own in 0..case.daemons {
+            let zone = own % case.zones;
+            let directory = fleet(own, case.daemons, case.zones);
+            if !Readers::is_appointed(&directory) || case.silent_zones.contains(&zone) {
+                continue;
+            }
+            let mut readers = Readers::default();
+            let silent = (0..case.daemons).filter(|other| {
+                let zone = other % case.zones;
+                case.silent_zones.contains(&zone)
+            });
+            silent.for_each(|other| readers.failed(now, address(other)));
+            let watched = readers.watches(now, &directory).expect("a daemon to watch");
+            let watched_zone = zone_of(watched);
+            assert_ne!(watched_zone, zone, "{}", case.name);
+            assert!(!case.silent_zones.contains(&watched_zone), "{}", case.name);
+            heard.entry(zone).or_default().insert(watched_zone);
+        }
+        for from in heard.keys() {
+            let mut reached = BTreeSet::from([*from]);
+            for _ in 0..case.zones {
+                let next = heard.iter().filter(|(_, of)| !of.is_disjoint(&reached));
+                let next: Vec<usize> = next.map(|(zone, _)| *zone).collect();
+                reached.extend(next);
+            }
+            let everyone: BTreeSet<usize> = heard.keys().copied().collect();
+            assert_eq!(reached, everyone, "{}: from zone {from}", case.name);
+        }
+    }
+    assert_eq!(Readers::default().watches(TimeMs(0), &fleet(0, 4, 1)), None);
+}
+
 #[test]
 fn a_directory_tells_what_changed_and_stays_consistent() {
     let mut directory = fleet(0, 30, 3);
