Reads of the log service take turns again after each change

Callers saw: a confirmed configuration in force 10 s late on every daemon, after the store had lost the answers to the reads that waited for it, long after the store was well again.

Cause: a hang is noticed by what another daemon has read, so some reader has to start a read each second. Each waits 10 s, spread by chance only, and a change ends all waits at the same moment: until 10.5 s later no read began.

Evidence: a_change_after_which_the_answers_to_all_reads_are_lost_delays_no_later_change, 12 readers in 6 zones, connections silent right after version 2: version 3 in force only when the reads had timed out, with the watch of the commit before too.

Change: the first read after new records waits up to the reader's own turn, by the order of zones and the rank in the zone, and a whole round from then on. It needs no clock in common: the change is what they have in common.

Why it works: turns are distinct and at most 1 s apart (reads_that_new_records_have_ended_together_do_not_end_together_again), and one answered read is enough, since versions cross zones.

--- a/src/decide/relay/readers.rs
+++ b/src/decide/relay/readers.rs
@@ -98,6 +98,27 @@
         (readers * FRESH_READ_MS).min(MAX_WAIT_MS)
     }
 
+    /// How long the first read after new records waits for the next ones, in milliseconds. New
+    /// records end the reads of all readers at once, so each waits up to its own turn in
+    /// [`Readers::wait_ms`]; otherwise no read would start before all of these end together.
+    pub fn first_wait_ms(directory: &Directory) -> u64 {
+        let readers = reader_count(directory);
+        if readers <= 1 {
+            return Readers::wait_ms(directory);
+        }
+        let own_place = directory.place();
+        let zones_before = directory
+            .active_zones()
+            .take_while(|(place, _)| *place < own_place);
+        let before: u64 = zones_before
+            .map(|(_, daemons)| zone_readers_of(daemons.len()))
+            .sum();
+        let in_zone = directory.active_in_own_zone().count();
+        let rank = own_rank(directory) as u64 % zone_readers_of(in_zone).max(1);
+        let turn = (before + rank) % readers;
+        (turn + 1) * Readers::wait_ms(directory) / readers
+    }
+
     /// The daemon of another zone whose configuration version this daemon watches if it reads the log
     /// service: a reader of the next zone, and for every second reader of one halfway around. A
     /// version that any reader has read thus reaches the readers of all zones, also of those whose
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -140,6 +140,7 @@
     let Topic { name, progress, .. } = topic;
     let mut reads_log = relay.reads_log.subscribe();
     let mut failures = 0;
+    let mut follows_records = true;
     let mut next: Option<LogPosition> = None;
     loop {
         if !*reads_log.borrow() {
@@ -149,7 +150,7 @@
             next = next.map(|next| next.max(progress.own()));
         }
         let sent = relay.clock.now();
-        let wait_ms = wait_ms(relay, topic, failures);
+        let wait_ms = wait_ms(relay, topic, failures, follows_records);
         let read = match next {
             None => {
                 let snapshot = log.newest(name).await;
@@ -163,6 +164,7 @@
         match read {
             Ok((records, read_to)) => {
                 failures = 0;
+                follows_records = next.is_none() || !records.is_empty();
                 relay.observe_era(read_to.era());
                 record_log_recovery(relay, name);
                 // Offsets of an earlier era mean nothing in this one.
@@ -194,10 +196,13 @@
     }
 }
 
-/// How long the next read waits for new records, in milliseconds.
-fn wait_ms(relay: &Relay, topic: Topic<'_>, failures: u32) -> u64 {
+/// How long the next read waits for new records, in milliseconds. `follows_records` tells whether
+/// the last one returned any.
+fn wait_ms(relay: &Relay, topic: Topic<'_>, failures: u32, follows_records: bool) -> u64 {
     let wait_ms = if failures > 0 {
         RETRY_WAIT_MS
+    } else if follows_records {
+        Readers::first_wait_ms(&relay.tables().directory)
     } else {
         Readers::wait_ms(&relay.tables().directory)
     };
--- a/tests/relay_readers.rs
+++ b/tests/relay_readers.rs
@@ -252,6 +252,46 @@
     }
 }
 
+#[test]
+fn reads_that_new_records_have_ended_together_do_not_end_together_again() {
+    struct Case {
+        daemons: usize,
+        zones: usize,
+        /// Longest time without a new read, in milliseconds.
+        gap_ms: u64,
+    }
+    let cases = [
+        Case {
+            daemons: 2,
+            zones: 1,
+            gap_ms: 1_000,
+        },
+        Case {
+            daemons: 24,
+            zones: 6,
+            gap_ms: 1_000,
+        },
+        Case {
+            daemons: 99,
+            zones: 9,
+            gap_ms: 1_000,
+        },
+    ];
+    for case in cases {
+        let directories = (0..case.daemons).map(|own| fleet(own, case.daemons, case.zones));
+        let readers: Vec<_> = directories.filter(Readers::is_appointed).collect();
+        let turns: BTreeSet<u64> = readers.iter().map(Readers::first_wait_ms).collect();
+        let daemons = case.daemons;
+        assert_eq!(turns.len(), readers.len(), "{daemons} daemons: {turns:?}");
+        let before = [0].into_iter().chain(turns.iter().copied());
+        for (from, to) in before.zip(&turns) {
+            assert!(to - from <= case.gap_ms, "{daemons} daemons: {turns:?}");
+        }
+        let last = turns.last().copied();
+        assert_eq!(last, Some(Readers::wait_ms(&readers[0])), "{daemons}");
+    }
+}
+
 #[test]
 fn changes_go_to_readers_of_every_zone_and_once_to_each_zone_of_another_region() {
     let directory = fleet(0, 99, 9);
