Answer 503, not 404, for a route that a newer configuration may have

Callers saw: 404, which nobody repeats, for a route that had just been added, from a daemon that knew of the newer version or had no news of the configuration at all.

Cause: a request that no route matches was refused at once by the version in force. The check of an API key asks whether that version is the newest; the search for a route did not.

Evidence: a_route_that_a_newer_configuration_may_have_is_not_answered_404 got 404 in place of 503.

Why it works: 503 says that the request has not run and may come back, which is all that this daemon knows.

--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -15,6 +15,13 @@
 /// Time after the wait of a long poll in which its answer counts as new, in milliseconds. An answer
 /// that is read later was held up, for example by a pause of this process.
 const ANSWER_DELAY_MS: u64 = 1_000;
+/// How long a configuration that another daemon has reported is awaited, in milliseconds. After that
+/// it is lost, with the daemon that had it and the copy in the log service.
+const MAX_AWAITED_MS: u64 = 10_000;
+/// Retry-after times of requests that no route matches, in milliseconds: while a newer configuration
+/// is awaited, and while this daemon cannot tell whether there is one.
+const AWAITED_RETRY_MS: u64 = 200;
+const OUTDATED_RETRY_MS: u64 = 500;
 /// Parts of `revoke_s` that a long poll of the log service may take under `strict_revoke`, so that
 /// a reader in a quiet deployment hears of the log service in time.
 const POLLS_PER_REVOKE_TIME: u64 = 3;
@@ -68,6 +75,16 @@
         self.reported_config().version > self.config_version()
     }
 
+    /// Retry-after time of a request that no route matches, in milliseconds; `None` if this daemon
+    /// knows that the newest configuration has no route for it either.
+    pub fn missing_config_retry_ms(&self) -> Option<u64> {
+        let reported_ms = self.config_reported_ms(self.config_version() + 1);
+        if self.is_config_behind() && reported_ms < MAX_AWAITED_MS {
+            return Some(AWAITED_RETRY_MS);
+        }
+        (!self.has_recent_config()).then_some(OUTDATED_RETRY_MS)
+    }
+
     /// Time since another daemon first reported this version or a newer one, in milliseconds; 0 if
     /// none has.
     pub(super) fn config_reported_ms(&self, version: u64) -> u64 {
@@ -152,9 +169,11 @@
     /// Whether the configuration in force is the newest, as far as this daemon can tell. An API key
     /// that it does not know may otherwise be one that was added since.
     pub fn is_config_up_to_date(&self) -> bool {
-        if self.is_config_behind() {
-            return false;
-        }
+        !self.is_config_behind() && self.has_recent_config()
+    }
+
+    /// Whether the log service, or a daemon that reaches it, has answered lately.
+    fn has_recent_config(&self) -> bool {
         let reads = *self.reads_log.borrow() && self.has_read_log.load(Ordering::Relaxed);
         let has_answers = reads && !self.log_unavailable.load(Ordering::Relaxed);
         has_answers || self.config_age_ms() <= UP_TO_DATE_MS
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -134,7 +134,10 @@
     let host = host.or(request.uri().host()).unwrap_or_default();
     let Some(route) = table.find(host, request.uri().path()) else {
         relay.log_missing_route(configuration, id, host, request.uri().path());
-        return empty_response(StatusCode::NOT_FOUND);
+        return match relay.missing_config_retry_ms() {
+            Some(retry_after_ms) => refusal(retry_after_ms),
+            None => empty_response(StatusCode::NOT_FOUND),
+        };
     };
     let identity = match identify(relay, table, route, id, request.headers()) {
         Ok(identity) => identity,
--- a/tests/relay_late_config.rs
+++ b/tests/relay_late_config.rs
@@ -87,22 +87,31 @@
 #[tokio::test]
 async fn a_route_that_a_newer_configuration_may_have_is_not_answered_404() {
     let deployment = Deployment::start_in(&[("a", "north")]).await;
-    let unknown = deployment.call(0, "/added/x", "r-1", b"").await;
-    assert_eq!(
-        unknown.status,
-        StatusCode::NOT_FOUND,
-        "nothing newer is known"
-    );
-    deployment.hosts[0].store_proxy.cut(Direction::FromTarget);
-    deployment.hosts[0].relay.observe_config(2, None);
+    let host = &deployment.hosts[0];
+    let status = async |id: &str| deployment.call(0, "/added/x", id, b"").await.status;
+    assert_eq!(status("r-1").await, StatusCode::NOT_FOUND, "up to date");
+    host.store_proxy.cut(Direction::FromTarget);
+    host.relay.observe_config(2, None);
     let early = deployment.call(0, "/added/x", "r-2", b"").await;
     assert_eq!(early.status, StatusCode::SERVICE_UNAVAILABLE);
     assert!(early.headers.contains_key("retry-after"));
     let added = config(2, &[route("added", "/added/", "safe", "a")]);
-    deployment.hosts[0].store_proxy.heal();
+    host.store_proxy.heal();
     deployment.configure(2, &added).await;
-    let served = deployment.call(0, "/added/x", "r-3", b"").await;
-    assert_eq!(served.status, StatusCode::OK);
-    let gone = deployment.call(0, "/safe/x", "r-4", b"").await;
-    assert_eq!(gone.status, StatusCode::NOT_FOUND);
+    assert_eq!(status("r-3").await, StatusCode::OK);
+    deployment.configure(3, &standard_config(3)).await;
+    assert_eq!(status("r-4").await, StatusCode::NOT_FOUND, "dropped");
+    host.store_proxy.cut(Direction::FromTarget);
+    let is_outdated = |deployment: &Deployment| !deployment.hosts[0].relay.is_config_up_to_date();
+    deployment.wait("no news", is_outdated).await;
+    assert_eq!(status("r-5").await, StatusCode::SERVICE_UNAVAILABLE);
+    host.store_proxy.heal();
+    deployment
+        .wait("news", |deployment| !is_outdated(deployment))
+        .await;
+    assert_eq!(
+        status("r-6").await,
+        StatusCode::NOT_FOUND,
+        "up to date again"
+    );
 }
