Pass over implausible member records and heartbeats

Reported by another operator: one odd entry of another writer, deeply nested, with a number too large or a port out of range, ended the machines that read the list, or they stopped following it.

Here: nested text, numbers beyond 64 bits and ports out of range were passed over already. Numbers that fit were not: - a revision of 2^64-1 at a daemon's own address overflowed as it announced the next one: with overflow checks the task that reads the records ended, without them the record could never be replaced; - crash counts of two records overflowed in the same way when they were added up; - a time of birth in the far future, in a heartbeat or in the own record read after a restart, made every true heartbeat stale, so that the backend server was never served again; a sequence number likewise.

Change: records, wherever they come from, and heartbeats are checked field by field before they are taken in.

Why it works: every sum and increment of what passes stays far inside its type, and a daemon can always publish above what it has read.

--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -15,6 +15,7 @@
 pub mod organisations;
 pub mod pause;
 pub mod peer_statements;
+pub mod plausible;
 pub mod proof;
 pub mod quotas;
 pub mod rate_limiter;
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -110,13 +110,22 @@
         is_news
     }
 
-    /// Merges member records; returns how many were newer than the known ones.
+    /// Merges member records; returns how many were newer than the known ones. Implausible ones are
+    /// passed over.
     pub fn merge_members(&self, members: Vec<Member>, source: &'static str) -> usize {
         let now = self.clock.now();
         let own = self.own_address();
         let mut tables = self.tables();
         let mut newer = 0;
+        let now_unix_ms = crate::net::daemon::unix_ms();
         for member in members {
+            if let Err(field) = member.check(now_unix_ms) {
+                let (address, field) = (member.address, <&str>::from(field));
+                spdlog::warn!("an implausible member record was passed over", kv: {
+                    address:, field, source
+                });
+                continue;
+            }
             if member.address == own {
                 self.restore_worker(&mut tables, now, &member, source);
                 continue;
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -11,6 +11,7 @@
 
 use crate::decide::relay::{Heartbeat, HeartbeatOutcome};
 use crate::model::ServiceName;
+use crate::net::daemon::unix_ms;
 use crate::net::relay::RelayBody;
 use crate::net::relay::hop::empty_response;
 use crate::net::relay::state::{Relay, Stage, seconds_to_ms};
@@ -91,8 +92,8 @@
         Ok(wire) => wire,
         Err(error) => return malformed(&instance, &error.to_string()),
     };
-    if instance.is_empty() || wire.info.slots == 0 {
-        return malformed(&instance, "no instance or no slots");
+    if instance.is_empty() {
+        return malformed(&instance, "no instance");
     }
     let backend = relay.settings.load().backend_address.to_string();
     if wire.address != backend {
@@ -107,6 +108,9 @@
         draining: wire.status.state == WireState::Draining,
         cold_ms: seconds_to_ms(wire.status.cold_remaining_s),
     };
+    if let Err(field) = heartbeat.check(unix_ms()) {
+        return malformed(&instance, &format!("{field} is out of range"));
+    }
     let sequence = heartbeat.sequence;
     let outcome = relay.record_heartbeat(heartbeat);
     if outcome != HeartbeatOutcome::Refreshed {
