A repeated refusal is not taken for the answer to a later request with the same id

Reported by another operator: a faulty worker wrote an earlier refusal once more on a kept connection; callers were told 'not run, try again' for requests that had run.

Here: the id of an answer is compared with that of the request, so the refusal of another request changes nothing. A request that comes back under the id of a refused one, and takes the same connection, got the old refusal as its answer.

Evidence: a_refusal_written_once_more_does_not_refuse_a_later_run_of_the_same_request, before: 503 for a request that had run once; now 200.

Change: a connection remembers the ids of the requests refused on it, at most 64, and carries none of them again; after 64 it is not reused.

Why it works: what the worker repeats arrives on the connection that it was first written to. Attempts of one request never go to one worker twice, so this concerns ids that a caller uses again.

--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -38,7 +38,10 @@
     exchanged: Exchanged,
     took_ms: u64,
 ) -> ExecutionOutcome {
-    let Exchanged { response, sender } = exchanged;
+    let Exchanged {
+        response,
+        mut sender,
+    } = exchanged;
     let header_names = &relay.header_names;
     let headers = response.headers();
     let status = response.status();
@@ -85,6 +88,7 @@
         } else {
             NotRunReason::Overloaded
         };
+        sender.record_refusal(request_id);
         discard_body(relay, response, sender);
         return ExecutionOutcome::NotRun {
             reason,
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -169,7 +169,10 @@
     let request = worker_request(relay, local_request, body, left_ms);
     let timeout = Duration::from_millis(left_ms + ANSWER_GRACE_MS);
     let answer = async {
-        let exchanged = relay.pool.exchange(address, request, max_idle_ms).await?;
+        let pool = &relay.pool;
+        let exchanged = pool
+            .exchange_as(address, request, max_idle_ms, &request_id)
+            .await?;
         relay.tables().worker_unreachable_since = None;
         let took_ms = relay.clock.now().since_ms(slot.started);
         let executed = classify_answer(relay, &request_id, &instance, exchanged, took_ms);
--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -13,6 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
 use tokio::net::TcpStream;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::body::{PooledConnection, RelayBody};
 use super::head_limit::{BoundedStream, HeadAllowance};
@@ -31,6 +32,9 @@
 /// Largest buffer of a connection, in bytes; limits the memory used for a slow reader.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Most requests refused on a connection before it is no longer reused.
+const MAX_REFUSED: usize = 64;
+
 /// Address of the other side of a connection.
 pub type PoolKey = SocketAddr;
 
@@ -62,9 +66,22 @@
 pub struct Sender {
     requests: SendRequest<RelayBody>,
     allowance: HeadAllowance,
+    /// Hashes of the ids of requests that were refused on it.
+    refused: Vec<u64>,
 }
 
 impl Sender {
+    /// Records that the other side has refused this request. It may send the refusal once more when
+    /// another answer is due, so a request with the same id takes another connection.
+    pub fn record_refusal(&mut self, request_id: &str) {
+        self.refused.push(id_hash(request_id));
+    }
+
+    fn may_carry(&self, request_id: Option<u64>) -> bool {
+        self.refused.len() < MAX_REFUSED
+            && request_id.is_none_or(|request_id| !self.refused.contains(&request_id))
+    }
+
     /// Whether the connection is closed.
     pub fn is_closed(&self) -> bool {
         self.requests.is_closed()
@@ -106,12 +123,35 @@
     /// Sends a request over an idle connection that was used at most `max_idle_ms` ago, or
     /// over a new one, and waits for the head of the response.
     pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<RelayBody>,
+        max_idle_ms: u64,
+    ) -> Result<Exchanged, ExchangeError> {
+        self.exchange_by(address, request, max_idle_ms, None).await
+    }
+
+    /// Like [`Pool::exchange`], over a connection on which no request with this id was refused.
+    pub async fn exchange_as(
+        &self,
+        address: SocketAddr,
+        request: Request<RelayBody>,
+        max_idle_ms: u64,
+        request_id: &str,
+    ) -> Result<Exchanged, ExchangeError> {
+        let request_id = Some(id_hash(request_id));
+        self.exchange_by(address, request, max_idle_ms, request_id)
+            .await
+    }
+
+    async fn exchange_by(
         &self,
         address: SocketAddr,
         mut request: Request<RelayBody>,
         max_idle_ms: u64,
+        request_id: Option<u64>,
     ) -> Result<Exchanged, ExchangeError> {
-        while let Some(sender) = self.take(address, max_idle_ms) {
+        while let Some(sender) = self.take(address, max_idle_ms, request_id) {
             match send(address, sender, request).await {
                 Err(ExchangeError::NotSent {
                     request: Some(unsent),
@@ -132,7 +172,8 @@
 
     /// Returns a connection to the pool, unless it is closed or must not be reused.
     pub fn put(&self, connection: PooledConnection) {
-        if connection.sender.is_closed() || connection.keep_ms == 0 {
+        let sender = &connection.sender;
+        if sender.is_closed() || !sender.may_carry(None) || connection.keep_ms == 0 {
             return;
         }
         let idle = Idle {
@@ -159,7 +200,12 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
-    fn take(&self, address: SocketAddr, max_idle_ms: u64) -> Option<Sender> {
+    fn take(
+        &self,
+        address: SocketAddr,
+        max_idle_ms: u64,
+        request_id: Option<u64>,
+    ) -> Option<Sender> {
         let now = self.clock.now();
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
@@ -169,7 +215,10 @@
             let idle_ms = now.since_ms(candidate.since);
             if candidate.sender.is_closed() || idle_ms >= candidate.keep_ms {
                 connections.swap_remove(index);
-            } else if idle_ms <= max_idle_ms && candidate.sender.requests.is_ready() {
+            } else if idle_ms <= max_idle_ms
+                && candidate.sender.requests.is_ready()
+                && candidate.sender.may_carry(request_id)
+            {
                 return Some(connections.remove(index).sender);
             }
         }
@@ -236,9 +285,14 @@
     Ok(Sender {
         requests,
         allowance,
+        refused: Vec::new(),
     })
 }
 
+fn id_hash(request_id: &str) -> u64 {
+    xxh3_64(request_id.as_bytes())
+}
+
 /// Sets `TCP_NODELAY`, keep-alive and the user timeout, which detect dead connections.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -25,6 +25,12 @@
     /// Run and answer; in front of the answer to the next request, send a refusal that does not
     /// name its request.
     LateRefusal,
+    /// Refuse the request without running it; send the refusal once more in front of the answer to
+    /// the next request.
+    LateShed,
+    /// Run and close the connection before the end of the answer's head; the number after the
+    /// segment's first dot is how many of its bytes are left out, 1 without it.
+    CutHead,
     /// Run and answer with status 200 but without a signature.
     Unsigned,
     /// Run and answer with status 503, without the header that says that it did not run.
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -251,11 +251,15 @@
         name.parse().unwrap_or(Behaviour::Echo)
     }
 
+    /// The number after the segment's first dot.
+    fn number(&self) -> Option<u64> {
+        self.segment().split('.').nth(1)?.parse().ok()
+    }
+
     /// Duration of a timed run: the milliseconds after the segment's first dot, else one second.
     fn run_duration(&self) -> Duration {
-        let work_ms = self.segment().split('.').nth(1);
-        let work_ms = work_ms.and_then(|work_ms| work_ms.parse().ok());
-        work_ms.map_or(DEFAULT_RUN_DURATION, Duration::from_millis)
+        self.number()
+            .map_or(DEFAULT_RUN_DURATION, Duration::from_millis)
     }
 }
 
@@ -280,12 +284,17 @@
         }
         let id = received.header("x-request-id").to_owned();
         let behaviour = received.behaviour();
-        if !matches!(behaviour, Behaviour::Shed | Behaviour::EndlessRefusal) {
+        let refuses = matches!(
+            behaviour,
+            Behaviour::Shed | Behaviour::LateShed | Behaviour::EndlessRefusal
+        );
+        if !refuses {
             let mut run = received.run.clone();
             run.instance = instance;
             lock(&shared.runs).push(run);
         }
         let run_duration = received.run_duration();
+        let left_out_bytes = received.number().unwrap_or(1) as usize;
         let stated = lock(&shared.stated).clone();
         let signed = format!("X-Request-Id: {id}\r\nX-Response-Signature: {SIGNATURE}\r\n");
         let signed = signed + &stated;
@@ -311,9 +320,19 @@
                 (format!("{head}{signed}{length}"), body)
             }
             Behaviour::Fail => (format!("{error}{signed}{length}"), body),
-            Behaviour::Shed => {
+            Behaviour::Shed | Behaviour::LateShed => {
                 let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
-                (format!("{head}content-length: 0\r\n\r\n"), Vec::new())
+                let refusal = format!("{head}content-length: 0\r\n\r\n");
+                if behaviour == Behaviour::LateShed {
+                    late_answer = refusal.clone();
+                }
+                (refusal, Vec::new())
+            }
+            Behaviour::CutHead => {
+                let answer = format!("{ok}{signed}content-length: 5\r\n\r\n");
+                let sent_bytes = answer.len().saturating_sub(left_out_bytes);
+                stream.write_all(&answer.as_bytes()[..sent_bytes]).await?;
+                return Ok(());
             }
             Behaviour::Lose => return Ok(()),
             Behaviour::Cut => {
