Soak: the reads of all relays hang between two changes of the configuration

The soak silenced the connections of single relays, so that another one always read on.

SOAK_LOST_READS=1 adds a change of the configuration, silence on all open connections to the store, and another change, within a second, every 4 to 6 s.

The proxy no longer tells its address, which one of its two users did not need.

--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -140,8 +140,9 @@
             let instance = format!("i-{number}");
             let worker = StandInWorker::start(free_address(), service, &instance);
             let worker = worker.await.expect("the worker starts");
-            let store_proxy = Proxy::start(free_address(), store.address).await;
-            let mut settings = settings(service, store_proxy.address, worker.address);
+            let store_address = free_address();
+            let store_proxy = Proxy::start(store_address, store.address).await;
+            let mut settings = settings(service, store_address, worker.address);
             settings.place.region = (*region).into();
             let relay = Relay::new(settings.clone(), platform::header_names());
             platform::start(&relay).await.expect("the listeners open");
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -4,7 +4,8 @@
 //! CI runs a few short seeds. To run others, set `SOAK_SEEDS=100..150` and `SOAK_SECONDS=20` and
 //! run `cargo test --release --test soak -- --ignored --nocapture`. `SOAK_HOSTS` sets the number
 //! of relays, `SOAK_OLDER_STORES=1` lets the store come back from older copies, `SOAK_LIMITS=1` has backend
-//! servers state rate limits, `SOAK_KEYS=1` names organisations with API keys and a quota, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
+//! servers state rate limits, `SOAK_LOST_READS=1` has the reads of all relays hang after changes of the
+//! configuration, `SOAK_KEYS=1` names organisations with API keys and a quota, `SOAK_GAP_MS` the mean time between faults, and `SOAK_LOGS` a directory that keeps
 //! the log files of failed seeds.
 
 mod callers;
@@ -54,6 +55,8 @@
     has_limits: bool,
     /// Whether the configuration names organisations with API keys, one with a quota.
     has_keys: bool,
+    /// Whether the reads of all hosts hang after some changes of the configuration.
+    has_lost_reads: bool,
 }
 
 /// A seed that once failed, replayed to guard against the fault that it found.
@@ -112,6 +115,16 @@
     });
 }
 
+#[test]
+fn configurations_are_in_force_in_time_after_the_reads_of_all_hosts_have_hung() {
+    check_plan(&Plan {
+        hosts: 9,
+        span_ms: 12_000,
+        has_lost_reads: true,
+        ..short_plan(9, 3_000)
+    });
+}
+
 #[test]
 fn api_keys_and_quotas_hold() {
     check_plan(&Plan {
@@ -158,6 +171,7 @@
             has_older_stores: number("SOAK_OLDER_STORES", 0) > 0,
             has_limits: number("SOAK_LIMITS", 0) > 0,
             has_keys: number("SOAK_KEYS", 0) > 0,
+            has_lost_reads: number("SOAK_LOST_READS", 0) > 0,
         };
         if let Err(violations) = run_plan(&plan) {
             eprintln!("seed {seed} failed: {violations:#?}");
@@ -176,6 +190,7 @@
         has_older_stores: false,
         has_limits: false,
         has_keys: false,
+        has_lost_reads: false,
     }
 }
 
@@ -235,6 +250,9 @@
     if plan.has_older_stores {
         script::add_older_stores(&mut steps, plan.seed, plan.span_ms);
     }
+    if plan.has_lost_reads {
+        script::add_lost_reads(&mut steps, plan.seed, plan.span_ms);
+    }
     if plan.has_limits {
         script::add_limits(&mut steps, plan.seed, plan.hosts, plan.span_ms);
     }
--- a/tests/soak/script.rs
+++ b/tests/soak/script.rs
@@ -51,6 +51,9 @@
     /// A backend server states a rate limit. Not drawn with the others either.
     #[strum(disabled)]
     BackendLimit,
+    /// The open connections of all hosts to the store go silent. Not drawn with the others either.
+    #[strum(disabled)]
+    StoresSilent,
 }
 
 /// A fault and the time, host and duration for which it is injected.
@@ -134,6 +137,30 @@
     steps.sort_by_key(|step| step.at_ms);
 }
 
+/// Adds changes of the configuration after which the reads of all hosts hang, each followed by
+/// another change.
+pub fn add_lost_reads(steps: &mut Vec<Step>, seed: u64, span_ms: u64) {
+    let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed ^ 0x6c72);
+    let mut at_ms = rng.random_range(0..1_000);
+    while at_ms < span_ms {
+        for fault in [
+            Fault::ConfigChange,
+            Fault::StoresSilent,
+            Fault::ConfigChange,
+        ] {
+            steps.push(Step {
+                at_ms,
+                fault,
+                host: 0,
+                duration_ms: 0,
+            });
+            at_ms += rng.random_range(20..=500);
+        }
+        at_ms += rng.random_range(4_000..=6_000);
+    }
+    steps.sort_by_key(|step| step.at_ms);
+}
+
 /// Runs all steps and removes the remaining faults at the end.
 pub async fn run(fleet: &Arc<Fleet>, steps: &[Step]) {
     let start = Instant::now();
@@ -222,6 +249,10 @@
             heal_after_span(&host.store_proxy).await;
         }
         Fault::StoreSilent => host.store_proxy.silence(),
+        Fault::StoresSilent => {
+            let hosts = fleet.hosts.iter();
+            hosts.for_each(|host| host.store_proxy.silence());
+        }
         Fault::ConfigChange => fleet.publish_config(),
         Fault::BackendLimit => {
             let per_s = LIMITS_PER_S[step.host % LIMITS_PER_S.len()];
@@ -247,7 +278,8 @@
         | Fault::StoreSlow
         | Fault::StoreLosesAnswers
         | Fault::StoreDropsHistory
-        | Fault::OlderStore => 0..fleet.hosts.len(),
+        | Fault::OlderStore
+        | Fault::StoresSilent => 0..fleet.hosts.len(),
         Fault::StoreCut | Fault::StoreSilent => step.host..step.host + 1,
         _ => return,
     };
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -45,8 +45,6 @@
 
 /// A running proxy; dropping it closes the listener and all connections.
 pub struct Proxy {
-    /// Address that it listens on.
-    pub address: SocketAddr,
     state: Arc<watch::Sender<State>>,
     task: JoinHandle<()>,
 }
@@ -58,11 +56,7 @@
             .expect("cannot bind the address of the proxy");
         let state = Arc::new(watch::Sender::new(State::default()));
         let task = tokio::spawn(accept(listener, target, Arc::clone(&state)));
-        Proxy {
-            address,
-            state,
-            task,
-        }
+        Proxy { state, task }
     }
 
     pub fn refuse(&self, refuses: bool) {
