Ask the daemon that told of a newer configuration also if it was named later

A version that was first seen in the head of a hop, which does not say who sent it, kept no reporter when a reply or the watch named one, so that others were asked in turn.

Change: the first known reporter of a version is kept and asked once. The log field reaches_log has the name of what it tells.

--- a/src/decide/relay/plausible.rs
+++ b/src/decide/relay/plausible.rs
@@ -15,7 +15,7 @@
 /// Most slots of a backend server.
 const MAX_SLOTS: u32 = 1_000_000;
 /// Most crashes of one backend server during one request.
-const MAX_CRASHES: u32 = 1_000_000;
+const MAX_STATED_CRASHES: u32 = 1_000_000;
 
 /// The field that is out of its range.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display, IntoStaticStr)]
@@ -47,7 +47,7 @@
         }
         check_process(self.born_unix_ms, self.slots, now_unix_ms)?;
         let mut suspects = self.suspects.iter();
-        if suspects.any(|suspect| suspect.crashes > MAX_CRASHES) {
+        if suspects.any(|suspect| suspect.crashes > MAX_STATED_CRASHES) {
             return Err(Implausible::Crashes);
         }
         Ok(())
--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -32,8 +32,10 @@
     version: u64,
     /// When it was first reported.
     at: TimeMs,
-    /// The daemon that has it, if that is known and was not asked for it yet.
+    /// The daemon that has it, if that is known.
     reporter: Option<SocketAddr>,
+    /// Whether that daemon was asked for it.
+    is_asked: bool,
 }
 
 impl Relay {
@@ -46,12 +48,14 @@
         {
             let mut reported = self.reported_config();
             if reported.version < version {
-                let at = self.clock.now();
                 *reported = ReportedConfig {
                     version,
-                    at,
+                    at: self.clock.now(),
                     reporter,
+                    is_asked: false,
                 };
+            } else if reported.version == version && reported.reporter.is_none() {
+                reported.reporter = reporter;
             }
         }
         self.peer_poll_needed.notify_one();
@@ -61,8 +65,11 @@
     /// are asked if it does not answer.
     pub(super) fn take_config_reporter(&self) -> Option<SocketAddr> {
         let mut reported = self.reported_config();
-        let reporter = reported.reporter.take();
-        reporter.filter(|_| reported.version > self.config_version())
+        if reported.is_asked || reported.version <= self.config_version() {
+            return None;
+        }
+        reported.is_asked = reported.reporter.is_some();
+        reported.reporter
     }
 
     /// The newest configuration version that this daemon has or was told of.
@@ -112,7 +119,7 @@
         let reported = self.reported_config().version;
         let reported_ms = self.config_reported_ms(config + 1);
         let age_ms = text_or_never(Some(self.config_age_ms()).filter(|age_ms| *age_ms < u64::MAX));
-        let reads_log = self.reaches_log();
+        let reaches_log = self.reaches_log();
         let (follows, heard_ms) = {
             let tables = self.tables();
             let plan = tables.readers.plan(now, &tables.directory);
@@ -123,7 +130,7 @@
         let request_id = id;
         spdlog::info!("no route matches a request", kv: {
             request_id, host, path, config, source, in_force_ms, age_ms, reported, reported_ms,
-            reads_log:, follows, heard_ms
+            reaches_log:, follows, heard_ms
         });
     }
 
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -1,6 +1,7 @@
 //! Exchange of configuration and member records between daemons. Most daemons follow a reader of
 //! the log service in their availability zone by long polls; readers exchange changes with other
 //! readers while the log service is unavailable. An answer carries only what the other side lacks.
+//! Readers also watch the configuration version of a reader in another zone.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
