--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -1,5 +1,6 @@
-//! How long ago this daemon has made sure that its configuration is the newest. An API key may have
-//! been revoked or added since.
+//! What this daemon knows of newer configurations: how long ago it has made sure that its own is the
+//! newest, and which version other daemons have reported. An API key or a route may have been revoked
+//! or added since.
 
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
