Log and count callers' connections that the relay ends

An error of a caller's connection was dropped, whether a head was too large, the connection idle or the caller gone. It is counted by cause now; the log line says whether the connection had other limits than the configuration in force. The line of an answer names the version in force beside the one that routed the request.

--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -391,16 +391,18 @@
     let status = u64::from(status.as_u16());
     let workers = workers_text(tried, expected);
     let root = call.root.route.as_str();
-    let config = call.config;
+    let (config, in_force) = (call.config, relay.config_version());
     if status < 400 {
         if relay.may_log(LineKind::Served) {
             spdlog::info!("a request was answered", kv: {
-                request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
+                request_id, route, service, root, config, in_force, outcome, status, took_ms, left_ms,
+                workers
             });
         }
     } else if relay.may_log(LineKind::Failed) {
         spdlog::info!("a request has failed", kv: {
-            request_id, route, service, root, config, outcome, status, took_ms, left_ms, workers
+            request_id, route, service, root, config, in_force, outcome, status, took_ms, left_ms,
+            workers
         });
     }
 }
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -14,8 +14,10 @@
 use tokio::time::Instant;
 
 use super::body::RelayBody;
+use super::log_limiter::LineKind;
 use super::pool;
 use super::state::{Relay, Stage};
+use crate::decide::relay::Limits;
 use crate::net::NetError;
 use crate::net::http;
 
@@ -33,6 +35,31 @@
 /// Idle timeout of callers' connections while there is no configuration, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 60_000;
 
+/// What this daemon ends a caller's connection for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum ConnectionEnd {
+    /// No whole request head has arrived in time.
+    Timeout,
+    /// A request head exceeds the limit.
+    HeadTooLarge,
+    /// What has arrived is no request.
+    Malformed,
+}
+
+impl ConnectionEnd {
+    /// Why a connection has failed; `None` if the caller has closed it.
+    fn of(error: &hyper::Error) -> Option<ConnectionEnd> {
+        if error.is_timeout() {
+            Some(ConnectionEnd::Timeout)
+        } else if error.is_parse_too_large() {
+            Some(ConnectionEnd::HeadTooLarge)
+        } else {
+            error.is_parse().then_some(ConnectionEnd::Malformed)
+        }
+    }
+}
+
 /// The kind of client that connects to a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ClientKind {
@@ -129,9 +156,8 @@
     }
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false);
+    let limits = relay.limits();
     if client_kind == ClientKind::Callers {
-        let configuration = relay.configuration.load();
-        let limits = configuration.as_ref().map(|known| known.table.limits);
         let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
         let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_ms);
         // hyper uses one timer for both a slow request head and an idle connection.
@@ -145,7 +171,7 @@
             .max_buf_size(DEFAULT_HEADER_BYTES);
     }
     let mut stage = relay.stage.subscribe();
-    let service = service_fn(move |request| {
+    let service = service_fn(|request| {
         let response = handler(Arc::clone(&relay), request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -156,11 +182,32 @@
         // An idle connection would be closed although its next request has arrived.
         tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
     };
-    tokio::select! {
+    let ended = tokio::select! {
         biased;
-        // An error means that the client closed the connection.
-        _ = connection.as_mut() => return,
-        () = closing => connection.as_mut().graceful_shutdown(),
+        ended = connection.as_mut() => ended,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if client_kind == ClientKind::Callers
+        && let Err(error) = ended
+        && let Some(cause) = ConnectionEnd::of(&error)
+    {
+        record_end(&relay, cause, limits);
+    }
+}
+
+/// Counts a caller's connection that this daemon has ended, and logs it unless it was merely idle
+/// for longer than is allowed now. `limits` are those of the connection.
+fn record_end(relay: &Relay, cause: ConnectionEnd, limits: Option<Limits>) {
+    relay.metrics.connection_ended(cause);
+    let is_outdated = limits != relay.limits();
+    if cause == ConnectionEnd::Timeout && !is_outdated {
+        return;
+    }
+    if relay.may_log(LineKind::Connection) {
+        let (cause, config) = (<&str>::from(cause), relay.config_version());
+        spdlog::info!("a caller's connection was ended", kv: { cause, is_outdated, config });
     }
-    let _ = connection.await;
 }
--- a/src/net/relay/log_limiter.rs
+++ b/src/net/relay/log_limiter.rs
@@ -11,6 +11,8 @@
 const MAX_FAILED_LINES_PER_S: u32 = 200;
 /// Most lines a second about requests that no route matches.
 const MAX_NO_ROUTE_LINES_PER_S: u32 = 50;
+/// Most lines a second about connections that this daemon ends.
+const MAX_CONNECTION_LINES_PER_S: u32 = 20;
 /// Length of the fixed window in which lines are counted, in milliseconds.
 const WINDOW_MS: u64 = 1_000;
 
@@ -24,6 +26,8 @@
     /// Without a route. These have a limit of their own, since a daemon whose configuration is out
     /// of date shows it here first.
     NoRoute,
+    /// A connection rather than a request.
+    Connection,
 }
 
 #[derive(Debug, Default)]
@@ -57,6 +61,8 @@
     pub failed: u64,
     /// Lines about requests without a route.
     pub no_route: u64,
+    /// Lines about connections.
+    pub connection: u64,
 }
 
 #[derive(Debug, Default)]
@@ -64,6 +70,7 @@
     served: Window,
     failed: Window,
     no_route: Window,
+    connection: Window,
 }
 
 /// The rate limiter of one daemon.
@@ -80,6 +87,7 @@
             LineKind::Served => windows.served.allow(now, MAX_SERVED_LINES_PER_S),
             LineKind::Failed => windows.failed.allow(now, MAX_FAILED_LINES_PER_S),
             LineKind::NoRoute => windows.no_route.allow(now, MAX_NO_ROUTE_LINES_PER_S),
+            LineKind::Connection => windows.connection.allow(now, MAX_CONNECTION_LINES_PER_S),
         }
     }
 
@@ -90,6 +98,7 @@
             served: std::mem::take(&mut windows.served.dropped),
             failed: std::mem::take(&mut windows.failed.dropped),
             no_route: std::mem::take(&mut windows.no_route.dropped),
+            connection: std::mem::take(&mut windows.connection.dropped),
         }
     }
 
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -10,6 +10,7 @@
 use super::config_metrics::ConfigMetrics;
 use super::executor::ExecutionOutcome;
 use super::identify::IdentityError;
+use super::listen::ConnectionEnd;
 use super::quota_metrics::QuotaMetrics;
 use crate::decide::relay::{CapacityEstimator, CapacityState};
 use crate::model::Distance;
@@ -29,6 +30,7 @@
     pub(super) config: ConfigMetrics,
     answers: IntCounterVec,
     answer_seconds: Histogram,
+    connections_ended: IntCounterVec,
     executions: IntCounterVec,
     execution_seconds: Histogram,
     shed: IntCounter,
@@ -63,6 +65,11 @@
                 "burdockhall_relay_answer_seconds",
                 "Time from a caller's request to the head of its answer.",
             ),
+            connections_ended: counters(
+                "burdockhall_relay_connections_ended_total",
+                "Callers' connections that this daemon has ended by cause.",
+                "cause",
+            ),
             executions: counters(
                 "burdockhall_relay_executions_total",
                 "Requests for the backend server beside this daemon by outcome.",
@@ -147,9 +154,10 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 19] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
+            Box::new(self.connections_ended.clone()),
             Box::new(self.executions.clone()),
             Box::new(self.execution_seconds.clone()),
             Box::new(self.shed.clone()),
@@ -182,6 +190,13 @@
         self.answer_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Counts a caller's connection that this daemon has ended.
+    pub fn connection_ended(&self, cause: ConnectionEnd) {
+        self.connections_ended
+            .with_label_values(&[<&str>::from(cause)])
+            .inc();
+    }
+
     /// Counts a request for the backend server beside this daemon by outcome and observes the time
     /// that it waited and ran, in milliseconds.
     pub fn executed(&self, executed: &ExecutionOutcome, took_ms: u64) {
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -26,9 +26,10 @@
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
 use crate::decide::relay::{
-    Admission, CrashWitness, Directory, EndedRequests, EntryShares, LoadBalancer, LocalWorker,
-    OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan, RequestDigest,
-    RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, WaiterId, WorkerShares,
+    Admission, CrashWitness, Directory, EndedRequests, EntryShares, Limits, LoadBalancer,
+    LocalWorker, OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan,
+    RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, WaiterId,
+    WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -380,6 +381,12 @@
             .map_or(0, |known| known.table.version)
     }
 
+    /// Limits of callers' connections and requests; `None` while there is no configuration.
+    pub fn limits(&self) -> Option<Limits> {
+        let configuration = self.configuration.load();
+        configuration.as_ref().map(|known| known.table.limits)
+    }
+
     /// Whether the configuration in force names organisations.
     pub fn names_organisations(&self) -> bool {
         let configuration = self.configuration.load();
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -72,9 +72,10 @@
                 served,
                 failed,
                 no_route,
+                connection,
             } = dropped;
             spdlog::info!("log lines about requests were left out", kv: {
-                served, failed, no_route
+                served, failed, no_route, connection
             });
         }
     }
