Hold a changed header limit on connections that were open before

Callers saw: after maxHeaderBytes was raised, heads within the new limit got 431 on every connection opened before the change, for as long as it was kept; after it was lowered, heads above it were served there.

Cause: the HTTP library is given the size of its buffer when a connection is accepted, and the relay never came back to it. The class: a value of the configuration that is read once and held over a change.

Change: limits are a watched value; a connection whose buffer has another size is shut down gracefully, that is at once if it is idle and after the answer if it is not. Requests on new connections have the new limit.

Evidence: a_change_of_the_header_limit_holds_on_connections_opened_before_it gave 431 in place of 200 on the code before and passes now; a request that runs during the change is answered (a_change_..._cuts_off_no_request_that_runs).

--- a/src/decide/relay/routes.rs
+++ b/src/decide/relay/routes.rs
@@ -108,6 +108,18 @@
     pub idle_ms: u64,
 }
 
+impl Default for Limits {
+    /// Limits while there is no configuration.
+    fn default() -> Limits {
+        Limits {
+            header_bytes: 64 * 1024,
+            body_bytes: u64::MAX,
+            header_ms: 60_000,
+            idle_ms: 60_000,
+        }
+    }
+}
+
 /// All routes of one version of the configuration.
 #[derive(Debug)]
 pub struct RouteTable {
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -29,11 +29,8 @@
 const MAX_LAST_ACCEPTS_MS: u64 = 100;
 /// Smallest connection buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Connection buffer of daemons, and of callers while no configuration limits the request head,
-/// in bytes.
-const DEFAULT_HEADER_BYTES: usize = 64 * 1024;
-/// Idle timeout of callers' connections while there is no configuration, in milliseconds.
-const DEFAULT_IDLE_MS: u64 = 60_000;
+/// Connection buffer of daemons, in bytes.
+const DAEMON_HEADER_BYTES: usize = 64 * 1024;
 
 /// What this daemon ends a caller's connection for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -156,19 +153,18 @@
     }
     let mut builder = http1::Builder::new();
     builder.auto_date_header(false);
-    let limits = relay.limits();
+    let mut limits = relay.limits.subscribe();
+    let initial = *limits.borrow_and_update();
     if client_kind == ClientKind::Callers {
-        let header_bytes = limits.map_or(DEFAULT_HEADER_BYTES, |limits| limits.header_bytes);
-        let idle_ms = limits.map_or(DEFAULT_IDLE_MS, |limits| limits.idle_ms);
         // hyper uses one timer for both a slow request head and an idle connection.
         builder
             .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(idle_ms))
-            .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES));
+            .header_read_timeout(Duration::from_millis(initial.idle_ms))
+            .max_buf_size(initial.header_bytes.max(MIN_BUFFER_BYTES));
     } else {
         builder
             .header_read_timeout(None)
-            .max_buf_size(DEFAULT_HEADER_BYTES);
+            .max_buf_size(DAEMON_HEADER_BYTES);
     }
     let mut stage = relay.stage.subscribe();
     let service = service_fn(|request| {
@@ -176,9 +172,16 @@
         async move { Ok::<_, Infallible>(response.await) }
     });
     let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let has_other_buffer = |limits: &Limits| {
+        client_kind == ClientKind::Callers && limits.header_bytes != initial.header_bytes
+    };
     let closing = async move {
-        // The sender lives as long as the relay, so an error means that the relay is gone.
-        let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
+        // The senders live as long as the relay, so an error means that the relay is gone.
+        tokio::select! {
+            _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+            // hyper cannot change the buffer of an open connection.
+            _ = limits.wait_for(has_other_buffer) => {}
+        }
         // An idle connection would be closed although its next request has arrived.
         tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
     };
@@ -194,15 +197,15 @@
         && let Err(error) = ended
         && let Some(cause) = ConnectionEnd::of(&error)
     {
-        record_end(&relay, cause, limits);
+        record_end(&relay, cause, initial);
     }
 }
 
 /// Counts a caller's connection that this daemon has ended, and logs it unless it was merely idle
 /// for longer than is allowed now. `limits` are those of the connection.
-fn record_end(relay: &Relay, cause: ConnectionEnd, limits: Option<Limits>) {
+fn record_end(relay: &Relay, cause: ConnectionEnd, limits: Limits) {
     relay.metrics.connection_ended(cause);
-    let is_outdated = limits != relay.limits();
+    let is_outdated = limits != *relay.limits.borrow();
     if cause == ConnectionEnd::Timeout && !is_outdated {
         return;
     }
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -210,6 +210,8 @@
     pub pool: Arc<Pool>,
     /// The configuration in force; empty until the first one is read.
     pub configuration: ArcSwapOption<Configuration>,
+    /// Limits of callers' connections and requests, those of the configuration in force.
+    pub limits: watch::Sender<Limits>,
     /// Stage of the daemon; other than [`Stage::Serving`] only during the shutdown.
     pub stage: watch::Sender<Stage>,
     /// Wakes the task that publishes this daemon's member record.
@@ -279,6 +281,7 @@
             pool: Pool::new(clock.clone()),
             clock,
             configuration: ArcSwapOption::empty(),
+            limits: watch::Sender::new(Limits::default()),
             stage: watch::Sender::new(Stage::Serving),
             record_changed: Notify::new(),
             peer_poll_needed: Notify::new(),
@@ -381,12 +384,6 @@
             .map_or(0, |known| known.table.version)
     }
 
-    /// Limits of callers' connections and requests; `None` while there is no configuration.
-    pub fn limits(&self) -> Option<Limits> {
-        let configuration = self.configuration.load();
-        configuration.as_ref().map(|known| known.table.limits)
-    }
-
     /// Whether the configuration in force names organisations.
     pub fn names_organisations(&self) -> bool {
         let configuration = self.configuration.load();
@@ -405,6 +402,7 @@
         let organisations = table.organisations.as_ref();
         let keys = organisations.map_or(0, OrganisationTable::key_count);
         let organisations = organisations.map_or(0, |known| known.all().len());
+        let limits = table.limits;
         self.metrics.organisations_in_force(organisations, keys);
         self.configuration.store(Some(Arc::new(Configuration {
             table,
@@ -412,6 +410,8 @@
             source,
             since: self.clock.now(),
         })));
+        self.limits
+            .send_if_modified(|before| std::mem::replace(before, limits) != limits);
         let reported_ms = self.config_reported_ms(to);
         spdlog::info!("a configuration is in force", kv: {
             from, to, routes, organisations, keys, source, reported_ms
--- /dev/null
+++ b/tests/relay_open_connections.rs
@@ -0,0 +1,162 @@
+//! Limits of callers' connections follow the configuration on connections that were open before it
+//! changed.
+
+mod deployment;
+
+use std::time::Duration;
+
+use deployment::{Deployment, standard_config};
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Time in which a configuration must be in force on a daemon in touch, in milliseconds.
+const CONFIG_MS: u64 = 2_000;
+/// Longest wait for an answer, in milliseconds.
+const ANSWER_MS: u64 = 3_000;
+const CONNECTIONS: usize = 4;
+
+fn head(id: &str, padding_bytes: usize) -> String {
+    format!(
+        "GET /safe/x HTTP/1.1\r\nhost: calls.example\r\nx-request-id: {id}\r\nx-deadline-ms: 3000\r\n\
+         x-padding: {}\r\n\r\n",
+        "p".repeat(padding_bytes)
+    )
+}
+
+/// Reads one answer and returns its status; `None` if the connection ends without one.
+async fn read_status(stream: &mut TcpStream) -> Option<u16> {
+    let mut answer = Vec::new();
+    let read = async {
+        let mut chunk = [0; 1024];
+        loop {
+            let received_bytes = stream.read(&mut chunk).await.unwrap_or(0);
+            answer.extend_from_slice(&chunk[..received_bytes]);
+            if received_bytes == 0 || is_whole(&answer) {
+                break;
+            }
+        }
+    };
+    // An answer that is late counts as none.
+    let _ = tokio::time::timeout(Duration::from_millis(ANSWER_MS), read).await;
+    let text = String::from_utf8_lossy(&answer);
+    text.split(' ').nth(1)?.parse().ok()
+}
+
+fn is_whole(answer: &[u8]) -> bool {
+    let text = String::from_utf8_lossy(answer);
+    let Some((head, body)) = text.split_once("\r\n\r\n") else {
+        return false;
+    };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(": ")?;
+        let is_length = name.eq_ignore_ascii_case("content-length");
+        is_length.then(|| value.parse().ok()).flatten()
+    });
+    body.len() >= length.unwrap_or(0)
+}
+
+/// Sends a request on a kept connection, or on a new one if that was closed before, as callers do.
+async fn status_on(deployment: &Deployment, kept: &mut TcpStream, request: &str) -> Option<u16> {
+    let sent = kept.write_all(request.as_bytes()).await;
+    let status = match sent {
+        Ok(()) => read_status(kept).await,
+        Err(_) => None,
+    };
+    if status.is_some() {
+        return status;
+    }
+    let callers = deployment.hosts[0].settings.callers_address;
+    *kept = TcpStream::connect(callers).await.expect("a connection");
+    let sent = kept.write_all(request.as_bytes()).await;
+    sent.expect("the new connection is open");
+    read_status(kept).await
+}
+
+async fn open_connections(deployment: &Deployment, are_used: bool) -> Vec<TcpStream> {
+    let callers = deployment.hosts[0].settings.callers_address;
+    let mut kept = Vec::new();
+    for number in 0..CONNECTIONS {
+        let mut stream = TcpStream::connect(callers).await.expect("a connection");
+        if are_used {
+            let request = head(&format!("first-{number}"), 0);
+            let status = status_on(deployment, &mut stream, &request).await;
+            assert_eq!(status, Some(200));
+        }
+        kept.push(stream);
+    }
+    kept
+}
+
+fn config_with(version: u64, limit: &str, value: u64) -> Value {
+    let mut config = standard_config(version);
+    config["limits"][limit] = value.into();
+    config
+}
+
+#[tokio::test]
+async fn a_change_of_the_header_limit_holds_on_connections_opened_before_it() {
+    struct Case {
+        name: &'static str,
+        bytes_before: u64,
+        bytes_after: u64,
+        are_used: bool,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            name: "raised, on used connections",
+            bytes_before: 16_384,
+            bytes_after: 65_536,
+            are_used: true,
+            status: 200,
+        },
+        Case {
+            name: "lowered, on used connections",
+            bytes_before: 65_536,
+            bytes_after: 16_384,
+            are_used: true,
+            status: 431,
+        },
+        Case {
+            name: "raised, on connections that have carried nothing",
+            bytes_before: 16_384,
+            bytes_after: 65_536,
+            are_used: false,
+            status: 200,
+        },
+    ];
+    for case in cases {
+        let deployment = Deployment::start(&["a"]).await;
+        let limit = |version, bytes| config_with(version, "maxHeaderBytes", bytes);
+        deployment.configure(2, &limit(2, case.bytes_before)).await;
+        let kept = open_connections(&deployment, case.are_used).await;
+        deployment.configure(3, &limit(3, case.bytes_after)).await;
+        tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
+        for (number, mut stream) in kept.into_iter().enumerate() {
+            let request = head(&format!("last-{number}"), 30_000);
+            let status = status_on(&deployment, &mut stream, &request).await;
+            assert_eq!(status, Some(case.status), "{}", case.name);
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_change_of_the_header_limit_cuts_off_no_request_that_runs() {
+    let deployment = Deployment::start(&["a"]).await;
+    let mut kept = open_connections(&deployment, true).await;
+    for stream in &mut kept {
+        let request = head("running", 0).replace("/safe/x", "/safe/work.1000");
+        stream.write_all(request.as_bytes()).await.expect("open");
+    }
+    deployment
+        .wait("the runs", |deployment| {
+            deployment.runs("running") == CONNECTIONS
+        })
+        .await;
+    let limits = config_with(2, "maxHeaderBytes", 65_536);
+    deployment.configure(2, &limits).await;
+    for mut stream in kept {
+        assert_eq!(read_status(&mut stream).await, Some(200));
+    }
+}
