Hold a changed idle time on connections that were open before

Callers saw: after idleTimeoutS was raised, connections opened before the change were still closed at the old time, so a caller that used one again within the new time lost its request; after it was lowered they stayed open.

Cause: the HTTP library's timer is set once, when a connection is accepted.

Change: the phase of a connection (waits for a request, or answers one) is a decision of its own, and the timeout is computed from it by the limits in force now; a change of the limits wakes it. A connection answers until the bodies of answer and request have both ended, since a backend server may answer early.

Evidence: a_change_of_the_idle_time_holds_on_connections_opened_before_it: after 2 to 15 s the connection was closed after 4 s idle before, and serves now; after 15 to 2 s it is closed.

--- /dev/null
+++ b/src/decide/relay/connection_phase.rs
@@ -0,0 +1,26 @@
+//! What a caller's connection waits for, and how long it may.
+
+use super::routes::Limits;
+use crate::model::TimeMs;
+
+/// What a caller's connection waits for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionPhase {
+    /// The next request.
+    Idle {
+        /// When the connection was opened or the last answer ended.
+        since: TimeMs,
+    },
+    /// The answer to a request.
+    Answering,
+}
+
+impl ConnectionPhase {
+    /// When the connection ends unless the phase changes; `None` for never.
+    pub fn ends_at(self, limits: Limits) -> Option<TimeMs> {
+        match self {
+            ConnectionPhase::Idle { since } => Some(since.plus_ms(limits.idle_ms)),
+            ConnectionPhase::Answering => None,
+        }
+    }
+}
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -6,6 +6,7 @@
 pub mod accepted;
 pub mod admission;
 pub mod capacity;
+pub mod connection_phase;
 pub mod crash_witness;
 pub mod directory;
 pub mod ended_requests;
@@ -33,6 +34,7 @@
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
+pub use connection_phase::ConnectionPhase;
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use directory::{Directory, Member, MemberState};
 pub use ended_requests::EndedRequests;
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
+use super::connection_timeout::Answering;
 use super::pool::{Pool, PoolKey, Sender};
 
 /// Why a body ended early.
@@ -51,6 +52,7 @@
     left_bytes: u64,
     limit_bytes: u64,
     connection: Option<PooledConnection>,
+    _answering: Option<Answering>,
 }
 
 /// A connection taken from a pool; it is returned once the body has been read to its end.
@@ -88,6 +90,7 @@
             left_bytes: u64::MAX,
             limit_bytes: u64::MAX,
             connection,
+            _answering: None,
         })
     }
 
@@ -106,11 +109,12 @@
     }
 
     /// The body of a request: buffered if it has at most `buffer_bytes`, otherwise streamed. A
-    /// streamed body fails once it exceeds `limit_bytes`.
+    /// streamed body fails once it exceeds `limit_bytes`, and keeps `answering`.
     pub async fn request(
         mut incoming: Incoming,
         buffer_bytes: usize,
         limit_bytes: u64,
+        answering: Option<Answering>,
     ) -> Result<RelayBody, BodyError> {
         if incoming.is_end_stream() {
             return Ok(RelayBody::Empty);
@@ -134,6 +138,7 @@
             left_bytes: limit_bytes.saturating_sub(read_bytes),
             limit_bytes,
             connection: None,
+            _answering: answering,
         }))
     }
 
--- /dev/null
+++ b/src/net/relay/connection_timeout.rs
@@ -0,0 +1,140 @@
+//! Timeouts of callers' connections, by the limits in force now rather than by those of the time
+//! when a connection was opened.
+
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use tokio::sync::watch;
+use tokio::time::{Instant, Sleep};
+
+use super::body::{BodyError, RelayBody};
+use crate::decide::relay::{ConnectionPhase, Limits};
+use crate::decide::sharded::lock;
+use crate::model::{Clock, TimeMs};
+
+/// The phase of one connection, shared by the parts that change it.
+#[derive(Debug, Clone)]
+pub struct SharedPhase {
+    clock: Clock,
+    phase: Arc<Mutex<ConnectionPhase>>,
+}
+
+impl SharedPhase {
+    /// The phase of a connection that was just opened.
+    pub fn new(clock: Clock) -> SharedPhase {
+        let since = clock.now();
+        SharedPhase {
+            clock,
+            phase: Arc::new(Mutex::new(ConnectionPhase::Idle { since })),
+        }
+    }
+
+    /// Marks the connection as answering until all copies of the returned value are dropped.
+    pub fn request_arrived(&self) -> Answering {
+        *lock(&self.phase) = ConnectionPhase::Answering;
+        Answering(Arc::new(AnsweringPhase(self.clone())))
+    }
+
+    fn get(&self) -> ConnectionPhase {
+        *lock(&self.phase)
+    }
+}
+
+/// Keeps a connection in [`ConnectionPhase::Answering`] until all copies are dropped: by the body of
+/// the answer and, as a backend server may answer early, by that of the request. It reaches the
+/// handler as an extension of the request.
+#[derive(Debug, Clone)]
+pub struct Answering(#[expect(dead_code, reason = "held for its drop")] Arc<AnsweringPhase>);
+
+#[derive(Debug)]
+struct AnsweringPhase(SharedPhase);
+
+impl Drop for AnsweringPhase {
+    fn drop(&mut self) {
+        let since = self.0.clock.now();
+        *lock(&self.0.phase) = ConnectionPhase::Idle { since };
+    }
+}
+
+/// Body of an answer. The connection is answering at least until it is dropped.
+#[derive(Debug)]
+pub struct AnswerBody {
+    body: RelayBody,
+    _answering: Answering,
+}
+
+impl AnswerBody {
+    /// The body of the answer to the request that `answering` stands for.
+    pub fn new(body: RelayBody, answering: Answering) -> AnswerBody {
+        AnswerBody {
+            body,
+            _answering: answering,
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// Becomes ready when a connection has been in its phase for as long as the limits allow.
+#[derive(Debug)]
+pub struct PhaseTimeout {
+    phase: SharedPhase,
+    limits: watch::Receiver<Limits>,
+    /// What the timer is set to.
+    set_to: Option<TimeMs>,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl PhaseTimeout {
+    /// The timeout of a connection in `phase`, by the newest `limits`.
+    pub fn new(phase: SharedPhase, limits: watch::Receiver<Limits>) -> PhaseTimeout {
+        PhaseTimeout {
+            phase,
+            limits,
+            set_to: None,
+            timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
+        }
+    }
+
+    /// Polls the timeout. It must be polled again after each change of phase or limits.
+    pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        loop {
+            let Some(ends_at) = self.phase.get().ends_at(*self.limits.borrow()) else {
+                return Poll::Pending;
+            };
+            if self.set_to != Some(ends_at) {
+                let left_ms = ends_at.since_ms(self.phase.clock.now());
+                let deadline = Instant::now() + Duration::from_millis(left_ms);
+                self.timer.as_mut().reset(deadline);
+                self.set_to = Some(ends_at);
+            }
+            ready!(self.timer.as_mut().poll(context));
+            if self.phase.clock.now() >= ends_at {
+                return Poll::Ready(());
+            }
+            self.set_to = None;
+        }
+    }
+}
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::attempt;
 use super::body::RelayBody;
+use super::connection_timeout::Answering;
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::identify::{self, identify};
@@ -147,7 +148,8 @@
     if request.body().size_hint().lower() > limit_bytes {
         return empty_response(StatusCode::PAYLOAD_TOO_LARGE);
     }
-    let (parts, incoming) = request.into_parts();
+    let (mut parts, incoming) = request.into_parts();
+    let answering = parts.extensions.remove::<Answering>();
     let mut headers = parts.headers;
     strip_connection_headers(&mut headers);
     headers.remove(HOP_HEADER);
@@ -197,7 +199,8 @@
     };
     let organisation = root.organisation.as_ref();
     identify::replace_headers(relay, Some(table), &mut headers, organisation);
-    let body = match RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes).await {
+    let body = RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes, answering);
+    let body = match body.await {
         Ok(body) => body,
         Err(error) => {
             let error = error.to_string();
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -3,17 +3,19 @@
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::Instant;
 
 use super::body::RelayBody;
+use super::connection_timeout::{AnswerBody, PhaseTimeout, SharedPhase};
 use super::log_limiter::LineKind;
 use super::pool;
 use super::state::{Relay, Stage};
@@ -47,9 +49,7 @@
 impl ConnectionEnd {
     /// Why a connection has failed; `None` if the caller has closed it.
     fn of(error: &hyper::Error) -> Option<ConnectionEnd> {
-        if error.is_timeout() {
-            Some(ConnectionEnd::Timeout)
-        } else if error.is_parse_too_large() {
+        if error.is_parse_too_large() {
             Some(ConnectionEnd::HeadTooLarge)
         } else {
             error.is_parse().then_some(ConnectionEnd::Malformed)
@@ -151,66 +151,84 @@
         let error = error.to_string();
         spdlog::debug!("a connection cannot be tuned", kv: { error });
     }
-    let mut builder = http1::Builder::new();
-    builder.auto_date_header(false);
     let mut limits = relay.limits.subscribe();
-    let initial = *limits.borrow_and_update();
-    if client_kind == ClientKind::Callers {
-        // hyper uses one timer for both a slow request head and an idle connection.
-        builder
-            .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(initial.idle_ms))
-            .max_buf_size(initial.header_bytes.max(MIN_BUFFER_BYTES));
-    } else {
-        builder
-            .header_read_timeout(None)
-            .max_buf_size(DAEMON_HEADER_BYTES);
-    }
-    let mut stage = relay.stage.subscribe();
-    let service = service_fn(|request| {
+    let header_bytes = match client_kind {
+        ClientKind::Callers => limits.borrow().header_bytes,
+        ClientKind::Daemons => DAEMON_HEADER_BYTES,
+    };
+    let phase = SharedPhase::new(relay.clock.clone());
+    let mut timeout = (client_kind == ClientKind::Callers)
+        .then(|| PhaseTimeout::new(phase.clone(), limits.clone()));
+    let service = service_fn(|mut request: Request<Incoming>| {
+        let answering = phase.request_arrived();
+        request.extensions_mut().insert(answering.clone());
         let response = handler(Arc::clone(&relay), request);
-        async move { Ok::<_, Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, answering)))
+        }
     });
-    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
-    let has_other_buffer = |limits: &Limits| {
-        client_kind == ClientKind::Callers && limits.header_bytes != initial.header_bytes
-    };
-    let closing = async move {
-        // The senders live as long as the relay, so an error means that the relay is gone.
+    let connection = http1::Builder::new()
+        .auto_date_header(false)
+        .header_read_timeout(None)
+        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut closing = std::pin::pin!(closing(&relay, client_kind, header_bytes));
+    let mut is_closing = false;
+    let end = loop {
+        let ended = std::future::poll_fn(|context| {
+            if let Poll::Ready(ended) = connection.as_mut().poll(context) {
+                return Poll::Ready(ended.err().and_then(|error| ConnectionEnd::of(&error)));
+            }
+            let Some(timeout) = &mut timeout else {
+                return Poll::Pending;
+            };
+            timeout
+                .poll_expired(context)
+                .map(|()| Some(ConnectionEnd::Timeout))
+        });
         tokio::select! {
-            _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
-            // hyper cannot change the buffer of an open connection.
-            _ = limits.wait_for(has_other_buffer) => {}
-        }
-        // An idle connection would be closed although its next request has arrived.
-        tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
-    };
-    let ended = tokio::select! {
-        biased;
-        ended = connection.as_mut() => ended,
-        () = closing => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            biased;
+            end = ended => break end,
+            () = closing.as_mut(), if !is_closing => {
+                connection.as_mut().graceful_shutdown();
+                is_closing = true;
+            }
+            // The timeout is polled again by the new limits.
+            Ok(()) = limits.changed() => {}
         }
     };
     if client_kind == ClientKind::Callers
-        && let Err(error) = ended
-        && let Some(cause) = ConnectionEnd::of(&error)
+        && let Some(cause) = end
     {
-        record_end(&relay, cause, initial);
+        record_end(&relay, cause, header_bytes);
     }
 }
 
-/// Counts a caller's connection that this daemon has ended, and logs it unless it was merely idle
-/// for longer than is allowed now. `limits` are those of the connection.
-fn record_end(relay: &Relay, cause: ConnectionEnd, limits: Limits) {
-    relay.metrics.connection_ended(cause);
-    let is_outdated = limits != *relay.limits.borrow();
-    if cause == ConnectionEnd::Timeout && !is_outdated {
-        return;
+/// Returns once a connection must end although its client goes on using it: when this daemon stops,
+/// or when the limit of request heads changes, since hyper cannot change the buffer of an open
+/// connection.
+async fn closing(relay: &Relay, client_kind: ClientKind, header_bytes: usize) {
+    let (mut stage, mut limits) = (relay.stage.subscribe(), relay.limits.subscribe());
+    let has_changed =
+        |limits: &Limits| client_kind == ClientKind::Callers && limits.header_bytes != header_bytes;
+    // The senders live as long as the relay, so an error means that the relay is gone.
+    tokio::select! {
+        _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
+        _ = limits.wait_for(has_changed) => {}
     }
-    if relay.may_log(LineKind::Connection) {
+    // An idle connection would be closed although its next request has arrived.
+    tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
+}
+
+/// Counts a caller's connection that this daemon has ended, and logs it unless it was merely idle.
+/// `header_bytes` is the limit of request heads that it had.
+fn record_end(relay: &Relay, cause: ConnectionEnd, header_bytes: usize) {
+    relay.metrics.connection_ended(cause);
+    if cause != ConnectionEnd::Timeout && relay.may_log(LineKind::Connection) {
         let (cause, config) = (<&str>::from(cause), relay.config_version());
+        let is_outdated = header_bytes != relay.limits.borrow().header_bytes;
         spdlog::info!("a caller's connection was ended", kv: { cause, is_outdated, config });
     }
 }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -7,6 +7,7 @@
 mod capacity;
 mod config_age;
 mod config_metrics;
+mod connection_timeout;
 mod crash_probe;
 pub mod entry;
 pub mod executor;
--- a/tests/relay_open_connections.rs
+++ b/tests/relay_open_connections.rs
@@ -160,3 +160,41 @@
         assert_eq!(read_status(&mut stream).await, Some(200));
     }
 }
+#[tokio::test]
+async fn a_change_of_the_idle_time_holds_on_connections_opened_before_it() {
+    struct Case {
+        name: &'static str,
+        idle_before_s: u64,
+        idle_after_s: u64,
+        is_open: bool,
+    }
+    let cases = [
+        Case {
+            name: "raised",
+            idle_before_s: 2,
+            idle_after_s: 15,
+            is_open: true,
+        },
+        Case {
+            name: "lowered",
+            idle_before_s: 15,
+            idle_after_s: 2,
+            is_open: false,
+        },
+    ];
+    for case in cases {
+        let deployment = Deployment::start(&["a"]).await;
+        let limit = |version, idle_s| config_with(version, "idleTimeoutS", idle_s);
+        deployment.configure(2, &limit(2, case.idle_before_s)).await;
+        let kept = open_connections(&deployment, true).await;
+        deployment.configure(3, &limit(3, case.idle_after_s)).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        for (number, mut stream) in kept.into_iter().enumerate() {
+            let request = head(&format!("last-{number}"), 0);
+            let sent = stream.write_all(request.as_bytes()).await;
+            let status = read_status(&mut stream).await;
+            let is_open = sent.is_ok() && status == Some(200);
+            assert_eq!(is_open, case.is_open, "{}: {status:?}", case.name);
+        }
+    }
+}
