Give a slow request head the header timeout, not the idle time

Callers saw: a request head that took longer than idleTimeoutS was cut off though headerTimeoutS allowed it, and one that took longer than headerTimeoutS was served.

Cause: the setting was decoded and not used; the HTTP library's one timer served for both and had the idle time.

Change: a connection that has received bytes while it waited for a request is in a phase of its own, with the header timeout. The wrapper that bounds the heads of answers became generic over what it tells of received bytes, and serves both.

Evidence: a_slow_request_head_has_the_header_timeout_and_not_the_idle_time, heads in two halves 2.5 s apart under 6 s and 1 s, and 1 s and 15 s: cut off and served before; served and cut off now, on new and on used connections.

--- a/src/net/relay/connection_timeout.rs
+++ b/src/net/relay/connection_timeout.rs
@@ -12,6 +12,7 @@
 use tokio::time::{Instant, Sleep};
 
 use super::body::{BodyError, RelayBody};
+use super::observed_stream::ReadObserver;
 use crate::decide::relay::{ConnectionPhase, Limits};
 use crate::decide::sharded::lock;
 use crate::model::{Clock, TimeMs};
@@ -44,6 +45,14 @@
     }
 }
 
+impl ReadObserver for SharedPhase {
+    fn received(&self, _: u64) -> std::io::Result<()> {
+        let mut phase = lock(&self.phase);
+        *phase = phase.received(self.clock.now());
+        Ok(())
+    }
+}
+
 /// Keeps a connection in [`ConnectionPhase::Answering`] until all copies are dropped: by the body of
 /// the answer and, as a backend server may answer early, by that of the request. It reaches the
 /// handler as an extension of the request.
@@ -118,10 +127,12 @@
         }
     }
 
-    /// Polls the timeout. It must be polled again after each change of phase or limits.
-    pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<()> {
+    /// Polls the timeout, and returns the phase that has lasted too long. It must be polled again
+    /// after each change of phase or limits.
+    pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<ConnectionPhase> {
         loop {
-            let Some(ends_at) = self.phase.get().ends_at(*self.limits.borrow()) else {
+            let phase = self.phase.get();
+            let Some(ends_at) = phase.ends_at(*self.limits.borrow()) else {
                 return Poll::Pending;
             };
             if self.set_to != Some(ends_at) {
@@ -132,7 +143,7 @@
             }
             ready!(self.timer.as_mut().poll(context));
             if self.phase.clock.now() >= ends_at {
-                return Poll::Ready(());
+                return Poll::Ready(phase);
             }
             self.set_to = None;
         }
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -17,9 +17,10 @@
 use super::body::RelayBody;
 use super::connection_timeout::{AnswerBody, PhaseTimeout, SharedPhase};
 use super::log_limiter::LineKind;
+use super::observed_stream::ObservedStream;
 use super::pool;
 use super::state::{Relay, Stage};
-use crate::decide::relay::Limits;
+use crate::decide::relay::{ConnectionPhase, Limits};
 use crate::net::NetError;
 use crate::net::http;
 
@@ -38,8 +39,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum ConnectionEnd {
-    /// No whole request head has arrived in time.
-    Timeout,
+    /// No request has arrived in time.
+    Idle,
+    /// The rest of a request head has not arrived in time.
+    SlowHead,
     /// A request head exceeds the limit.
     HeadTooLarge,
     /// What has arrived is no request.
@@ -55,6 +58,14 @@
             error.is_parse().then_some(ConnectionEnd::Malformed)
         }
     }
+
+    /// Why a connection ends whose phase has lasted too long.
+    fn of_expired(phase: ConnectionPhase) -> ConnectionEnd {
+        match phase {
+            ConnectionPhase::Head { .. } => ConnectionEnd::SlowHead,
+            ConnectionPhase::Idle { .. } | ConnectionPhase::Answering => ConnectionEnd::Idle,
+        }
+    }
 }
 
 /// The kind of client that connects to a listener.
@@ -157,6 +168,7 @@
         ClientKind::Daemons => DAEMON_HEADER_BYTES,
     };
     let phase = SharedPhase::new(relay.clock.clone());
+    let stream = TokioIo::new(ObservedStream::new(stream, phase.clone()));
     let mut timeout = (client_kind == ClientKind::Callers)
         .then(|| PhaseTimeout::new(phase.clone(), limits.clone()));
     let service = service_fn(|mut request: Request<Incoming>| {
@@ -172,7 +184,7 @@
         .auto_date_header(false)
         .header_read_timeout(None)
         .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
     let mut closing = std::pin::pin!(closing(&relay, client_kind, header_bytes));
     let mut is_closing = false;
@@ -186,7 +198,7 @@
             };
             timeout
                 .poll_expired(context)
-                .map(|()| Some(ConnectionEnd::Timeout))
+                .map(|phase| Some(ConnectionEnd::of_expired(phase)))
         });
         tokio::select! {
             biased;
@@ -226,7 +238,7 @@
 /// `header_bytes` is the limit of request heads that it had.
 fn record_end(relay: &Relay, cause: ConnectionEnd, header_bytes: usize) {
     relay.metrics.connection_ended(cause);
-    if cause != ConnectionEnd::Timeout && relay.may_log(LineKind::Connection) {
+    if cause != ConnectionEnd::Idle && relay.may_log(LineKind::Connection) {
         let (cause, config) = (<&str>::from(cause), relay.config_version());
         let is_outdated = header_bytes != relay.limits.borrow().header_bytes;
         spdlog::info!("a caller's connection was ended", kv: { cause, is_outdated, config });
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -21,6 +21,7 @@
 pub mod log_limiter;
 pub mod log_progress;
 mod members;
+mod observed_stream;
 pub mod offer;
 pub mod peers;
 pub mod pool;
--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -16,7 +16,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::body::{PooledConnection, RelayBody};
-use super::head_limit::{BoundedStream, HeadAllowance};
+use super::head_limit::HeadAllowance;
+use super::observed_stream::ObservedStream;
 use crate::model::{Clock, TimeMs};
 
 /// Connect timeout, in milliseconds. Shorter than the connect timeout of callers, so that another
@@ -275,7 +276,7 @@
     let allowance = HeadAllowance::new();
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
-        .handshake(TokioIo::new(BoundedStream::new(stream, allowance.clone())))
+        .handshake(TokioIo::new(ObservedStream::new(stream, allowance.clone())))
         .await;
     let (requests, connection) = handshake.map_err(|error| error.to_string())?;
     // Errors of the connection surface at the sender and the body as well.
--- a/tests/relay_open_connections.rs
+++ b/tests/relay_open_connections.rs
@@ -198,3 +198,44 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_slow_request_head_has_the_header_timeout_and_not_the_idle_time() {
+    struct Case {
+        name: &'static str,
+        header_s: u64,
+        idle_s: u64,
+        is_served: bool,
+    }
+    let cases = [
+        Case {
+            name: "longer than the idle time",
+            header_s: 6,
+            idle_s: 1,
+            is_served: true,
+        },
+        Case {
+            name: "shorter than the idle time",
+            header_s: 1,
+            idle_s: 15,
+            is_served: false,
+        },
+    ];
+    for case in cases {
+        for are_used in [false, true] {
+            let deployment = Deployment::start(&["a"]).await;
+            let mut limits = config_with(2, "headerTimeoutS", case.header_s);
+            limits["limits"]["idleTimeoutS"] = case.idle_s.into();
+            deployment.configure(2, &limits).await;
+            let mut kept = open_connections(&deployment, are_used).await;
+            let request = head("slow", 0);
+            let (begin, end) = request.split_at(30);
+            kept[0].write_all(begin.as_bytes()).await.expect("open");
+            tokio::time::sleep(Duration::from_millis(2_500)).await;
+            // A connection that was closed meanwhile may refuse the rest.
+            let _ = kept[0].write_all(end.as_bytes()).await;
+            let is_served = read_status(&mut kept[0]).await == Some(200);
+            assert_eq!(is_served, case.is_served, "{}", case.name);
+        }
+    }
+}
