Refuse requests that become whole too late in a planned stop

Callers saw: a request whose head or body ended late in the grace was taken and passed on, and cut without an answer when the process ended, among them requests that may run once.

Cause: the stop says when no new connection is taken, but nothing asked whether what is left of the grace is enough for a request that becomes whole after that. The class: work is begun under a bound that ends the process, without a look at it.

Change: once the time has passed in which callers know that requests are taken, a request is passed on only if it cannot outlast the shutdown; otherwise it is refused with 503, which is true, since it has not run. One that was taken in time has a deadline within the shutdown, so that it ends with an answer, not a cut. Queues and repeats go by the same deadline.

--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -27,6 +27,7 @@
 pub mod run_counts;
 pub mod server_load;
 pub mod shares;
+pub mod shutdown;
 pub mod silent_peers;
 pub mod speed;
 pub mod stated_rate;
@@ -55,5 +56,6 @@
 pub use shares::{
     EntryShares, PriorityShares, Reporter, RootKind, RootRequest, ShareReport, WorkerShares,
 };
+pub use shutdown::Shutdown;
 pub use speed::SpeedMeter;
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -15,6 +15,7 @@
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::identify::{self, identify};
 use super::log_limiter::LineKind;
+use super::slot::LEAVING_RETRY_MS;
 use super::state::{Configuration, Relay, Shed, Stage};
 use crate::decide::relay::quotas::QuotaRefusal;
 use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route};
@@ -208,6 +209,13 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
+    let mut deadline = started.plus_ms(left_ms);
+    if let Some(shutdown) = &*relay.shutdown.load() {
+        match shutdown.deadline(relay.clock.now(), deadline) {
+            Some(earlier) => deadline = earlier,
+            None => return refuse_late(relay, id, route),
+        }
+    }
     let path_and_query = parts.uri.path_and_query().map_or("", |path| path.as_str());
     let digest = RequestDigest::new(parts.method.as_str(), path_and_query, body.buffered());
     let call = Call {
@@ -220,7 +228,7 @@
         root,
         is_call: parent_id.is_some(),
         parent_is_retry,
-        deadline: started.plus_ms(left_ms),
+        deadline,
         started,
         config: table.version,
         digest,
@@ -234,6 +242,18 @@
     response
 }
 
+/// Refuses a request that has become whole too late in the shutdown of this daemon.
+fn refuse_late(relay: &Relay, request_id: &str, route: &Route) -> Response<RelayBody> {
+    let retry_after_ms = LEAVING_RETRY_MS;
+    if relay.may_log(LineKind::Failed) {
+        let route = route.name.as_str();
+        spdlog::info!("a request was refused since this daemon is shutting down", kv: {
+            request_id, route, retry_after_ms
+        });
+    }
+    refusal(retry_after_ms)
+}
+
 /// Refuses a root request whose organisation exceeds its quota.
 fn exceeded(
     relay: &Relay,
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -29,7 +29,7 @@
 /// How long bytes that have arrived before [`Stage::Closing`] may take to be read, in milliseconds.
 const LAST_READ_MS: u64 = 10;
 /// Longest time for which waiting connections are still accepted after that, in milliseconds.
-const MAX_LAST_ACCEPTS_MS: u64 = 100;
+pub(super) const MAX_LAST_ACCEPTS_MS: u64 = 100;
 /// Smallest connection buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 /// Connection buffer of daemons, in bytes.
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -19,7 +19,7 @@
 const MIN_LEFT_MS: u64 = 5;
 /// Retry-after time if the backend server beside this daemon is draining or gone, in
 /// milliseconds: about two heartbeats.
-const LEAVING_RETRY_MS: u64 = 500;
+pub(super) const LEAVING_RETRY_MS: u64 = 500;
 
 /// An occupied slot of the backend server, released on drop.
 pub(super) struct Slot {
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -28,7 +28,7 @@
 use crate::decide::relay::{
     Admission, CrashWitness, Directory, EndedRequests, EntryShares, Limits, LoadBalancer,
     LocalWorker, OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan,
-    RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, WaiterId,
+    RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, Shutdown, WaiterId,
     WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
@@ -214,6 +214,8 @@
     pub limits: watch::Sender<Limits>,
     /// Stage of the daemon; other than [`Stage::Serving`] only during the shutdown.
     pub stage: watch::Sender<Stage>,
+    /// The shutdown, once it has begun.
+    pub shutdown: ArcSwapOption<Shutdown>,
     /// Wakes the task that publishes this daemon's member record.
     pub record_changed: Notify,
     /// Wakes the task that polls peers, when one has a newer configuration or the log service fails.
@@ -283,6 +285,7 @@
             configuration: ArcSwapOption::empty(),
             limits: watch::Sender::new(Limits::default()),
             stage: watch::Sender::new(Stage::Serving),
+            shutdown: ArcSwapOption::empty(),
             record_changed: Notify::new(),
             peer_poll_needed: Notify::new(),
             state_changed: Notify::new(),
--- a/src/net/relay/stop.rs
+++ b/src/net/relay/stop.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use super::listen::MAX_LAST_ACCEPTS_MS;
 use super::state::{Relay, Stage, seconds_to_ms};
+use crate::decide::relay::Shutdown;
 use crate::model::TimeMs;
 
 /// How long new callers are still accepted after readiness is withdrawn, in milliseconds. Covers
@@ -22,12 +24,17 @@
 pub async fn stop(relay: &Arc<Relay>) -> usize {
     let started = relay.clock.now();
     let grace_ms = seconds_to_ms(relay.settings.load().bounds.grace_s * GRACE_FRACTION);
+    let leaving_ms = LEAVING_MS.min(grace_ms / 2);
+    let shutdown = Shutdown {
+        accepts_until: started.plus_ms(leaving_ms + MAX_LAST_ACCEPTS_MS),
+        ends_at: started.plus_ms(grace_ms),
+    };
+    relay.shutdown.store(Some(Arc::new(shutdown)));
     relay.stage.send_replace(Stage::Leaving);
     relay.announce_stop();
     relay.leave_quotas();
     let open = relay.open_requests.load(Ordering::Relaxed) as u64;
     spdlog::info!("the daemon is shutting down and reports not ready", kv: { open, grace_ms });
-    let leaving_ms = LEAVING_MS.min(grace_ms / 2);
     tokio::time::sleep(Duration::from_millis(leaving_ms)).await;
     relay.stage.send_replace(Stage::Closing);
     let mut idle_polls = 0;
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use burdockhall::net::relay::state::Stage;
-use deployment::Deployment;
+use deployment::{Deployment, config, route};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::time::Instant;
 
 const REQUESTS: usize = 30;
 
@@ -104,3 +106,97 @@
         }
     }
 }
+
+#[derive(Debug, Clone, Copy)]
+struct LateRequest {
+    path: &'static str,
+    /// Bytes sent soon after the signal; the head has about 120.
+    early_bytes: usize,
+    /// When the rest is sent, in milliseconds after the signal.
+    whole_ms: u64,
+    /// The status, if only one is right.
+    status: Option<&'static str>,
+}
+
+impl LateRequest {
+    /// Sends the request, and returns the status of its answer.
+    async fn send(self, callers: std::net::SocketAddr, id: &str, signal: Instant) -> String {
+        let text = format!(
+            "POST {} HTTP/1.1\r\nhost: calls.example\r\nx-request-id: {id}\r\n\
+             x-deadline-ms: 8000\r\ncontent-length: 4\r\n\r\nbody",
+            self.path
+        );
+        let (early, rest) = text.split_at(self.early_bytes.min(text.len() - 1));
+        let stream = tokio::net::TcpStream::connect(callers).await;
+        let mut stream = stream.expect("the listener is open");
+        tokio::time::sleep_until(signal + Duration::from_millis(300)).await;
+        stream.write_all(early.as_bytes()).await.expect("open");
+        tokio::time::sleep_until(signal + Duration::from_millis(self.whole_ms)).await;
+        // What comes after the close may be refused.
+        let _ = stream.write_all(rest.as_bytes()).await;
+        let mut status = [0; 12];
+        match stream.read_exact(&mut status).await {
+            Ok(_) => String::from_utf8_lossy(&status[9..]).into_owned(),
+            Err(_) => "closed".to_owned(),
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_request_that_becomes_whole_late_in_a_shutdown_is_answered_or_not_run() {
+    let (in_head, in_body) = (30, usize::MAX);
+    let mut cases = Vec::new();
+    for path in ["/once/work.1000", "/safe/work.1000"] {
+        for early_bytes in [in_head, in_body] {
+            for whole_ms in [1_500, 2_500, 3_500, 4_400, 4_900, 5_200, 5_350] {
+                let is_accepted = whole_ms <= 2_500;
+                cases.push(LateRequest {
+                    path,
+                    early_bytes,
+                    whole_ms,
+                    status: is_accepted.then_some("200"),
+                });
+            }
+        }
+    }
+    cases.push(LateRequest {
+        path: "/once/work.6000",
+        early_bytes: in_body,
+        whole_ms: 1_500,
+        status: None,
+    });
+    let deployment = Deployment::start(&["a", "a", "a", "a"]).await;
+    let mut routes = [
+        route("once", "/once/", "unsafe", "a"),
+        route("safe", "/safe/", "safe", "a"),
+    ];
+    for route in &mut routes {
+        route["timeoutS"] = 10.into();
+    }
+    deployment.configure(2, &config(2, &routes)).await;
+    let callers = deployment.hosts[0].settings.callers_address;
+    let signal = Instant::now();
+    let mut answers = Vec::new();
+    for (number, case) in cases.iter().copied().enumerate() {
+        let id = format!("late-{number}");
+        answers.push(tokio::spawn(async move {
+            case.send(callers, &id, signal).await
+        }));
+    }
+    let unfinished = deployment.stop(0).await;
+    // The process ends here, and with it every connection.
+    for (number, (case, answer)) in cases.iter().zip(answers).enumerate() {
+        let status = if answer.is_finished() {
+            answer.await.expect("the caller does not panic")
+        } else {
+            "cut".to_owned()
+        };
+        let runs = deployment.runs(&format!("late-{number}"));
+        let is_answered = matches!(status.as_str(), "200" | "502" | "504");
+        assert!(is_answered || runs == 0, "{case:?}: {status}, {runs} runs");
+        if let Some(expected) = case.status {
+            assert_eq!(status, expected, "{case:?}");
+        }
+    }
+    assert_eq!(unfinished, 0);
+}
