Route a request by the configuration in force when its body has arrived

Callers saw: a request whose body arrived slowly ran at the old service of a route that had moved, or on a route that had been dropped, however long after the change its last byte came (the client's time limit bounds it, up to 30 s without one).

Cause: the configuration was loaded once, at the head of the request, and held through the body.

Change: when the body has arrived and a newer version is in force, route, API key and timeout are looked up again; a request that the newer version doesn't allow is refused, which is true, since it has not run.

Evidence: a_request_whose_body_ends_after_a_change_goes_by_the_new_configuration: the request ran at host 0, the old service, before; at the new one now, and 404 without a run where the route was dropped.

--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -13,7 +13,7 @@
 use super::connection_timeout::Answering;
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
-use super::identify::{self, identify};
+use super::identify::{self, Identity, identify};
 use super::log_limiter::LineKind;
 use super::slot::LEAVING_RETRY_MS;
 use super::state::{Configuration, Relay, Shed, Stage};
@@ -117,6 +117,37 @@
     }
 }
 
+/// Finds the route of a request and on whose behalf it is made.
+///
+/// # Errors
+///
+/// Returns the answer to a request that is refused.
+fn find_route<'a>(
+    relay: &Relay,
+    configuration: &'a Configuration,
+    id: &'a str,
+    headers: &HeaderMap,
+    uri: &Uri,
+) -> Result<(&'a Route, Identity<'a>), Box<Response<RelayBody>>> {
+    let table = &configuration.table;
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.or(uri.host()).unwrap_or_default();
+    let Some(route) = table.find(host, uri.path()) else {
+        relay.log_missing_route(configuration, id, host, uri.path());
+        return Err(Box::new(match relay.missing_config_retry_ms() {
+            Some(retry_after_ms) => refusal(retry_after_ms),
+            None => empty_response(StatusCode::NOT_FOUND),
+        }));
+    };
+    match identify(relay, table, route, id, headers) {
+        Ok(identity) => Ok((route, identity)),
+        Err(error) => {
+            let refused = identify::refuse(relay, id, route, table.version, error);
+            Err(Box::new(refused))
+        }
+    }
+}
+
 async fn serve(
     relay: &Arc<Relay>,
     configuration: &Configuration,
@@ -129,21 +160,10 @@
     let Ok(id) = request_id.to_str() else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let host = request
-        .headers()
-        .get(HOST)
-        .and_then(|host| host.to_str().ok());
-    let host = host.or(request.uri().host()).unwrap_or_default();
-    let Some(route) = table.find(host, request.uri().path()) else {
-        relay.log_missing_route(configuration, id, host, request.uri().path());
-        return match relay.missing_config_retry_ms() {
-            Some(retry_after_ms) => refusal(retry_after_ms),
-            None => empty_response(StatusCode::NOT_FOUND),
-        };
-    };
-    let identity = match identify(relay, table, route, id, request.headers()) {
-        Ok(identity) => identity,
-        Err(error) => return identify::refuse(relay, id, route, table.version, error),
+    let found = find_route(relay, configuration, id, request.headers(), request.uri());
+    let (route, identity) = match found {
+        Ok(found) => found,
+        Err(refused) => return *refused,
     };
     let limit_bytes = table.limits.body_bytes;
     if request.body().size_hint().lower() > limit_bytes {
@@ -163,10 +183,6 @@
     let left_ms = headers.get(&relay.header_names.time_left_ms);
     let left_ms = left_ms.and_then(|left| left.to_str().ok()?.trim().parse::<u64>().ok());
     let left_ms = left_ms.unwrap_or(DEFAULT_LEFT_MS);
-    let left_ms = route
-        .timeout_ms
-        .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
-    let left_ms = left_ms.saturating_sub(held_ms);
     let parent = identity.parent;
     let parent_id = parent.as_ref().map(|(parent_id, _)| *parent_id);
     let parent_is_retry = parent.as_ref().is_some_and(|(_, parent)| parent.is_retry);
@@ -198,8 +214,6 @@
             root
         }
     };
-    let organisation = root.organisation.as_ref();
-    identify::replace_headers(relay, Some(table), &mut headers, organisation);
     let body = RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes, answering);
     let body = match body.await {
         Ok(body) => body,
@@ -209,7 +223,22 @@
             return empty_response(StatusCode::BAD_REQUEST);
         }
     };
-    let mut deadline = started.plus_ms(left_ms);
+    let newest = relay.configuration.load_full();
+    let newest = newest.as_deref().unwrap_or(configuration);
+    let mut route = route;
+    if newest.table.version > table.version {
+        // A slow body may have outlasted the configuration by which the head was routed.
+        match find_route(relay, newest, id, &headers, &parts.uri) {
+            Ok((newer, _)) => route = newer,
+            Err(refused) => return *refused,
+        }
+    }
+    let organisation = root.organisation.as_ref();
+    identify::replace_headers(relay, Some(&newest.table), &mut headers, organisation);
+    let left_ms = route
+        .timeout_ms
+        .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
+    let mut deadline = started.plus_ms(left_ms.saturating_sub(held_ms));
     if let Some(shutdown) = &*relay.shutdown.load() {
         match shutdown.deadline(relay.clock.now(), deadline) {
             Some(earlier) => deadline = earlier,
@@ -230,7 +259,7 @@
         parent_is_retry,
         deadline,
         started,
-        config: table.version,
+        config: newest.table.version,
         digest,
     };
     let response = attempt(relay, &call, body).await;
--- a/tests/relay_late_config.rs
+++ b/tests/relay_late_config.rs
@@ -8,6 +8,9 @@
 use deployment::proxy::Direction;
 use deployment::{CONFIG_TOPIC, Deployment, config, route, standard_config};
 use hyper::StatusCode;
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 /// Least time in which a configuration must be in force on a daemon in touch, in milliseconds.
@@ -115,3 +118,48 @@
         "up to date again"
     );
 }
+
+#[tokio::test]
+async fn a_request_whose_body_ends_after_a_change_goes_by_the_new_configuration() {
+    struct Case {
+        name: &'static str,
+        after: Value,
+        status: Option<&'static str>,
+        ran_at: Option<usize>,
+    }
+    let moved = [route("safe", "/safe/", "safe", "b")];
+    let cases = [
+        Case {
+            name: "moved",
+            after: config(2, &moved),
+            status: Some("200"),
+            ran_at: Some(1),
+        },
+        Case {
+            name: "dropped",
+            after: config(2, &[route("other", "/other/", "safe", "b")]),
+            status: Some("404"),
+            ran_at: None,
+        },
+    ];
+    for case in cases {
+        let deployment = Deployment::start(&["a", "b"]).await;
+        let callers = deployment.hosts[0].settings.callers_address;
+        let mut stream = TcpStream::connect(callers).await.expect("a connection");
+        let head = "POST /safe/x HTTP/1.1\r\nhost: calls.example\r\nx-request-id: slow\r\n\
+                    x-deadline-ms: 8000\r\ncontent-length: 4\r\n\r\nbo";
+        stream.write_all(head.as_bytes()).await.expect("open");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        deployment.configure(2, &case.after).await;
+        tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
+        stream.write_all(b"dy").await.expect("open");
+        let mut start = [0; 12];
+        let read = stream.read_exact(&mut start).await;
+        let status = read
+            .ok()
+            .and_then(|_| std::str::from_utf8(&start[9..]).ok());
+        let ran_at = (0..2).find(|host| !deployment.hosts[*host].worker.runs().is_empty());
+        assert_eq!(ran_at, case.ran_at, "{}", case.name);
+        assert_eq!(status, case.status, "{}", case.name);
+    }
+}
