Answer a request whose body stalls at its deadline

Callers saw: no answer to a request whose body had not arrived by its deadline, for as long as the rest was missing; a daemon that stops waited for it until the end of its grace.

Cause: the body was awaited without a bound.

Change: the body has the time that the caller leaves, at most the route's timeout; then 408, which is true, since the request has not run. A route found anew after a slow body limits what the caller stated, not what the older route had left of it.

--- a/src/decide/relay/routes.rs
+++ b/src/decide/relay/routes.rs
@@ -68,6 +68,12 @@
         }
     }
 
+    /// The time left for a request, in milliseconds, if its caller leaves it `left_ms`.
+    pub fn limit_left_ms(&self, left_ms: u64) -> u64 {
+        self.timeout_ms
+            .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms))
+    }
+
     /// Chooses the service of the next request, such that any run of consecutive requests is
     /// distributed close to the weights.
     ///
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
@@ -180,9 +181,9 @@
     if let Ok(caller) = HeaderValue::try_from(caller.as_str()) {
         headers.insert(relay.header_names.caller_service.clone(), caller);
     }
-    let left_ms = headers.get(&relay.header_names.time_left_ms);
-    let left_ms = left_ms.and_then(|left| left.to_str().ok()?.trim().parse::<u64>().ok());
-    let left_ms = left_ms.unwrap_or(DEFAULT_LEFT_MS);
+    let stated_ms = headers.get(&relay.header_names.time_left_ms);
+    let stated_ms = stated_ms.and_then(|left| left.to_str().ok()?.trim().parse::<u64>().ok());
+    let stated_ms = stated_ms.unwrap_or(DEFAULT_LEFT_MS);
     let parent = identity.parent;
     let parent_id = parent.as_ref().map(|(parent_id, _)| *parent_id);
     let parent_is_retry = parent.as_ref().is_some_and(|(_, parent)| parent.is_retry);
@@ -215,9 +216,14 @@
         }
     };
     let body = RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes, answering);
-    let body = match body.await {
-        Ok(body) => body,
-        Err(error) => {
+    let body_time = Duration::from_millis(route.limit_left_ms(stated_ms));
+    let body = match tokio::time::timeout(body_time, body).await {
+        Ok(Ok(body)) => body,
+        Err(_) => {
+            spdlog::info!("a request's body has not arrived in time", kv: { request_id: = id });
+            return empty_response(StatusCode::REQUEST_TIMEOUT);
+        }
+        Ok(Err(error)) => {
             let error = error.to_string();
             spdlog::info!("a request broke off", kv: { request_id: = id, error });
             return empty_response(StatusCode::BAD_REQUEST);
@@ -235,9 +241,7 @@
     }
     let organisation = root.organisation.as_ref();
     identify::replace_headers(relay, Some(&newest.table), &mut headers, organisation);
-    let left_ms = route
-        .timeout_ms
-        .map_or(left_ms, |timeout_ms| left_ms.min(timeout_ms));
+    let left_ms = route.limit_left_ms(stated_ms);
     let mut deadline = started.plus_ms(left_ms.saturating_sub(held_ms));
     if let Some(shutdown) = &*relay.shutdown.load() {
         match shutdown.deadline(relay.clock.now(), deadline) {
--- a/tests/relay_open_connections.rs
+++ b/tests/relay_open_connections.rs
@@ -239,3 +239,16 @@
         }
     }
 }
+
+#[tokio::test]
+async fn a_request_whose_body_stalls_is_answered_at_its_deadline() {
+    let deployment = Deployment::start(&["a"]).await;
+    let mut kept = open_connections(&deployment, true).await;
+    let head = head("stalled", 0).replace("GET", "POST");
+    let head = head.replace("x-deadline-ms: 3000", "x-deadline-ms: 500");
+    let head = head.replace("x-padding: ", "content-length: 4\r\nx-padding: ");
+    kept[0].write_all(head.as_bytes()).await.expect("open");
+    kept[0].write_all(b"bo").await.expect("open");
+    assert_eq!(read_status(&mut kept[0]).await, Some(408));
+    assert_eq!(deployment.runs("stalled"), 0);
+}
