--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use super::attempt::attempt;
-use super::body::RelayBody;
+use super::body::{BodyError, RelayBody};
 use super::connection_timeout::Answering;
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
@@ -215,30 +215,23 @@
             root
         }
     };
+    let body_ms = route.limit_left_ms(stated_ms);
     let body = RelayBody::request(incoming, MAX_BUFFERED_BYTES, limit_bytes, answering);
-    let body_time = Duration::from_millis(route.limit_left_ms(stated_ms));
-    let body = match tokio::time::timeout(body_time, body).await {
-        Ok(Ok(body)) => body,
-        Err(_) => {
-            spdlog::info!("a request's body has not arrived in time", kv: { request_id: = id });
-            return empty_response(StatusCode::REQUEST_TIMEOUT);
-        }
-        Ok(Err(error)) => {
-            let error = error.to_string();
-            spdlog::info!("a request broke off", kv: { request_id: = id, error });
-            return empty_response(StatusCode::BAD_REQUEST);
-        }
+    let body = match whole_body(id, body, body_ms).await {
+        Ok(body) => body,
+        Err(status) => return empty_response(status),
     };
+    // A slow body may have outlasted the configuration by which the head was routed.
     let newest = relay.configuration.load_full();
     let newest = newest.as_deref().unwrap_or(configuration);
-    let mut route = route;
-    if newest.table.version > table.version {
-        // A slow body may have outlasted the configuration by which the head was routed.
+    let route = if newest.table.version == table.version {
+        route
+    } else {
         match find_route(relay, newest, id, &headers, &parts.uri) {
-            Ok((newer, _)) => route = newer,
+            Ok((route, _)) => route,
             Err(refused) => return *refused,
         }
-    }
+    };
     let organisation = root.organisation.as_ref();
     identify::replace_headers(relay, Some(&newest.table), &mut headers, organisation);
     let left_ms = route.limit_left_ms(stated_ms);
@@ -275,6 +268,30 @@
     response
 }
 
+/// Waits for the body of a request for at most `wait_ms`.
+///
+/// # Errors
+///
+/// Returns the status of the answer if the body has not arrived by then or has broken off.
+async fn whole_body(
+    request_id: &str,
+    body: impl Future<Output = Result<RelayBody, BodyError>>,
+    wait_ms: u64,
+) -> Result<RelayBody, StatusCode> {
+    match tokio::time::timeout(Duration::from_millis(wait_ms), body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(error)) => {
+            let error = error.to_string();
+            spdlog::info!("a request broke off", kv: { request_id, error });
+            Err(StatusCode::BAD_REQUEST)
+        }
+        Err(_) => {
+            spdlog::info!("a request's body has not arrived in time", kv: { request_id, wait_ms });
+            Err(StatusCode::REQUEST_TIMEOUT)
+        }
+    }
+}
+
 /// Refuses a request that has become whole too late in the shutdown of this daemon.
 fn refuse_late(relay: &Relay, request_id: &str, route: &Route) -> Response<RelayBody> {
     let retry_after_ms = LEAVING_RETRY_MS;
