Don't take a connection for idle while a later request has no answer

A backend server may answer early; its request's body can then be held by the connection to it until after the caller's next request has arrived. Its end set the phase to idle, so that a later request that takes longer than the idle time could have been cut off. The phase counts requests now.

a_connection_is_not_idle_while_a_later_request_has_no_answer shows the phases.

--- a/src/decide/relay/connection_phase.rs
+++ b/src/decide/relay/connection_phase.rs
@@ -16,8 +16,12 @@
         /// When its first bytes were received.
         since: TimeMs,
     },
-    /// The answer to a request.
-    Answering,
+    /// The end of requests and their answers.
+    Answering {
+        /// Number of requests. There is more than one if a backend server has answered early and
+        /// the body of its request is still held when the next request arrives.
+        requests: u32,
+    },
 }
 
 impl ConnectionPhase {
@@ -25,7 +29,28 @@
     pub fn received(self, now: TimeMs) -> ConnectionPhase {
         match self {
             ConnectionPhase::Idle { .. } => ConnectionPhase::Head { since: now },
-            ConnectionPhase::Head { .. } | ConnectionPhase::Answering => self,
+            ConnectionPhase::Head { .. } | ConnectionPhase::Answering { .. } => self,
+        }
+    }
+
+    /// The phase after a request head was received.
+    pub fn request_arrived(self) -> ConnectionPhase {
+        let before = match self {
+            ConnectionPhase::Answering { requests } => requests,
+            ConnectionPhase::Idle { .. } | ConnectionPhase::Head { .. } => 0,
+        };
+        ConnectionPhase::Answering {
+            requests: before + 1,
+        }
+    }
+
+    /// The phase after a request and its answer have ended.
+    pub fn request_ended(self, now: TimeMs) -> ConnectionPhase {
+        match self {
+            ConnectionPhase::Answering { requests } if requests > 1 => ConnectionPhase::Answering {
+                requests: requests - 1,
+            },
+            _ => ConnectionPhase::Idle { since: now },
         }
     }
 
@@ -34,7 +59,7 @@
         match self {
             ConnectionPhase::Idle { since } => Some(since.plus_ms(limits.idle_ms)),
             ConnectionPhase::Head { since } => Some(since.plus_ms(limits.header_ms)),
-            ConnectionPhase::Answering => None,
+            ConnectionPhase::Answering { .. } => None,
         }
     }
 }
--- a/src/net/relay/connection_timeout.rs
+++ b/src/net/relay/connection_timeout.rs
@@ -36,7 +36,8 @@
 
     /// Marks the connection as answering until all copies of the returned value are dropped.
     pub fn request_arrived(&self) -> Answering {
-        *lock(&self.phase) = ConnectionPhase::Answering;
+        let mut phase = lock(&self.phase);
+        *phase = phase.request_arrived();
         Answering(Arc::new(AnsweringPhase(self.clone())))
     }
 
@@ -64,8 +65,8 @@
 
 impl Drop for AnsweringPhase {
     fn drop(&mut self) {
-        let since = self.0.clock.now();
-        *lock(&self.0.phase) = ConnectionPhase::Idle { since };
+        let mut phase = lock(&self.0.phase);
+        *phase = phase.request_ended(self.0.clock.now());
     }
 }
 
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -63,7 +63,7 @@
     fn of_expired(phase: ConnectionPhase) -> ConnectionEnd {
         match phase {
             ConnectionPhase::Head { .. } => ConnectionEnd::SlowHead,
-            ConnectionPhase::Idle { .. } | ConnectionPhase::Answering => ConnectionEnd::Idle,
+            ConnectionPhase::Idle { .. } | ConnectionPhase::Answering { .. } => ConnectionEnd::Idle,
         }
     }
 }
--- a/tests/relay_open_connections.rs
+++ b/tests/relay_open_connections.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use burdockhall::decide::relay::{ConnectionPhase, Limits};
+use burdockhall::model::TimeMs;
 use deployment::{Deployment, standard_config};
 use serde_json::Value;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -252,3 +254,17 @@
     assert_eq!(read_status(&mut kept[0]).await, Some(408));
     assert_eq!(deployment.runs("stalled"), 0);
 }
+
+#[test]
+fn a_connection_is_not_idle_while_a_later_request_has_no_answer() {
+    let (limits, now) = (Limits::default(), TimeMs(1_000));
+    let first = ConnectionPhase::Idle { since: now }.request_arrived();
+    let second = first.request_arrived().request_ended(now);
+    assert_eq!(second.ends_at(limits), None);
+    let idle = second.request_ended(now);
+    assert_eq!(idle.ends_at(limits), Some(now.plus_ms(limits.idle_ms)));
+    let head = idle.received(now.plus_ms(5)).received(now.plus_ms(9));
+    let ends_at = now.plus_ms(5 + limits.header_ms);
+    assert_eq!(head.ends_at(limits), Some(ends_at));
+    assert_eq!(head.request_arrived().ends_at(limits), None);
+}
