Check the header limit for each request, and keep connections open

Change: the buffer holds 64 KiB, or the limit if that is larger, and the head of each request is compared with the limit in force. Only a limit beyond the buffer of an open connection ends that connection. The size of a head was computed for the other listeners already; one function for both.

--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -34,6 +34,8 @@
 /// Time after which an idle connection is closed, in milliseconds; shorter than the shortest header
 /// timeout that the settings allow for a hop listener, after which that listener closes it.
 const IDLE_TIMEOUT_MS: u64 = 4_000;
+/// Bytes of a header line besides its name and value: colon, space, CR and LF.
+const HEADER_OVERHEAD_BYTES: usize = 4;
 /// Largest body accepted by [`read_body`], in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
 
@@ -44,6 +46,16 @@
         .map_err(|source| NetError::Listen { address, source })
 }
 
+/// Size of the parsed head of a request, in bytes, without its method and protocol version.
+pub fn head_bytes<B>(request: &Request<B>) -> usize {
+    let path = request.uri().path_and_query();
+    let path_bytes = path.map_or(0, |path| path.as_str().len());
+    let headers = request.headers().iter();
+    let headers_bytes =
+        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
+    path_bytes + headers_bytes.sum::<usize>()
+}
+
 /// Serves connections until the task is aborted, each on a task of its own.
 pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -22,7 +22,6 @@
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HeaderValue};
-use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -43,8 +42,6 @@
 const REFUSAL_TIMEOUT_MS: u64 = 1_000;
 /// Most bytes read and discarded before a connection is closed.
 const MAX_DISCARDED_BYTES: u64 = 1024 * 1024;
-/// Bytes of a header line besides its name and value: colon, space, CR and LF.
-const HEADER_OVERHEAD_BYTES: usize = 4;
 /// Retry delay sent to a refused client, in seconds.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -210,10 +207,12 @@
         &self,
         request: Request<Incoming>,
     ) -> Result<Request<Bytes>, FullResponse> {
-        let (parts, body) = request.into_parts();
-        if head_bytes(&parts) > self.bounds.header_bytes {
+        // hyper rejects an incomplete head once its buffer is full, but accepts a larger one that
+        // arrives in one read.
+        if http::head_bytes(&request) > self.bounds.header_bytes {
             return Err(self.head_too_large());
         }
+        let (parts, body) = request.into_parts();
         let limit = self.bounds.body_bytes;
         if body.size_hint().lower() > limit as u64 {
             return Err(self.body_too_large());
@@ -266,19 +265,6 @@
     }
 }
 
-/// Size of a parsed head, in bytes. hyper rejects an incomplete head once its buffer is full, but
-/// accepts a larger one that arrives in one read, so the size is checked again.
-fn head_bytes(parts: &Parts) -> usize {
-    let path = parts
-        .uri
-        .path_and_query()
-        .map_or(0, |path| path.as_str().len());
-    let headers = parts.headers.iter();
-    let headers =
-        headers.map(|(name, value)| name.as_str().len() + value.len() + HEADER_OVERHEAD_BYTES);
-    path + headers.sum::<usize>()
-}
-
 async fn wait_until_closed(stage: &mut watch::Receiver<Stage>) {
     let _ = stage.wait_for(|stage| *stage == Stage::Closed).await;
 }
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -19,8 +19,9 @@
 use super::slot::LEAVING_RETRY_MS;
 use super::state::{Configuration, Relay, Shed, Stage};
 use crate::decide::relay::quotas::QuotaRefusal;
-use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route};
+use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route, RouteTable};
 use crate::model::{ServiceName, TimeMs};
+use crate::net::http;
 
 /// Time left for a request whose caller states none, in milliseconds.
 const DEFAULT_LEFT_MS: u64 = 30_000;
@@ -161,6 +162,10 @@
     let Ok(id) = request_id.to_str() else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
+    let head_bytes = http::head_bytes(&request);
+    if head_bytes > table.limits.header_bytes {
+        return head_too_large(relay, id, head_bytes, table);
+    }
     let found = find_route(relay, configuration, id, request.headers(), request.uri());
     let (route, identity) = match found {
         Ok(found) => found,
@@ -304,6 +309,22 @@
     refusal(retry_after_ms)
 }
 
+/// Refuses a request whose head exceeds the limit.
+fn head_too_large(
+    relay: &Relay,
+    request_id: &str,
+    head_bytes: usize,
+    table: &RouteTable,
+) -> Response<RelayBody> {
+    if relay.may_log(LineKind::Failed) {
+        let (limit_bytes, config) = (table.limits.header_bytes, table.version);
+        spdlog::info!("a request was refused for the size of its head", kv: {
+            request_id, head_bytes = head_bytes as u64, limit_bytes = limit_bytes as u64, config
+        });
+    }
+    empty_response(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)
+}
+
 /// Refuses a root request whose organisation exceeds its quota.
 fn exceeded(
     relay: &Relay,
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -30,10 +30,9 @@
 const LAST_READ_MS: u64 = 10;
 /// Longest time for which waiting connections are still accepted after that, in milliseconds.
 pub(super) const MAX_LAST_ACCEPTS_MS: u64 = 100;
-/// Smallest connection buffer that hyper allows, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Connection buffer of daemons, in bytes.
-const DAEMON_HEADER_BYTES: usize = 64 * 1024;
+/// Connection buffer, in bytes, unless the configuration allows larger request heads. The limit in
+/// force is checked for each request, since hyper cannot resize the buffer of an open connection.
+const BUFFER_BYTES: usize = 64 * 1024;
 
 /// What this daemon ends a caller's connection for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -43,7 +42,7 @@
     Idle,
     /// The rest of a request head has not arrived in time.
     SlowHead,
-    /// A request head exceeds the limit.
+    /// A request head exceeds the buffer of the connection.
     HeadTooLarge,
     /// What has arrived is no request.
     Malformed,
@@ -163,9 +162,9 @@
         spdlog::debug!("a connection cannot be tuned", kv: { error });
     }
     let mut limits = relay.limits.subscribe();
-    let header_bytes = match client_kind {
-        ClientKind::Callers => limits.borrow().header_bytes,
-        ClientKind::Daemons => DAEMON_HEADER_BYTES,
+    let buffer_bytes = match client_kind {
+        ClientKind::Callers => limits.borrow().header_bytes.max(BUFFER_BYTES),
+        ClientKind::Daemons => BUFFER_BYTES,
     };
     let phase = SharedPhase::new(relay.clock.clone());
     let stream = TokioIo::new(ObservedStream::new(stream, phase.clone()));
@@ -183,10 +182,10 @@
     let connection = http1::Builder::new()
         .auto_date_header(false)
         .header_read_timeout(None)
-        .max_buf_size(header_bytes.max(MIN_BUFFER_BYTES))
+        .max_buf_size(buffer_bytes)
         .serve_connection(stream, service);
     let mut connection = std::pin::pin!(connection);
-    let mut closing = std::pin::pin!(closing(&relay, client_kind, header_bytes));
+    let mut closing = std::pin::pin!(closing(&relay, client_kind, buffer_bytes));
     let mut is_closing = false;
     let end = loop {
         let ended = std::future::poll_fn(|context| {
@@ -214,33 +213,30 @@
     if client_kind == ClientKind::Callers
         && let Some(cause) = end
     {
-        record_end(&relay, cause, header_bytes);
+        record_end(&relay, cause);
     }
 }
 
 /// Returns once a connection must end although its client goes on using it: when this daemon stops,
-/// or when the limit of request heads changes, since hyper cannot change the buffer of an open
-/// connection.
-async fn closing(relay: &Relay, client_kind: ClientKind, header_bytes: usize) {
+/// or when the configuration allows request heads larger than the buffer of the connection.
+async fn closing(relay: &Relay, client_kind: ClientKind, buffer_bytes: usize) {
     let (mut stage, mut limits) = (relay.stage.subscribe(), relay.limits.subscribe());
-    let has_changed =
-        |limits: &Limits| client_kind == ClientKind::Callers && limits.header_bytes != header_bytes;
+    let exceeds_buffer =
+        |limits: &Limits| client_kind == ClientKind::Callers && limits.header_bytes > buffer_bytes;
     // The senders live as long as the relay, so an error means that the relay is gone.
     tokio::select! {
         _ = stage.wait_for(|stage| *stage == Stage::Closing) => {}
-        _ = limits.wait_for(has_changed) => {}
+        _ = limits.wait_for(exceeds_buffer) => {}
     }
     // An idle connection would be closed although its next request has arrived.
     tokio::time::sleep(Duration::from_millis(LAST_READ_MS)).await;
 }
 
 /// Counts a caller's connection that this daemon has ended, and logs it unless it was merely idle.
-/// `header_bytes` is the limit of request heads that it had.
-fn record_end(relay: &Relay, cause: ConnectionEnd, header_bytes: usize) {
+fn record_end(relay: &Relay, cause: ConnectionEnd) {
     relay.metrics.connection_ended(cause);
     if cause != ConnectionEnd::Idle && relay.may_log(LineKind::Connection) {
         let (cause, config) = (<&str>::from(cause), relay.config_version());
-        let is_outdated = header_bytes != relay.limits.borrow().header_bytes;
-        spdlog::info!("a caller's connection was ended", kv: { cause, is_outdated, config });
+        spdlog::info!("a caller's connection was ended", kv: { cause, config });
     }
 }
--- a/tests/relay_open_connections.rs
+++ b/tests/relay_open_connections.rs
@@ -58,21 +58,10 @@
     body.len() >= length.unwrap_or(0)
 }
 
-/// Sends a request on a kept connection, or on a new one if that was closed before, as callers do.
-async fn status_on(deployment: &Deployment, kept: &mut TcpStream, request: &str) -> Option<u16> {
-    let sent = kept.write_all(request.as_bytes()).await;
-    let status = match sent {
-        Ok(()) => read_status(kept).await,
-        Err(_) => None,
-    };
-    if status.is_some() {
-        return status;
-    }
-    let callers = deployment.hosts[0].settings.callers_address;
-    *kept = TcpStream::connect(callers).await.expect("a connection");
-    let sent = kept.write_all(request.as_bytes()).await;
-    sent.expect("the new connection is open");
-    read_status(kept).await
+/// Sends a request, and returns the status of its answer; `None` if the connection has ended.
+async fn status_on(stream: &mut TcpStream, request: &str) -> Option<u16> {
+    stream.write_all(request.as_bytes()).await.ok()?;
+    read_status(stream).await
 }
 
 async fn open_connections(deployment: &Deployment, are_used: bool) -> Vec<TcpStream> {
@@ -82,7 +71,7 @@
         let mut stream = TcpStream::connect(callers).await.expect("a connection");
         if are_used {
             let request = head(&format!("first-{number}"), 0);
-            let status = status_on(deployment, &mut stream, &request).await;
+            let status = status_on(&mut stream, &request).await;
             assert_eq!(status, Some(200));
         }
         kept.push(stream);
@@ -103,6 +92,7 @@
         bytes_before: u64,
         bytes_after: u64,
         are_used: bool,
+        padding_bytes: usize,
         status: u16,
     }
     let cases = [
@@ -111,6 +101,7 @@
             bytes_before: 16_384,
             bytes_after: 65_536,
             are_used: true,
+            padding_bytes: 30_000,
             status: 200,
         },
         Case {
@@ -118,16 +109,27 @@
             bytes_before: 65_536,
             bytes_after: 16_384,
             are_used: true,
+            padding_bytes: 30_000,
             status: 431,
         },
+        Case {
+            name: "lowered, for a head below both limits",
+            bytes_before: 65_536,
+            bytes_after: 16_384,
+            are_used: true,
+            padding_bytes: 0,
+            status: 200,
+        },
         Case {
             name: "raised, on connections that have carried nothing",
             bytes_before: 16_384,
             bytes_after: 65_536,
             are_used: false,
+            padding_bytes: 30_000,
             status: 200,
         },
     ];
+    let mut wrong = Vec::new();
     for case in cases {
         let deployment = Deployment::start(&["a"]).await;
         let limit = |version, bytes| config_with(version, "maxHeaderBytes", bytes);
@@ -136,11 +138,27 @@
         deployment.configure(3, &limit(3, case.bytes_after)).await;
         tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
         for (number, mut stream) in kept.into_iter().enumerate() {
-            let request = head(&format!("last-{number}"), 30_000);
-            let status = status_on(&deployment, &mut stream, &request).await;
-            assert_eq!(status, Some(case.status), "{}", case.name);
+            let request = head(&format!("last-{number}"), case.padding_bytes);
+            let status = status_on(&mut stream, &request).await;
+            if status != Some(case.status) {
+                wrong.push((case.name, status));
+            }
         }
     }
+    assert_eq!(wrong, [], "answers by another limit, or closed connections");
+}
+
+#[tokio::test]
+async fn a_head_beyond_the_buffer_of_an_open_connection_is_served_on_a_new_one() {
+    let deployment = Deployment::start(&["a"]).await;
+    let mut kept = open_connections(&deployment, true).await;
+    let limits = config_with(2, "maxHeaderBytes", 262_144);
+    deployment.configure(2, &limits).await;
+    tokio::time::sleep(Duration::from_millis(CONFIG_MS)).await;
+    let request = head("long", 100_000);
+    assert_eq!(status_on(&mut kept[0], &request).await, None);
+    let mut renewed = open_connections(&deployment, false).await;
+    assert_eq!(status_on(&mut renewed[0], &request).await, Some(200));
 }
 
 #[tokio::test]
@@ -162,6 +180,7 @@
         assert_eq!(read_status(&mut stream).await, Some(200));
     }
 }
+
 #[tokio::test]
 async fn a_change_of_the_idle_time_holds_on_connections_opened_before_it() {
     struct Case {
--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -13,8 +13,6 @@
 const NOT_EXECUTED_STATUSES: [u16; 5] = [401, 408, 421, 429, 503];
 /// A request sent at least this long after SIGTERM may find its connection closed.
 const CLOSE_AFTER_SIGTERM: Duration = Duration::from_millis(2_500);
-/// Time from sending a request until its connection ends if it has crossed the close.
-const CROSSING: Duration = Duration::from_millis(200);
 /// Time past its deadline within which the user documentation allows an answer to arrive.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
 /// Time after a rate limit was first stated within which it must be kept.
@@ -54,7 +52,7 @@
         violations.extend(check_drain(run, history));
     }
     for traced in traced.values() {
-        violations.extend(check_request(fleet, traced, history));
+        violations.extend(check_request(traced, &history.disturbances));
         violations.extend(keys::check_answer(traced.request, history));
     }
     violations.extend(check_late(requests, &history.disturbances));
@@ -109,7 +107,7 @@
     ))
 }
 
-fn check_request(fleet: &Fleet, traced: &TracedRequest<'_>, history: &History) -> Option<String> {
+fn check_request(traced: &TracedRequest<'_>, disturbances: &[Disturbance]) -> Option<String> {
     let TracedRequest { request, runs } = traced;
     if !request.is_idempotent && runs.len() > 1 {
         return Some(format!(
@@ -141,15 +139,10 @@
             None
         }
         Outcome::Truncated | Outcome::ConnectionClosed => {
-            let was_paused = history
-                .disturbances
+            let was_paused = disturbances
                 .iter()
                 .any(|span| span.host == request.host && span.kind == DisturbanceKind::Paused);
-            // A change of the header limit closes open connections.
-            let crosses_close = fleet.content.has_changes
-                && runs.is_empty()
-                && request.ended_at <= request.sent_at + CROSSING;
-            let may_close = history.disturbances.iter().any(|span| {
+            let may_close = disturbances.iter().any(|span| {
                 let from = match span.kind {
                     DisturbanceKind::Killed => span.from,
                     DisturbanceKind::Terminated => span.from + CLOSE_AFTER_SIGTERM,
@@ -162,7 +155,7 @@
                     && (span.kind == DisturbanceKind::Killed || request.sent_at >= from)
                     && request.sent_at <= span.until + RECORDING_DELAY
             });
-            (!may_close && !crosses_close).then(|| format!("LOST: {request:?}"))
+            (!may_close).then(|| format!("LOST: {request:?}"))
         }
         Outcome::NotSent | Outcome::Abandoned | Outcome::TimedOut => None,
     }
