Hold the state of a request only while it is handled

Cause: hyper allocates the future of a request with the connection and keeps it for as long as that is open: 20 KB for a caller's connection, since the handler's future (10 KB) is held once as it was captured and once as it is awaited.

Change: the handler's future is boxed.

--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -173,7 +173,8 @@
     let service = service_fn(|mut request: Request<Incoming>| {
         let answering = phase.request_arrived();
         request.extensions_mut().insert(answering.clone());
-        let response = handler(Arc::clone(&relay), request);
+        // hyper reserves the memory of this future for as long as the connection is open.
+        let response = Box::pin(handler(Arc::clone(&relay), request));
         async move {
             let response = response.await;
             Ok::<_, Infallible>(response.map(|body| AnswerBody::new(body, answering)))
