Keep the listeners of a stopping daemon open while its backend server works

What callers saw: a request that had run since before a planned stop failed if its backend server made a call 2.8 s or more after the signal. The daemon beside it had closed its listener, and the call was refused by the system.

Cause: the close follows the signal by a fixed time, which covers callers that look at readiness. The backend server cannot go elsewhere.

Change: the listeners close once no request runs on the backend server, at the latest 0.5 s before the end of the shutdown. New requests have not reached that server since the signal; what others send meanwhile is passed on if its deadline lies within the shutdown and refused with 503 otherwise, as before.

--- a/src/net/relay/stop.rs
+++ b/src/net/relay/stop.rs
@@ -1,5 +1,6 @@
-//! Graceful shutdown: first reports not ready, then accepts no new connections, then ends once
-//! every request in flight has its answer.
+//! Graceful shutdown: first reports not ready, then accepts no new connections once the backend
+//! server beside this daemon has no request left, then ends once every request in flight has its
+//! answer.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -13,6 +14,9 @@
 /// How long new callers are still accepted after readiness is withdrawn, in milliseconds. Covers
 /// two readiness checks, one second apart, and one more.
 const LEAVING_MS: u64 = 2_800;
+/// Time between the close of the listeners and the end of the shutdown, in milliseconds, if requests
+/// run beside this daemon until then.
+const CLOSING_MS: u64 = 500;
 /// Fraction of the grace period that the shutdown uses.
 const GRACE_FRACTION: f64 = 0.9;
 /// Interval between two checks for requests in flight, in milliseconds.
@@ -36,6 +40,10 @@
     let open = relay.open_requests.load(Ordering::Relaxed) as u64;
     spdlog::info!("the daemon is shutting down and reports not ready", kv: { open, grace_ms });
     tokio::time::sleep(Duration::from_millis(leaving_ms)).await;
+    // The backend server beside this daemon makes its calls through it.
+    while is_backend_busy(relay) && elapsed_ms(relay, started) + CLOSING_MS < grace_ms {
+        tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
+    }
     relay.stage.send_replace(Stage::Closing);
     let mut idle_polls = 0;
     while idle_polls < IDLE_POLLS && elapsed_ms(relay, started) < grace_ms {
@@ -53,6 +61,10 @@
     relay.clock.now().since_ms(started)
 }
 
+fn is_backend_busy(relay: &Relay) -> bool {
+    !relay.tables().running.is_empty()
+}
+
 fn in_flight(relay: &Relay) -> usize {
     relay.open_requests.load(Ordering::Relaxed) + relay.tables().running.len()
 }
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -200,3 +200,37 @@
     }
     assert_eq!(unfinished, 0);
 }
+
+#[tokio::test]
+async fn a_backend_server_that_works_while_its_daemon_stops_can_make_calls() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let mut routes = [
+        route("once", "/once/", "unsafe", "a"),
+        route("safe", "/safe/", "safe", "b"),
+    ];
+    routes[0]["timeoutS"] = 10.into();
+    routes[1]["timeoutS"] = 1.into();
+    deployment.configure(2, &config(2, &routes)).await;
+    let parent = LateRequest {
+        path: "/once/work.4200",
+        early_bytes: usize::MAX,
+        whole_ms: 350,
+        status: None,
+    };
+    let other = deployment.hosts[1].settings.callers_address;
+    let parent = parent.send(other, "parent", Instant::now());
+    let stop_and_call = async {
+        deployment
+            .wait("the run", |deployment| deployment.runs("parent") == 1)
+            .await;
+        let call = async {
+            tokio::time::sleep(Duration::from_millis(3_500)).await;
+            deployment.call(0, "/safe/work.100", "parent.1", b"").await
+        };
+        tokio::join!(deployment.stop(0), call)
+    };
+    let (parent_status, (unfinished, call)) = tokio::join!(parent, stop_and_call);
+    assert_eq!(call.status, 200);
+    assert_eq!(parent_status, "200");
+    assert_eq!(unfinished, 0);
+}
