A drain acknowledged before a restart does not begin anew after it

Cause: the daemon acknowledged the drain while it had no store, was killed 1.2 s later, and restored its backend server as ready from its older record. The first heartbeat after the restart said draining, and the daemon took that for the beginning of the drain.

Change: if the first heartbeat after a restart says draining, the drain may have been acknowledged before, so the backend server gets no more requests, as one that was unknown so far. A drain that begins at a later heartbeat has its whole window.

Evidence: log of host 2, draining acknowledged at 707.702, restored as ready at 709.013, draining again at 709.122, requests until 709.86. The new test fails before (takes work) and passes now.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -60,6 +60,8 @@
     /// Whether its state comes from a record of before a restart that may be outdated: a drain that
     /// was acknowledged while the log service was away is not in the log.
     is_unconfirmed: bool,
+    /// Whether it comes from such a record and no heartbeat has arrived since the restart.
+    is_unheard: bool,
 }
 
 impl LocalWorker {
@@ -79,6 +81,7 @@
             last_heard: now,
             rate: RateStatements::default(),
             is_unconfirmed: false,
+            is_unheard: false,
         }
     }
 
@@ -88,6 +91,7 @@
         let mut worker = LocalWorker::new(now, heartbeat);
         worker.restore_state(state);
         worker.is_unconfirmed = true;
+        worker.is_unheard = true;
         worker
     }
 
@@ -127,7 +131,12 @@
         self.confirm();
         self.heartbeat = heartbeat;
         self.last_heard = now;
+        let is_first = std::mem::take(&mut self.is_unheard);
         if self.heartbeat.draining {
+            // The process before the restart may have acknowledged this long ago.
+            if is_first {
+                self.restore_state(MemberState::Draining);
+            }
             self.drain(now);
         }
         let after = (
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -266,6 +266,41 @@
     }
 }
 
+#[test]
+fn a_drain_acknowledged_before_a_restart_does_not_begin_anew() {
+    struct Case {
+        name: &'static str,
+        is_confirmed: bool,
+        first_draining: bool,
+        takes_work: bool,
+    }
+    let case = |name, is_confirmed, first_draining, takes_work| Case {
+        name,
+        is_confirmed,
+        first_draining,
+        takes_work,
+    };
+    let cases = [
+        case("draining at the first heartbeat", false, true, false),
+        case("confirmed as ready by another daemon", true, true, false),
+        case("draining at the second heartbeat", false, false, true),
+    ];
+    for case in cases {
+        let mut worker =
+            LocalWorker::restored(TimeMs(5_000), heartbeat("i-1", 100, 0), MemberState::Ready);
+        if case.is_confirmed {
+            worker.confirm();
+        }
+        for (sequence, draining) in [(7, case.first_draining), (8, true)] {
+            let mut next = heartbeat("i-1", 100, sequence);
+            next.draining = draining;
+            worker.apply_heartbeat(TimeMs(5_100), next);
+        }
+        let takes_work = worker.takes_work(TimeMs(5_200), 800);
+        assert_eq!(takes_work, case.takes_work, "{}", case.name);
+    }
+}
+
 fn request(
     route: &ServiceName,
     priority: u8,
