Answer no 404 by an outdated configuration when the store answers about members

Cause: whether the store answers was one flag for both topics that a daemon reads. The read of the member records was answered first and cleared it, so that the daemon took its configuration for the newest one.

Change: only reads of the configuration count. A daemon that reads the store is up to date until the answer is due to a read that follows an answered one, or if it has had news within 3 s, as before.

--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -3,7 +3,7 @@
 //! or added since.
 
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{MutexGuard, PoisonError};
 
 use super::log_limiter::LineKind;
@@ -27,6 +27,17 @@
 /// a reader in a quiet deployment hears of the log service in time.
 const POLLS_PER_REVOKE_TIME: u64 = 3;
 
+/// When this daemon has made sure that its configuration is the newest. Times are in milliseconds of
+/// the daemon's clock, 0 for never.
+#[derive(Debug, Default)]
+pub(super) struct ConfigNews {
+    /// When the log service, or a daemon that reaches it, has last told the newest one.
+    heard_ms: AtomicU64,
+    /// When the answer to the read of the configuration in progress is due, if the read before it was
+    /// answered.
+    due_ms: AtomicU64,
+}
+
 /// A configuration that another daemon has reported.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ReportedConfig {
@@ -156,7 +167,8 @@
         let is_new = now.since_ms(sent) <= wait_ms + ANSWER_DELAY_MS;
         let answered = if is_new { now } else { sent };
         let heard_ms = answered.0.saturating_sub(age_ms);
-        self.config_heard.fetch_max(heard_ms, Ordering::Relaxed);
+        let news = &self.config_news;
+        news.heard_ms.fetch_max(heard_ms, Ordering::Relaxed);
     }
 
     /// Age that is stated to peers, in milliseconds; only under `strict_revoke`, where it keeps
@@ -168,7 +180,7 @@
 
     /// Time since the newest configuration was heard of, in milliseconds; `u64::MAX` for never.
     pub fn config_age_ms(&self) -> u64 {
-        match self.config_heard.load(Ordering::Relaxed) {
+        match self.config_news.heard_ms.load(Ordering::Relaxed) {
             0 => u64::MAX,
             heard => self.clock.now().since_ms(TimeMs(heard)),
         }
@@ -180,11 +192,20 @@
         !self.is_config_behind() && self.has_recent_config()
     }
 
-    /// Whether the log service, or a daemon that reaches it, has answered lately.
+    /// Records that a read of the configuration in the log service, which follows an answered one, was
+    /// sent at `sent` and may wait for `wait_ms`; `None` if the last one has failed.
+    pub(super) fn expect_config_answer(&self, read: Option<(TimeMs, u64)>) {
+        let due = read.map(|(sent, wait_ms)| sent.plus_ms(wait_ms + ANSWER_DELAY_MS));
+        let due_ms = due.unwrap_or_default().0;
+        self.config_news.due_ms.store(due_ms, Ordering::Relaxed);
+    }
+
+    /// Whether the log service, or a daemon that reaches it, has answered lately. Other topics don't
+    /// count: the log service may answer them before it answers again about the configuration.
     fn has_recent_config(&self) -> bool {
-        let reads = *self.reads_log.borrow() && self.has_read_log.load(Ordering::Relaxed);
-        let has_answers = reads && !self.log_unavailable.load(Ordering::Relaxed);
-        has_answers || self.config_age_ms() <= UP_TO_DATE_MS
+        let due = TimeMs(self.config_news.due_ms.load(Ordering::Relaxed));
+        let awaits_answer = *self.reads_log.borrow() && self.clock.now() < due;
+        awaits_answer || self.config_age_ms() <= UP_TO_DATE_MS
     }
 
     /// Whether `strict_revoke` forbids to serve requests that need an API key.
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -141,6 +141,7 @@
     let mut reads_log = relay.reads_log.subscribe();
     let mut failures = 0;
     let mut follows_records = true;
+    let mut is_answered = false;
     let mut next: Option<LogPosition> = None;
     loop {
         if !*reads_log.borrow() {
@@ -148,9 +149,13 @@
             let _ = reads_log.wait_for(|reads_log| *reads_log).await;
             // The reader that was followed has read up to here.
             next = next.map(|next| next.max(progress.own()));
+            is_answered = false;
         }
         let sent = relay.clock.now();
         let wait_ms = wait_ms(relay, topic, failures, follows_records);
+        if topic.is_config {
+            relay.expect_config_answer(is_answered.then_some((sent, wait_ms)));
+        }
         let read = match next {
             None => {
                 let snapshot = log.newest(name).await;
@@ -164,6 +169,7 @@
         match read {
             Ok((records, read_to)) => {
                 failures = 0;
+                is_answered = true;
                 follows_records = next.is_none() || !records.is_empty();
                 relay.observe_era(read_to.era());
                 record_log_recovery(relay, name);
@@ -188,6 +194,10 @@
             }
             Err(error) => {
                 failures += 1;
+                is_answered = false;
+                if topic.is_config {
+                    relay.expect_config_answer(None);
+                }
                 record_log_failure(relay, name, &error);
                 let longest_ms = Readers::backoff_ms(&relay.tables().directory, failures);
                 back_off(relay, longest_ms).await;
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -13,7 +13,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 
 use super::capacity::LocalCapacity;
-use super::config_age::ReportedConfig;
+use super::config_age::{ConfigNews, ReportedConfig};
 use super::crash_probe::CrashProbe;
 use super::header_names::HeaderNames;
 use super::log_limiter::{LineKind, LogLimiter};
@@ -235,7 +235,7 @@
     /// The newest configuration that another daemon has reported.
     pub(super) reported_config: Mutex<ReportedConfig>,
     /// When the newest configuration was last heard of, in milliseconds of the clock; 0 for never.
-    pub(super) config_heard: AtomicU64,
+    pub(super) config_news: ConfigNews,
     /// Non-idempotent requests whose outcome may be queried.
     pub settlements: Settlements,
     /// Tells whether the backend server beside this daemon has ended.
@@ -295,7 +295,7 @@
             members_read: LogProgress::default(),
             config_read: LogProgress::default(),
             reported_config: Mutex::default(),
-            config_heard: AtomicU64::new(0),
+            config_news: ConfigNews::default(),
             settlements: Settlements::default(),
             crash_probe: CrashProbe::default(),
             quotas,
--- a/tests/relay_late_config.rs
+++ b/tests/relay_late_config.rs
@@ -3,8 +3,12 @@
 
 mod deployment;
 
+use std::sync::Arc;
 use std::time::Duration;
 
+use burdockhall::net::relay::follow::follow_members;
+use burdockhall::net::relay::log_progress::LogPosition;
+use burdockhall::net::relay::record_log::{RecordLog, RecordLogError, Snapshot, Tail};
 use deployment::proxy::Direction;
 use deployment::{CONFIG_TOPIC, Deployment, config, route, standard_config};
 use hyper::StatusCode;
@@ -119,6 +123,39 @@
     );
 }
 
+/// A log service that answers every read at once, without a record.
+#[derive(Clone)]
+struct EmptyLog;
+
+impl RecordLog for EmptyLog {
+    async fn newest(&self, _: &str) -> Result<Snapshot, RecordLogError> {
+        Ok(Snapshot::default())
+    }
+
+    async fn tail(&self, _: &str, next: LogPosition, _: u64) -> Result<Tail, RecordLogError> {
+        let records = Vec::new();
+        Ok(Tail { records, next })
+    }
+
+    async fn put(&self, _: &str, _: &str, _: Option<&[u8]>) -> Result<u64, RecordLogError> {
+        Ok(0)
+    }
+}
+
+#[tokio::test]
+async fn an_outdated_daemon_answers_no_404_when_the_store_answers_about_members_alone() {
+    let deployment = Deployment::start_in(&[("a", "north")]).await;
+    let host = &deployment.hosts[0];
+    host.store_proxy.cut(Direction::FromTarget);
+    let is_outdated = |deployment: &Deployment| !deployment.hosts[0].relay.is_config_up_to_date();
+    deployment.wait("no news", is_outdated).await;
+    let members = tokio::spawn(follow_members(Arc::clone(&host.relay), EmptyLog));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let answer = deployment.call(0, "/added/x", "r-1", b"").await;
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    members.abort();
+}
+
 #[tokio::test]
 async fn a_request_whose_body_ends_after_a_change_goes_by_the_new_configuration() {
     struct Case {
