Review case 2: a client that reads slowly loses its answer

Cause: TCP_USER_TIMEOUT of 2.5 s on callers' connections also runs while the window of a live client is closed. Change: the script of this case. Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,8 @@
 mod deployment;
 mod http;
 mod record;
+#[path = "../2/sequence.rs"]
+mod slow_reader;
 #[path = "../1/sequence.rs"]
 mod stop_cuts_stream;
 mod store;
@@ -38,6 +40,7 @@
     });
     let verdict = match case.as_str() {
         "1" => stop_cuts_stream::run(folder, temporary, has_trouble),
+        "2" => slow_reader::run(folder, temporary, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     deployment::end_all();
