Review case 3: a request that crashes workers after its answer has begun

Cause: a crash is looked for only before the head of an answer; afterwards the request counts as one that has ended well. Change: the script of this case. Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,8 @@
 //! rule was broken, 0 if it held and 2 if the case could not run. With `TROUBLE=0` in the environment
 //! the disruption is left out.
 
+#[path = "../3/sequence.rs"]
+mod deadly_answer;
 mod deployment;
 mod http;
 mod record;
@@ -41,6 +43,7 @@
     let verdict = match case.as_str() {
         "1" => stop_cuts_stream::run(folder, temporary, has_trouble),
         "2" => slow_reader::run(folder, temporary, has_trouble),
+        "3" => deadly_answer::run(folder, temporary, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     deployment::end_all();
