Review case 4: four daemons decide about one quota at the same time

Cause: a daemon that cannot read the members' records after its start takes itself for the whole deployment. Change: the script of this case. Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,8 @@
 mod deadly_answer;
 mod deployment;
 mod http;
+#[path = "../4/sequence.rs"]
+mod many_roots;
 mod record;
 #[path = "../2/sequence.rs"]
 mod slow_reader;
@@ -44,6 +46,7 @@
         "1" => stop_cuts_stream::run(folder, temporary, has_trouble),
         "2" => slow_reader::run(folder, temporary, has_trouble),
         "3" => deadly_answer::run(folder, temporary, has_trouble),
+        "4" => many_roots::run(folder, temporary, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     deployment::end_all();
