Review case 5: a daemon confirms a deregistration and forgets it

Cause: a deregistration that arrives before the daemon knows its backend server is acknowledged and dropped. Change: the script of this case. Nothing of the product is changed.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,8 @@
 #[path = "../3/sequence.rs"]
 mod deadly_answer;
 mod deployment;
+#[path = "../5/sequence.rs"]
+mod forgotten_deregistration;
 mod http;
 #[path = "../4/sequence.rs"]
 mod many_roots;
@@ -47,6 +49,7 @@
         "2" => slow_reader::run(folder, temporary, has_trouble),
         "3" => deadly_answer::run(folder, temporary, has_trouble),
         "4" => many_roots::run(folder, temporary, has_trouble),
+        "5" => forgotten_deregistration::run(folder, temporary, has_trouble),
         _ => Err(format!("no case {case:?}")),
     };
     deployment::end_all();
