Show how the bodies of answers end

Logs and metrics could not tell why answers that stream are lost: the daemon took a request for ended with the head of its answer. Bodies now tell watchers once how they end: complete, broken or dropped. That gives a metric (burdockhall_relay_answer_bodies_total), a log line at the entry and beside the backend server for an answer that breaks off, and the number of open bodies in the last line of a daemon that stops. No decision changes.

--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -10,6 +10,7 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
 
+use super::answer_end::{AnswerEnd, EndWatcher};
 use super::connection_timeout::Answering;
 use super::pool::{Pool, PoolKey, Sender};
 
@@ -52,6 +53,7 @@
     left_bytes: u64,
     limit_bytes: u64,
     connection: Option<PooledConnection>,
+    watchers: Vec<EndWatcher>,
     _answering: Option<Answering>,
 }
 
@@ -90,10 +92,19 @@
             left_bytes: u64::MAX,
             limit_bytes: u64::MAX,
             connection,
+            watchers: Vec::new(),
             _answering: None,
         })
     }
 
+    /// Has `watcher` told how this body ends: at once if it is completely buffered.
+    pub fn watch(&mut self, watcher: EndWatcher) {
+        match self {
+            RelayBody::Empty | RelayBody::Full(_) => watcher.ended(AnswerEnd::Complete),
+            RelayBody::Streamed(streamed) => streamed.watchers.push(watcher),
+        }
+    }
+
     /// Buffers a short body of known length; any other is returned as it is.
     pub async fn buffer_if_short(self) -> Result<RelayBody, BodyError> {
         let length = self.size_hint().exact();
@@ -138,6 +149,7 @@
             left_bytes: limit_bytes.saturating_sub(read_bytes),
             limit_bytes,
             connection: None,
+            watchers: Vec::new(),
             _answering: answering,
         }))
     }
@@ -214,12 +226,13 @@
         }
         let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
         let Some(frame) = frame else {
-            if let Some(connection) = self.connection.take() {
-                connection.release();
-            }
+            self.complete();
             return Poll::Ready(None);
         };
         let frame = frame.map_err(BodyError::Broken);
+        if frame.is_err() {
+            self.end(AnswerEnd::Broken);
+        }
         let length = frame
             .as_ref()
             .ok()
@@ -233,17 +246,31 @@
         self.left_bytes -= length;
         Poll::Ready(Some(frame))
     }
+
+    /// Returns the connection to its pool, now that the body has been received completely.
+    fn complete(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release();
+        }
+        self.end(AnswerEnd::Complete);
+    }
+
+    /// Tells those that have not been told how the body has ended.
+    fn end(&mut self, end: AnswerEnd) {
+        for watcher in self.watchers.drain(..) {
+            watcher.ended(end);
+        }
+    }
 }
 
 impl Drop for Streamed {
     fn drop(&mut self) {
         // hyper stops polling a body of known length after its last byte, so `poll` may never
         // see the end.
-        if self.prefix.is_none()
-            && self.incoming.is_end_stream()
-            && let Some(connection) = self.connection.take()
-        {
-            connection.release();
+        if self.prefix.is_none() && self.incoming.is_end_stream() {
+            self.complete();
+        } else {
+            self.end(AnswerEnd::Dropped);
         }
     }
 }
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -9,6 +9,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
+use super::answer_end::{EndWatcher, OpenBody};
 use super::attempt::attempt;
 use super::body::{BodyError, RelayBody};
 use super::connection_timeout::Answering;
@@ -56,6 +57,8 @@
             .headers_mut()
             .insert(hyper::header::CONNECTION, close);
     }
+    let open = EndWatcher::Request(OpenBody::new(&relay));
+    response.body_mut().watch(open);
     let took_ms = relay.clock.now().since_ms(started);
     relay.metrics.answered(response.status(), took_ms);
     response
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -8,6 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 
+use super::answer_end::{EndWatcher, OpenRun};
 use super::answers::classify_answer;
 use super::body::RelayBody;
 use super::executor_log::{log_crash, log_refusal, log_start, unknown_outcome};
@@ -190,6 +191,11 @@
             if let ExecutionOutcome::Done(done) = &mut executed {
                 slot.took_ms = Some(done.took_ms);
                 relay.record_ended_well(digest);
+                let run = OpenRun {
+                    relay: Arc::clone(relay),
+                    request_id: request_id.clone(),
+                };
+                done.response.body_mut().watch(EndWatcher::Run(run));
                 done.nested_call_failed =
                     done.response.status().is_server_error() && relay.has_failed_call(&request_id);
             }
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -1,6 +1,7 @@
 //! The relay forwards requests from callers on this VM to the backend servers of a deployment,
 //! through the daemon that runs beside each backend server.
 
+pub mod answer_end;
 pub mod answers;
 pub mod attempt;
 pub mod body;
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -8,6 +8,7 @@
 use hyper::header::HeaderValue;
 use hyper::{Method, Request, Response, Uri, Version};
 
+use super::answer_end::{EndWatcher, OpenAttempt};
 use super::attempt::{HOP_MARGIN_MS, NO_WORKER_RETRY_MS};
 use super::body::{PooledConnection, RelayBody};
 use super::entry::Call;
@@ -58,6 +59,26 @@
     candidate: &Candidate,
     hop: HopRequest,
     body: RelayBody,
+) -> ExecutionOutcome {
+    let mut executed = send(relay, call, candidate, hop, body).await;
+    if let ExecutionOutcome::Done(done) = &mut executed {
+        let attempt = OpenAttempt {
+            relay: Arc::clone(relay),
+            address: candidate.address,
+            request_id: call.id.to_owned(),
+        };
+        let watcher = EndWatcher::Attempt(attempt);
+        done.response.body_mut().watch(watcher);
+    }
+    executed
+}
+
+async fn send(
+    relay: &Arc<Relay>,
+    call: &Call<'_>,
+    candidate: &Candidate,
+    hop: HopRequest,
+    body: RelayBody,
 ) -> ExecutionOutcome {
     let _in_flight = InFlight::new(relay, candidate.address);
     let sent = relay.clock.now();
--- a/src/net/relay/relay_metrics.rs
+++ b/src/net/relay/relay_metrics.rs
@@ -7,6 +7,7 @@
 };
 use strum::IntoEnumIterator;
 
+use super::answer_end::AnswerEnd;
 use super::config_metrics::ConfigMetrics;
 use super::executor::ExecutionOutcome;
 use super::identify::IdentityError;
@@ -30,6 +31,7 @@
     pub(super) config: ConfigMetrics,
     answers: IntCounterVec,
     answer_seconds: Histogram,
+    answer_bodies: IntCounterVec,
     connections_ended: IntCounterVec,
     executions: IntCounterVec,
     execution_seconds: Histogram,
@@ -65,6 +67,11 @@
                 "burdockhall_relay_answer_seconds",
                 "Time from a caller's request to the head of its answer.",
             ),
+            answer_bodies: counters(
+                "burdockhall_relay_answer_bodies_total",
+                "Answers of the backend server beside this daemon by how their bodies ended.",
+                "end",
+            ),
             connections_ended: counters(
                 "burdockhall_relay_connections_ended_total",
                 "Callers' connections that this daemon has ended by cause.",
@@ -154,9 +161,10 @@
 
 impl RelayMetrics {
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 20] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 21] = [
             Box::new(self.answers.clone()),
             Box::new(self.answer_seconds.clone()),
+            Box::new(self.answer_bodies.clone()),
             Box::new(self.connections_ended.clone()),
             Box::new(self.executions.clone()),
             Box::new(self.execution_seconds.clone()),
@@ -190,6 +198,13 @@
         self.answer_seconds.observe(took_ms as f64 / 1_000.0);
     }
 
+    /// Counts an answer of the backend server whose body has ended.
+    pub fn answer_ended(&self, end: AnswerEnd) {
+        self.answer_bodies
+            .with_label_values(&[<&str>::from(end)])
+            .inc();
+    }
+
     /// Counts a caller's connection that this daemon has ended.
     pub fn connection_ended(&self, cause: ConnectionEnd) {
         self.connections_ended
--- a/src/net/relay/stop.rs
+++ b/src/net/relay/stop.rs
@@ -53,7 +53,8 @@
     }
     let open = in_flight(relay);
     let (unfinished, took_ms) = (open as u64, elapsed_ms(relay, started));
-    spdlog::info!("the daemon has stopped", kv: { unfinished, took_ms });
+    let open_bodies = relay.open_bodies.load(Ordering::Relaxed) as u64;
+    spdlog::info!("the daemon has stopped", kv: { unfinished, open_bodies, took_ms });
     open
 }
 
