End a request with the last byte of its answer

Callers saw answers cut in the middle around a planned stop, after exit code 0, for requests that may run only once (LOST).

Cause: the entry counted a request as open until its handler returned, and the daemon beside the backend server held the slot until the head had come. A body that streams (in chunks, above 64 KiB, ending with the connection) outlives both, so the shutdown found nothing in flight.

The body of an answer now owns what must last as long: the count of open requests, the slot with its entry among the running requests, and the request in flight to a worker. They are given up with the last byte, the break or the caller's leaving. So a planned stop waits, listeners stay open for the calls of a backend server that still answers, and no second request gets its slot. An answer that is buffered ends with its head, as before.

A slot ends when the daemon beside the backend server has received the last byte: until then the backend server works or waits to write. The capacity estimate goes on comparing times until the head.

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -1,10 +1,12 @@
-//! How the bodies of answers end: what is told so, for log lines and metrics.
+//! What lasts until the last byte of an answer rather than until its head: the count of open requests,
+//! the slot of the backend server and the count of requests in flight to a worker.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
 use super::log_limiter::LineKind;
+use super::slot::Slot;
 use super::state::Relay;
 
 /// How the body of an answer has ended.
@@ -23,7 +25,7 @@
 #[derive(Debug)]
 pub enum EndWatcher {
     /// A request of a caller at its entry.
-    Request(OpenBody),
+    Request(OpenRequest),
     /// An attempt of the entry at one worker.
     Attempt(OpenAttempt),
     /// A run on the backend server beside this daemon.
@@ -40,32 +42,41 @@
     }
 }
 
-/// Counts the body of an answer to a caller as open until it is dropped.
+/// Counts a request of a caller as open until it is dropped.
 #[derive(Debug)]
-pub struct OpenBody(Arc<Relay>);
+pub struct OpenRequest(Arc<Relay>);
 
-impl OpenBody {
-    pub(super) fn new(relay: &Arc<Relay>) -> OpenBody {
-        relay.open_bodies.fetch_add(1, Ordering::Relaxed);
-        OpenBody(Arc::clone(relay))
+impl OpenRequest {
+    pub(super) fn new(relay: &Arc<Relay>) -> OpenRequest {
+        relay.open_requests.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(Arc::clone(relay))
     }
 }
 
-impl Drop for OpenBody {
+impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open_bodies.fetch_sub(1, Ordering::Relaxed);
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
     }
 }
 
-/// An attempt of the entry whose answer has begun.
+/// Counts a request as in flight to a worker until it is dropped.
 #[derive(Debug)]
 pub struct OpenAttempt {
-    pub(super) relay: Arc<Relay>,
-    pub(super) address: SocketAddr,
-    pub(super) request_id: String,
+    relay: Arc<Relay>,
+    address: SocketAddr,
+    request_id: String,
 }
 
 impl OpenAttempt {
+    pub(super) fn new(relay: &Arc<Relay>, address: SocketAddr, request_id: &str) -> OpenAttempt {
+        relay.tables().load_balancer.sent(address);
+        OpenAttempt {
+            relay: Arc::clone(relay),
+            address,
+            request_id: request_id.to_owned(),
+        }
+    }
+
     fn ended(self, end: AnswerEnd) {
         if end == AnswerEnd::Broken && self.relay.may_log(LineKind::Failed) {
             let (request_id, address) = (self.request_id.as_str(), self.address);
@@ -74,18 +85,24 @@
     }
 }
 
-/// A run whose answer has begun.
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.relay.tables().load_balancer.ended(self.address);
+    }
+}
+
+/// A run whose answer has begun. Its slot is occupied until the backend server has sent the last byte.
 #[derive(Debug)]
 pub struct OpenRun {
-    pub(super) relay: Arc<Relay>,
-    pub(super) request_id: String,
+    pub(super) slot: Slot,
 }
 
 impl OpenRun {
     fn ended(self, end: AnswerEnd) {
-        self.relay.metrics.answer_ended(end);
-        if end == AnswerEnd::Broken && self.relay.may_log(LineKind::Failed) {
-            let request_id = self.request_id.as_str();
+        let relay = &self.slot.relay;
+        relay.metrics.answer_ended(end);
+        if end == AnswerEnd::Broken && relay.may_log(LineKind::Failed) {
+            let request_id = self.slot.request_id.as_str();
             spdlog::warn!("the backend server broke off an answer", kv: { request_id });
         }
     }
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -2,14 +2,13 @@
 //! overload and has the others run by a worker on this VM or another.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hyper::body::{Body, Incoming};
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
-use super::answer_end::{EndWatcher, OpenBody};
+use super::answer_end::{EndWatcher, OpenRequest};
 use super::attempt::attempt;
 use super::body::{BodyError, RelayBody};
 use super::connection_timeout::Answering;
@@ -32,7 +31,7 @@
 const NO_CONFIG_RETRY_MS: u64 = 500;
 /// Handles one request of a caller.
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
-    let _open = OpenRequest::new(&relay);
+    let open = OpenRequest::new(&relay);
     let started = relay.clock.now();
     let request_id = request
         .headers()
@@ -57,29 +56,12 @@
             .headers_mut()
             .insert(hyper::header::CONNECTION, close);
     }
-    let open = EndWatcher::Request(OpenBody::new(&relay));
-    response.body_mut().watch(open);
     let took_ms = relay.clock.now().since_ms(started);
     relay.metrics.answered(response.status(), took_ms);
+    response.body_mut().watch(EndWatcher::Request(open));
     response
 }
 
-/// Counts a request as open until it is dropped.
-struct OpenRequest(Arc<Relay>);
-
-impl OpenRequest {
-    fn new(relay: &Arc<Relay>) -> OpenRequest {
-        relay.open_requests.fetch_add(1, Ordering::Relaxed);
-        OpenRequest(Arc::clone(relay))
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// A response with status 503 and a retry-after time, which states that the request has not run.
 pub(super) fn refusal(retry_after_ms: u64) -> Response<RelayBody> {
     refusal_with(StatusCode::SERVICE_UNAVAILABLE, retry_after_ms)
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -186,16 +186,11 @@
             return unknown_outcome(relay, &request_id, UnknownReason::DeadlinePassed, cause);
         }
     };
-    let executed = match result {
+    let mut executed = match result {
         Ok(mut executed) => {
             if let ExecutionOutcome::Done(done) = &mut executed {
-                slot.took_ms = Some(done.took_ms);
+                slot.head_ms = Some(done.took_ms);
                 relay.record_ended_well(digest);
-                let run = OpenRun {
-                    relay: Arc::clone(relay),
-                    request_id: request_id.clone(),
-                };
-                done.response.body_mut().watch(EndWatcher::Run(run));
                 done.nested_call_failed =
                     done.response.status().is_server_error() && relay.has_failed_call(&request_id);
             }
@@ -219,6 +214,10 @@
         log_crash(relay, &request_id, &instance, digest, &path);
         relay.record_crash(&instance, digest, slot.started);
     }
+    if let ExecutionOutcome::Done(done) = &mut executed {
+        let run = EndWatcher::Run(OpenRun { slot });
+        done.response.body_mut().watch(run);
+    }
     executed
 }
 
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -30,28 +30,6 @@
 /// How long a worker that reports that it takes no requests is skipped, in milliseconds.
 const NO_REQUESTS_MS: u64 = 700;
 
-/// Counts a request as in flight to a worker until it is dropped.
-struct InFlight {
-    relay: Arc<Relay>,
-    address: SocketAddr,
-}
-
-impl InFlight {
-    fn new(relay: &Arc<Relay>, address: SocketAddr) -> InFlight {
-        relay.tables().load_balancer.sent(address);
-        InFlight {
-            relay: Arc::clone(relay),
-            address,
-        }
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.relay.tables().load_balancer.ended(self.address);
-    }
-}
-
 /// Offers the request to one worker and returns the outcome.
 pub(super) async fn offer(
     relay: &Arc<Relay>,
@@ -60,13 +38,9 @@
     hop: HopRequest,
     body: RelayBody,
 ) -> ExecutionOutcome {
+    let attempt = OpenAttempt::new(relay, candidate.address, call.id);
     let mut executed = send(relay, call, candidate, hop, body).await;
     if let ExecutionOutcome::Done(done) = &mut executed {
-        let attempt = OpenAttempt {
-            relay: Arc::clone(relay),
-            address: candidate.address,
-            request_id: call.id.to_owned(),
-        };
         let watcher = EndWatcher::Attempt(attempt);
         done.response.body_mut().watch(watcher);
     }
@@ -80,7 +54,6 @@
     hop: HopRequest,
     body: RelayBody,
 ) -> ExecutionOutcome {
-    let _in_flight = InFlight::new(relay, candidate.address);
     let sent = relay.clock.now();
     if candidate.is_own {
         let local_request = LocalRequest {
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -22,14 +22,15 @@
 pub(super) const LEAVING_RETRY_MS: u64 = 500;
 
 /// An occupied slot of the backend server, released on drop.
-pub(super) struct Slot {
-    relay: Arc<Relay>,
+#[derive(Debug)]
+pub struct Slot {
+    pub(super) relay: Arc<Relay>,
     route: ServiceName,
-    request_id: String,
+    pub(super) request_id: String,
     /// When it was occupied.
     pub(super) started: TimeMs,
-    /// Duration of the run; `None` until the backend server has answered.
-    pub(super) took_ms: Option<u64>,
+    /// Time until the head of the answer, in milliseconds; `None` until it has arrived.
+    pub(super) head_ms: Option<u64>,
     /// Usual duration of the route over all workers, in milliseconds, if the entry knows it.
     usual_ms: Option<u32>,
     /// Process whose capacity estimates count the request.
@@ -52,7 +53,7 @@
             route: local_request.hop.route.clone(),
             request_id,
             started,
-            took_ms: None,
+            head_ms: None,
             usual_ms: local_request.hop.usual_ms,
             counted_by,
         }
@@ -69,9 +70,11 @@
             let now = self.relay.clock.now();
             tables.ended.record(now, &self.request_id, ended);
         }
-        tables.admission.finished(&self.route, self.took_ms);
         let now = self.relay.clock.now();
-        let end = self.took_ms.map(|took_ms| RunEnd {
+        let occupied_ms = self.head_ms.map(|_| now.since_ms(self.started));
+        tables.admission.finished(&self.route, occupied_ms);
+        // The usual duration is a time until the head of an answer too.
+        let end = self.head_ms.map(|took_ms| RunEnd {
             took_ms,
             usual_ms: self.usual_ms,
         });
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -258,10 +258,8 @@
     pub incarnation: u64,
     /// Next number for the hop key of a non-idempotent request.
     pub next_hop: AtomicU64,
-    /// Number of callers' requests that have no answer yet.
+    /// Number of callers' requests whose answer has not ended yet.
     pub open_requests: std::sync::atomic::AtomicUsize,
-    /// Number of answers to callers whose bodies have not ended.
-    pub open_bodies: std::sync::atomic::AtomicUsize,
     tables: Mutex<Tables>,
 }
 
@@ -310,7 +308,6 @@
             incarnation,
             next_hop: AtomicU64::new(0),
             open_requests: std::sync::atomic::AtomicUsize::new(0),
-            open_bodies: std::sync::atomic::AtomicUsize::new(0),
             tables: Mutex::new(Tables {
                 directory: Directory::new(settings.hop_address, settings.place.clone()),
                 load_balancer: LoadBalancer::default(),
--- a/src/net/relay/stop.rs
+++ b/src/net/relay/stop.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown: first reports not ready, then accepts no new connections once the backend
 //! server beside this daemon has no request left, then ends once every request in flight has its
-//! answer.
+//! whole answer.
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
@@ -24,7 +24,7 @@
 /// Consecutive checks that must find nothing in flight, so that written answers have been sent.
 const IDLE_POLLS: u32 = 3;
 
-/// Shuts the relay down; returns how many requests have no answer.
+/// Shuts the relay down; returns how many requests have no whole answer.
 pub async fn stop(relay: &Arc<Relay>) -> usize {
     let started = relay.clock.now();
     let grace_ms = seconds_to_ms(relay.settings.load().bounds.grace_s * GRACE_FRACTION);
@@ -53,8 +53,7 @@
     }
     let open = in_flight(relay);
     let (unfinished, took_ms) = (open as u64, elapsed_ms(relay, started));
-    let open_bodies = relay.open_bodies.load(Ordering::Relaxed) as u64;
-    spdlog::info!("the daemon has stopped", kv: { unfinished, open_bodies, took_ms });
+    spdlog::info!("the daemon has stopped", kv: { unfinished, took_ms });
     open
 }
 
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -2,6 +2,8 @@
 
 use strum::EnumString;
 
+use super::streams::Framing;
+
 /// Behaviour that a request selects by the last segment of its path, up to the first dot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
 #[strum(serialize_all = "snake_case")]
@@ -44,6 +46,13 @@
     FailLate,
     /// Run and answer without a content length; the body ends when the connection closes.
     Unframed,
+    /// Run and answer in chunks that arrive over the milliseconds given in the segment after its first
+    /// dot.
+    Stream,
+    /// Like `Stream`, with a content length.
+    StreamKnown,
+    /// Like `Stream`; the body ends when the connection closes.
+    StreamUnframed,
     /// Run and send informational answers until the connection closes.
     EndlessHeads,
     /// Run and send one header line after the other until the connection closes.
@@ -57,3 +66,15 @@
     /// Run and end the backend server, which comes back as another instance.
     Crash,
 }
+
+impl Behaviour {
+    /// How the end of a body is told that arrives piece by piece; `None` for another behaviour.
+    pub(super) fn framing(self) -> Option<Framing> {
+        match self {
+            Behaviour::Stream => Some(Framing::Chunked),
+            Behaviour::StreamKnown => Some(Framing::Known),
+            Behaviour::StreamUnframed => Some(Framing::Unframed),
+            _ => None,
+        }
+    }
+}
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod behaviour;
 pub mod store;
+mod streams;
 pub mod worker;
 
 pub use store::StandInStore;
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use super::behaviour::Behaviour;
+use super::streams::{self, Framing};
 use crate::decide::sharded::lock;
 use crate::net::NetError;
 use crate::net::http;
@@ -387,6 +388,15 @@
                 stream.write_all(&body).await?;
                 return send_endlessly(&mut stream, "after the answer ", shared).await;
             }
+            Behaviour::Stream | Behaviour::StreamKnown | Behaviour::StreamUnframed => {
+                let framing = behaviour.framing().unwrap_or(Framing::Chunked);
+                let head = format!("{ok}{signed}");
+                streams::send(&mut stream, &head, framing, run_duration, true).await?;
+                if framing == Framing::Unframed {
+                    return stream.shutdown().await;
+                }
+                continue;
+            }
             Behaviour::Crash => {
                 shared.crashed.notify_one();
                 return std::future::pending().await;
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -274,7 +274,7 @@
     send_with_headers(address, path, &headers, body).await
 }
 
-/// Sends one request over a new connection, with these headers beside the usual ones.
+/// Sends one request over a new connection, with these headers beside the usual ones or in their place.
 pub async fn send_with_headers(
     address: SocketAddr,
     path: &str,
@@ -285,9 +285,11 @@
     let mut request = Request::builder()
         .method(Method::POST)
         .uri(format!("http://{address}{path}"))
-        .header("x-deadline-ms", "3000")
         .header("x-caller-service", "forged");
-    for (name, value) in headers {
+    let usual = [("x-deadline-ms", "3000")];
+    let is_given = |name: &str| headers.iter().any(|(given, _)| *given == name);
+    let usual = usual.iter().filter(|(name, _)| !is_given(name));
+    for (name, value) in usual.chain(headers) {
         request = request.header(*name, *value);
     }
     let request = request
