Keep a deregistration of a backend server that is not known yet

Callers saw requests cut on a backend server that had exited 14 s after its deregistration was confirmed with 200, and 168 requests reached it while all machines were in touch (DRAIN).

Cause: a deregistration was applied to the backend server that the daemon knew. One that was started again while the store was down knew none, confirmed it and kept nothing; its record of before, from the log or a peer, made the server ready again.

Deregistrations are now remembered by instance and start of the process, known or not (Departures). A process that becomes known later, by a record or a heartbeat that was on its way, is gone from the start, which the daemon publishes. A later process of the same instance is used. The body of a deregistration is read for "born"; without it the time of the confirmation counts.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -151,8 +151,8 @@
         }
     }
 
-    /// Deregisters the backend process `instance`; returns false if it is another process or
-    /// already gone.
+    /// Deregisters the backend process `instance`; returns false if it is another process or already
+    /// gone.
     pub fn leave(&mut self, now: TimeMs, instance: &str) -> bool {
         if self.heartbeat.instance != instance || self.state == MemberState::Gone {
             return false;
@@ -162,6 +162,13 @@
         true
     }
 
+    /// Records that the backend process has deregistered at an unknown earlier time, so that it gets no
+    /// new requests at all.
+    pub fn has_left(&mut self) {
+        self.state = MemberState::Gone;
+        self.leaving_since = Some(UNKNOWN_LEAVING_TIME);
+    }
+
     /// Identifies the process of the backend server.
     pub fn process(&self) -> u64 {
         let heartbeat = &self.heartbeat;
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -8,6 +8,7 @@
 pub mod capacity;
 pub mod connection_phase;
 pub mod crash_witness;
+pub mod departures;
 pub mod directory;
 pub mod ended_requests;
 pub mod load_balancer;
@@ -37,6 +38,7 @@
 pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
 pub use connection_phase::ConnectionPhase;
 pub use crash_witness::{CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
+pub use departures::{Departure, Departures};
 pub use directory::{Directory, Member, MemberState};
 pub use ended_requests::EndedRequests;
 pub use load_balancer::{
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -5,8 +5,8 @@
 use super::log_limiter::LineKind;
 use super::state::{Relay, Stage, Tables};
 use crate::decide::relay::{
-    AnsweredRate, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, MAX_CRASHES, Member,
-    MemberState, RelayedRate, RequestDigest, StatedRate,
+    AnsweredRate, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, MAX_CRASHES,
+    Member, MemberState, RelayedRate, RequestDigest, StatedRate,
 };
 use crate::model::TimeMs;
 
@@ -27,6 +27,9 @@
                 HeartbeatOutcome::Changed
             }
         };
+        if outcome == HeartbeatOutcome::Changed {
+            remember_departure(&mut tables);
+        }
         if outcome != HeartbeatOutcome::Stale {
             tables.worker_unreachable_since = None;
             tables.admission.set_slots(slots);
@@ -95,11 +98,17 @@
         spdlog::info!("the backend server states another rate limit", kv: { instance, per_s });
     }
 
-    /// Records that the backend server beside this daemon is leaving; true if this changes its
-    /// state.
-    pub fn record_deregistration(&self, instance: &str) -> bool {
+    /// Records that a backend server beside this daemon is leaving; true if this changes the state of
+    /// the one that is known. `born_unix_ms` is the start of its process if it states one.
+    pub fn record_deregistration(&self, instance: &str, born_unix_ms: Option<u64>) -> bool {
         let now = self.clock.now();
+        let born_until_unix_ms = born_unix_ms.unwrap_or_else(crate::net::daemon::unix_ms);
         let mut tables = self.tables();
+        // Remembered also if the process is known: a later one of the same instance may be unknown.
+        tables.departures.record(Departure {
+            instance: instance.to_owned(),
+            born_until_unix_ms,
+        });
         let is_news = match &mut tables.worker {
             Some(worker) => worker.leave(now, instance),
             None => false,
@@ -225,8 +234,11 @@
         }
         tables.worker = Some(worker);
         self.update_capacity(tables, now);
-        // The log already holds this record, so nothing is published.
         tables.directory.merge(now, member.clone());
+        // The log already holds this record, so nothing is published unless it is outdated.
+        if remember_departure(tables) {
+            self.announce(tables, now);
+        }
         let instance = member.instance.as_str();
         spdlog::info!("restored the backend server from the record of before the restart", kv: { instance });
     }
@@ -330,6 +342,24 @@
     }
 }
 
+/// Marks the backend server as gone if it deregistered before this daemon knew it; true if it did.
+fn remember_departure(tables: &mut Tables) -> bool {
+    let Some(worker) = &mut tables.worker else {
+        return false;
+    };
+    let heartbeat = &worker.heartbeat;
+    let has_left = tables
+        .departures
+        .has_left(&heartbeat.instance, heartbeat.born_unix_ms);
+    if has_left && worker.state != MemberState::Gone {
+        worker.has_left();
+        let instance = worker.heartbeat.instance.as_str();
+        spdlog::info!("the backend server had deregistered before it was known", kv: { instance });
+        return true;
+    }
+    false
+}
+
 /// Logs those of the requests that are held back.
 fn log_held_back(directory: &Directory, digests: &[RequestDigest]) {
     let held_back = digests
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -26,10 +26,10 @@
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::crash_witness;
 use crate::decide::relay::{
-    Admission, CrashWitness, Directory, EndedRequests, EntryShares, Limits, LoadBalancer,
-    LocalWorker, OrganisationTable, PauseDetector, PeerStatements, Readers, ReadingPlan,
-    RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable, Shutdown, WaiterId,
-    WorkerShares,
+    Admission, CrashWitness, Departures, Directory, EndedRequests, EntryShares, Limits,
+    LoadBalancer, LocalWorker, OrganisationTable, PauseDetector, PeerStatements, Readers,
+    ReadingPlan, RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable,
+    Shutdown, WaiterId, WorkerShares,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -101,6 +101,8 @@
     /// The backend server beside this daemon; `None` until its first heartbeat or its record from
     /// before a restart of the daemon.
     pub worker: Option<LocalWorker>,
+    /// Backend processes whose deregistration this daemon has confirmed.
+    pub departures: Departures,
     /// When the backend server was found unreachable; cleared by a heartbeat or an answer.
     pub worker_unreachable_since: Option<TimeMs>,
     /// Concurrency limit and queue of the backend server beside this daemon.
@@ -316,6 +318,7 @@
                 entry_shares: EntryShares::default(),
                 has_limited: false,
                 worker: None,
+                departures: Departures::default(),
                 worker_unreachable_since: None,
                 admission: Admission::new(1),
                 capacity: None,
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -50,6 +50,12 @@
     cold_remaining_s: f64,
 }
 
+#[derive(Debug, Default, Deserialize)]
+struct WireDeregistration {
+    /// Start of the backend process, in milliseconds since the Unix epoch.
+    born: Option<u64>,
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum WireState {
@@ -66,16 +72,36 @@
     let instance_id = query_parameter(query, "of").unwrap_or_default().to_owned();
     match query_parameter(query, "call") {
         Some(HEARTBEAT_CALL) => heartbeat(&relay, instance_id, request).await,
-        Some(DEREGISTER_CALL) => {
-            let is_news = relay.record_deregistration(&instance_id);
-            let instance = instance_id.as_str();
-            spdlog::info!("the backend server has deregistered", kv: { instance, is_news: });
-            acknowledged()
-        }
+        Some(DEREGISTER_CALL) => deregistration(&relay, &instance_id, request).await,
         _ => empty_response(StatusCode::NOT_FOUND),
     }
 }
 
+async fn deregistration(
+    relay: &Relay,
+    instance: &str,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
+        .collect()
+        .await;
+    let body = match body {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return malformed(instance, &error.to_string()),
+    };
+    // The body is optional.
+    let wire: WireDeregistration = match body.is_empty() {
+        true => WireDeregistration::default(),
+        false => match serde_json::from_slice(&body) {
+            Ok(wire) => wire,
+            Err(error) => return malformed(instance, &error.to_string()),
+        },
+    };
+    let is_news = relay.record_deregistration(instance, wire.born);
+    spdlog::info!("the backend server has deregistered", kv: { instance, is_news: });
+    acknowledged()
+}
+
 async fn heartbeat(
     relay: &Relay,
     instance: String,
@@ -141,7 +167,7 @@
 }
 
 fn malformed(instance: &str, problem: &str) -> Response<RelayBody> {
-    spdlog::warn!("a heartbeat was rejected", kv: { instance, problem });
+    spdlog::warn!("a call of the backend server was rejected", kv: { instance, problem });
     empty_response(StatusCode::BAD_REQUEST)
 }
 
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -176,9 +176,11 @@
             .await
     }
 
-    /// Deregisters from the daemon. Returns the status of the answer, or 0 without an answer.
-    pub async fn deregister(&self, daemon: SocketAddr) -> u16 {
-        self.send_rpc(daemon, "instances.deregister", String::new())
+    /// Deregisters from the daemon, as the process of this start if one is given. Returns the status of
+    /// the answer, or 0 without an answer.
+    pub async fn deregister(&self, daemon: SocketAddr, born: Option<u64>) -> u16 {
+        let body = born.map(|born| serde_json::json!({ "born": born }).to_string());
+        self.send_rpc(daemon, "instances.deregister", body.unwrap_or_default())
             .await
     }
 
--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
+use burdockhall::decide::relay::MemberState;
+use burdockhall::net::daemon::unix_ms;
 use deployment::Deployment;
 
 #[tokio::test]
@@ -108,3 +110,106 @@
     }
     assert_eq!(leaving.worker.runs().len(), 0);
 }
+
+/// Guards against DRAIN after a restart: a daemon confirmed the deregistration of a backend server that it
+/// did not know, forgot it, and used the server again once its record or a late heartbeat had arrived.
+#[tokio::test]
+async fn a_deregistration_binds_a_daemon_that_learns_of_the_process_later() {
+    const BORN: u64 = 100;
+    enum Source {
+        Log,
+        Peer,
+        Heartbeat,
+    }
+    struct Case {
+        name: &'static str,
+        /// What the deregistration states, if it does.
+        born: Option<u64>,
+        /// How the daemon learns of the process, in order.
+        sources: &'static [Source],
+    }
+    let cases = [
+        Case {
+            name: "from the log",
+            born: Some(BORN),
+            sources: &[Source::Log],
+        },
+        Case {
+            name: "from the log, the process is not stated",
+            born: None,
+            sources: &[Source::Log],
+        },
+        Case {
+            name: "from a peer",
+            born: Some(BORN),
+            sources: &[Source::Peer],
+        },
+        Case {
+            name: "from both",
+            born: Some(BORN),
+            sources: &[Source::Log, Source::Peer],
+        },
+        Case {
+            name: "from a heartbeat that was on its way",
+            born: Some(BORN),
+            sources: &[Source::Heartbeat],
+        },
+        Case {
+            name: "from the log, after an earlier process of the instance",
+            born: Some(BORN + 50),
+            sources: &[Source::Log],
+        },
+    ];
+    let mut running = tokio::task::JoinSet::new();
+    for case in cases {
+        running.spawn(async move {
+            let deployment = Deployment::start(&["a", "a", "b"]).await;
+            let leaving = &deployment.hosts[0];
+            let local = leaving.settings.local_address;
+            let before = leaving.relay.own_member().expect("a record");
+            // What a daemon knows that has been started again and does not reach the log service.
+            {
+                let mut tables = leaving.relay.tables();
+                tables.worker = None;
+                tables.directory.remove(before.address);
+            }
+            assert_eq!(leaving.worker.deregister(local, case.born).await, 200);
+            for source in case.sources {
+                let source = match source {
+                    Source::Log => "log",
+                    Source::Peer => "peer",
+                    Source::Heartbeat => {
+                        let late = leaving.worker.send_heartbeat(local, 2, "ready", BORN);
+                        assert_eq!(late.await, 200);
+                        continue;
+                    }
+                };
+                leaving.relay.merge_members(vec![before.clone()], source);
+            }
+            for number in 0..20 {
+                let id = format!("after-{number}");
+                deployment.call(0, "/safe/work.10", &id, b"").await;
+            }
+            assert_eq!(leaving.worker.runs().len(), 0, "{}: runs", case.name);
+            deployment
+                .wait("the other daemons know of it", |deployment| {
+                    let tables = deployment.hosts[2].relay.tables();
+                    let known = tables.directory.get(before.address);
+                    known.is_some_and(|known| known.member.state == MemberState::Gone)
+                })
+                .await;
+            // A deregistration that does not state its process is about any started before it.
+            let next = leaving.worker.send_heartbeat(local, 1, "ready", unix_ms());
+            assert_eq!(next.await, 200);
+            let tables = leaving.relay.tables();
+            let worker = tables.worker.as_ref().expect("a backend server");
+            assert_eq!(
+                worker.state,
+                MemberState::Ready,
+                "{}: next process",
+                case.name
+            );
+        });
+    }
+    running.join_all().await;
+}
--- a/tests/relay_members.rs
+++ b/tests/relay_members.rs
@@ -141,7 +141,7 @@
     deployment.wait("version 5", has_config(5)).await;
     let leaving = &deployment.hosts[0];
     let local = leaving.settings.local_address;
-    assert_eq!(leaving.worker.deregister(local).await, 200);
+    assert_eq!(leaving.worker.deregister(local, None).await, 200);
     let address = leaving.settings.hop_address;
     let is_gone = move |deployment: &Deployment| {
         let mut hosts = deployment.hosts.iter();
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -253,7 +253,7 @@
         let local = host.settings.local_address;
         let status = match method {
             "draining" => host.worker.send_heartbeat(local, 2, "draining", 100).await,
-            _ => host.worker.deregister(local).await,
+            _ => host.worker.deregister(local, None).await,
         };
         assert_eq!(status, 200, "{method}");
         let drain_ms = (host.settings.bounds.drain_s * 1_000.0) as u64;
--- a/tests/soak/fleet.rs
+++ b/tests/soak/fleet.rs
@@ -312,7 +312,9 @@
         }
         tokio::time::sleep(DRAIN_LIMIT + pause).await;
         let mut announced = host.announced.lock().await;
-        host.worker.deregister(host.settings.local_address).await;
+        host.worker
+            .deregister(host.settings.local_address, None)
+            .await;
         host.restart_backend(&mut announced, false);
     }
 }
