Leave a later process in use when an earlier one deregisters late

A backend server that started again under its instance id got no more requests when the deregistration of its earlier process arrived after its first heartbeat, since processes were told apart by the instance alone.

Found while looking for the cause of the forgotten deregistration on related paths. A deregistration that states the start of an earlier process now leaves the present one as it is; it is still remembered for that process.

relay_leaving: a deregistration of an earlier process leaves the present one in use, fails before (gone) and passes now.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -152,9 +152,10 @@
     }
 
     /// Deregisters the backend process `instance`; returns false if it is another process or already
-    /// gone.
-    pub fn leave(&mut self, now: TimeMs, instance: &str) -> bool {
-        if self.heartbeat.instance != instance || self.state == MemberState::Gone {
+    /// gone. `born_unix_ms` is its start if it states one: a process that started later goes on.
+    pub fn leave(&mut self, now: TimeMs, instance: &str, born_unix_ms: Option<u64>) -> bool {
+        let is_later = born_unix_ms.is_some_and(|born| born < self.heartbeat.born_unix_ms);
+        if self.heartbeat.instance != instance || is_later || self.state == MemberState::Gone {
             return false;
         }
         self.state = MemberState::Gone;
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -110,7 +110,7 @@
             born_until_unix_ms,
         });
         let is_news = match &mut tables.worker {
-            Some(worker) => worker.leave(now, instance),
+            Some(worker) => worker.leave(now, instance, born_unix_ms),
             None => false,
         };
         if is_news {
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -209,9 +209,9 @@
 #[test]
 fn a_leaving_worker_takes_work_for_the_window_and_does_not_return() {
     let mut worker = LocalWorker::new(TimeMs(0), heartbeat("i-1", 100, 1));
-    assert!(!worker.leave(TimeMs(1_000), "i-0"), "another process");
-    assert!(worker.leave(TimeMs(1_000), "i-1"));
-    assert!(!worker.leave(TimeMs(1_100), "i-1"), "already gone");
+    assert!(!worker.leave(TimeMs(1_000), "i-0", None), "another process");
+    assert!(worker.leave(TimeMs(1_000), "i-1", None));
+    assert!(!worker.leave(TimeMs(1_100), "i-1", None), "already gone");
     assert!(worker.takes_work(TimeMs(1_500), 800));
     assert!(!worker.takes_work(TimeMs(1_800), 800));
     worker.apply_heartbeat(TimeMs(1_900), heartbeat("i-1", 100, 2));
--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -213,3 +213,18 @@
     }
     running.join_all().await;
 }
+
+/// Guards against a backend server that gets no requests: the deregistration of an earlier process of its
+/// instance arrived late and removed it.
+#[tokio::test]
+async fn a_deregistration_of_an_earlier_process_leaves_the_present_one_in_use() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let host = &deployment.hosts[0];
+    let local = host.settings.local_address;
+    let next = host.worker.send_heartbeat(local, 1, "ready", 200);
+    assert_eq!(next.await, 200);
+    assert_eq!(host.worker.deregister(local, Some(100)).await, 200);
+    let tables = host.relay.tables();
+    let worker = tables.worker.as_ref().expect("a backend server");
+    assert_eq!(worker.state, MemberState::Ready);
+}
