Judge a run by the end of its answer, not by its head

Cause: with the head of its answer a run counted as ended well, beside the backend server and at the entry, which takes the request off the suspects; a body that broke off was examined by nobody.

A run now ends well with the last byte, and one that breaks off before is examined for a crash like one that breaks off before the head. If the body ends with the connection, a crash looks like its end: the server is then probed, and the reply tells the entry that the end of the body shows nothing ("b", absent otherwise, so that older builds read it).

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -1,13 +1,17 @@
 //! What lasts until the last byte of an answer rather than until its head: the count of open requests,
-//! the slot of the backend server and the count of requests in flight to a worker.
+//! the slot of the backend server, the count of requests in flight to a worker, and the suspicion that a
+//! request crashes its backend server.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use super::entry::Call;
+use super::executor_log::log_crash;
 use super::log_limiter::LineKind;
 use super::slot::Slot;
 use super::state::Relay;
+use crate::decide::relay::RequestDigest;
 
 /// How the body of an answer has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -29,7 +33,7 @@
     /// An attempt of the entry at one worker.
     Attempt(OpenAttempt),
     /// A run on the backend server beside this daemon.
-    Run(OpenRun),
+    Run(Box<OpenRun>),
 }
 
 impl EndWatcher {
@@ -65,19 +69,27 @@
     relay: Arc<Relay>,
     address: SocketAddr,
     request_id: String,
+    digest: RequestDigest,
+    /// Whether the body ends with the backend server's connection, so that a crash looks like its end.
+    pub(super) ends_with_connection: bool,
 }
 
 impl OpenAttempt {
-    pub(super) fn new(relay: &Arc<Relay>, address: SocketAddr, request_id: &str) -> OpenAttempt {
+    pub(super) fn new(relay: &Arc<Relay>, address: SocketAddr, call: &Call<'_>) -> OpenAttempt {
         relay.tables().load_balancer.sent(address);
         OpenAttempt {
             relay: Arc::clone(relay),
             address,
-            request_id: request_id.to_owned(),
+            request_id: call.id.to_owned(),
+            digest: call.digest,
+            ends_with_connection: false,
         }
     }
 
     fn ended(self, end: AnswerEnd) {
+        if end == AnswerEnd::Complete && !self.ends_with_connection {
+            self.relay.record_ended_well(self.digest);
+        }
         if end == AnswerEnd::Broken && self.relay.may_log(LineKind::Failed) {
             let (request_id, address) = (self.request_id.as_str(), self.address);
             spdlog::warn!("an answer broke off before it was whole", kv: { request_id, address: });
@@ -95,6 +107,10 @@
 #[derive(Debug)]
 pub struct OpenRun {
     pub(super) slot: Slot,
+    /// What the run is remembered by if its backend server ends meanwhile.
+    pub(super) suspect: RunSuspect,
+    /// Whether the body ends with its connection, so that a crash looks like its end.
+    pub(super) ends_with_connection: bool,
 }
 
 impl OpenRun {
@@ -105,5 +121,48 @@
             let request_id = self.slot.request_id.as_str();
             spdlog::warn!("the backend server broke off an answer", kv: { request_id });
         }
+        match end {
+            AnswerEnd::Complete if !self.ends_with_connection => {
+                relay.record_ended_well(self.suspect.digest);
+            }
+            AnswerEnd::Complete | AnswerEnd::Broken => {
+                tokio::spawn(self.probe(end));
+            }
+            AnswerEnd::Dropped => {}
+        }
+    }
+
+    /// Finds out whether the backend server has ended during the run.
+    async fn probe(self, end: AnswerEnd) {
+        let has_crashed = self.suspect.record_if_crashed(&self.slot).await;
+        if !has_crashed && end == AnswerEnd::Complete {
+            let relay = &self.slot.relay;
+            relay.record_ended_well(self.suspect.digest);
+        }
+    }
+}
+
+/// What a run is remembered by if its backend server ends meanwhile.
+#[derive(Debug)]
+pub struct RunSuspect {
+    pub(super) digest: RequestDigest,
+    /// Instance of the backend server.
+    pub(super) instance: String,
+    /// Path of the request.
+    pub(super) path: String,
+}
+
+impl RunSuspect {
+    /// Suspects the request of a run that broke off, if its backend server has ended; true if it has.
+    pub(super) async fn record_if_crashed(&self, slot: &Slot) -> bool {
+        let relay = &slot.relay;
+        let address = relay.settings.load().backend_address;
+        let has_ended = relay.crash_probe.has_ended(&relay.clock, address).await;
+        if has_ended {
+            let (instance, digest) = (self.instance.as_str(), self.digest);
+            log_crash(relay, &slot.request_id, instance, digest, &self.path);
+            relay.record_crash(instance, digest, slot.started);
+        }
+        has_ended
     }
 }
--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HeaderMap, HeaderValue};
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 
 use super::body::{PooledConnection, RelayBody};
@@ -101,10 +101,13 @@
         let message = format!("status {status} without a signature");
         return unknown_outcome(relay, request_id, UnknownReason::BackendBroke, &message);
     }
+    let has_length = response.body().size_hint().exact().is_some();
+    let is_chunked = headers.contains_key(TRANSFER_ENCODING);
     ExecutionOutcome::Done(Done {
         response: Box::new(answer(relay, response, sender)),
         took_ms,
         nested_call_failed: false,
+        ends_with_connection: !has_length && !is_chunked,
     })
 }
 
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -131,7 +131,6 @@
                             .record_duration(now, address, route, done.took_ms);
                     }
                 }
-                relay.record_ended_well(call.digest);
                 if !failed {
                     log_answer(
                         relay,
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -8,10 +8,10 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 
-use super::answer_end::{EndWatcher, OpenRun};
+use super::answer_end::{EndWatcher, OpenRun, RunSuspect};
 use super::answers::classify_answer;
 use super::body::RelayBody;
-use super::executor_log::{log_crash, log_refusal, log_start, unknown_outcome};
+use super::executor_log::{log_refusal, log_start, unknown_outcome};
 use super::hop::{HopRequest, empty_response, strip_connection_headers};
 use super::identify;
 use super::pool::ExchangeError;
@@ -59,6 +59,8 @@
     pub took_ms: u64,
     /// Whether the answer is a server error and a nested call of the request has failed too.
     pub nested_call_failed: bool,
+    /// Whether the body ends with the backend server's connection, so that a crash looks like its end.
+    pub ends_with_connection: bool,
 }
 
 /// The outcome of a request for a backend server.
@@ -155,9 +157,11 @@
 ) -> ExecutionOutcome {
     let address = relay.settings.load().backend_address;
     let request_id = local_request.request_id(relay).to_owned();
-    let instance = local_request.hop.instance.clone();
-    let digest = local_request.hop.digest;
-    let path = local_request.uri.path().to_owned();
+    let suspect = RunSuspect {
+        digest: local_request.hop.digest,
+        instance: local_request.hop.instance.clone(),
+        path: local_request.uri.path().to_owned(),
+    };
     let (deadline, idempotent) = (local_request.deadline, local_request.idempotent);
     let is_retry = local_request.hop.is_retry;
     relay.tables().arrivals.record(relay.clock.now(), is_retry);
@@ -176,7 +180,7 @@
             .await?;
         relay.tables().worker_unreachable_since = None;
         let took_ms = relay.clock.now().since_ms(slot.started);
-        let executed = classify_answer(relay, &request_id, &instance, exchanged, took_ms);
+        let executed = classify_answer(relay, &request_id, &suspect.instance, exchanged, took_ms);
         Ok::<_, ExchangeError>(buffer_if_short(relay, &request_id, executed).await)
     };
     let result = match tokio::time::timeout(timeout, answer).await {
@@ -190,7 +194,6 @@
         Ok(mut executed) => {
             if let ExecutionOutcome::Done(done) = &mut executed {
                 slot.head_ms = Some(done.took_ms);
-                relay.record_ended_well(digest);
                 done.nested_call_failed =
                     done.response.status().is_server_error() && relay.has_failed_call(&request_id);
             }
@@ -206,17 +209,21 @@
             unknown_outcome(relay, &request_id, UnknownReason::BackendBroke, &message)
         }
     };
-    if let ExecutionOutcome::Unknown {
-        reason: UnknownReason::BackendBroke,
-    } = executed
-        && relay.crash_probe.has_ended(&relay.clock, address).await
-    {
-        log_crash(relay, &request_id, &instance, digest, &path);
-        relay.record_crash(&instance, digest, slot.started);
-    }
-    if let ExecutionOutcome::Done(done) = &mut executed {
-        let run = EndWatcher::Run(OpenRun { slot });
-        done.response.body_mut().watch(run);
+    match &mut executed {
+        ExecutionOutcome::Unknown {
+            reason: UnknownReason::BackendBroke,
+        } => {
+            suspect.record_if_crashed(&slot).await;
+        }
+        ExecutionOutcome::Done(done) => {
+            let run = EndWatcher::Run(Box::new(OpenRun {
+                slot,
+                suspect,
+                ends_with_connection: done.ends_with_connection,
+            }));
+            done.response.body_mut().watch(run);
+        }
+        ExecutionOutcome::Unknown { .. } | ExecutionOutcome::NotRun { .. } => {}
     }
     executed
 }
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -144,6 +144,10 @@
     /// it shows whether the daemon was already running when the request was sent.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
     pub up_ms: Option<u64>,
+    /// Whether the body ends with the backend server's connection, so that it does not show whether the
+    /// backend server has crashed.
+    #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
+    pub ends_with_connection: bool,
     /// Member record of the answering daemon, if the backend server takes no requests, is leaving,
     /// is not the instance that the request names or may have crashed.
     #[serde(rename = "a", default, skip_serializing_if = "Option::is_none")]
@@ -183,8 +187,11 @@
         None => executor::run(&relay, local_request, body).await,
     };
     let (outcome, took_ms) = (HopOutcome::from(&executed), executed.took_ms());
+    let mut reply = relay.reply(outcome, took_ms);
+    if let ExecutionOutcome::Done(done) = &executed {
+        reply.ends_with_connection = done.ends_with_connection;
+    }
     let mut response = executor::into_response(executed);
-    let reply = relay.reply(outcome, took_ms);
     attach_reply(&mut response, &reply);
     response
 }
@@ -280,6 +287,7 @@
             config,
             members_read: self.members_read.own(),
             up_ms: None,
+            ends_with_connection: false,
             member,
         }
     }
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -38,9 +38,10 @@
     hop: HopRequest,
     body: RelayBody,
 ) -> ExecutionOutcome {
-    let attempt = OpenAttempt::new(relay, candidate.address, call.id);
+    let mut attempt = OpenAttempt::new(relay, candidate.address, call);
     let mut executed = send(relay, call, candidate, hop, body).await;
     if let ExecutionOutcome::Done(done) = &mut executed {
+        attempt.ends_with_connection = done.ends_with_connection;
         let watcher = EndWatcher::Attempt(attempt);
         done.response.body_mut().watch(watcher);
     }
@@ -228,6 +229,7 @@
             response: Box::new(Response::from_parts(parts, body)),
             took_ms: reply.took_ms,
             nested_call_failed: reply.outcome == HopOutcome::NestedCallFailed,
+            ends_with_connection: reply.ends_with_connection,
         }),
         HopOutcome::NotRun {
             reason,
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -53,6 +53,13 @@
     StreamKnown,
     /// Like `Stream`; the body ends when the connection closes.
     StreamUnframed,
+    /// Like `Stream`, but end the backend server before the last piece; it comes back as another
+    /// instance.
+    CrashStream,
+    /// Like `CrashStream`, with a content length.
+    CrashStreamKnown,
+    /// Like `CrashStream`; the body would end when the connection closes.
+    CrashStreamUnframed,
     /// Run and send informational answers until the connection closes.
     EndlessHeads,
     /// Run and send one header line after the other until the connection closes.
@@ -71,10 +78,21 @@
     /// How the end of a body is told that arrives piece by piece; `None` for another behaviour.
     pub(super) fn framing(self) -> Option<Framing> {
         match self {
-            Behaviour::Stream => Some(Framing::Chunked),
-            Behaviour::StreamKnown => Some(Framing::Known),
-            Behaviour::StreamUnframed => Some(Framing::Unframed),
+            Behaviour::Stream | Behaviour::CrashStream => Some(Framing::Chunked),
+            Behaviour::StreamKnown | Behaviour::CrashStreamKnown => Some(Framing::Known),
+            Behaviour::StreamUnframed | Behaviour::CrashStreamUnframed => Some(Framing::Unframed),
             _ => None,
         }
     }
+
+    /// Whether the backend server ends during the run.
+    pub(super) fn crashes(self) -> bool {
+        matches!(
+            self,
+            Behaviour::Crash
+                | Behaviour::CrashStream
+                | Behaviour::CrashStreamKnown
+                | Behaviour::CrashStreamUnframed
+        )
+    }
 }
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -307,6 +307,18 @@
         let body = received.body;
         let error = "HTTP/1.1 500 Internal Server Error\r\n";
         let unavailable = "HTTP/1.1 503 Service Unavailable\r\n";
+        if let Some(framing) = behaviour.framing() {
+            let head = format!("{ok}{signed}");
+            let is_whole = !behaviour.crashes();
+            streams::send(&mut stream, &head, framing, run_duration, is_whole).await?;
+            if is_whole && framing == Framing::Unframed {
+                return stream.shutdown().await;
+            }
+        }
+        if behaviour.crashes() {
+            shared.crashed.notify_one();
+            return std::future::pending().await;
+        }
         let (head, body) = match behaviour {
             Behaviour::Echo => (format!("{ok}{signed}{length}"), body),
             Behaviour::Slow | Behaviour::Work | Behaviour::FailLate => {
@@ -390,25 +402,20 @@
                 stream.write_all(&body).await?;
                 return send_endlessly(&mut stream, "after the answer ", shared).await;
             }
-            Behaviour::Stream | Behaviour::StreamKnown | Behaviour::StreamUnframed => {
-                let framing = behaviour.framing().unwrap_or(Framing::Chunked);
-                let head = format!("{ok}{signed}");
-                streams::send(&mut stream, &head, framing, run_duration, true).await?;
-                if framing == Framing::Unframed {
-                    return stream.shutdown().await;
-                }
-                continue;
-            }
-            Behaviour::Crash => {
-                shared.crashed.notify_one();
-                return std::future::pending().await;
-            }
             Behaviour::Unframed => {
                 let head = format!("{ok}{signed}\r\n");
                 stream.write_all(head.as_bytes()).await?;
                 stream.write_all(&body).await?;
                 return stream.shutdown().await;
             }
+            // Sent above.
+            Behaviour::Crash
+            | Behaviour::CrashStream
+            | Behaviour::CrashStreamKnown
+            | Behaviour::CrashStreamUnframed
+            | Behaviour::Stream
+            | Behaviour::StreamKnown
+            | Behaviour::StreamUnframed => continue,
         };
         stream.write_all(head.as_bytes()).await?;
         stream.write_all(&body).await?;
--- a/tests/relay_crash.rs
+++ b/tests/relay_crash.rs
@@ -28,12 +28,13 @@
     }
 }
 
+struct Case {
+    name: &'static str,
+    path: &'static str,
+}
+
 #[tokio::test]
 async fn a_request_that_crashes_its_backend_servers_is_held_back_everywhere() {
-    struct Case {
-        name: &'static str,
-        path: &'static str,
-    }
     let cases = [
         Case {
             name: "idempotent",
@@ -44,6 +45,37 @@
             path: "/once/crash",
         },
     ];
+    assert_held_back(cases).await;
+}
+
+/// Guards against BUDGET: with the head of its answer a request counted as ended well, so one that crashed its
+/// backend server later was sent to one after the other.
+#[tokio::test]
+async fn a_request_that_crashes_after_the_head_of_its_answer_is_held_back_everywhere() {
+    let cases = [
+        Case {
+            name: "in chunks, idempotent",
+            path: "/safe/crash_stream.100",
+        },
+        Case {
+            name: "in chunks, non-idempotent",
+            path: "/once/crash_stream.100",
+        },
+        Case {
+            name: "of known length",
+            path: "/once/crash_stream_known.100",
+        },
+        Case {
+            name: "ending with the connection",
+            path: "/once/crash_stream_unframed.100",
+        },
+    ];
+    assert_held_back(cases).await;
+}
+
+/// Sends the request of each case again and again, and panics if it reaches backend servers in more than
+/// [`MAX_LATE_RUNS`] after they must know of it, or if another request does not reach one.
+async fn assert_held_back<const N: usize>(cases: [Case; N]) {
     let mut running = tokio::task::JoinSet::new();
     for case in cases {
         running.spawn(async move {
