Cut an answer that is still arriving at the deadline

Cause: by reading, the time limit covers the head and bodies that are buffered; one that streams had none. Evidence: with the new limit switched off, relay_endless sees its callers served until the stand-in ends after 60 s.

A body now keeps the deadline of its request, with the margins that the head has: 100 ms beside the backend server, 150 ms at an entry over a hop. Long bodies within their time are not touched, nor is the rest of a body of known length that has arrived. The metric and both log lines say "overdue".

relay_endless: an answer that never ends is cut at the timeout of its route, fails before (still running after 60 s) and passes now.

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -21,10 +21,19 @@
     Complete,
     /// Its connection has failed.
     Broken,
+    /// It has not ended by the deadline of its request.
+    Overdue,
     /// Nobody waits for it any more.
     Dropped,
 }
 
+impl AnswerEnd {
+    /// Whether the caller waits for more than it has got.
+    fn is_failure(self) -> bool {
+        matches!(self, AnswerEnd::Broken | AnswerEnd::Overdue)
+    }
+}
+
 /// Is told once how the body of an answer has ended.
 #[derive(Debug)]
 pub enum EndWatcher {
@@ -90,9 +99,12 @@
         if end == AnswerEnd::Complete && !self.ends_with_connection {
             self.relay.record_ended_well(self.digest);
         }
-        if end == AnswerEnd::Broken && self.relay.may_log(LineKind::Failed) {
+        if end.is_failure() && self.relay.may_log(LineKind::Failed) {
             let (request_id, address) = (self.request_id.as_str(), self.address);
-            spdlog::warn!("an answer broke off before it was whole", kv: { request_id, address: });
+            let end = <&str>::from(end);
+            spdlog::warn!("an answer broke off before it was whole", kv: {
+                request_id, address:, end
+            });
         }
     }
 }
@@ -117,9 +129,9 @@
     fn ended(self, end: AnswerEnd) {
         let relay = &self.slot.relay;
         relay.metrics.answer_ended(end);
-        if end == AnswerEnd::Broken && relay.may_log(LineKind::Failed) {
-            let request_id = self.slot.request_id.as_str();
-            spdlog::warn!("the backend server broke off an answer", kv: { request_id });
+        if end.is_failure() && relay.may_log(LineKind::Failed) {
+            let (request_id, end) = (self.slot.request_id.as_str(), <&str>::from(end));
+            spdlog::warn!("the backend server did not end an answer", kv: { request_id, end });
         }
         match end {
             AnswerEnd::Complete if !self.ends_with_connection => {
@@ -128,7 +140,7 @@
             AnswerEnd::Complete | AnswerEnd::Broken => {
                 tokio::spawn(self.probe(end));
             }
-            AnswerEnd::Dropped => {}
+            AnswerEnd::Overdue | AnswerEnd::Dropped => {}
         }
     }
 
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -4,11 +4,13 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
+use tokio::time::Sleep;
 
 use super::answer_end::{AnswerEnd, EndWatcher};
 use super::connection_timeout::Answering;
@@ -26,6 +28,9 @@
         /// Largest body allowed, in bytes.
         limit_bytes: u64,
     },
+    /// The body has not ended by the deadline of its request.
+    #[error("the body has not ended in time")]
+    Overdue,
 }
 
 /// Largest answer that is buffered before it is forwarded, in bytes; larger ones are streamed. If
@@ -53,6 +58,8 @@
     left_bytes: u64,
     limit_bytes: u64,
     connection: Option<PooledConnection>,
+    /// Elapses when the body must have ended.
+    deadline: Option<Pin<Box<Sleep>>>,
     watchers: Vec<EndWatcher>,
     _answering: Option<Answering>,
 }
@@ -92,11 +99,19 @@
             left_bytes: u64::MAX,
             limit_bytes: u64::MAX,
             connection,
+            deadline: None,
             watchers: Vec::new(),
             _answering: None,
         })
     }
 
+    /// Lets the body fail if it is still arriving after `left`.
+    pub fn end_within(&mut self, left: Duration) {
+        if let RelayBody::Streamed(streamed) = self {
+            streamed.deadline = Some(Box::pin(tokio::time::sleep(left)));
+        }
+    }
+
     /// Has `watcher` told how this body ends: at once if it is completely buffered.
     pub fn watch(&mut self, watcher: EndWatcher) {
         match self {
@@ -149,6 +164,7 @@
             left_bytes: limit_bytes.saturating_sub(read_bytes),
             limit_bytes,
             connection: None,
+            deadline: None,
             watchers: Vec::new(),
             _answering: answering,
         }))
@@ -224,15 +240,23 @@
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
-        let frame = ready!(Pin::new(&mut self.incoming).poll_frame(context));
-        let Some(frame) = frame else {
+        let polled = Pin::new(&mut self.incoming).poll_frame(context);
+        if let Poll::Ready(None) = polled {
             self.complete();
             return Poll::Ready(None);
-        };
-        let frame = frame.map_err(BodyError::Broken);
-        if frame.is_err() {
+        }
+        if let Poll::Ready(Some(Err(_))) = polled {
             self.end(AnswerEnd::Broken);
         }
+        // The last bytes of a body of known length are passed on also when they are late.
+        if !self.incoming.is_end_stream() && self.is_overdue(context) {
+            self.end(AnswerEnd::Overdue);
+            return Poll::Ready(Some(Err(BodyError::Overdue)));
+        }
+        let Some(frame) = ready!(polled) else {
+            return Poll::Ready(None);
+        };
+        let frame = frame.map_err(BodyError::Broken);
         let length = frame
             .as_ref()
             .ok()
@@ -247,6 +271,11 @@
         Poll::Ready(Some(frame))
     }
 
+    fn is_overdue(&mut self, context: &mut Context<'_>) -> bool {
+        let deadline = self.deadline.as_mut();
+        deadline.is_some_and(|deadline| deadline.as_mut().poll(context).is_ready())
+    }
+
     /// Returns the connection to its pool, now that the body has been received completely.
     fn complete(&mut self) {
         if let Some(connection) = self.connection.take() {
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -221,7 +221,10 @@
                 suspect,
                 ends_with_connection: done.ends_with_connection,
             }));
-            done.response.body_mut().watch(run);
+            let body = done.response.body_mut();
+            let left_ms = deadline.since_ms(relay.clock.now()) + ANSWER_GRACE_MS;
+            body.end_within(Duration::from_millis(left_ms));
+            body.watch(run);
         }
         ExecutionOutcome::Unknown { .. } | ExecutionOutcome::NotRun { .. } => {}
     }
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -104,7 +104,14 @@
         }
     };
     match answered {
-        Ok(executed) => executed,
+        Ok(mut executed) => {
+            if let ExecutionOutcome::Done(done) = &mut executed {
+                let passed = Duration::from_millis(relay.clock.now().since_ms(sent));
+                let left = timeout.saturating_sub(passed);
+                done.response.body_mut().end_within(left);
+            }
+            executed
+        }
         Err(error) => {
             let now = relay.clock.now();
             let avoid_ms = relay.tables().load_balancer.unreachable(now, address);
--- a/tests/relay_endless.rs
+++ b/tests/relay_endless.rs
@@ -16,6 +16,79 @@
 /// Most bytes that one request may cost. Covers the buffers of both sockets.
 const BYTES_PER_RUN: u64 = 8 * 1024 * 1024;
 
+/// Guards against CONFIG: an answer that dripped without end outlasted the timeout of its route, since the time
+/// limit ended with the head.
+#[tokio::test]
+async fn an_answer_that_never_ends_is_cut_at_the_timeout_of_its_route() {
+    struct Case {
+        name: &'static str,
+        path: &'static str,
+        /// The host that callers use.
+        entry: usize,
+    }
+    let cases = [
+        Case {
+            name: "in chunks, beside the backend server",
+            path: "/safe/stream.60000",
+            entry: 0,
+        },
+        Case {
+            name: "in chunks, over a hop",
+            path: "/once/stream.60000",
+            entry: 1,
+        },
+        Case {
+            name: "of known length, over a hop",
+            path: "/safe/stream_known.60000",
+            entry: 1,
+        },
+        Case {
+            name: "ending with the connection, over a hop",
+            path: "/once/stream_unframed.60000",
+            entry: 1,
+        },
+    ];
+    let mut running = tokio::task::JoinSet::new();
+    for case in cases {
+        running.spawn(async move {
+            let deployment = Deployment::start(&["a", "b"]).await;
+            let callers = deployment.hosts[case.entry].settings.callers_address;
+            let began = Instant::now();
+            let calls = (0..CALLERS).map(|number| {
+                let id = format!("endless-{number}");
+                let path = case.path;
+                tokio::spawn(
+                    async move { send(callers, "calls.example", path, Some(&id), b"x").await },
+                )
+            });
+            let calls: Vec<_> = calls.collect();
+            let mut cut = 0;
+            for call in calls {
+                let answer = call.await.expect("the caller ends");
+                // The others are refused, since all slots are taken.
+                if answer.status.is_success() {
+                    assert!(answer.body.is_none(), "{}: looks whole", case.name);
+                    cut += 1;
+                }
+            }
+            assert!(cut > 0, "{}: all are refused", case.name);
+            let ended_ms = began.elapsed().as_millis() as u64;
+            assert!(ended_ms < ANSWER_MS, "{}: {ended_ms} ms", case.name);
+            deployment
+                .wait("all slots are free", |deployment| {
+                    let tables = deployment.hosts[0].relay.tables();
+                    tables.admission.running() == 0
+                })
+                .await;
+        });
+    }
+    while let Some(finished) = running.join_next().await {
+        if let Err(error) = finished {
+            std::panic::resume_unwind(error.into_panic());
+        }
+    }
+}
+
 #[tokio::test]
 async fn bytes_without_end_are_bounded_and_callers_get_a_true_answer() {
     struct Case {
