--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -34,7 +34,7 @@
     }
 }
 
-/// Is told once how the body of an answer has ended.
+/// Is told once how the body of an answer has ended, and lasts until then.
 #[derive(Debug)]
 pub enum EndWatcher {
     /// A request of a caller at its entry.
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_TYPE, HeaderValue};
@@ -21,8 +22,8 @@
 const HEARTBEAT_CALL: &str = "instances.heartbeat";
 const DEREGISTER_CALL: &str = "instances.deregister";
 const READY_PATH: &str = "/ready";
-/// Maximum size of a heartbeat, in bytes.
-const MAX_HEARTBEAT_BYTES: usize = 64 * 1024;
+/// Maximum size of the body of a call, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
 
 #[derive(Debug, Deserialize)]
 struct WireHeartbeat {
@@ -77,17 +78,22 @@
     }
 }
 
+async fn read_body(request: Request<Incoming>) -> Result<Bytes, String> {
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
+    match body.collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
 async fn deregistration(
     relay: &Relay,
     instance: &str,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
-        .collect()
-        .await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return malformed(instance, &error.to_string()),
+    let body = match read_body(request).await {
+        Ok(body) => body,
+        Err(error) => return malformed(instance, &error),
     };
     // The body is optional.
     let wire: WireDeregistration = match body.is_empty() {
@@ -107,12 +113,9 @@
     instance: String,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    let body = Limited::new(request.into_body(), MAX_HEARTBEAT_BYTES)
-        .collect()
-        .await;
-    let body = match body {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return malformed(&instance, &error.to_string()),
+    let body = match read_body(request).await {
+        Ok(body) => body,
+        Err(error) => return malformed(&instance, &error),
     };
     let wire: WireHeartbeat = match serde_json::from_slice(&body) {
         Ok(wire) => wire,
