Confirm a drain only if it is kept

Cause: processes of one instance are ordered by the start that they state. After the step the present process states an earlier start than the known one; its heartbeats were ignored as late ones, and confirmed all the same.

A process with an earlier start is now taken for the present one once the known process, which counted as ready, has not been heard for 4 s: one in use is silent for less than two heartbeats, and a late heartbeat of an ended one comes while its successor is heard. A heartbeat that reports draining while the server stays in use is answered 409, which promises nothing; its sender calls again.

relay_decisions: a process with an earlier start is the present one once the known is silent, and relay_leaving: a drain that is not kept is not confirmed, both fail without the two checks and pass now.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -13,6 +13,11 @@
 /// Leaving time of a backend server that was already leaving when this daemon first heard of it.
 const UNKNOWN_LEAVING_TIME: TimeMs = TimeMs(0);
 
+/// Silence of the known process, in milliseconds, after which one that states an earlier start is taken
+/// for the present one: the time of day may have stepped back between their starts. A process in use is
+/// silent for less than two heartbeats.
+const SILENT_MS: u64 = 4_000;
+
 /// One heartbeat of the backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -115,7 +120,7 @@
         let is_same_process =
             known.instance == heartbeat.instance && known.born_unix_ms == heartbeat.born_unix_ms;
         if !is_same_process {
-            if heartbeat.born_unix_ms < known.born_unix_ms {
+            if heartbeat.born_unix_ms < known.born_unix_ms && !self.is_silent(now) {
                 return HeartbeatOutcome::Stale;
             }
             // No earlier daemon process has acknowledged draining to the new backend process.
@@ -151,10 +156,23 @@
         }
     }
 
+    /// Whether the known process counted as ready and has ended without notice, as far as its heartbeats
+    /// show.
+    fn is_silent(&self, now: TimeMs) -> bool {
+        self.state == MemberState::Ready && now.since_ms(self.last_heard) >= SILENT_MS
+    }
+
+    /// Whether a heartbeat may be confirmed: one that reports draining only if that is kept.
+    pub fn confirms(&self, heartbeat_drains: bool) -> bool {
+        !heartbeat_drains || self.state != MemberState::Ready
+    }
+
     /// Deregisters the backend process `instance`; returns false if it is another process or already
-    /// gone. `born_unix_ms` is its start if it states one: a process that started later goes on.
+    /// gone. `born_unix_ms` is its start if it states one: a process that started later goes on
+    /// while it is heard.
     pub fn leave(&mut self, now: TimeMs, instance: &str, born_unix_ms: Option<u64>) -> bool {
-        let is_later = born_unix_ms.is_some_and(|born| born < self.heartbeat.born_unix_ms);
+        let is_later = born_unix_ms.is_some_and(|born| born < self.heartbeat.born_unix_ms)
+            && !self.is_silent(now);
         if self.heartbeat.instance != instance || is_later || self.state == MemberState::Gone {
             return false;
         }
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -14,11 +14,12 @@
 pub(super) const LOG_SOURCE: &str = "log";
 
 impl Relay {
-    /// Processes a heartbeat of the backend server beside this daemon.
-    pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> HeartbeatOutcome {
+    /// Processes a heartbeat of the backend server beside this daemon, and returns its outcome and
+    /// whether it may be confirmed.
+    pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> (HeartbeatOutcome, bool) {
         let now = self.clock.now();
         let mut tables = self.tables();
-        let slots = heartbeat.slots;
+        let (slots, drains) = (heartbeat.slots, heartbeat.draining);
         let rate_before = tables.rate_per_s();
         let outcome = match &mut tables.worker {
             Some(worker) => worker.apply_heartbeat(now, heartbeat),
@@ -42,7 +43,11 @@
         if outcome == HeartbeatOutcome::Changed {
             self.announce(&mut tables, now);
         }
-        outcome
+        let worker = tables.worker.as_ref();
+        (
+            outcome,
+            worker.is_some_and(|worker| worker.confirms(drains)),
+        )
     }
 
     /// Records what an answer of the backend server beside this daemon states about its rate limit.
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -141,12 +141,16 @@
         return malformed(&instance, &format!("{field} is out of range"));
     }
     let sequence = heartbeat.sequence;
-    let outcome = relay.record_heartbeat(heartbeat);
+    let (outcome, is_confirmed) = relay.record_heartbeat(heartbeat);
     if outcome != HeartbeatOutcome::Refreshed {
         let (instance, outcome) = (instance.as_str(), <&str>::from(outcome));
-        spdlog::info!("a heartbeat was taken in", kv: { instance, sequence, outcome });
+        spdlog::info!("a heartbeat was taken in", kv: { instance, sequence, outcome, is_confirmed: });
+    }
+    if is_confirmed {
+        acknowledged()
+    } else {
+        empty_response(StatusCode::CONFLICT)
     }
-    acknowledged()
 }
 
 /// Answers the readiness check: 200 while the daemon serves and has a configuration, else 503.
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -206,6 +206,57 @@
     }
 }
 
+/// Guards against DRAIN after the time of day has stepped back: what the present process said was taken for
+/// that of an earlier one, confirmed and ignored.
+#[test]
+fn a_process_with_an_earlier_start_is_the_present_one_once_the_known_is_silent() {
+    struct Case {
+        name: &'static str,
+        /// State of the known process, heard last at 10 ms.
+        known: MemberState,
+        heard_at: TimeMs,
+        is_taken: bool,
+    }
+    let cases = [
+        Case {
+            name: "late, while the known process is heard",
+            known: MemberState::Ready,
+            heard_at: TimeMs(3_000),
+            is_taken: false,
+        },
+        Case {
+            name: "after the known process has fallen silent",
+            known: MemberState::Ready,
+            heard_at: TimeMs(4_010),
+            is_taken: true,
+        },
+        Case {
+            name: "late, after the known process has left",
+            known: MemberState::Gone,
+            heard_at: TimeMs(60_000),
+            is_taken: false,
+        },
+    ];
+    for case in cases {
+        let known = || {
+            let mut known = LocalWorker::new(TimeMs(10), heartbeat("i-1", 200, 5));
+            known.restore_state(case.known);
+            known
+        };
+        let mut draining = heartbeat("i-1", 100, 1);
+        draining.draining = true;
+        let mut worker = known();
+        worker.apply_heartbeat(case.heard_at, draining);
+        let drains = worker.heartbeat.born_unix_ms == 100;
+        assert_eq!(drains, case.is_taken, "{}", case.name);
+        let is_kept = worker.state != MemberState::Ready;
+        assert_eq!(worker.confirms(true), is_kept, "{}: confirmed", case.name);
+        let mut worker = known();
+        let has_left = worker.leave(case.heard_at, "i-1", Some(100));
+        assert_eq!(has_left, case.is_taken, "{}: deregistered", case.name);
+    }
+}
+
 #[test]
 fn a_leaving_worker_takes_work_for_the_window_and_does_not_return() {
     let mut worker = LocalWorker::new(TimeMs(0), heartbeat("i-1", 100, 1));
--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -228,3 +228,16 @@
     let worker = tables.worker.as_ref().expect("a backend server");
     assert_eq!(worker.state, MemberState::Ready);
 }
+
+/// Guards against DRAIN: a drain that the daemon ignores, since it seems to come from an earlier process, was
+/// confirmed all the same.
+#[tokio::test]
+async fn a_drain_that_is_not_kept_is_not_confirmed() {
+    let deployment = Deployment::start(&["a", "b"]).await;
+    let host = &deployment.hosts[0];
+    let local = host.settings.local_address;
+    let earlier = host.worker.send_heartbeat(local, 2, "draining", 50);
+    assert_eq!(earlier.await, 409);
+    let present = host.worker.send_heartbeat(local, 2, "draining", 100);
+    assert_eq!(present.await, 200);
+}
--- a/tests/relay_odd_records.rs
+++ b/tests/relay_odd_records.rs
@@ -132,6 +132,6 @@
     };
     let relay = Relay::new(settings, platform::header_names());
     relay.merge_members(vec![odd], "log");
-    let outcome = relay.record_heartbeat(heartbeat);
+    let (outcome, _) = relay.record_heartbeat(heartbeat);
     assert_eq!(outcome, HeartbeatOutcome::Changed);
 }
