Tell the requests of different callers apart when one crashes its servers

Cause: the digest of a request left its caller out, so the good end of the other caller's request cleared the one at fault and raised its limit from two crashes to six.

Change: the digest holds content and caller. A good end clears one caller's request. Content suspected for more than one caller is held back for all of them from three crashes on, but where it has ended well.

Refusals of the sound caller count as wrong unless the request is at fault for several others.

--- a/src/decide/relay/crash_witness.rs
+++ b/src/decide/relay/crash_witness.rs
@@ -3,6 +3,7 @@
 //! Any of them may have caused the crash, so each is suspected until it ends well. Daemons publish
 //! their suspects with their member record. Crashes are counted over all records, and a request with
 //! too many of them is held back by every daemon; more are allowed where it has ended well lately.
+//! A good end clears the request of one caller only, since another caller's may crash all the same.
 
 use std::collections::HashSet;
 
@@ -11,8 +12,10 @@
 use super::request_digest::RequestDigest;
 use crate::model::TimeMs;
 
-/// Crashes at all backend servers together from which on a request is held back.
+/// Crashes at all backend servers together from which on a request of one caller is held back.
 pub const MAX_CRASHES: u32 = 2;
+/// The same over all callers with the same request, if it is suspected for more than one of them.
+pub const MAX_CRASHES_OF_ALL_CALLERS: u32 = 3;
 /// The same at a daemon that has seen the request end well lately: a popular request runs beside many
 /// crashes.
 pub const MAX_CRASHES_OF_POPULAR: u32 = 6;
@@ -45,14 +48,25 @@
     began_at: TimeMs,
 }
 
-/// Whether a request with this many crashes is held back.
-pub fn is_held_back(crashes: u32, has_ended_well: bool) -> bool {
-    let max_crashes = if has_ended_well {
-        MAX_CRASHES_OF_POPULAR
-    } else {
-        MAX_CRASHES
-    };
-    crashes >= max_crashes
+/// How often backend servers have crashed during a request.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CrashCounts {
+    /// While it ran for its caller.
+    pub of_caller: u32,
+    /// While it ran for any caller.
+    pub of_all_callers: u32,
+    /// Callers for whom it is suspected.
+    pub callers: u32,
+}
+
+/// Whether a request with these crashes is held back.
+pub fn is_held_back(crashes: CrashCounts, has_ended_well: bool) -> bool {
+    if has_ended_well {
+        return crashes.of_caller >= MAX_CRASHES_OF_POPULAR;
+    }
+    let fails_for_several =
+        crashes.callers > 1 && crashes.of_all_callers >= MAX_CRASHES_OF_ALL_CALLERS;
+    crashes.of_caller >= MAX_CRASHES || fails_for_several
 }
 
 /// The suspects of one daemon, and what it has seen end well.
--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -1,5 +1,6 @@
 //! Membership directory: the daemons of the deployment, each with its backend server.
 
+use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::ops::Bound;
@@ -8,7 +9,7 @@
 use strum::{Display, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::crash_witness::{CrashSuspect, MAX_CRASHES};
+use super::crash_witness::{CrashCounts, CrashSuspect, is_held_back};
 use super::request_digest::RequestDigest;
 use crate::model::{Distance, Place, ServiceName, TimeMs};
 
@@ -82,7 +83,7 @@
     active: BTreeMap<Place, BTreeSet<SocketAddr>>,
     active_count: usize,
     /// Crashes by suspected request, over all members.
-    crashes: HashMap<RequestDigest, u32>,
+    crashes: BTreeMap<RequestDigest, u32>,
     changes: BTreeMap<u64, SocketAddr>,
     last_change: u64,
     digest: u64,
@@ -98,7 +99,7 @@
             ready: HashMap::new(),
             active: BTreeMap::new(),
             active_count: 0,
-            crashes: HashMap::new(),
+            crashes: BTreeMap::new(),
             changes: BTreeMap::new(),
             last_change: 0,
             digest: 0,
@@ -176,14 +177,29 @@
     }
 
     /// Crashes of backend servers while this request ran, over all members.
-    pub fn crashes(&self, digest: RequestDigest) -> u32 {
-        self.crashes.get(&digest).copied().unwrap_or(0)
+    pub fn crashes(&self, digest: RequestDigest) -> CrashCounts {
+        let of_content = self.crashes.range(digest.of_all_callers());
+        of_content.fold(CrashCounts::default(), |counts, (suspect, crashes)| {
+            let of_caller = if *suspect == digest { *crashes } else { 0 };
+            CrashCounts {
+                of_caller: counts.of_caller + of_caller,
+                of_all_callers: counts.of_all_callers + crashes,
+                callers: counts.callers + 1,
+            }
+        })
+    }
+
+    /// Whether a request that has not ended well lately is held back.
+    pub fn is_held_back(&self, digest: RequestDigest) -> bool {
+        is_held_back(self.crashes(digest), false)
     }
 
     /// Number of requests with so many crashes that they are held back where none has ended well.
     pub fn held_back_count(&self) -> usize {
-        let crashes = self.crashes.values();
-        crashes.filter(|crashes| **crashes >= MAX_CRASHES).count()
+        let suspects = self.crashes.keys();
+        suspects
+            .filter(|digest| self.is_held_back(**digest))
+            .count()
     }
 
     /// Number of the newest change; increases with each record that was merged.
@@ -229,10 +245,10 @@
         let member = &entry.member;
         self.digest ^= record_hash(member);
         for suspect in &member.suspects {
-            if let Some(crashes) = self.crashes.get_mut(&suspect.digest) {
-                *crashes = crashes.saturating_sub(suspect.crashes);
-                if *crashes == 0 {
-                    self.crashes.remove(&suspect.digest);
+            if let Entry::Occupied(mut crashes) = self.crashes.entry(suspect.digest) {
+                *crashes.get_mut() = crashes.get().saturating_sub(suspect.crashes);
+                if *crashes.get() == 0 {
+                    crashes.remove();
                 }
             }
         }
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -19,7 +19,9 @@
 use super::slot::LEAVING_RETRY_MS;
 use super::state::{Configuration, Relay, Shed, Stage};
 use crate::decide::relay::quotas::QuotaRefusal;
-use crate::decide::relay::{Organisation, RequestDigest, RootRequest, Route, RouteTable};
+use crate::decide::relay::{
+    Organisation, RequestCaller, RequestDigest, RootRequest, Route, RouteTable,
+};
 use crate::model::{ServiceName, TimeMs};
 use crate::net::http;
 
@@ -233,7 +235,18 @@
         }
     }
     let path_and_query = parts.uri.path_and_query().map_or("", |path| path.as_str());
-    let digest = RequestDigest::new(parts.method.as_str(), path_and_query, body.buffered());
+    let organisation = root.organisation.as_ref();
+    let settings = relay.settings.load();
+    let caller = RequestCaller {
+        service: settings.service.as_str(),
+        organisation: organisation.map(|organisation| organisation.as_str()),
+    };
+    let digest = RequestDigest::new(
+        parts.method.as_str(),
+        path_and_query,
+        body.buffered(),
+        caller,
+    );
     let call = Call {
         id,
         route,
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -5,8 +5,8 @@
 use super::log_limiter::LineKind;
 use super::state::{Relay, Stage, Tables};
 use crate::decide::relay::{
-    AnsweredRate, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, MAX_CRASHES,
-    Member, MemberState, RelayedRate, RequestDigest, StatedRate,
+    AnsweredRate, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
+    MemberState, RelayedRate, RequestDigest, StatedRate,
 };
 use crate::model::TimeMs;
 
@@ -151,7 +151,7 @@
             let is_other = before.is_none_or(|known| known.member.instance != instance);
             let suspects = member.suspects.iter().map(|suspect| suspect.digest);
             let free: Vec<RequestDigest> = suspects
-                .filter(|digest| tables.directory.crashes(*digest) < MAX_CRASHES)
+                .filter(|digest| !tables.directory.is_held_back(*digest))
                 .collect();
             if tables.directory.merge(now, member) {
                 newer += 1;
@@ -297,7 +297,7 @@
         let process = worker.process();
         let is_planned = worker.state != MemberState::Ready;
         let directory = &tables.directory;
-        let is_held_back = |digest| directory.crashes(digest) >= MAX_CRASHES;
+        let is_held_back = |digest| directory.is_held_back(digest);
         if is_planned {
             return;
         }
@@ -369,9 +369,12 @@
 fn log_held_back(directory: &Directory, digests: &[RequestDigest]) {
     let held_back = digests
         .iter()
-        .filter(|digest| directory.crashes(**digest) >= MAX_CRASHES);
+        .filter(|digest| directory.is_held_back(**digest));
     for digest in held_back {
         let crashes = directory.crashes(*digest);
-        spdlog::warn!("backend servers have crashed during a request", kv: { digest:, crashes });
+        let (crashes, of_all_callers) = (crashes.of_caller, crashes.of_all_callers);
+        spdlog::warn!("backend servers have crashed during a request", kv: {
+            digest:, crashes, of_all_callers
+        });
     }
 }
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -72,6 +72,8 @@
     EndlessExtra,
     /// Run and end the backend server, which comes back as another instance.
     Crash,
+    /// Like `Crash` for the caller service in the segment after its first dot, like `Echo` for others.
+    CrashFor,
 }
 
 impl Behaviour {
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -251,7 +251,16 @@
 
     fn behaviour(&self) -> Behaviour {
         let name = self.segment().split('.').next().unwrap_or_default();
-        name.parse().unwrap_or(Behaviour::Echo)
+        match name.parse().unwrap_or(Behaviour::Echo) {
+            Behaviour::CrashFor if self.is_named_caller() => Behaviour::Crash,
+            Behaviour::CrashFor => Behaviour::Echo,
+            behaviour => behaviour,
+        }
+    }
+
+    /// Whether the caller service is the one after the segment's first dot.
+    fn is_named_caller(&self) -> bool {
+        self.segment().split('.').nth(1) == Some(self.header("x-caller-service"))
     }
 
     /// The number after the segment's first dot.
@@ -410,6 +419,7 @@
             }
             // Sent above.
             Behaviour::Crash
+            | Behaviour::CrashFor
             | Behaviour::CrashStream
             | Behaviour::CrashStreamKnown
             | Behaviour::CrashStreamUnframed
--- a/tests/crash_random.rs
+++ b/tests/crash_random.rs
@@ -26,7 +26,11 @@
 /// Time from the start of a run at fault to the crash.
 const CRASH_MS: u64 = 70;
 const DOWN_MS: u64 = 2_500;
-const POPULAR: RequestDigest = RequestDigest(1);
+const POPULAR: RequestDigest = digest_of(1, 0);
+/// Most callers for whom the same request is at fault.
+const CALLERS_AT_FAULT: u64 = 4;
+/// A caller for whom no request is at fault.
+const SOUND_CALLER: u64 = 9;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -68,7 +72,7 @@
     /// Newest record of each worker's daemon, as the log keeps it.
     logged: Vec<Option<usize>>,
     runs: Vec<Run>,
-    /// Crashes by the request that caused them.
+    /// Crashes by the request that caused them, for its first caller.
     crashed_at: HashMap<RequestDigest, Vec<TimeMs>>,
     last_crash_at: TimeMs,
     /// Refusals of the popular request later than the bound after a crash.
@@ -80,6 +84,11 @@
     SocketAddr::from(([127, 0, 0, 1], 1_000 + daemon as u16))
 }
 
+/// A request of this content and caller.
+const fn digest_of(content: u64, caller: u64) -> RequestDigest {
+    RequestDigest(content << 16 | caller)
+}
+
 fn place() -> Place {
     Place {
         region: "r".into(),
@@ -94,14 +103,18 @@
 impl World {
     fn new(seed: u64) -> World {
         let mut rng = Xoshiro256PlusPlus::seed_from_u64(seed);
-        let at_fault = (0..rng.random_range(0..3)).map(|number| RequestDigest(10 + number));
+        let mut at_fault = Vec::new();
+        for content in 10..10 + rng.random_range(0..3) {
+            let callers = rng.random_range(1..=CALLERS_AT_FAULT);
+            at_fault.extend((0..callers).map(|caller| digest_of(content, caller)));
+        }
         let worker = || Worker {
             process: 0,
             down_until: TimeMs(0),
             running: Vec::new(),
         };
         World {
-            at_fault: at_fault.collect(),
+            at_fault,
             rng,
             now: TimeMs(1),
             events: BinaryHeap::new(),
@@ -132,7 +145,8 @@
     fn run(&mut self) {
         for ms in (0..SPAN_MS).step_by(25) {
             self.at(TimeMs(ms), Event::Call { digest: POPULAR.0 });
-            self.at(TimeMs(ms), Event::Call { digest: 1_000 + ms });
+            let digest = digest_of(1_000 + ms, 0).0;
+            self.at(TimeMs(ms), Event::Call { digest });
         }
         for digest in self.at_fault.clone() {
             let mut at = self.random_time();
@@ -140,6 +154,13 @@
                 self.at(at, Event::Call { digest: digest.0 });
                 at = at.plus_ms(self.rng.random_range(50..600));
             }
+            // The same request of another caller ends well.
+            let sound = RequestDigest(digest.0 | SOUND_CALLER);
+            let mut at = self.random_time();
+            while digest == *digest.of_all_callers().start() && at.0 < SPAN_MS {
+                self.at(at, Event::Call { digest: sound.0 });
+                at = at.plus_ms(self.rng.random_range(20..200));
+            }
         }
         for _ in 0..self.rng.random_range(0..3) {
             let at = self.random_time();
@@ -188,6 +209,14 @@
         is_held_back(crashes, self.witnesses[daemon].has_ended_well(digest))
     }
 
+    /// Whether a request is at fault for its caller, or the same request for several others.
+    fn is_suspicious(&self, digest: RequestDigest) -> bool {
+        let callers = digest.of_all_callers();
+        let at_fault = self.at_fault.iter();
+        let at_fault: Vec<_> = at_fault.filter(|other| callers.contains(other)).collect();
+        at_fault.contains(&&digest) || at_fault.len() > 1
+    }
+
     fn offer(&mut self, digest: RequestDigest, entry: usize, is_retry: bool) {
         let up: Vec<usize> = (0..WORKERS)
             .filter(|worker| self.now >= self.workers[*worker].down_until)
@@ -197,7 +226,7 @@
         }
         let worker = up[self.rng.random_range(0..up.len())];
         if self.is_held_back(entry, digest) || self.is_held_back(worker, digest) {
-            self.refused += usize::from(!self.at_fault.contains(&digest));
+            self.refused += usize::from(!self.is_suspicious(digest));
             let is_settled = self.now > self.last_crash_at.plus_ms(DOWN_MS + STABLE_MS);
             let is_cut = self.now < self.cut_until[entry] || self.now < self.cut_until[worker];
             self.popular_refused += usize::from(digest == POPULAR && is_settled && !is_cut);
@@ -251,11 +280,12 @@
                 digest, began_at, ..
             } = self.runs[*run];
             let directory = &self.directories[worker];
-            let is_held_back = |digest| directory.crashes(digest) >= MAX_CRASHES;
+            let is_held_back = |digest| directory.is_held_back(digest);
             let witness = &mut self.witnesses[worker];
             witness.crashed(digest, process, began_at, is_held_back);
             if self.at_fault.contains(&digest) {
-                self.crashed_at.entry(digest).or_default().push(now);
+                let crashed_at = self.crashed_at.entry(*digest.of_all_callers().start());
+                crashed_at.or_default().push(now);
             }
         }
         let record = self.publish(worker);
@@ -313,15 +343,18 @@
         self.witnesses[daemon] = witness;
     }
 
-    /// Runs of a request at fault later than the bound, from daemons that were not cut off.
+    /// Runs of a request at fault later than the bound, for whichever caller it is at fault, from daemons
+    /// that were not cut off.
     fn late_runs(&self, digest: RequestDigest) -> usize {
-        let crashes = self.crashed_at.get(&digest);
+        let callers = digest.of_all_callers();
+        let crashes = self.crashed_at.get(callers.start());
         let Some(third) = crashes.and_then(|crashes| crashes.get(2)) else {
             return 0;
         };
         let is_late = |run: &&Run| {
             let in_touch_from = self.cut_until[run.entry].plus_ms(STABLE_MS);
-            run.digest == digest
+            callers.contains(&run.digest)
+                && self.at_fault.contains(&run.digest)
                 && run.began_at > third.plus_ms(STABLE_MS)
                 && run.began_at >= in_touch_from
         };
--- a/tests/relay_crash.rs
+++ b/tests/relay_crash.rs
@@ -31,6 +31,8 @@
 struct Case {
     name: &'static str,
     path: &'static str,
+    /// Service of the callers whose request crashes; all without it. The same request of others ends well.
+    crashes_for: Option<&'static str>,
 }
 
 #[tokio::test]
@@ -39,10 +41,12 @@
         Case {
             name: "idempotent",
             path: "/safe/crash",
+            crashes_for: None,
         },
         Case {
             name: "non-idempotent",
             path: "/once/crash",
+            crashes_for: None,
         },
     ];
     assert_held_back(cases).await;
@@ -56,18 +60,41 @@
         Case {
             name: "in chunks, idempotent",
             path: "/safe/crash_stream.100",
+            crashes_for: None,
         },
         Case {
             name: "in chunks, non-idempotent",
             path: "/once/crash_stream.100",
+            crashes_for: None,
         },
         Case {
             name: "of known length",
             path: "/once/crash_stream_known.100",
+            crashes_for: None,
         },
         Case {
             name: "ending with the connection",
             path: "/once/crash_stream_unframed.100",
+            crashes_for: None,
+        },
+    ];
+    assert_held_back(cases).await;
+}
+
+/// Guards against BUDGET: a request that crashed its backend servers was cleared of suspicion by the good end
+/// of another caller's with the same path and body.
+#[tokio::test]
+async fn a_crashing_request_is_held_back_though_the_same_of_another_caller_ends_well() {
+    let cases = [
+        Case {
+            name: "idempotent",
+            path: "/safe/crash_for.b",
+            crashes_for: Some("b"),
+        },
+        Case {
+            name: "non-idempotent",
+            path: "/once/crash_for.b",
+            crashes_for: Some("b"),
         },
     ];
     assert_held_back(cases).await;
@@ -97,6 +124,11 @@
                 tokio::time::sleep(CALL_GAP).await;
             }
             let runs = deployment.hosts.iter().flat_map(|host| host.worker.runs());
+            let runs = runs.filter(|run| {
+                let caller = run.headers.get("x-caller-service");
+                case.crashes_for
+                    .is_none_or(|service| caller.is_some_and(|caller| caller == service))
+            });
             let mut began: Vec<Instant> = runs.map(|run| run.began).collect();
             began.sort();
             if let Some(third) = began.get(2) {
@@ -108,9 +140,13 @@
                     began.len()
                 );
             }
+            // Host 4 sends another request, host 0 the same one for another caller.
+            let mut others = vec![(4, "/safe/echo", "another")];
+            others.extend(case.crashes_for.map(|_| (0, case.path, "the same")));
             for number in 0..20 {
                 let id = format!("other-{number}");
-                let answer = deployment.call(4, "/safe/echo", &id, b"another").await;
+                let (host, path, body) = others[number % others.len()];
+                let answer = deployment.call(host, path, &id, body.as_bytes()).await;
                 assert!(
                     answer.status.is_success(),
                     "{}: {}",
