Keep a request open until its answer has left the process

Callers saw: LOST around a planned stop. A caller that reads slowly got its last answer cut although the backend server had run the request and ended its answer; the daemon ended with exit code 0 and unfinished=0.

Cause: a request counted as ended when the HTTP library had taken the last byte of its answer, or at once for an answer of up to 64 KiB. Both could still be in the buffer of the connection when the process ended.

Change: the connection keeps the request open until it has been flushed after the answer. The library flushes the stream only when its own buffer is empty. Answers to other daemons are kept in the same way.

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -1,6 +1,6 @@
-//! What lasts until the last byte of an answer rather than until its head: the count of open requests,
-//! the slot of the backend server, the count of requests in flight to a worker, and the suspicion that a
-//! request crashes its backend server.
+//! What lasts until the last byte of an answer rather than until its head: the slot of the backend server,
+//! the count of requests in flight to a worker, and the suspicion that a request crashes its backend
+//! server. The count of open requests lasts until that byte has been sent.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -37,8 +37,6 @@
 /// Is told once how the body of an answer has ended, and lasts until then.
 #[derive(Debug)]
 pub enum EndWatcher {
-    /// A request of a caller at its entry.
-    Request(OpenRequest),
     /// An attempt of the entry at one worker.
     Attempt(OpenAttempt),
     /// A run on the backend server beside this daemon.
@@ -48,14 +46,13 @@
 impl EndWatcher {
     pub(super) fn ended(self, end: AnswerEnd) {
         match self {
-            EndWatcher::Request(_) => {}
             EndWatcher::Attempt(attempt) => attempt.ended(end),
             EndWatcher::Run(run) => run.ended(end),
         }
     }
 }
 
-/// Counts a request of a caller as open until it is dropped.
+/// Counts a request of a caller, or of another daemon for a run here, as open until it is dropped.
 #[derive(Debug)]
 pub struct OpenRequest(Arc<Relay>);
 
--- a/src/net/relay/connection_timeout.rs
+++ b/src/net/relay/connection_timeout.rs
@@ -1,5 +1,5 @@
-//! Timeouts of callers' connections, by the limits in force now rather than by those of the time
-//! when a connection was opened.
+//! The state of a connection: its phase, with timeouts by the limits in force now rather than by those
+//! of the time when it was opened, and the requests whose answers have not been sent completely.
 
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
@@ -11,62 +11,96 @@
 use tokio::sync::watch;
 use tokio::time::{Instant, Sleep};
 
+use super::answer_end::OpenRequest;
 use super::body::{BodyError, RelayBody};
-use super::observed_stream::ReadObserver;
+use super::observed_stream::StreamObserver;
 use crate::decide::relay::{ConnectionPhase, Limits};
 use crate::decide::sharded::lock;
 use crate::model::{Clock, TimeMs};
 
-/// The phase of one connection, shared by the parts that change it.
+/// The state of one connection, shared by the parts that change it.
 #[derive(Debug, Clone)]
 pub struct SharedPhase {
     clock: Clock,
-    phase: Arc<Mutex<ConnectionPhase>>,
+    state: Arc<Mutex<ConnectionState>>,
+}
+
+#[derive(Debug)]
+struct ConnectionState {
+    phase: ConnectionPhase,
+    /// The request that is being answered.
+    answered: Option<OpenRequest>,
+    /// Requests whose answers have ended, but are still in the buffer of the connection.
+    unsent: Vec<OpenRequest>,
 }
 
 impl SharedPhase {
     /// The phase of a connection that was just opened.
     pub fn new(clock: Clock) -> SharedPhase {
         let since = clock.now();
+        let state = ConnectionState {
+            phase: ConnectionPhase::Idle { since },
+            answered: None,
+            unsent: Vec::new(),
+        };
         SharedPhase {
             clock,
-            phase: Arc::new(Mutex::new(ConnectionPhase::Idle { since })),
+            state: Arc::new(Mutex::new(state)),
         }
     }
 
     /// Marks the connection as answering until all copies of the returned value are dropped.
     pub fn request_arrived(&self) -> Answering {
-        let mut phase = lock(&self.phase);
-        *phase = phase.request_arrived();
+        let mut state = lock(&self.state);
+        state.phase = state.phase.request_arrived();
         Answering(Arc::new(AnsweringPhase(self.clone())))
     }
 
+    /// Lets go of the requests whose answers cannot be sent any more.
+    pub fn connection_ended(&self) {
+        let mut state = lock(&self.state);
+        state.answered = None;
+        state.unsent.clear();
+    }
+
     fn get(&self) -> ConnectionPhase {
-        *lock(&self.phase)
+        lock(&self.state).phase
     }
 }
 
-impl ReadObserver for SharedPhase {
+impl StreamObserver for SharedPhase {
     fn received(&self, _: u64) -> std::io::Result<()> {
-        let mut phase = lock(&self.phase);
-        *phase = phase.received(self.clock.now());
+        let mut state = lock(&self.state);
+        state.phase = state.phase.received(self.clock.now());
         Ok(())
     }
+
+    fn flushed(&self) {
+        lock(&self.state).unsent.clear();
+    }
 }
 
 /// Keeps a connection in [`ConnectionPhase::Answering`] until all copies are dropped: by the body of
 /// the answer and, as a backend server may answer early, by that of the request. It reaches the
 /// handler as an extension of the request.
 #[derive(Debug, Clone)]
-pub struct Answering(#[expect(dead_code, reason = "held for its drop")] Arc<AnsweringPhase>);
+pub struct Answering(Arc<AnsweringPhase>);
+
+impl Answering {
+    /// Keeps the request open until its answer has been sent completely or the connection has ended.
+    pub fn keep_open(&self, request: OpenRequest) {
+        let AnsweringPhase(shared) = &*self.0;
+        lock(&shared.state).answered = Some(request);
+    }
+}
 
 #[derive(Debug)]
 struct AnsweringPhase(SharedPhase);
 
 impl Drop for AnsweringPhase {
     fn drop(&mut self) {
-        let mut phase = lock(&self.0.phase);
-        *phase = phase.request_ended(self.0.clock.now());
+        let mut state = lock(&self.0.state);
+        state.phase = state.phase.request_ended(self.0.clock.now());
     }
 }
 
@@ -74,16 +108,22 @@
 #[derive(Debug)]
 pub struct AnswerBody {
     body: RelayBody,
-    _answering: Answering,
+    answering: Answering,
 }
 
 impl AnswerBody {
     /// The body of the answer to the request that `answering` stands for.
     pub fn new(body: RelayBody, answering: Answering) -> AnswerBody {
-        AnswerBody {
-            body,
-            _answering: answering,
-        }
+        AnswerBody { body, answering }
+    }
+}
+
+impl Drop for AnswerBody {
+    fn drop(&mut self) {
+        let AnsweringPhase(shared) = &*self.answering.0;
+        let mut state = lock(&shared.state);
+        let state = &mut *state;
+        state.unsent.extend(state.answered.take());
     }
 }
 
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -8,7 +8,7 @@
 use hyper::header::{HOST, HeaderMap, HeaderValue, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
-use super::answer_end::{EndWatcher, OpenRequest};
+use super::answer_end::OpenRequest;
 use super::attempt::attempt;
 use super::body::{BodyError, RelayBody};
 use super::connection_timeout::Answering;
@@ -33,7 +33,9 @@
 const NO_CONFIG_RETRY_MS: u64 = 500;
 /// Handles one request of a caller.
 pub async fn handle(relay: Arc<Relay>, request: Request<Incoming>) -> Response<RelayBody> {
-    let open = OpenRequest::new(&relay);
+    if let Some(answering) = request.extensions().get::<Answering>() {
+        answering.keep_open(OpenRequest::new(&relay));
+    }
     let started = relay.clock.now();
     let request_id = request
         .headers()
@@ -60,7 +62,6 @@
     }
     let took_ms = relay.clock.now().since_ms(started);
     relay.metrics.answered(response.status(), took_ms);
-    response.body_mut().watch(EndWatcher::Request(open));
     response
 }
 
--- a/src/net/relay/head_limit.rs
+++ b/src/net/relay/head_limit.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use super::observed_stream::ReadObserver;
+use super::observed_stream::StreamObserver;
 
 /// Largest number of bytes received between a request and the end of its answer's head. Covers
 /// the buffer of the HTTP library, which may hold a part of the body.
@@ -34,7 +34,7 @@
     }
 }
 
-impl ReadObserver for HeadAllowance {
+impl StreamObserver for HeadAllowance {
     /// Takes received bytes from the allowance.
     fn received(&self, received_bytes: u64) -> std::io::Result<()> {
         let left = self.0.load(Ordering::Relaxed);
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -11,8 +11,10 @@
 use hyper::{Request, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 
+use super::answer_end::OpenRequest;
 use super::body::RelayBody;
 use super::capacity::LocalCapacity;
+use super::connection_timeout::Answering;
 use super::executor::{self, ExecutionOutcome, LocalRequest};
 use super::log_progress::LogPosition;
 use super::state::{Relay, Tables};
@@ -165,6 +167,9 @@
             _ => empty_response(StatusCode::NOT_FOUND),
         };
     };
+    if let Some(answering) = request.extensions().get::<Answering>() {
+        answering.keep_open(OpenRequest::new(&relay));
+    }
     let held_ms = relay.observe_pauses();
     let mut hop: HopRequest = match serde_json::from_slice(header.as_bytes()) {
         Ok(hop) => hop,
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -211,6 +211,7 @@
             Ok(()) = limits.changed() => {}
         }
     };
+    phase.connection_ended();
     if client_kind == ClientKind::Callers
         && let Some(cause) = end
     {
--- a/src/net/relay/observed_stream.rs
+++ b/src/net/relay/observed_stream.rs
@@ -1,4 +1,5 @@
-//! A TCP connection that tells an observer how many bytes it receives.
+//! A TCP connection that tells an observer how many bytes it receives, and when all that was written has
+//! left the process.
 
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
@@ -6,31 +7,34 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Observes what a connection receives.
-pub trait ReadObserver: Unpin {
+/// Observes what a connection receives and sends.
+pub trait StreamObserver: Unpin {
     /// Called after each read that has received `received_bytes`, 0 at the end of the stream.
     ///
     /// # Errors
     ///
     /// An error becomes the result of the read.
     fn received(&self, received_bytes: u64) -> std::io::Result<()>;
+
+    /// Called when the system has taken all bytes that the HTTP library has for the connection.
+    fn flushed(&self) {}
 }
 
-/// A TCP connection with an observer of what it receives.
+/// A TCP connection with an observer.
 #[derive(Debug)]
 pub struct ObservedStream<O> {
     stream: TcpStream,
     observer: O,
 }
 
-impl<O: ReadObserver> ObservedStream<O> {
+impl<O: StreamObserver> ObservedStream<O> {
     /// Wraps a connection.
     pub fn new(stream: TcpStream, observer: O) -> ObservedStream<O> {
         ObservedStream { stream, observer }
     }
 }
 
-impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+impl<O: StreamObserver> AsyncRead for ObservedStream<O> {
     fn poll_read(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -44,7 +48,7 @@
     }
 }
 
-impl<O: ReadObserver> AsyncWrite for ObservedStream<O> {
+impl<O: StreamObserver> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -54,7 +58,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(context)
+        let this = self.get_mut();
+        // The HTTP library flushes the stream only when its own buffer is empty.
+        ready!(Pin::new(&mut this.stream).poll_flush(context))?;
+        this.observer.flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -33,6 +33,8 @@
     /// Run and close the connection before the end of the answer's head; the number after the
     /// segment's first dot is how many of its bytes are left out, 1 without it.
     CutHead,
+    /// Run and answer with as many bytes as the number after the segment's first dot.
+    Fill,
     /// Run and answer with status 200 but without a signature.
     Unsigned,
     /// Run and answer with status 503, without the header that says that it did not run.
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -306,7 +306,7 @@
             lock(&shared.runs).push(run);
         }
         let run_duration = received.run_duration();
-        let left_out_bytes = received.number().unwrap_or(1) as usize;
+        let bytes = received.number().unwrap_or(1) as usize;
         let stated = lock(&shared.stated).clone();
         let signed = format!("X-Request-Id: {id}\r\nX-Response-Signature: {SIGNATURE}\r\n");
         let signed = signed + &stated;
@@ -343,6 +343,11 @@
                 };
                 (format!("{head}{signed}{length}"), body)
             }
+            Behaviour::Fill => {
+                let body = "x".repeat(bytes);
+                let length = format!("content-length: {bytes}\r\n\r\n");
+                (format!("{ok}{signed}{length}{body}"), Vec::new())
+            }
             Behaviour::Fail => (format!("{error}{signed}{length}"), body),
             Behaviour::Shed | Behaviour::LateShed => {
                 let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
@@ -354,7 +359,7 @@
             }
             Behaviour::CutHead => {
                 let answer = format!("{ok}{signed}content-length: 5\r\n\r\n");
-                let sent_bytes = answer.len().saturating_sub(left_out_bytes);
+                let sent_bytes = answer.len().saturating_sub(bytes);
                 stream.write_all(&answer.as_bytes()[..sent_bytes]).await?;
                 return Ok(());
             }
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -12,6 +12,16 @@
 use tokio::time::Instant;
 
 const REQUESTS: usize = 30;
+/// Size of an answer that the daemon has whole before it passes it on.
+const SHORT_BYTES: usize = 60_000;
+/// How long a request may take to run while its connection still takes answers.
+const RUN_LIMIT: Duration = Duration::from_millis(300);
+/// What a slow caller reads at a time, and how long it pauses before it. Less than what makes the daemon write
+/// again, and often enough that its connection does not end by the user timeout.
+const PART_BYTES: usize = 300_000;
+const READING_PAUSE: Duration = Duration::from_millis(1_200);
+/// Pauses before it reads on without one. The listener closes during them.
+const PAUSES: usize = 3;
 
 fn request(id: &str) -> String {
     format!(
@@ -234,3 +244,77 @@
     assert_eq!(parent_status, "200");
     assert_eq!(unfinished, 0);
 }
+
+/// Guards against LOST around a planned stop: the process ended while it still held the last bytes of answers
+/// that their caller reads slowly.
+#[test]
+fn the_process_does_not_end_before_a_slow_caller_has_got_its_answers() {
+    struct Case {
+        name: &'static str,
+        /// The host that the caller uses and that is stopped.
+        entry: usize,
+    }
+    let cases = [
+        Case {
+            name: "beside the backend server",
+            entry: 0,
+        },
+        Case {
+            name: "over a hop",
+            entry: 1,
+        },
+    ];
+    for case in cases {
+        let processes = tokio::runtime::Runtime::new().expect("a runtime");
+        let deployment = processes.block_on(Deployment::start(&["a", "b"]));
+        let callers = deployment.hosts[case.entry].settings.callers_address;
+        let worker = &deployment.hosts[0].worker;
+        let mut sent = 0;
+        // Sends a request and reads nothing; whether it has run.
+        let mut runs_another = |caller: &mut TcpStream| {
+            let before = worker.runs().len();
+            let request = format!(
+                "POST /once/fill.{SHORT_BYTES} HTTP/1.1\r\nhost: calls.example\r\n\
+                 x-request-id: slow-{sent}\r\nx-deadline-ms: 3000\r\ncontent-length: 0\r\n\r\n"
+            );
+            caller.write_all(request.as_bytes()).expect("sent");
+            sent += 1;
+            let until = Instant::now() + RUN_LIMIT;
+            while worker.runs().len() == before && Instant::now() < until {
+                std::thread::sleep(Duration::from_millis(1));
+            }
+            worker.runs().len() > before
+        };
+        // Finds out how many requests run until their answers stay in the daemon.
+        let mut caller = TcpStream::connect(callers).expect("a connection");
+        while runs_another(&mut caller) {}
+        let owed = worker.runs().len();
+        drop(caller);
+        let mut caller = TcpStream::connect(callers).expect("a connection");
+        for _ in 0..owed {
+            runs_another(&mut caller);
+        }
+        let reader = std::thread::spawn(move || {
+            let mut buffer = [0; 16 * 1024];
+            let mut read_bytes = 0;
+            let mut pauses = 0;
+            loop {
+                if pauses < PAUSES && read_bytes >= pauses * PART_BYTES {
+                    std::thread::sleep(READING_PAUSE);
+                    pauses += 1;
+                }
+                match caller.read(&mut buffer) {
+                    Ok(more_bytes) if more_bytes > 0 => read_bytes += more_bytes,
+                    _ => return read_bytes,
+                }
+            }
+        });
+        let unfinished = processes.block_on(deployment.stop(case.entry));
+        // The process ends here, and with it every connection.
+        processes.shutdown_background();
+        let read_bytes = reader.join().expect("the reader does not panic");
+        let answers = read_bytes / SHORT_BYTES;
+        assert_eq!(answers, owed, "{}: whole answers", case.name);
+        assert_eq!(unfinished, 0, "{}", case.name);
+    }
+}
