Suspect runs whose callers had left when their backend server ends

Callers saw: BUDGET. A request whose callers left before it crashed its backend server was sent to one server after the other.

Cause: when a caller leaves, the daemon closes its connection to the backend server and forgot the run. The crash that follows breaks no connection of that run.

Change: a daemon remembers for 5 s the runs that nobody waits for any more, up to 32, with their process. They are suspected when that process is known to have ended without notice: by a broken run, by a refused connection and a probe, or by the first heartbeat of the next process.

--- a/src/decide/relay/crash_witness.rs
+++ b/src/decide/relay/crash_witness.rs
@@ -5,7 +5,7 @@
 //! too many of them is held back by every daemon; more are allowed where it has ended well lately.
 //! A good end clears the request of one caller only, since another caller's may crash all the same.
 
-use std::collections::HashSet;
+use std::collections::{HashSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,11 @@
 const MEMORY_MS: u64 = 30 * 60 * 1_000;
 /// How long a request counts as ended well, at least, in milliseconds.
 const ENDED_WELL_MS: u64 = 60_000;
+/// How long after its caller has left a run may still be to blame for a crash, in milliseconds. Covers a
+/// quiet backend server, whose end is noticed by the heartbeat of its next process.
+const ABANDONED_MS: u64 = 5_000;
+/// Most runs whose callers have left.
+const MAX_ABANDONED: usize = 32;
 /// Most requests of one generation that have ended well.
 const MAX_ENDED_WELL: usize = 2_048;
 
@@ -69,10 +74,21 @@
     crashes.of_caller >= MAX_CRASHES || fails_for_several
 }
 
+/// A run whose answer nobody waits for any more. It may go on at the backend server.
+#[derive(Debug, Clone, Copy)]
+struct AbandonedRun {
+    digest: RequestDigest,
+    process: u64,
+    began_at: TimeMs,
+    left_at: TimeMs,
+}
+
 /// The suspects of one daemon, and what it has seen end well.
 #[derive(Debug, Default)]
 pub struct CrashWitness {
     suspects: Vec<Suspect>,
+    /// Oldest first.
+    abandoned: VecDeque<AbandonedRun>,
     /// Two generations, of which the younger one is filled.
     ended_well: [HashSet<RequestDigest>; 2],
     generation_at: TimeMs,
@@ -115,6 +131,47 @@
         self.suspects.truncate(MAX_SUSPECTS);
     }
 
+    /// Records that nobody waits any more for the answer of a run on this process of the backend server.
+    pub fn abandoned(
+        &mut self,
+        now: TimeMs,
+        digest: RequestDigest,
+        process: u64,
+        began_at: TimeMs,
+    ) {
+        if self.abandoned.len() >= MAX_ABANDONED {
+            self.abandoned.pop_front();
+        }
+        self.abandoned.push_back(AbandonedRun {
+            digest,
+            process,
+            began_at,
+            left_at: now,
+        });
+    }
+
+    /// Whether a run on this process was abandoned lately.
+    pub fn has_abandoned(&self, now: TimeMs, process: u64) -> bool {
+        let mut abandoned = self.abandoned.iter();
+        abandoned.any(|run| run.process == process && now.since_ms(run.left_at) < ABANDONED_MS)
+    }
+
+    /// Records that this process of the backend server ended without notice: its abandoned runs may have
+    /// crashed it. Returns how many there were.
+    pub fn process_ended(
+        &mut self,
+        now: TimeMs,
+        process: u64,
+        is_held_back: impl Fn(RequestDigest) -> bool,
+    ) -> usize {
+        let mut abandoned = std::mem::take(&mut self.abandoned);
+        abandoned.retain(|run| run.process == process && now.since_ms(run.left_at) < ABANDONED_MS);
+        for run in &abandoned {
+            self.crashed(run.digest, process, run.began_at, &is_held_back);
+        }
+        abandoned.len()
+    }
+
     /// Whether this daemon has seen the request end well lately.
     pub fn has_ended_well(&self, digest: RequestDigest) -> bool {
         self.ended_well.iter().any(|ended| ended.contains(&digest))
--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -12,6 +12,7 @@
 use super::slot::Slot;
 use super::state::Relay;
 use crate::decide::relay::RequestDigest;
+use crate::model::TimeMs;
 
 /// How the body of an answer has ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, strum::IntoStaticStr)]
@@ -137,7 +138,9 @@
             AnswerEnd::Complete | AnswerEnd::Broken => {
                 tokio::spawn(self.probe(end));
             }
-            AnswerEnd::Overdue | AnswerEnd::Dropped => {}
+            AnswerEnd::Overdue | AnswerEnd::Dropped => {
+                self.suspect.abandoned(relay, self.slot.started);
+            }
         }
     }
 
@@ -174,4 +177,56 @@
         }
         has_ended
     }
+
+    /// Suspects the requests of abandoned runs, if their backend server has ended.
+    pub(super) async fn record_abandoned_if_crashed(&self, slot: &Slot) {
+        let relay = &slot.relay;
+        let address = relay.settings.load().backend_address;
+        if relay.has_abandoned(&self.instance)
+            && relay.crash_probe.has_ended(&relay.clock, address).await
+        {
+            relay.record_unreachable(&self.instance);
+        }
+    }
+
+    /// Remembers the request of a run that nobody waits for any more: it may still crash its backend
+    /// server.
+    fn abandoned(&self, relay: &Relay, started: TimeMs) {
+        relay.record_abandoned(&self.instance, self.digest, started);
+    }
+}
+
+/// Remembers a run as abandoned if it is dropped before the run has ended.
+pub(super) struct AbandonGuard<'a> {
+    relay: &'a Relay,
+    suspect: &'a RunSuspect,
+    started: TimeMs,
+    has_ended: bool,
+}
+
+impl<'a> AbandonGuard<'a> {
+    pub(super) fn new(
+        relay: &'a Relay,
+        suspect: &'a RunSuspect,
+        started: TimeMs,
+    ) -> AbandonGuard<'a> {
+        AbandonGuard {
+            relay,
+            suspect,
+            started,
+            has_ended: false,
+        }
+    }
+
+    pub(super) fn run_ended(mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for AbandonGuard<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.suspect.abandoned(self.relay, self.started);
+        }
+    }
 }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -8,7 +8,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Request, Response, StatusCode, Uri, Version};
 
-use super::answer_end::{EndWatcher, OpenRun, RunSuspect};
+use super::answer_end::{AbandonGuard, EndWatcher, OpenRun, RunSuspect};
 use super::answers::classify_answer;
 use super::body::RelayBody;
 use super::executor_log::{log_refusal, log_start, unknown_outcome};
@@ -183,8 +183,12 @@
         let executed = classify_answer(relay, &request_id, &suspect.instance, exchanged, took_ms);
         Ok::<_, ExchangeError>(buffer_if_short(relay, &request_id, executed).await)
     };
+    let unless_abandoned = AbandonGuard::new(relay, &suspect, slot.started);
     let result = match tokio::time::timeout(timeout, answer).await {
-        Ok(result) => result,
+        Ok(result) => {
+            unless_abandoned.run_ended();
+            result
+        }
         Err(_) => {
             let cause = "no answer in time";
             return unknown_outcome(relay, &request_id, UnknownReason::DeadlinePassed, cause);
@@ -201,6 +205,7 @@
         }
         Err(ExchangeError::NotSent { message, .. }) => {
             relay.tables().worker_unreachable_since = Some(relay.clock.now());
+            suspect.record_abandoned_if_crashed(&slot).await;
             let cause = message;
             spdlog::warn!("the backend server cannot be reached", kv: { request_id, cause });
             ExecutionOutcome::not_run(NotRunReason::BackendUnreachable, UNREACHABLE_MS)
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -21,6 +21,9 @@
         let mut tables = self.tables();
         let (slots, drains) = (heartbeat.slots, heartbeat.draining);
         let rate_before = tables.rate_per_s();
+        let worker = tables.worker.as_ref();
+        let worker = worker.filter(|worker| worker.state == MemberState::Ready);
+        let process_before = worker.map(LocalWorker::process);
         let outcome = match &mut tables.worker {
             Some(worker) => worker.apply_heartbeat(now, heartbeat),
             None => {
@@ -30,6 +33,12 @@
         };
         if outcome == HeartbeatOutcome::Changed {
             remember_departure(&mut tables);
+            let process = tables.worker.as_ref().map(LocalWorker::process);
+            if let Some(before) = process_before
+                && process != process_before
+            {
+                self.record_process_end(&mut tables, now, before);
+            }
         }
         if outcome != HeartbeatOutcome::Stale {
             tables.worker_unreachable_since = None;
@@ -302,15 +311,62 @@
             return;
         }
         let was_held_back = is_held_back(digest);
-        tables
-            .witness
-            .crashed(digest, process, began_at, is_held_back);
+        let witness = &mut tables.witness;
+        witness.crashed(digest, process, began_at, is_held_back);
+        witness.process_ended(now, process, is_held_back);
         self.announce(tables, now);
         if !was_held_back {
             log_held_back(&tables.directory, &[digest]);
         }
     }
 
+    /// Records that nobody waits any more for the answer of a run on the backend server beside this
+    /// daemon.
+    pub fn record_abandoned(&self, instance: &str, digest: RequestDigest, began_at: TimeMs) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let tables = &mut *tables;
+        if let Some(worker) = tables.worker_of(instance)
+            && worker.state == MemberState::Ready
+        {
+            let process = worker.process();
+            tables.witness.abandoned(now, digest, process, began_at);
+        }
+    }
+
+    /// Records that a process of the backend server beside this daemon has ended without notice. Requests
+    /// whose callers had left by then may have crashed it.
+    fn record_process_end(&self, tables: &mut Tables, now: TimeMs, process: u64) {
+        let directory = &tables.directory;
+        let is_held_back = |digest| directory.is_held_back(digest);
+        let runs = tables.witness.process_ended(now, process, is_held_back);
+        if runs > 0 {
+            let runs = runs as u64;
+            spdlog::warn!("the backend server has ended after callers had left", kv: { runs });
+            self.announce(tables, now);
+        }
+    }
+
+    /// Records that nothing listens at the address of the backend server beside this daemon.
+    pub fn record_unreachable(&self, instance: &str) {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        if let Some(worker) = tables.worker_of(instance)
+            && worker.state == MemberState::Ready
+        {
+            let process = worker.process();
+            self.record_process_end(&mut tables, now, process);
+        }
+    }
+
+    /// Whether a run on this instance beside this daemon was abandoned lately.
+    pub fn has_abandoned(&self, instance: &str) -> bool {
+        let now = self.clock.now();
+        let mut tables = self.tables();
+        let process = tables.worker_of(instance).map(|worker| worker.process());
+        process.is_some_and(|process| tables.witness.has_abandoned(now, process))
+    }
+
     /// Records that a backend server has answered a request.
     pub fn record_ended_well(&self, digest: RequestDigest) {
         let now = self.clock.now();
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -74,6 +74,9 @@
     EndlessExtra,
     /// Run and end the backend server, which comes back as another instance.
     Crash,
+    /// Run for the milliseconds given in the segment after its first dot, whether its caller waits or not,
+    /// and end the backend server.
+    CrashLate,
     /// Like `Crash` for the caller service in the segment after its first dot, like `Echo` for others.
     CrashFor,
 }
@@ -94,6 +97,7 @@
         matches!(
             self,
             Behaviour::Crash
+                | Behaviour::CrashLate
                 | Behaviour::CrashStream
                 | Behaviour::CrashStreamKnown
                 | Behaviour::CrashStreamUnframed
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -324,6 +324,9 @@
                 return stream.shutdown().await;
             }
         }
+        if behaviour == Behaviour::CrashLate {
+            tokio::time::sleep(run_duration).await;
+        }
         if behaviour.crashes() {
             shared.crashed.notify_one();
             return std::future::pending().await;
@@ -424,6 +427,7 @@
             }
             // Sent above.
             Behaviour::Crash
+            | Behaviour::CrashLate
             | Behaviour::CrashFor
             | Behaviour::CrashStream
             | Behaviour::CrashStreamKnown
--- a/tests/crash_random.rs
+++ b/tests/crash_random.rs
@@ -394,10 +394,14 @@
         /// The backend server is started again.
         Start,
         EndWell(u64),
+        /// The caller of a run leaves.
+        Leave(u64),
+        /// The process ends without notice.
+        End,
         /// Time passes, in milliseconds.
         Pass(u64),
     }
-    use Step::{Crash, EndWell, Pass, Start};
+    use Step::{Crash, End, EndWell, Leave, Pass, Start};
     struct Case {
         name: &'static str,
         steps: &'static [Step],
@@ -416,6 +420,15 @@
         case("cleared", &[Crash(1), EndWell(1)], &[]),
         case("another ends well", &[Crash(1), EndWell(2)], &[(1, 1)]),
         case("ended well before", &[EndWell(1), Crash(1)], &[(1, 1)]),
+        case(
+            "ended after its caller had left",
+            &[Leave(1), End],
+            &[(1, 1)],
+        ),
+        case("left and crashed", &[Leave(1), Crash(1), End], &[(1, 1)]),
+        case("left long before", &[Leave(1), Pass(5_000), End], &[]),
+        case("left an earlier process", &[Leave(1), Start, End], &[]),
+        case("ended once", &[Leave(1), End, End], &[(1, 1)]),
         case("forgotten", &[Crash(1), Pass(30 * 60_000)], &[]),
     ];
     for case in cases {
@@ -430,6 +443,10 @@
                 EndWell(digest) => {
                     witness.ended_well(now, RequestDigest(*digest));
                 }
+                Leave(digest) => witness.abandoned(now, RequestDigest(*digest), process, now),
+                End => {
+                    witness.process_ended(now, process, |_| false);
+                }
                 Start => process += 1,
                 Pass(ms) => now = now.plus_ms(*ms + 10),
             }
--- a/tests/relay_crash.rs
+++ b/tests/relay_crash.rs
@@ -33,6 +33,10 @@
     path: &'static str,
     /// Service of the callers whose request crashes; all without it. The same request of others ends well.
     crashes_for: Option<&'static str>,
+    /// How long callers wait for an answer; to the end without it.
+    leaves_after: Option<Duration>,
+    /// Time between two calls.
+    gap: Duration,
 }
 
 #[tokio::test]
@@ -42,11 +46,15 @@
             name: "idempotent",
             path: "/safe/crash",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
         Case {
             name: "non-idempotent",
             path: "/once/crash",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
     ];
     assert_held_back(cases).await;
@@ -61,21 +69,29 @@
             name: "in chunks, idempotent",
             path: "/safe/crash_stream.100",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
         Case {
             name: "in chunks, non-idempotent",
             path: "/once/crash_stream.100",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
         Case {
             name: "of known length",
             path: "/once/crash_stream_known.100",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
         Case {
             name: "ending with the connection",
             path: "/once/crash_stream_unframed.100",
             crashes_for: None,
+            leaves_after: None,
+            gap: CALL_GAP,
         },
     ];
     assert_held_back(cases).await;
@@ -90,11 +106,38 @@
             name: "idempotent",
             path: "/safe/crash_for.b",
             crashes_for: Some("b"),
+            leaves_after: None,
+            gap: CALL_GAP,
         },
         Case {
             name: "non-idempotent",
             path: "/once/crash_for.b",
             crashes_for: Some("b"),
+            leaves_after: None,
+            gap: CALL_GAP,
+        },
+    ];
+    assert_held_back(cases).await;
+}
+
+/// Guards against BUDGET: nothing was seen of a crash after the caller had left, so its request was sent to one
+/// backend server after the other.
+#[tokio::test]
+async fn a_request_that_crashes_after_its_caller_has_left_is_held_back_everywhere() {
+    let cases = [
+        Case {
+            name: "idempotent",
+            path: "/safe/crash_late.150",
+            crashes_for: None,
+            leaves_after: Some(Duration::from_millis(50)),
+            gap: Duration::from_millis(200),
+        },
+        Case {
+            name: "non-idempotent",
+            path: "/once/crash_late.500",
+            crashes_for: None,
+            leaves_after: Some(Duration::from_millis(50)),
+            gap: Duration::from_millis(300),
         },
     ];
     assert_held_back(cases).await;
@@ -118,10 +161,13 @@
                 let host = number % deployment.hosts.len();
                 let (deployment, id) = (Arc::clone(&deployment), format!("crash-{number}"));
                 tasks.spawn(async move {
-                    deployment.call(host, case.path, &id, b"the same").await;
+                    let call = deployment.call(host, case.path, &id, b"the same");
+                    let patience = case.leaves_after.unwrap_or(Duration::MAX);
+                    // An answer shows nothing, and neither does its absence.
+                    let _ = tokio::time::timeout(patience, call).await;
                 });
                 number += 1;
-                tokio::time::sleep(CALL_GAP).await;
+                tokio::time::sleep(case.gap).await;
             }
             let runs = deployment.hosts.iter().flat_map(|host| host.worker.runs());
             let runs = runs.filter(|run| {
