Count an answer that breaks off after its head as a failure

Callers saw: a request whose nested call broke off after the head of its answer was sent to a second backend server and made all its calls again.

Cause: a call counted as done with the head of its answer, so its break was neither a failed call of its parent nor a failure of its worker.

Change: what watches the answer of an attempt records both when the answer breaks off or is cut at its deadline.

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -76,6 +76,7 @@
     relay: Arc<Relay>,
     address: SocketAddr,
     request_id: String,
+    parent_id: Option<String>,
     digest: RequestDigest,
     /// Whether the body ends with the backend server's connection, so that a crash looks like its end.
     pub(super) ends_with_connection: bool,
@@ -88,6 +89,7 @@
             relay: Arc::clone(relay),
             address,
             request_id: call.id.to_owned(),
+            parent_id: call.parent_id.map(str::to_owned),
             digest: call.digest,
             ends_with_connection: false,
         }
@@ -97,7 +99,19 @@
         if end == AnswerEnd::Complete && !self.ends_with_connection {
             self.relay.record_ended_well(self.digest);
         }
-        if end.is_failure() && self.relay.may_log(LineKind::Failed) {
+        if !end.is_failure() {
+            return;
+        }
+        let now = self.relay.clock.now();
+        let mut tables = self.relay.tables();
+        tables
+            .load_balancer
+            .record_outcome(now, self.address, false);
+        drop(tables);
+        if let Some(parent_id) = &self.parent_id {
+            self.relay.record_failed_call(parent_id);
+        }
+        if self.relay.may_log(LineKind::Failed) {
             let (request_id, address) = (self.request_id.as_str(), self.address);
             let end = <&str>::from(end);
             spdlog::warn!("an answer broke off before it was whole", kv: {
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -94,7 +94,7 @@
             route: call.route.name.clone(),
             left_ms: left_ms - HOP_MARGIN_MS,
             root: call.root.clone(),
-            is_call: call.is_call,
+            is_call: call.parent_id.is_some(),
             is_retry: is_retry || call.parent_is_retry,
             is_first: tried.is_empty(),
             config: call.config,
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -90,7 +90,8 @@
     pub(super) uri: Uri,
     pub(super) headers: HeaderMap,
     pub(super) root: RootRequest,
-    pub(super) is_call: bool,
+    /// Id of the request beneath which it is made, if any.
+    pub(super) parent_id: Option<&'a str>,
     pub(super) parent_is_retry: bool,
     pub(super) deadline: TimeMs,
     pub(super) started: TimeMs,
@@ -256,7 +257,7 @@
         uri: parts.uri,
         headers,
         root,
-        is_call: parent_id.is_some(),
+        parent_id,
         parent_is_retry,
         deadline,
         started,
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -480,6 +480,11 @@
             call: "/other/echo",
             runs: 2,
         },
+        // Breaks off after the head of its answer, and ends its backend server.
+        Case {
+            call: "/other/crash_stream.100",
+            runs: 1,
+        },
     ];
     let deployment = Deployment::start(&["a", "a", "b"]).await;
     for (number, case) in cases.iter().enumerate() {
