Soak: say when the soak itself stood still

Nothing told whether the whole machine had stood still. A finding now lists the stalls of the soak's own process; they excuse nothing.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 #[path = "../support/proxy.rs"]
 mod proxy;
 mod script;
+mod stalls;
 #[path = "../workdir/mod.rs"]
 mod workdir;
 
@@ -29,6 +30,7 @@
 use configuration::Content;
 use fleet::{Fleet, History, lock};
 use keys::KeyChooser;
+use stalls::StallWatch;
 use tokio::task::JoinSet;
 
 const CALLERS_PER_HOST: usize = 4;
@@ -262,11 +264,11 @@
 }
 
 async fn run_on_fleet(plan: &Plan, dir: &Path) -> Vec<String> {
+    let stall_watch = StallWatch::start();
     let fleet = Arc::new(Fleet::start(plan.hosts, dir, plan.content()).await);
     if !wait_ready(&fleet).await {
-        return vec![format!(
-            "START: not all daemons were ready within {READY_TIMEOUT:?}"
-        )];
+        let violation = format!("START: not all daemons were ready within {READY_TIMEOUT:?}");
+        return [vec![violation], stall_watch.stalls()].concat();
     }
     let (stop, mut callers) = (Arc::new(AtomicBool::new(false)), JoinSet::new());
     for host in &fleet.hosts {
@@ -335,6 +337,10 @@
     }
     violations.extend(checks::find_violations(&fleet, &records, &history));
     violations.extend(check_recovery(&records, &history, healed_at, measured_from));
+    let stalls = stall_watch.stalls();
+    if !violations.is_empty() {
+        violations.extend(stalls);
+    }
     print_summary(plan, &records, steps.len());
     violations
 }
