Hold no portion of a quota before the other daemons are known

Cause: a daemon that has read no member record since its start knows itself alone, so its portion was the whole quota, and it became a root beside the true one.

Change: until a daemon has read the members' records, or a daemon that has read them has told it, it answers no reports and refuses what has a quota, cause "unknown".

--- a/src/decide/relay/quotas/member.rs
+++ b/src/decide/relay/quotas/member.rs
@@ -13,6 +13,8 @@
 const SHARE_RETRY_MS: f64 = 500.0;
 /// Retry-after time of a request for which no answer of an aggregator is there yet, in milliseconds.
 const UNCOUNTED_RETRY_MS: f64 = 250.0;
+/// Retry-after time of a request while the other daemons are not known, in milliseconds.
+const UNKNOWN_RETRY_MS: f64 = 1_000.0;
 /// Bounds of retry-after times before jitter, in milliseconds.
 const RETRY_MS: (f64, f64) = (200.0, 10_000.0);
 /// Jitter of retry-after times, as a ratio.
@@ -35,6 +37,8 @@
     Uncounted,
     /// This daemon decides alone, and its portion is used up.
     Portion,
+    /// This daemon does not know the others yet, so it has no portion.
+    Unknown,
 }
 
 /// A refusal for the quota.
@@ -82,6 +86,23 @@
             .retain(|name, _| table.allowances.contains_key(name));
     }
 
+    /// Refuses a root request of a daemon that does not know the others.
+    pub fn refuse_unknown(
+        table: &QuotaTable,
+        uplink: &Uplink,
+        name: &OrganisationName,
+        rng: &mut impl Rng,
+    ) -> Result<(), QuotaRefusal> {
+        if !table.allowances.contains_key(name) {
+            return Ok(());
+        }
+        Err(QuotaRefusal {
+            cause: RefusalCause::Unknown,
+            share: uplink.share(name),
+            retry_after_ms: (UNKNOWN_RETRY_MS * rng.random_range(JITTER)) as u64,
+        })
+    }
+
     /// Decides about one root request. A daemon that is not listed as active has no portion.
     pub fn check(
         &mut self,
--- a/src/decide/relay/quotas/node.rs
+++ b/src/decide/relay/quotas/node.rs
@@ -136,6 +136,9 @@
         self.observe(now);
         self.note_standing(now);
         let (table, uplink) = (&self.table, &mut self.daemon_uplink);
+        if !self.ranking.is_known() {
+            return Member::refuse_unknown(table, uplink, name, rng);
+        }
         let is_listed = self.ranking.is_listed();
         self.member.check(now, table, uplink, name, is_listed, rng)
     }
@@ -174,9 +177,13 @@
         outgoing
     }
 
-    /// Answers a report; `None` if it may have waited while this process was paused.
+    /// Answers a report; `None` if it may have waited while this process was paused, and while the
+    /// daemons are not known.
     pub fn receive(&mut self, now: TimeMs, report: &QuotaReport) -> Option<QuotaAnswer> {
         self.observe(now);
+        if !self.ranking.is_known() {
+            return None;
+        }
         if self
             .resumed_at
             .is_some_and(|at| now.since_ms(at) < BACKLOG_MS)
--- a/src/decide/relay/quotas/ranking.rs
+++ b/src/decide/relay/quotas/ranking.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Whether the daemons are known.
+    pub fn is_known(&self) -> bool {
+        self.own.is_some()
+    }
+
     /// Whether this daemon is among the active ones.
     pub fn is_listed(&self) -> bool {
         self.is_listed
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -179,6 +179,8 @@
                 records.iter().for_each(&apply);
                 if topic.is_config {
                     relay.record_config_heard(sent, wait_ms, 0);
+                } else {
+                    relay.knows_members.store(true, Ordering::Relaxed);
                 }
                 if !is_new_era {
                     progress.advance_own(read_to);
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -389,6 +389,10 @@
         source.install(relay, config.as_bytes(), "peer");
     }
     relay.merge_members(std::mem::take(&mut state.members), "peer");
+    // The peer has read the records itself, or at another daemon.
+    if state.members_read != LogPosition::default() {
+        relay.knows_members.store(true, Ordering::Relaxed);
+    }
     let (incarnation, change) = (state.incarnation, state.change);
     let heard = HeardChange {
         incarnation,
--- a/src/net/relay/quotas.rs
+++ b/src/net/relay/quotas.rs
@@ -141,7 +141,9 @@
         let bounds = QuotaBounds::from(&**self.settings.load());
         let tables = self.tables();
         let mut state = self.quotas.lock();
-        let has_moved = state.node.ranking.update(&tables.directory);
+        // A daemon that knows only itself would take the whole of each quota for its own.
+        let knows_members = self.knows_members.load(Ordering::Relaxed);
+        let has_moved = knows_members && state.node.ranking.update(&tables.directory);
         drop(tables);
         if !has_moved && state.config == version && state.bounds == bounds {
             return;
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -228,6 +228,9 @@
     pub reads_log: watch::Sender<bool>,
     /// Whether the log service has answered since this daemon began to read it.
     pub has_read_log: AtomicBool,
+    /// Whether all member records have been read since the start, in the log service or at a daemon that
+    /// had read them.
+    pub knows_members: AtomicBool,
     /// Newest era of the log service seen, also by peers; `None` until the first answer.
     pub log_era: watch::Sender<Option<u64>>,
     /// How far this daemon and its peers have read the member records.
@@ -293,6 +296,7 @@
             state_changed: Notify::new(),
             reads_log: watch::Sender::new(true),
             has_read_log: AtomicBool::new(false),
+            knows_members: AtomicBool::new(false),
             log_era: watch::Sender::new(None),
             members_read: LogProgress::default(),
             config_read: LogProgress::default(),
--- a/src/standin/platform/store.rs
+++ b/src/standin/platform/store.rs
@@ -37,6 +37,8 @@
 pub struct StoreFaults {
     /// Whether every request is refused with status 503.
     pub down: AtomicBool,
+    /// A topic of which every request is refused with status 503.
+    pub down_topic: Mutex<Option<String>>,
     /// Delay of each answer, in milliseconds.
     pub slow_ms: AtomicU64,
     /// Number of appends that take effect but get no answer.
@@ -196,6 +198,9 @@
     let topic = query_parameter(query, "topic")
         .unwrap_or_default()
         .to_owned();
+    if lock(&shared.faults.down_topic).as_ref() == Some(&topic) {
+        return answer(StatusCode::SERVICE_UNAVAILABLE, Vec::new());
+    }
     match (request.method(), uri.path()) {
         (&Method::POST, "/log-append") => append(shared, &topic, request).await,
         (&Method::GET, "/log-newest") => newest(shared, &topic, query),
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -135,31 +135,13 @@
             .expect("the store starts");
         let record = standard_config(1).to_string();
         store.put(CONFIG_TOPIC, "config", record.as_bytes());
-        let mut hosts = Vec::new();
-        for (number, (service, region)) in places.iter().enumerate() {
-            let instance = format!("i-{number}");
-            let worker = StandInWorker::start(free_address(), service, &instance);
-            let worker = worker.await.expect("the worker starts");
-            let store_address = free_address();
-            let store_proxy = Proxy::start(store_address, store.address).await;
-            let mut settings = settings(service, store_address, worker.address);
-            settings.place.region = (*region).into();
-            let relay = Relay::new(settings.clone(), platform::header_names());
-            platform::start(&relay).await.expect("the listeners open");
-            assert_eq!(
-                worker
-                    .send_heartbeat(settings.local_address, 1, "ready", 100)
-                    .await,
-                200
-            );
-            hosts.push(Host {
-                relay,
-                settings,
-                worker,
-                store_proxy,
-            });
+        let mut deployment = Deployment {
+            store,
+            hosts: Vec::new(),
+        };
+        for (service, region) in places {
+            deployment.add_host(service, region).await;
         }
-        let deployment = Deployment { store, hosts };
         let all = places.len();
         deployment
             .wait("all relays are ready", |deployment| {
@@ -172,6 +154,31 @@
         deployment
     }
 
+    /// Starts one more relay with a backend server.
+    pub async fn add_host(&mut self, service: &str, region: &str) {
+        let instance = format!("i-{}", self.hosts.len());
+        let worker = StandInWorker::start(free_address(), service, &instance);
+        let worker = worker.await.expect("the worker starts");
+        let store_address = free_address();
+        let store_proxy = Proxy::start(store_address, self.store.address).await;
+        let mut settings = settings(service, store_address, worker.address);
+        settings.place.region = region.into();
+        let relay = Relay::new(settings.clone(), platform::header_names());
+        platform::start(&relay).await.expect("the listeners open");
+        assert_eq!(
+            worker
+                .send_heartbeat(settings.local_address, 1, "ready", 100)
+                .await,
+            200
+        );
+        self.hosts.push(Host {
+            relay,
+            settings,
+            worker,
+            store_proxy,
+        });
+    }
+
     /// Waits until the condition holds; panics on a timeout.
     pub async fn wait(&self, what: &str, holds: impl Fn(&Deployment) -> bool) {
         let until = tokio::time::Instant::now() + WAIT_TIMEOUT;
--- a/tests/relay_quotas.rs
+++ b/tests/relay_quotas.rs
@@ -7,6 +7,7 @@
 
 use burdockhall::decide::relay::Quota;
 use burdockhall::decide::relay::quotas::{QuotaBounds, QuotaRole};
+use burdockhall::net::relay::follow::MEMBERS_TOPIC;
 use deployment::{Deployment, config, route};
 use serde_json::{Value, json};
 
@@ -65,6 +66,50 @@
     )
 }
 
+/// Guards against QUOTA: a daemon that had read no member record since its start took itself for the whole
+/// deployment, and gave the whole quota away beside the others.
+#[tokio::test]
+async fn a_daemon_that_does_not_know_the_others_has_no_part_of_a_quota() {
+    let mut deployment = Deployment::start(&["a", "a"]).await;
+    deployment.configure(2, &quota_config(2)).await;
+    let faults = deployment.store.faults();
+    *faults.down_topic.lock().expect("no panic") = Some(MEMBERS_TOPIC.to_owned());
+    deployment.add_host("a", "region").await;
+    deployment
+        .wait("the configuration at the new host", |deployment| {
+            deployment.hosts[2].relay.config_version() == 2
+        })
+        .await;
+    // Longer than it takes to become an aggregator.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let send = async |deployment: &Deployment, name: &str| {
+        let mut statuses = Vec::new();
+        for number in 0..10 {
+            let id = format!("{name}-{number}");
+            let answer = deployment.call_as(2, "/safe/echo", &id, Some(GOLD_KEY), &[]);
+            statuses.push(answer.await.status.as_u16());
+            // Half the quota.
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        statuses
+    };
+    assert_eq!(send(&deployment, "unknown").await, [429; 10]);
+    *deployment
+        .store
+        .faults()
+        .down_topic
+        .lock()
+        .expect("no panic") = None;
+    deployment
+        .wait("the members at all hosts", |deployment| {
+            let mut hosts = deployment.hosts.iter();
+            hosts.all(|host| host.relay.tables().directory.all().count() == 3)
+        })
+        .await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(send(&deployment, "known").await, [200; 10]);
+}
+
 /// Guards against an organisation that exceeds its quota because its requests enter at several
 /// daemons, against refusals of another one, and against refusals that name no time.
 #[tokio::test]
