Let callers and backend servers read slowly

Callers saw: LOST.

Cause: TCP_USER_TIMEOUT, meant for other sides that are gone, also runs while the other side has closed its window.

Change: connections that are accepted, and those to the backend server on the same VM, have no user timeout. An accepted connection ends when no byte of an answer has been taken for 30 s, or at the deadline of an answer that still arrives; that deadline took effect only when the body was polled.

--- a/src/decide/relay/connection_phase.rs
+++ b/src/decide/relay/connection_phase.rs
@@ -3,6 +3,10 @@
 use super::routes::Limits;
 use crate::model::TimeMs;
 
+/// Longest time for which the other side of a connection may take no byte of an answer, in milliseconds.
+/// Longer than callers wait for one, since an answer is passed on also when it is late.
+pub const MAX_BLOCKED_MS: u64 = 30_000;
+
 /// What a caller's connection waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ConnectionPhase {
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -36,7 +36,7 @@
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
-pub use connection_phase::ConnectionPhase;
+pub use connection_phase::{ConnectionPhase, MAX_BLOCKED_MS};
 pub use crash_witness::{CrashCounts, CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
 pub use departures::{Departure, Departures};
 pub use directory::{Directory, Member, MemberState};
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -10,7 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use super::answer_end::{AnswerEnd, EndWatcher};
 use super::connection_timeout::Answering;
@@ -112,6 +112,17 @@
         }
     }
 
+    /// When it fails if it is still arriving.
+    pub fn deadline(&self) -> Option<Instant> {
+        match self {
+            RelayBody::Empty | RelayBody::Full(_) => None,
+            RelayBody::Streamed(streamed) => {
+                let deadline = streamed.deadline.as_ref();
+                deadline.map(|deadline| deadline.deadline())
+            }
+        }
+    }
+
     /// Has `watcher` told how this body ends: at once if it is completely buffered.
     pub fn watch(&mut self, watcher: EndWatcher) {
         match self {
--- a/src/net/relay/connection_timeout.rs
+++ b/src/net/relay/connection_timeout.rs
@@ -14,7 +14,7 @@
 use super::answer_end::OpenRequest;
 use super::body::{BodyError, RelayBody};
 use super::observed_stream::StreamObserver;
-use crate::decide::relay::{ConnectionPhase, Limits};
+use crate::decide::relay::{ConnectionPhase, Limits, MAX_BLOCKED_MS};
 use crate::decide::sharded::lock;
 use crate::model::{Clock, TimeMs};
 
@@ -32,6 +32,10 @@
     answered: Option<OpenRequest>,
     /// Requests whose answers have ended, but are still in the buffer of the connection.
     unsent: Vec<OpenRequest>,
+    /// When the answer must have arrived that is being passed on, if it is still arriving.
+    answer_deadline: Option<TimeMs>,
+    /// When the other side has stopped taking bytes; `None` while it takes them.
+    blocked_since: Option<TimeMs>,
 }
 
 impl SharedPhase {
@@ -42,6 +46,8 @@
             phase: ConnectionPhase::Idle { since },
             answered: None,
             unsent: Vec::new(),
+            answer_deadline: None,
+            blocked_since: None,
         };
         SharedPhase {
             clock,
@@ -63,8 +69,17 @@
         state.unsent.clear();
     }
 
-    fn get(&self) -> ConnectionPhase {
-        lock(&self.state).phase
+    /// When the connection ends if nothing changes, and why; `None` for never.
+    fn ends_at(&self, limits: Option<Limits>) -> Option<(TimeMs, Expired)> {
+        let state = lock(&self.state);
+        if let Some(since) = state.blocked_since {
+            let ends_at = since.plus_ms(MAX_BLOCKED_MS);
+            // An answer is not looked at while the other side takes no byte of it.
+            let ends_at = state.answer_deadline.map_or(ends_at, |at| at.min(ends_at));
+            return Some((ends_at, Expired::Blocked));
+        }
+        let ends_at = state.phase.ends_at(limits?)?;
+        Some((ends_at, Expired::Phase(state.phase)))
     }
 }
 
@@ -75,6 +90,18 @@
         Ok(())
     }
 
+    fn wrote(&self, is_blocked: bool) {
+        let mut state = lock(&self.state);
+        if is_blocked {
+            state.blocked_since.get_or_insert(self.clock.now());
+        } else if state.blocked_since.take().is_some()
+            && let ConnectionPhase::Idle { since } = &mut state.phase
+        {
+            // The other side has its answer only now.
+            *since = self.clock.now();
+        }
+    }
+
     fn flushed(&self) {
         lock(&self.state).unsent.clear();
     }
@@ -114,6 +141,12 @@
 impl AnswerBody {
     /// The body of the answer to the request that `answering` stands for.
     pub fn new(body: RelayBody, answering: Answering) -> AnswerBody {
+        if let Some(deadline) = body.deadline() {
+            let AnsweringPhase(shared) = &*answering.0;
+            let left = deadline.saturating_duration_since(Instant::now());
+            let deadline = shared.clock.now().plus_ms(left.as_millis() as u64);
+            lock(&shared.state).answer_deadline = Some(deadline);
+        }
         AnswerBody { body, answering }
     }
 }
@@ -123,6 +156,7 @@
         let AnsweringPhase(shared) = &*self.answering.0;
         let mut state = lock(&shared.state);
         let state = &mut *state;
+        state.answer_deadline = None;
         state.unsent.extend(state.answered.take());
     }
 }
@@ -147,11 +181,22 @@
     }
 }
 
-/// Becomes ready when a connection has been in its phase for as long as the limits allow.
+/// What has lasted too long on a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Expired {
+    /// Its phase.
+    Phase(ConnectionPhase),
+    /// The other side has taken no byte of an answer.
+    Blocked,
+}
+
+/// Becomes ready when a connection has been in its phase for as long as the limits allow, or the other
+/// side has taken no byte of an answer for too long.
 #[derive(Debug)]
 pub struct PhaseTimeout {
     phase: SharedPhase,
-    limits: watch::Receiver<Limits>,
+    /// Limits of its phases, if there are any.
+    limits: Option<watch::Receiver<Limits>>,
     /// What the timer is set to.
     set_to: Option<TimeMs>,
     timer: Pin<Box<Sleep>>,
@@ -159,7 +204,7 @@
 
 impl PhaseTimeout {
     /// The timeout of a connection in `phase`, by the newest `limits`.
-    pub fn new(phase: SharedPhase, limits: watch::Receiver<Limits>) -> PhaseTimeout {
+    pub fn new(phase: SharedPhase, limits: Option<watch::Receiver<Limits>>) -> PhaseTimeout {
         PhaseTimeout {
             phase,
             limits,
@@ -168,12 +213,12 @@
         }
     }
 
-    /// Polls the timeout, and returns the phase that has lasted too long. It must be polled again
-    /// after each change of phase or limits.
-    pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<ConnectionPhase> {
+    /// Polls the timeout, and returns what has lasted too long. It must be polled again after each change
+    /// of phase or limits, and after each write.
+    pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<Expired> {
         loop {
-            let phase = self.phase.get();
-            let Some(ends_at) = phase.ends_at(*self.limits.borrow()) else {
+            let limits = self.limits.as_ref().map(|limits| *limits.borrow());
+            let Some((ends_at, expired)) = self.phase.ends_at(limits) else {
                 return Poll::Pending;
             };
             if self.set_to != Some(ends_at) {
@@ -184,7 +229,7 @@
             }
             ready!(self.timer.as_mut().poll(context));
             if self.phase.clock.now() >= ends_at {
-                return Poll::Ready(phase);
+                return Poll::Ready(expired);
             }
             self.set_to = None;
         }
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -176,7 +176,7 @@
     let answer = async {
         let pool = &relay.pool;
         let exchanged = pool
-            .exchange_as(address, request, max_idle_ms, &request_id)
+            .exchange_with_backend(address, request, max_idle_ms, &request_id)
             .await?;
         relay.tables().worker_unreachable_since = None;
         let took_ms = relay.clock.now().since_ms(slot.started);
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::body::RelayBody;
-use super::connection_timeout::{AnswerBody, PhaseTimeout, SharedPhase};
+use super::connection_timeout::{AnswerBody, Expired, PhaseTimeout, SharedPhase};
 use super::log_limiter::LineKind;
 use super::observed_stream::ObservedStream;
 use super::pool;
@@ -46,6 +46,8 @@
     HeadTooLarge,
     /// What has arrived is no request.
     Malformed,
+    /// No byte of an answer has been taken for too long.
+    Blocked,
 }
 
 impl ConnectionEnd {
@@ -58,11 +60,11 @@
         }
     }
 
-    /// Why a connection ends whose phase has lasted too long.
-    fn of_expired(phase: ConnectionPhase) -> ConnectionEnd {
-        match phase {
-            ConnectionPhase::Head { .. } => ConnectionEnd::SlowHead,
-            ConnectionPhase::Idle { .. } | ConnectionPhase::Answering { .. } => ConnectionEnd::Idle,
+    fn of_expired(expired: Expired) -> ConnectionEnd {
+        match expired {
+            Expired::Blocked => ConnectionEnd::Blocked,
+            Expired::Phase(ConnectionPhase::Head { .. }) => ConnectionEnd::SlowHead,
+            Expired::Phase(_) => ConnectionEnd::Idle,
         }
     }
 }
@@ -168,8 +170,8 @@
     };
     let phase = SharedPhase::new(relay.clock.clone());
     let stream = TokioIo::new(ObservedStream::new(stream, phase.clone()));
-    let mut timeout = (client_kind == ClientKind::Callers)
-        .then(|| PhaseTimeout::new(phase.clone(), limits.clone()));
+    let phase_limits = (client_kind == ClientKind::Callers).then(|| limits.clone());
+    let mut timeout = PhaseTimeout::new(phase.clone(), phase_limits);
     let service = service_fn(|mut request: Request<Incoming>| {
         let answering = phase.request_arrived();
         request.extensions_mut().insert(answering.clone());
@@ -193,12 +195,9 @@
             if let Poll::Ready(ended) = connection.as_mut().poll(context) {
                 return Poll::Ready(ended.err().and_then(|error| ConnectionEnd::of(&error)));
             }
-            let Some(timeout) = &mut timeout else {
-                return Poll::Pending;
-            };
             timeout
                 .poll_expired(context)
-                .map(|phase| Some(ConnectionEnd::of_expired(phase)))
+                .map(|expired| Some(ConnectionEnd::of_expired(expired)))
         });
         tokio::select! {
             biased;
--- a/src/net/relay/observed_stream.rs
+++ b/src/net/relay/observed_stream.rs
@@ -16,6 +16,11 @@
     /// An error becomes the result of the read.
     fn received(&self, received_bytes: u64) -> std::io::Result<()>;
 
+    /// Called after each write: whether the system has taken none of the bytes.
+    fn wrote(&self, is_blocked: bool) {
+        let _ = is_blocked;
+    }
+
     /// Called when the system has taken all bytes that the HTTP library has for the connection.
     fn flushed(&self) {}
 }
@@ -54,7 +59,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(context, bytes)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write(context, bytes);
+        this.observer.wrote(written.is_pending());
+        written
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<std::io::Result<()>> {
@@ -78,6 +86,9 @@
         context: &mut Context<'_>,
         buffers: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(context, buffers)
+        let this = self.get_mut();
+        let written = Pin::new(&mut this.stream).poll_write_vectored(context, buffers);
+        this.observer.wrote(written.is_pending());
+        written
     }
 }
--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -27,8 +27,8 @@
 const KEEPALIVE: Duration = Duration::from_secs(1);
 /// Unanswered keep-alive probes after which a connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
-/// `TCP_USER_TIMEOUT`: longest time that sent bytes may stay unacknowledged. Detects connections
-/// whose other side no longer responds.
+/// `TCP_USER_TIMEOUT`: longest time that sent bytes may stay unacknowledged or unread. Detects connections
+/// to daemons that no longer respond.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Largest buffer of a connection, in bytes; limits the memory used for a slow reader.
 const BUFFER_BYTES: usize = 64 * 1024;
@@ -39,6 +39,25 @@
 /// Address of the other side of a connection.
 pub type PoolKey = SocketAddr;
 
+/// What a request is sent to.
+#[derive(Debug, Clone, Copy)]
+enum Destination {
+    /// Another daemon or the log service.
+    Remote,
+    /// The backend server on this VM, over a connection on which it has refused no request whose id has
+    /// this hash.
+    BackendServer { request_id: u64 },
+}
+
+impl Destination {
+    fn request_id(self) -> Option<u64> {
+        match self {
+            Destination::Remote => None,
+            Destination::BackendServer { request_id } => Some(request_id),
+        }
+    }
+}
+
 /// Why an exchange has failed.
 #[derive(Debug, Error)]
 pub enum ExchangeError {
@@ -129,19 +148,23 @@
         request: Request<RelayBody>,
         max_idle_ms: u64,
     ) -> Result<Exchanged, ExchangeError> {
-        self.exchange_by(address, request, max_idle_ms, None).await
+        self.exchange_by(address, request, max_idle_ms, Destination::Remote)
+            .await
     }
 
-    /// Like [`Pool::exchange`], over a connection on which no request with this id was refused.
-    pub async fn exchange_as(
+    /// Like [`Pool::exchange`] with the backend server on this VM, over a connection on which no request
+    /// with this id was refused.
+    pub async fn exchange_with_backend(
         &self,
         address: SocketAddr,
         request: Request<RelayBody>,
         max_idle_ms: u64,
         request_id: &str,
     ) -> Result<Exchanged, ExchangeError> {
-        let request_id = Some(id_hash(request_id));
-        self.exchange_by(address, request, max_idle_ms, request_id)
+        let destination = Destination::BackendServer {
+            request_id: id_hash(request_id),
+        };
+        self.exchange_by(address, request, max_idle_ms, destination)
             .await
     }
 
@@ -150,9 +173,9 @@
         address: SocketAddr,
         mut request: Request<RelayBody>,
         max_idle_ms: u64,
-        request_id: Option<u64>,
+        destination: Destination,
     ) -> Result<Exchanged, ExchangeError> {
-        while let Some(sender) = self.take(address, max_idle_ms, request_id) {
+        while let Some(sender) = self.take(address, max_idle_ms, destination.request_id()) {
             match send(address, sender, request).await {
                 Err(ExchangeError::NotSent {
                     request: Some(unsent),
@@ -161,7 +184,7 @@
                 sent => return sent,
             }
         }
-        match connect(address).await {
+        match connect(address, destination).await {
             Ok(sender) => send(address, sender, request).await,
             Err(message) => Err(ExchangeError::NotSent {
                 address,
@@ -264,7 +287,7 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Result<Sender, String> {
+async fn connect(address: SocketAddr, destination: Destination) -> Result<Sender, String> {
     let timeout = Duration::from_millis(CONNECT_TIMEOUT_MS);
     let connected = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
     let stream = match connected {
@@ -273,6 +296,12 @@
         Err(_) => return Err(format!("no connection within {CONNECT_TIMEOUT_MS} ms")),
     };
     set_socket_options(&stream).map_err(|error| error.to_string())?;
+    // A process on this VM does not go without a reset, and may read slowly.
+    if let Destination::Remote = destination {
+        let socket = SockRef::from(&stream);
+        let timed = socket.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        timed.map_err(|error| error.to_string())?;
+    }
     let allowance = HeadAllowance::new();
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
@@ -294,7 +323,8 @@
     xxh3_64(request_id.as_bytes())
 }
 
-/// Sets `TCP_NODELAY`, keep-alive and the user timeout, which detect dead connections.
+/// Sets `TCP_NODELAY` and keep-alive, which detects dead connections on which nothing is sent. The user
+/// timeout is left out: it would end those whose other side reads slowly.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
@@ -302,6 +332,5 @@
         .with_time(KEEPALIVE)
         .with_interval(KEEPALIVE)
         .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_keepalive(&keepalive)
 }
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -17,7 +17,7 @@
 /// How long a request may take to run while its connection still takes answers.
 const RUN_LIMIT: Duration = Duration::from_millis(300);
 /// What a slow caller reads at a time, and how long it pauses before it. Less than what makes the daemon write
-/// again, and often enough that its connection does not end by the user timeout.
+/// again.
 const PART_BYTES: usize = 300_000;
 const READING_PAUSE: Duration = Duration::from_millis(1_200);
 /// Pauses before it reads on without one. The listener closes during them.
