Name the shared state of a connection for what it holds

It was called a phase, and now also holds the requests whose answers are being sent and what bounds them. No change of behaviour: relay_slow_readers, relay_open_connections and relay_stop pass.

--- a/src/net/relay/connection_timeout.rs
+++ b/src/net/relay/connection_timeout.rs
@@ -20,7 +20,7 @@
 
 /// The state of one connection, shared by the parts that change it.
 #[derive(Debug, Clone)]
-pub struct SharedPhase {
+pub struct SharedConnection {
     clock: Clock,
     state: Arc<Mutex<ConnectionState>>,
 }
@@ -28,7 +28,7 @@
 #[derive(Debug)]
 struct ConnectionState {
     phase: ConnectionPhase,
-    /// The request that is being answered.
+    /// The request whose answer is being written.
     answered: Option<OpenRequest>,
     /// Requests whose answers have ended, but are still in the buffer of the connection.
     unsent: Vec<OpenRequest>,
@@ -38,9 +38,9 @@
     blocked_since: Option<TimeMs>,
 }
 
-impl SharedPhase {
-    /// The phase of a connection that was just opened.
-    pub fn new(clock: Clock) -> SharedPhase {
+impl SharedConnection {
+    /// The state of a connection that was just opened.
+    pub fn new(clock: Clock) -> SharedConnection {
         let since = clock.now();
         let state = ConnectionState {
             phase: ConnectionPhase::Idle { since },
@@ -49,7 +49,7 @@
             answer_deadline: None,
             blocked_since: None,
         };
-        SharedPhase {
+        SharedConnection {
             clock,
             state: Arc::new(Mutex::new(state)),
         }
@@ -59,7 +59,7 @@
     pub fn request_arrived(&self) -> Answering {
         let mut state = lock(&self.state);
         state.phase = state.phase.request_arrived();
-        Answering(Arc::new(AnsweringPhase(self.clone())))
+        Answering(Arc::new(AnsweredConnection(self.clone())))
     }
 
     /// Lets go of the requests whose answers cannot be sent any more.
@@ -74,7 +74,7 @@
         let state = lock(&self.state);
         if let Some(since) = state.blocked_since {
             let ends_at = since.plus_ms(MAX_BLOCKED_MS);
-            // An answer is not looked at while the other side takes no byte of it.
+            // The body of an answer is not polled, and so not cut, while the other side takes no byte.
             let ends_at = state.answer_deadline.map_or(ends_at, |at| at.min(ends_at));
             return Some((ends_at, Expired::Blocked));
         }
@@ -83,7 +83,7 @@
     }
 }
 
-impl StreamObserver for SharedPhase {
+impl StreamObserver for SharedConnection {
     fn received(&self, _: u64) -> std::io::Result<()> {
         let mut state = lock(&self.state);
         state.phase = state.phase.received(self.clock.now());
@@ -111,20 +111,20 @@
 /// the answer and, as a backend server may answer early, by that of the request. It reaches the
 /// handler as an extension of the request.
 #[derive(Debug, Clone)]
-pub struct Answering(Arc<AnsweringPhase>);
+pub struct Answering(Arc<AnsweredConnection>);
 
 impl Answering {
     /// Keeps the request open until its answer has been sent completely or the connection has ended.
     pub fn keep_open(&self, request: OpenRequest) {
-        let AnsweringPhase(shared) = &*self.0;
+        let AnsweredConnection(shared) = &*self.0;
         lock(&shared.state).answered = Some(request);
     }
 }
 
 #[derive(Debug)]
-struct AnsweringPhase(SharedPhase);
+struct AnsweredConnection(SharedConnection);
 
-impl Drop for AnsweringPhase {
+impl Drop for AnsweredConnection {
     fn drop(&mut self) {
         let mut state = lock(&self.0.state);
         state.phase = state.phase.request_ended(self.0.clock.now());
@@ -142,7 +142,7 @@
     /// The body of the answer to the request that `answering` stands for.
     pub fn new(body: RelayBody, answering: Answering) -> AnswerBody {
         if let Some(deadline) = body.deadline() {
-            let AnsweringPhase(shared) = &*answering.0;
+            let AnsweredConnection(shared) = &*answering.0;
             let left = deadline.saturating_duration_since(Instant::now());
             let deadline = shared.clock.now().plus_ms(left.as_millis() as u64);
             lock(&shared.state).answer_deadline = Some(deadline);
@@ -153,7 +153,7 @@
 
 impl Drop for AnswerBody {
     fn drop(&mut self) {
-        let AnsweringPhase(shared) = &*self.answering.0;
+        let AnsweredConnection(shared) = &*self.answering.0;
         let mut state = lock(&shared.state);
         let state = &mut *state;
         state.answer_deadline = None;
@@ -193,8 +193,8 @@
 /// Becomes ready when a connection has been in its phase for as long as the limits allow, or the other
 /// side has taken no byte of an answer for too long.
 #[derive(Debug)]
-pub struct PhaseTimeout {
-    phase: SharedPhase,
+pub struct ConnectionTimeout {
+    connection: SharedConnection,
     /// Limits of its phases, if there are any.
     limits: Option<watch::Receiver<Limits>>,
     /// What the timer is set to.
@@ -202,11 +202,14 @@
     timer: Pin<Box<Sleep>>,
 }
 
-impl PhaseTimeout {
-    /// The timeout of a connection in `phase`, by the newest `limits`.
-    pub fn new(phase: SharedPhase, limits: Option<watch::Receiver<Limits>>) -> PhaseTimeout {
-        PhaseTimeout {
-            phase,
+impl ConnectionTimeout {
+    /// The timeout of a connection, whose phases end by the newest `limits`.
+    pub fn new(
+        connection: SharedConnection,
+        limits: Option<watch::Receiver<Limits>>,
+    ) -> ConnectionTimeout {
+        ConnectionTimeout {
+            connection,
             limits,
             set_to: None,
             timer: Box::pin(tokio::time::sleep(Duration::ZERO)),
@@ -218,17 +221,17 @@
     pub fn poll_expired(&mut self, context: &mut Context<'_>) -> Poll<Expired> {
         loop {
             let limits = self.limits.as_ref().map(|limits| *limits.borrow());
-            let Some((ends_at, expired)) = self.phase.ends_at(limits) else {
+            let Some((ends_at, expired)) = self.connection.ends_at(limits) else {
                 return Poll::Pending;
             };
             if self.set_to != Some(ends_at) {
-                let left_ms = ends_at.since_ms(self.phase.clock.now());
+                let left_ms = ends_at.since_ms(self.connection.clock.now());
                 let deadline = Instant::now() + Duration::from_millis(left_ms);
                 self.timer.as_mut().reset(deadline);
                 self.set_to = Some(ends_at);
             }
             ready!(self.timer.as_mut().poll(context));
-            if self.phase.clock.now() >= ends_at {
+            if self.connection.clock.now() >= ends_at {
                 return Poll::Ready(expired);
             }
             self.set_to = None;
--- a/src/net/relay/listen.rs
+++ b/src/net/relay/listen.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use super::body::RelayBody;
-use super::connection_timeout::{AnswerBody, Expired, PhaseTimeout, SharedPhase};
+use super::connection_timeout::{AnswerBody, ConnectionTimeout, Expired, SharedConnection};
 use super::log_limiter::LineKind;
 use super::observed_stream::ObservedStream;
 use super::pool;
@@ -168,12 +168,12 @@
         ClientKind::Callers => limits.borrow().header_bytes.max(BUFFER_BYTES),
         ClientKind::Daemons => BUFFER_BYTES,
     };
-    let phase = SharedPhase::new(relay.clock.clone());
-    let stream = TokioIo::new(ObservedStream::new(stream, phase.clone()));
+    let shared = SharedConnection::new(relay.clock.clone());
+    let stream = TokioIo::new(ObservedStream::new(stream, shared.clone()));
     let phase_limits = (client_kind == ClientKind::Callers).then(|| limits.clone());
-    let mut timeout = PhaseTimeout::new(phase.clone(), phase_limits);
+    let mut timeout = ConnectionTimeout::new(shared.clone(), phase_limits);
     let service = service_fn(|mut request: Request<Incoming>| {
-        let answering = phase.request_arrived();
+        let answering = shared.request_arrived();
         request.extensions_mut().insert(answering.clone());
         // hyper reserves the memory of this future for as long as the connection is open.
         let response = Box::pin(handler(Arc::clone(&relay), request));
@@ -210,7 +210,7 @@
             Ok(()) = limits.changed() => {}
         }
     };
-    phase.connection_ended();
+    shared.connection_ended();
     if client_kind == ClientKind::Callers
         && let Some(cause) = end
     {
