Revert "Have requests come back soon to a daemon that has just started"

A log of the 17 machines whose names begin with sidecar-gwent-a-1 shows no refusal for the cause that it was about.

--- a/src/decide/relay/quotas/member.rs
+++ b/src/decide/relay/quotas/member.rs
@@ -13,9 +13,8 @@
 const SHARE_RETRY_MS: f64 = 500.0;
 /// Retry-after time of a request for which no answer of an aggregator is there yet, in milliseconds.
 const UNCOUNTED_RETRY_MS: f64 = 250.0;
-/// Retry-after time of a request while the other daemons are not known, in milliseconds. A daemon that has
-/// just started reads their records within a few hundred milliseconds.
-const UNKNOWN_RETRY_MS: f64 = 250.0;
+/// Retry-after time of a request while the other daemons are not known, in milliseconds.
+const UNKNOWN_RETRY_MS: f64 = 1_000.0;
 /// Bounds of retry-after times before jitter, in milliseconds.
 const RETRY_MS: (f64, f64) = (200.0, 10_000.0);
 /// Jitter of retry-after times, as a ratio.
