--- a/review/standins-2/forgotten_leave.rs
+++ b/review/standins-2/forgotten_leave.rs
@@ -29,7 +29,7 @@
         (zone.to_owned(), "transfers".to_owned())
     };
     let layout: Vec<_> = (0..MACHINES).map(place).collect();
-    let fleet = Fleet::new(&layout, recorder);
+    let fleet = Fleet::new(&layout, recorder, false);
     let route = Route {
         name: "transfer-limit-read".to_owned(),
         host: "transfers.example".to_owned(),
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -5,6 +5,7 @@
 use std::fs::File;
 use std::io::{BufWriter, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -441,6 +442,8 @@
     pub zone: String,
     pub service: String,
     pub callers: SocketAddr,
+    pub hop: SocketAddr,
+    pub hop_listen: SocketAddr,
     pub local: SocketAddr,
     pub ready: SocketAddr,
     pub app: SocketAddr,
@@ -476,19 +479,22 @@
 }
 
 impl Fleet {
-    /// Lays out machines, each given by zone and service, without starting anything but the store.
-    pub fn new(layout: &[(String, String)], recorder: &Arc<Recorder>) -> Fleet {
+    /// Lays out machines, each given by zone and service, without starting anything but the store. With
+    /// `has_proxies` the address of each relay for other relays is that of a proxy.
+    pub fn new(layout: &[(String, String)], recorder: &Arc<Recorder>, has_proxies: bool) -> Fleet {
         let store = Store::start(layout.len(), recorder);
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        let ports = free_ports(layout.len() * 6);
+        let ports = free_ports(layout.len() * 7);
         let machines = layout.iter().enumerate().map(|(index, (zone, service))| {
-            let ports = &ports[index * 6..(index + 1) * 6];
+            let ports = &ports[index * 7..(index + 1) * 7];
             let machine = Machine {
                 index,
                 zone: zone.clone(),
                 service: service.clone(),
                 callers: ports[0],
+                hop: ports[1],
+                hop_listen: ports[6],
                 local: ports[2],
                 ready: ports[3],
                 app: ports[5],
@@ -498,11 +504,15 @@
                 misses: AtomicU32::new(0),
                 started_ms: AtomicU64::new(0),
             };
+            let listen = match has_proxies {
+                true => format!("\"hop_listen_address\": \"{}\", ", ports[6]),
+                false => String::new(),
+            };
             let settings = format!(
                 "{{\"vm\": \"sidecar-{zone}-{index}\", \
                  \"place\": {{\"region\": \"dublin\", \"zone\": \"{zone}\"}}, \
                  \"service\": \"{service}\", \"callers_address\": \"{}\", \"hop_address\": \"{}\", \
-                 \"local_address\": \"{}\", \"ready_address\": \"{}\", \
+                 {listen}\"local_address\": \"{}\", \"ready_address\": \"{}\", \
                  \"metrics_address\": \"{}\", \"backend_address\": \"{}\", \"log_address\": \"{}\", \
                  \"logging\": {{\"level\": \"info\", \"format\": \"json\"}}, \
                  \"bounds\": {{\"drain_s\": 2, \"grace_s\": 6, \"retry_ratio\": 0.2, \
@@ -1102,6 +1112,77 @@
 }
 
 unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn recv(socket: i32, buffer: *mut u8, length: usize, flags: i32) -> isize;
     fn kill(process: i32, signal: i32) -> i32;
     fn prctl(option: i32, a: u64, b: u64, c: u64, d: u64) -> i32;
 }
+
+// ---------------------------------------------------------------------------------------------
+// A proxy between relays that resets connections
+
+pub struct Proxy {
+    open: Mutex<Vec<(TcpStream, TcpStream)>>,
+}
+
+impl Proxy {
+    pub fn start(listen: SocketAddr, target: SocketAddr) -> Arc<Proxy> {
+        let listener = TcpListener::bind(listen).expect("the proxy's port is free");
+        let proxy = Arc::new(Proxy { open: Mutex::default() });
+        let shared = Arc::clone(&proxy);
+        serve(listener, move |client| {
+            let Ok(server) = TcpStream::connect(target) else { return };
+            let _ = server.set_nodelay(true);
+            let pair = (client.try_clone().unwrap(), server.try_clone().unwrap());
+            shared.open.lock().unwrap().push(pair);
+            let (from, to) = (client.try_clone().unwrap(), server.try_clone().unwrap());
+            let back = thread::spawn(move || pump(server, client));
+            pump(from, to);
+            let _ = back.join();
+        });
+        proxy
+    }
+
+    /// Resets two of three connections that it has; returns how many there are.
+    pub fn reset_two_thirds(&self) -> usize {
+        let mut open = self.open.lock().unwrap();
+        open.retain(|(client, _)| is_open(client));
+        for (number, (client, server)) in open.iter().enumerate() {
+            if number % 3 < 2 {
+                for stream in [client, server] {
+                    reset_on_close(stream);
+                    let _ = stream.shutdown(std::net::Shutdown::Both);
+                }
+            }
+        }
+        open.len()
+    }
+}
+
+/// Whether the other side has not closed a connection.
+fn is_open(stream: &TcpStream) -> bool {
+    const MSG_PEEK_DONTWAIT: i32 = 0x42;
+    let mut byte = [0u8; 1];
+    // SAFETY: reads at most one byte into the buffer.
+    let read = unsafe { recv(stream.as_raw_fd(), byte.as_mut_ptr(), 1, MSG_PEEK_DONTWAIT) };
+    read > 0 || (read < 0 && std::io::Error::last_os_error().kind() == ErrorKind::WouldBlock)
+}
+
+/// Has the closing of a socket reset its connection.
+fn reset_on_close(stream: &TcpStream) {
+    const SOL_SOCKET: i32 = 1;
+    const SO_LINGER: i32 = 13;
+    let linger: [i32; 2] = [1, 0];
+    // SAFETY: the option's value has the layout of `struct linger`.
+    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+}
+
+fn pump(mut from: TcpStream, mut to: TcpStream) {
+    let mut chunk = [0u8; 16 * 1024];
+    while let Ok(read @ 1..) = from.read(&mut chunk) {
+        if to.write_all(&chunk[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(std::net::Shutdown::Write);
+}
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -5,6 +5,7 @@
 
 mod forgotten_leave;
 mod kit;
+mod long_run;
 mod popular;
 mod reply_size;
 
@@ -28,6 +29,7 @@
     recorder.say(&format!("case {case}, trouble {has_trouble}"));
     let verdict = match case.as_str() {
         "forgotten-leave" => forgotten_leave::play(&recorder, has_trouble),
+        "long-run" => long_run::play(&recorder, has_trouble),
         "popular" => popular::play(&recorder, has_trouble),
         "reply-size" => reply_size::play(&recorder, has_trouble),
         _ => Verdict::NotRun("no such case"),
--- a/review/standins-2/popular.rs
+++ b/review/standins-2/popular.rs
@@ -32,7 +32,7 @@
         (zone.to_owned(), service.to_owned())
     };
     let layout: Vec<_> = (0..REDEMPTIONS + TRANSFERS).map(place).collect();
-    let fleet = Fleet::new(&layout, recorder);
+    let fleet = Fleet::new(&layout, recorder, false);
     fleet.store.put("keyed.op", "config", configuration(7).as_bytes());
     let mut workers = Vec::new();
     for machine in &fleet.machines {
--- a/review/standins-2/reply_size.rs
+++ b/review/standins-2/reply_size.rs
@@ -41,7 +41,7 @@
         (zone.to_owned(), service.to_owned())
     };
     let layout: Vec<_> = (0..FRONTS + BACKS + OTHERS).map(place).collect();
-    let fleet = Fleet::new(&layout, recorder);
+    let fleet = Fleet::new(&layout, recorder, false);
     let configuration = |version| configuration(version, routes);
     let config = configuration(7);
     recorder.say(&format!("{routes} routes lead to balances; the manifest has {} bytes", config.len()));
