--- a/review/standins-2/forgotten_leave.rs
+++ b/review/standins-2/forgotten_leave.rs
@@ -56,6 +56,7 @@
         limit_ms: 5_000,
         host: "transfers.example".to_owned(),
         path: Arc::new(|number| format!("/limit/{number:x}")),
+        credential: None,
     };
     let end_ms = recorder.now_ms() + 1_000 + ROUNDS as u64 * (SERVES_MS + 4_000);
     run_clients(&fleet, load, &all, end_ms);
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -434,6 +434,12 @@
     )
 }
 
+/// A manifest with tenants.
+pub fn with_tenants(manifest: &str, tenants: &str) -> String {
+    let fields = manifest.strip_suffix('}').unwrap_or(manifest);
+    format!("{fields},\"tenants\":{tenants}}}")
+}
+
 // ---------------------------------------------------------------------------------------------
 // Machines: a relay and a backend server each
 
@@ -472,10 +478,16 @@
     }
 }
 
+/// Ports below the range from which the system takes those of outgoing connections, so that none takes the
+/// port of a relay that is down.
 fn free_ports(count: usize) -> Vec<SocketAddr> {
-    let bound: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
-    bound.iter().map(|known| known.local_addr().unwrap()).collect()
+    const FIRST: u32 = 18_000;
+    const COUNT: u32 = 14_000;
+    let offset = std::process::id().wrapping_mul(613) % COUNT;
+    let candidates = (0..COUNT).map(|step| (FIRST + (offset + step) % COUNT) as u16);
+    let addresses = candidates.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = addresses.filter(|address| TcpListener::bind(address).is_ok());
+    free.take(count).collect()
 }
 
 impl Fleet {
@@ -682,6 +694,8 @@
 pub struct Run {
     pub at_ms: u64,
     pub request_id: String,
+    /// Value of `X-Tenant-Id`, if there is one.
+    pub tenant: String,
 }
 
 pub struct Worker {
@@ -817,7 +831,7 @@
                 continue;
             }
             self.open.fetch_add(1, SeqCst);
-            let ended = self.run(&mut stream, &id, deadline);
+            let ended = self.run(&mut stream, &id, request.header("x-tenant-id").unwrap_or_default(), deadline);
             self.open.fetch_sub(1, SeqCst);
             self.running.lock().unwrap().0 -= 1;
             self.freed.notify_one();
@@ -860,11 +874,12 @@
         &self,
         stream: &mut TcpStream,
         id: &str,
+        tenant: &str,
         deadline: Instant,
     ) -> Option<(&'static str, String)> {
         let at_ms = self.recorder.now_ms();
         self.recorder.line(&format!("worker {} on machine {} runs {id}", self.id, self.machine.index));
-        self.runs.lock().unwrap().push(Run { at_ms, request_id: id.to_owned() });
+        self.runs.lock().unwrap().push(Run { at_ms, request_id: id.to_owned(), tenant: tenant.to_owned() });
         let until = Instant::now() + ms(self.work.work_ms);
         if !self.wait(stream, until.min(deadline)) {
             return None;
@@ -912,7 +927,7 @@
 
     fn call(&self, host: &str, path: &str, id: &str, left_ms: u64) -> bool {
         let pooled = self.calls.lock().unwrap().pop();
-        let mut connection = Connection { stream: pooled, address: self.machine.callers };
+        let mut connection = Connection { stream: pooled, ..Connection::new(self.machine.callers) };
         let answer = connection.request("GET", host, path, id, left_ms, b"");
         let is_served = matches!(&answer, Ok(answer) if is_success(answer, id));
         if answer.is_ok()
@@ -942,11 +957,12 @@
 pub struct Connection {
     pub stream: Option<TcpStream>,
     pub address: SocketAddr,
+    pub credential: Option<String>,
 }
 
 impl Connection {
     pub fn new(address: SocketAddr) -> Connection {
-        Connection { stream: None, address }
+        Connection { stream: None, address, credential: None }
     }
 
     /// Sends one attempt and waits for its answer for the time that it states.
@@ -969,7 +985,8 @@
             }
         };
         let left = left_ms.to_string();
-        let headers = [("Host", host), ("X-Request-Id", id), ("X-Deadline-Ms", &left)];
+        let mut headers = vec![("Host", host), ("X-Request-Id", id), ("X-Deadline-Ms", &left)];
+        headers.extend(self.credential.as_deref().map(|key| ("X-Credential", key)));
         send_request(&mut stream, method, path, &headers, body)?;
         let left = until.saturating_duration_since(Instant::now()).max(ms(1));
         stream.set_read_timeout(Some(left))?;
@@ -1001,6 +1018,8 @@
     pub host: String,
     /// Path of the next request by its number.
     pub path: Arc<dyn Fn(u64) -> String + Send + Sync>,
+    /// Key of the tenant that the clients belong to.
+    pub credential: Option<String>,
 }
 
 pub fn run_clients(
@@ -1024,6 +1043,7 @@
             let (load, numbers) = (Arc::clone(&load), Arc::clone(&numbers));
             let worker = move || {
                 let mut connection = Connection::new(machine.callers);
+                connection.credential = load.credential.clone();
                 loop {
                     let next = receiver.lock().unwrap().recv();
                     let Ok(sent_ms) = next else { return };
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod kit;
 mod long_run;
 mod popular;
+mod quota_restarts;
 mod reply_size;
 
 use std::path::Path;
@@ -31,6 +32,7 @@
         "forgotten-leave" => forgotten_leave::play(&recorder, has_trouble),
         "long-run" => long_run::play(&recorder, has_trouble),
         "popular" => popular::play(&recorder, has_trouble),
+        "quota-restarts" => quota_restarts::play(&recorder, has_trouble),
         "reply-size" => reply_size::play(&recorder, has_trouble),
         _ => Verdict::NotRun("no such case"),
     };
--- a/review/standins-2/popular.rs
+++ b/review/standins-2/popular.rs
@@ -55,6 +55,7 @@
         limit_ms: 5_000,
         host: "vouchers.example".to_owned(),
         path: Arc::new(|number| format!("/voucher/{number:x}")),
+        credential: None,
     };
     let start_ms = recorder.now_ms();
     let wait_until = |at_ms: u64| sleep_ms((start_ms + at_ms).saturating_sub(recorder.now_ms()));
--- a/review/standins-2/reply_size.rs
+++ b/review/standins-2/reply_size.rs
@@ -72,6 +72,7 @@
             let route = (number * step + number / routes) % routes;
             format!("/group{route:03}/{number:x}")
         }),
+        credential: None,
     };
     let start_ms = recorder.now_ms();
     let wait_until = |at_ms: u64| sleep_ms((start_ms + at_ms).saturating_sub(recorder.now_ms()));
