--- a/review/standins-2/forgotten_leave.rs
+++ b/review/standins-2/forgotten_leave.rs
@@ -25,7 +25,11 @@
 
 pub fn play(recorder: &Arc<Recorder>, has_trouble: bool) -> Verdict {
     let place = |index: usize| {
-        let zone = if index.is_multiple_of(2) { "dub-a" } else { "dub-b" };
+        let zone = if index.is_multiple_of(2) {
+            "dub-a"
+        } else {
+            "dub-b"
+        };
         (zone.to_owned(), "transfers".to_owned())
     };
     let layout: Vec<_> = (0..MACHINES).map(place).collect();
@@ -42,9 +46,18 @@
     };
     let config = manifest(7, &[route], &["transfers"]);
     fleet.store.put("keyed.op", "config", config.as_bytes());
-    let work = Work { slots: 26, queue: 78, work_ms: 100, call: None, calls: 0 };
-    let workers: Vec<_> =
-        fleet.machines.iter().map(|machine| Worker::start(machine, work.clone(), recorder)).collect();
+    let work = Work {
+        slots: 26,
+        queue: 78,
+        work_ms: 100,
+        call: None,
+        calls: 0,
+    };
+    let workers: Vec<_> = fleet
+        .machines
+        .iter()
+        .map(|machine| Worker::start(machine, work.clone(), recorder))
+        .collect();
     if !fleet.start_all() {
         return Verdict::NotRun("the relays did not become ready");
     }
@@ -63,7 +76,10 @@
     sleep_ms(1_000);
     // The controls: one of the two disruptions alone.
     let only = std::env::var("ONLY").unwrap_or_default();
-    let (has_outage, has_kill) = (has_trouble && only != "kill", has_trouble && only != "outage");
+    let (has_outage, has_kill) = (
+        has_trouble && only != "kill",
+        has_trouble && only != "outage",
+    );
     let mut left: Vec<usize> = Vec::new();
     let mut late_runs = 0;
     for round in 1..=ROUNDS {
@@ -71,12 +87,16 @@
         // a zone's four machines hear of changes from the other half.
         let remaining = (0..MACHINES).filter(|index| !left.contains(index));
         let read_at = |index: &usize| fleet.store.config_read_at[*index].load(SeqCst);
-        let Some(leaving) = remaining.min_by_key(read_at) else { break };
+        let Some(leaving) = remaining.min_by_key(read_at) else {
+            break;
+        };
         let (machine, worker) = (&fleet.machines[leaving], &workers[leaving]);
         left.push(leaving);
         let outage_ms = recorder.now_ms();
         if has_outage {
-            recorder.say(&format!("round {round}: the store gives no machine an answer"));
+            recorder.say(&format!(
+                "round {round}: the store gives no machine an answer"
+            ));
             (0..MACHINES).for_each(|index| fleet.store.set_silent(index, true));
             sleep_ms(LEAVE_AFTER_MS);
         }
@@ -84,7 +104,10 @@
             return Verdict::NotRun("the leaving was not confirmed");
         }
         let confirmed_ms = recorder.now_ms();
-        recorder.say(&format!("round {round}: machine {leaving} confirms that worker {} leaves", worker.id));
+        recorder.say(&format!(
+            "round {round}: machine {leaving} confirms that worker {} leaves",
+            worker.id
+        ));
         let mut in_touch_ms = confirmed_ms;
         if has_kill {
             sleep_ms(KILL_AFTER_MS);
@@ -104,7 +127,10 @@
         let judged_ms = in_touch_ms.max(confirmed_ms + DRAIN_MS);
         let runs = worker.runs.lock().unwrap().clone();
         let late: Vec<_> = runs.iter().filter(|run| run.at_ms > judged_ms).collect();
-        let all_late = runs.iter().filter(|run| run.at_ms > confirmed_ms + DRAIN_MS).count();
+        let all_late = runs
+            .iter()
+            .filter(|run| run.at_ms > confirmed_ms + DRAIN_MS)
+            .count();
         for run in &late {
             recorder.line(&format!(
                 "LATE: worker {} ran {} {} ms after its leaving was confirmed",
@@ -124,5 +150,9 @@
         machine.terminate();
         sleep_ms(3_500);
     }
-    if late_runs > 0 { Verdict::Broken } else { Verdict::Held }
+    if late_runs > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins-2/kit.rs
+++ b/review/standins-2/kit.rs
@@ -23,7 +23,9 @@
 }
 
 pub fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |since| since.as_millis() as u64)
 }
 
 static IDS: AtomicU64 = AtomicU64::new(0);
@@ -31,7 +33,9 @@
 /// A new request id or instance id.
 pub fn new_id() -> String {
     let number = IDS.fetch_add(1, SeqCst);
-    let mut mixed = number.wrapping_add(unix_ms() << 20).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mut mixed = number
+        .wrapping_add(unix_ms() << 20)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed ^= mixed >> 29;
     mixed = mixed.wrapping_mul(0xbf58_476d_1ce4_e5b9);
     mixed ^= mixed >> 32;
@@ -47,7 +51,10 @@
 impl Recorder {
     pub fn create(folder: &Path) -> Arc<Recorder> {
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
-        Arc::new(Recorder { file: Mutex::new(BufWriter::new(file)), start: Instant::now() })
+        Arc::new(Recorder {
+            file: Mutex::new(BufWriter::new(file)),
+            start: Instant::now(),
+        })
     }
 
     /// Milliseconds since the start of the case.
@@ -89,7 +96,11 @@
 
     /// Status of a response.
     pub fn status(&self) -> u16 {
-        self.line.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0)
+        self.line
+            .split(' ')
+            .nth(1)
+            .and_then(|status| status.parse().ok())
+            .unwrap_or(0)
     }
 
     /// Path and query of a request.
@@ -119,7 +130,11 @@
             break at;
         }
         if fill(stream, buffer)? == 0 {
-            return if buffer.is_empty() { Ok(None) } else { Err(broken()) };
+            return if buffer.is_empty() {
+                Ok(None)
+            } else {
+                Err(broken())
+            };
         }
     };
     let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
@@ -130,8 +145,15 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
-    let mut message = Message { line, headers, body: Vec::new() };
-    if message.header("transfer-encoding").is_some_and(|value| value.contains("chunked")) {
+    let mut message = Message {
+        line,
+        headers,
+        body: Vec::new(),
+    };
+    if message
+        .header("transfer-encoding")
+        .is_some_and(|value| value.contains("chunked"))
+    {
         loop {
             let line_end = loop {
                 if let Some(at) = buffer.windows(2).position(|bytes| bytes == b"\r\n") {
@@ -157,7 +179,9 @@
             }
         }
     }
-    let length = message.header("content-length").and_then(|length| length.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|length| length.parse().ok());
     let length: usize = length.unwrap_or(0);
     while buffer.len() < length {
         if fill(stream, buffer)? == 0 {
@@ -178,7 +202,9 @@
         for stream in listener.incoming().flatten() {
             let handler = Arc::clone(&handler);
             let _ = stream.set_nodelay(true);
-            let spawned = thread::Builder::new().stack_size(128 * 1024).spawn(move || handler(stream));
+            let spawned = thread::Builder::new()
+                .stack_size(128 * 1024)
+                .spawn(move || handler(stream));
             drop(spawned);
         }
     });
@@ -215,13 +241,17 @@
 
 impl Store {
     pub fn start(machines: usize, recorder: &Arc<Recorder>) -> Arc<Store> {
-        let listeners: Vec<TcpListener> =
-            (0..machines).map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port")).collect();
+        let listeners: Vec<TcpListener> = (0..machines)
+            .map(|_| TcpListener::bind("127.0.0.1:0").expect("a free port"))
+            .collect();
         let store = Arc::new(Store {
             state: Mutex::default(),
             changed: Condvar::new(),
             silent: (0..machines).map(|_| AtomicBool::new(false)).collect(),
-            addresses: listeners.iter().map(|known| known.local_addr().unwrap()).collect(),
+            addresses: listeners
+                .iter()
+                .map(|known| known.local_addr().unwrap())
+                .collect(),
             recorder: Arc::clone(recorder),
             config_read_at: (0..machines).map(|_| AtomicU64::new(0)).collect(),
         });
@@ -253,7 +283,11 @@
     pub fn newest(&self, topic: &str) -> Vec<(String, String)> {
         let state = self.state.lock().unwrap();
         let mut newest: Vec<(String, String)> = Vec::new();
-        for (key, value) in state.topics.get(topic).map_or(&[][..], |topic| &topic.records[..]) {
+        for (key, value) in state
+            .topics
+            .get(topic)
+            .map_or(&[][..], |topic| &topic.records[..])
+        {
             newest.retain(|(known, _)| known != key);
             newest.push((key.clone(), String::from_utf8_lossy(value).into_owned()));
         }
@@ -267,11 +301,17 @@
     fn connection(&self, mut stream: TcpStream, machine: usize) -> std::io::Result<()> {
         let mut buffer = Vec::new();
         while let Some(request) = read_message(&mut stream, &mut buffer)? {
-            let answered = if self.is_silent(machine) { None } else { self.answer(&request, machine) };
+            let answered = if self.is_silent(machine) {
+                None
+            } else {
+                self.answer(&request, machine)
+            };
             let Some((status, kind, body)) = answered.filter(|_| !self.is_silent(machine)) else {
                 // Nothing more comes on a connection on which an answer was lost.
                 let call = request.path().split('?').next().unwrap_or_default();
-                self.recorder.line(&format!("the store gives machine {machine} no answer to {call}"));
+                self.recorder.line(&format!(
+                    "the store gives machine {machine} no answer to {call}"
+                ));
                 while self.is_silent(machine) {
                     sleep_ms(20);
                 }
@@ -289,10 +329,15 @@
     fn answer(&self, request: &Message, machine: usize) -> Option<(u16, &'static str, Vec<u8>)> {
         const JSON: &str = "application/json";
         const RAW: &str = "application/octet-stream";
-        let (call, query) = request.path().split_once('?').unwrap_or((request.path(), ""));
+        let (call, query) = request
+            .path()
+            .split_once('?')
+            .unwrap_or((request.path(), ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            pairs.find(|(known, _)| *known == name).map(|(_, value)| value.to_owned())
+            pairs
+                .find(|(known, _)| *known == name)
+                .map(|(_, value)| value.to_owned())
         };
         let number = |name: &str| parameter(name).and_then(|value| value.parse::<u64>().ok());
         let topic_name = parameter("topic")?;
@@ -378,7 +423,11 @@
     const DIGITS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let padded = [chunk[0], *chunk.get(1).unwrap_or(&0), *chunk.get(2).unwrap_or(&0)];
+        let padded = [
+            chunk[0],
+            *chunk.get(1).unwrap_or(&0),
+            *chunk.get(2).unwrap_or(&0),
+        ];
         let bits = u32::from_be_bytes([0, padded[0], padded[1], padded[2]]);
         for digit in 0..4 {
             if digit <= chunk.len() {
@@ -409,7 +458,16 @@
     let routes: Vec<String> = routes
         .iter()
         .map(|route| {
-            let Route { name, host, prefix, kind, timeout_s, target_s, priority, service } = route;
+            let Route {
+                name,
+                host,
+                prefix,
+                kind,
+                timeout_s,
+                target_s,
+                priority,
+                service,
+            } = route;
             format!(
                 "{{\"name\":\"{name}\",\"host\":\"{host}\",\"pathPrefix\":\"{prefix}\",\
                  \"kind\":\"{kind}\",\"timeoutS\":{timeout_s},\"targetLatencyS\":{target_s},\
@@ -535,7 +593,12 @@
             Arc::new(machine)
         });
         let machines = machines.collect();
-        Fleet { machines, store, recorder: Arc::clone(recorder), folder }
+        Fleet {
+            machines,
+            store,
+            recorder: Arc::clone(recorder),
+            folder,
+        }
     }
 
     /// Starts all relays and waits until all are ready; false if they are not in time.
@@ -590,7 +653,11 @@
 
 impl Machine {
     pub fn start(&self, recorder: &Recorder) {
-        let log = File::options().create(true).append(true).open(&self.log).expect("a log file");
+        let log = File::options()
+            .create(true)
+            .append(true)
+            .open(&self.log)
+            .expect("a log file");
         let errors = log.try_clone().expect("a log file");
         let mut command = Command::new("target/release/burdockhall");
         command.arg("relay").arg("--settings").arg(&self.settings);
@@ -809,7 +876,10 @@
             if self.is_gone.load(SeqCst) {
                 return Ok(());
             }
-            let id = request.header("x-request-id").unwrap_or_default().to_owned();
+            let id = request
+                .header("x-request-id")
+                .unwrap_or_default()
+                .to_owned();
             let expected = request.header("x-expect-instance").unwrap_or(&self.id);
             if expected != self.id {
                 let head = format!(
@@ -820,7 +890,9 @@
                 stream.write_all(head.as_bytes())?;
                 continue;
             }
-            let left = request.header("x-deadline-ms").and_then(|left| left.parse().ok());
+            let left = request
+                .header("x-deadline-ms")
+                .and_then(|left| left.parse().ok());
             let deadline = Instant::now() + ms(left.unwrap_or(30_000));
             if !self.take_slot(deadline) {
                 let head = format!(
@@ -831,7 +903,12 @@
                 continue;
             }
             self.open.fetch_add(1, SeqCst);
-            let ended = self.run(&mut stream, &id, request.header("x-tenant-id").unwrap_or_default(), deadline);
+            let ended = self.run(
+                &mut stream,
+                &id,
+                request.header("x-tenant-id").unwrap_or_default(),
+                deadline,
+            );
             self.open.fetch_sub(1, SeqCst);
             self.running.lock().unwrap().0 -= 1;
             self.freed.notify_one();
@@ -878,8 +955,15 @@
         deadline: Instant,
     ) -> Option<(&'static str, String)> {
         let at_ms = self.recorder.now_ms();
-        self.recorder.line(&format!("worker {} on machine {} runs {id}", self.id, self.machine.index));
-        self.runs.lock().unwrap().push(Run { at_ms, request_id: id.to_owned(), tenant: tenant.to_owned() });
+        self.recorder.line(&format!(
+            "worker {} on machine {} runs {id}",
+            self.id, self.machine.index
+        ));
+        self.runs.lock().unwrap().push(Run {
+            at_ms,
+            request_id: id.to_owned(),
+            tenant: tenant.to_owned(),
+        });
         let until = Instant::now() + ms(self.work.work_ms);
         if !self.wait(stream, until.min(deadline)) {
             return None;
@@ -888,8 +972,12 @@
             return Some(("504 Gateway Timeout", String::new()));
         }
         for number in 1..=self.work.calls {
-            let Some((host, path)) = &self.work.call else { break };
-            let left = deadline.saturating_duration_since(Instant::now()).as_millis() as u64;
+            let Some((host, path)) = &self.work.call else {
+                break;
+            };
+            let left = deadline
+                .saturating_duration_since(Instant::now())
+                .as_millis() as u64;
             if !self.call(host, path, &format!("{id}.{number}"), left) {
                 let status = if Instant::now() >= deadline {
                     "504 Gateway Timeout"
@@ -919,7 +1007,8 @@
             match stream.peek(&mut byte) {
                 Ok(0) => return false,
                 Ok(_) => thread::sleep(step),
-                Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(error)
+                    if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
                 Err(_) => return false,
             }
         }
@@ -927,7 +1016,10 @@
 
     fn call(&self, host: &str, path: &str, id: &str, left_ms: u64) -> bool {
         let pooled = self.calls.lock().unwrap().pop();
-        let mut connection = Connection { stream: pooled, ..Connection::new(self.machine.callers) };
+        let mut connection = Connection {
+            stream: pooled,
+            ..Connection::new(self.machine.callers)
+        };
         let answer = connection.request("GET", host, path, id, left_ms, b"");
         let is_served = matches!(&answer, Ok(answer) if is_success(answer, id));
         if answer.is_ok()
@@ -962,7 +1054,11 @@
 
 impl Connection {
     pub fn new(address: SocketAddr) -> Connection {
-        Connection { stream: None, address, credential: None }
+        Connection {
+            stream: None,
+            address,
+            credential: None,
+        }
     }
 
     /// Sends one attempt and waits for its answer for the time that it states.
@@ -979,19 +1075,26 @@
         let mut stream = match self.stream.take() {
             Some(stream) => stream,
             None => {
-                let stream = TcpStream::connect_timeout(&self.address, ms(left_ms.clamp(1, 1_000)))?;
+                let stream =
+                    TcpStream::connect_timeout(&self.address, ms(left_ms.clamp(1, 1_000)))?;
                 stream.set_nodelay(true)?;
                 stream
             }
         };
         let left = left_ms.to_string();
-        let mut headers = vec![("Host", host), ("X-Request-Id", id), ("X-Deadline-Ms", &left)];
+        let mut headers = vec![
+            ("Host", host),
+            ("X-Request-Id", id),
+            ("X-Deadline-Ms", &left),
+        ];
         headers.extend(self.credential.as_deref().map(|key| ("X-Credential", key)));
         send_request(&mut stream, method, path, &headers, body)?;
         let left = until.saturating_duration_since(Instant::now()).max(ms(1));
         stream.set_read_timeout(Some(left))?;
         let answer = read_message(&mut stream, &mut Vec::new())?.ok_or_else(broken)?;
-        let closes = answer.header("connection").is_some_and(|value| value.contains("close"));
+        let closes = answer
+            .header("connection")
+            .is_some_and(|value| value.contains("close"));
         if !closes {
             self.stream = Some(stream);
         }
@@ -1048,11 +1151,15 @@
                     let next = receiver.lock().unwrap().recv();
                     let Ok(sent_ms) = next else { return };
                     let path = (load.path)(numbers.fetch_add(1, SeqCst));
-                    let served = one_request(&mut connection, &machine, &recorder, &load, &path, sent_ms);
+                    let served =
+                        one_request(&mut connection, &machine, &recorder, &load, &path, sent_ms);
                     results.lock().unwrap().push(served);
                 }
             };
-            thread::Builder::new().stack_size(128 * 1024).spawn(worker).expect("a thread");
+            thread::Builder::new()
+                .stack_size(128 * 1024)
+                .spawn(worker)
+                .expect("a thread");
         }
         let period = Duration::from_secs_f64(1.0 / load.per_s);
         let start = recorder.start;
@@ -1102,13 +1209,19 @@
         let answer = connection.request("GET", &load.host, path, &id, left, b"");
         match answer {
             Ok(answer) => {
-                let source = if answer.header("x-response-signature").is_some() { " signed" } else { "" };
+                let source = if answer.header("x-response-signature").is_some() {
+                    " signed"
+                } else {
+                    ""
+                };
                 served.attempts.push(format!("{}{source}", answer.status()));
                 if is_success(&answer, &id) {
                     served.is_served = true;
                     break;
                 }
-                let retry_s = answer.header("retry-after").and_then(|after| after.parse::<f64>().ok());
+                let retry_s = answer
+                    .header("retry-after")
+                    .and_then(|after| after.parse::<f64>().ok());
                 if attempt == 0
                     && let Some(retry_s) = retry_s
                 {
@@ -1148,10 +1261,14 @@
 impl Proxy {
     pub fn start(listen: SocketAddr, target: SocketAddr) -> Arc<Proxy> {
         let listener = TcpListener::bind(listen).expect("the proxy's port is free");
-        let proxy = Arc::new(Proxy { open: Mutex::default() });
+        let proxy = Arc::new(Proxy {
+            open: Mutex::default(),
+        });
         let shared = Arc::clone(&proxy);
         serve(listener, move |client| {
-            let Ok(server) = TcpStream::connect(target) else { return };
+            let Ok(server) = TcpStream::connect(target) else {
+                return;
+            };
             let _ = server.set_nodelay(true);
             let pair = (client.try_clone().unwrap(), server.try_clone().unwrap());
             shared.open.lock().unwrap().push(pair);
@@ -1194,7 +1311,15 @@
     const SO_LINGER: i32 = 13;
     let linger: [i32; 2] = [1, 0];
     // SAFETY: the option's value has the layout of `struct linger`.
-    unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
+    unsafe {
+        setsockopt(
+            stream.as_raw_fd(),
+            SOL_SOCKET,
+            SO_LINGER,
+            linger.as_ptr(),
+            8,
+        )
+    };
 }
 
 fn pump(mut from: TcpStream, mut to: TcpStream) {
--- a/review/standins-2/long_run.rs
+++ b/review/standins-2/long_run.rs
@@ -5,7 +5,9 @@
 use std::thread;
 
 use crate::Verdict;
-use crate::kit::{Connection, Fleet, Proxy, Recorder, Route, Work, Worker, manifest, ms, new_id, sleep_ms};
+use crate::kit::{
+    Connection, Fleet, Proxy, Recorder, Route, Work, Worker, manifest, ms, new_id, sleep_ms,
+};
 
 /// Machines of the service that runs the requests, and of another one, where their client is.
 const TRANSFERS: usize = 3;
@@ -17,15 +19,25 @@
 const RESET_MS: u64 = 66_000;
 
 pub fn play(recorder: &Arc<Recorder>, has_trouble: bool) -> Verdict {
-    let reset_ms = std::env::var("RESET_MS").ok().and_then(|at_ms| at_ms.parse().ok()).unwrap_or(RESET_MS);
+    let reset_ms = std::env::var("RESET_MS")
+        .ok()
+        .and_then(|at_ms| at_ms.parse().ok())
+        .unwrap_or(RESET_MS);
     let place = |index: usize| {
-        let service = if index < TRANSFERS { "transfers" } else { "portal" };
+        let service = if index < TRANSFERS {
+            "transfers"
+        } else {
+            "portal"
+        };
         ("dub-a".to_owned(), service.to_owned())
     };
     let layout: Vec<_> = (0..=TRANSFERS).map(place).collect();
     let fleet = Fleet::new(&layout, recorder, true);
-    let proxies: Vec<_> =
-        fleet.machines.iter().map(|machine| Proxy::start(machine.hop, machine.hop_listen)).collect();
+    let proxies: Vec<_> = fleet
+        .machines
+        .iter()
+        .map(|machine| Proxy::start(machine.hop, machine.hop_listen))
+        .collect();
     let route = Route {
         name: "levy-transfer".to_owned(),
         host: "transfers.example".to_owned(),
@@ -36,10 +48,23 @@
         priority: 0,
         service: "transfers".to_owned(),
     };
-    fleet.store.put("keyed.op", "config", manifest(7, &[route], &["transfers", "portal"]).as_bytes());
-    let work = Work { slots: 26, queue: 78, work_ms: RUN_MS, call: None, calls: 0 };
-    let workers: Vec<_> =
-        fleet.machines.iter().map(|machine| Worker::start(machine, work.clone(), recorder)).collect();
+    fleet.store.put(
+        "keyed.op",
+        "config",
+        manifest(7, &[route], &["transfers", "portal"]).as_bytes(),
+    );
+    let work = Work {
+        slots: 26,
+        queue: 78,
+        work_ms: RUN_MS,
+        call: None,
+        calls: 0,
+    };
+    let workers: Vec<_> = fleet
+        .machines
+        .iter()
+        .map(|machine| Worker::start(machine, work.clone(), recorder))
+        .collect();
     if !fleet.start_all() {
         return Verdict::NotRun("the relays did not become ready");
     }
@@ -55,8 +80,14 @@
                 recorder.line(&format!("the client sends {id}"));
                 let mut connection = Connection::new(address);
                 let path = format!("/levy/{id}");
-                let answer =
-                    connection.request("POST", "transfers.example", &path, &id, LIMIT_MS, b"transfer");
+                let answer = connection.request(
+                    "POST",
+                    "transfers.example",
+                    &path,
+                    &id,
+                    LIMIT_MS,
+                    b"transfer",
+                );
                 let end = match answer {
                     Ok(answer) => answer.status().to_string(),
                     Err(error) => format!("none ({:?})", error.kind()),
@@ -74,15 +105,27 @@
         ));
     }
     // With an answer of every client, or shortly before the script must end.
-    while clients.iter().any(|client| !client.is_finished()) && recorder.now_ms() < start_ms + RUN_MS + 5_000 {
+    while clients.iter().any(|client| !client.is_finished())
+        && recorder.now_ms() < start_ms + RUN_MS + 5_000
+    {
         std::thread::sleep(ms(100));
     }
     let mut is_twice = false;
     for id in &ids {
         let mut ran = Vec::new();
         for worker in &workers {
-            for run in worker.runs.lock().unwrap().iter().filter(|run| run.request_id == *id) {
-                ran.push(format!("{} at {:.1} s", worker.id, (run.at_ms - start_ms) as f64 / 1e3));
+            for run in worker
+                .runs
+                .lock()
+                .unwrap()
+                .iter()
+                .filter(|run| run.request_id == *id)
+            {
+                ran.push(format!(
+                    "{} at {:.1} s",
+                    worker.id,
+                    (run.at_ms - start_ms) as f64 / 1e3
+                ));
             }
         }
         recorder.say(&format!("{id} was run by {}", ran.join(" and by ")));
@@ -91,5 +134,9 @@
         }
         is_twice |= ran.len() > 1;
     }
-    if is_twice { Verdict::Broken } else { Verdict::Held }
+    if is_twice {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins-2/popular.rs
+++ b/review/standins-2/popular.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::Ordering::SeqCst;
 
 use crate::Verdict;
-use crate::kit::{Fleet, Load, Recorder, Route, Served, Work, Worker, manifest, run_clients, sleep_ms};
+use crate::kit::{
+    Fleet, Load, Recorder, Route, Served, Work, Worker, manifest, run_clients, sleep_ms,
+};
 
 /// Machines of the service that clients call, and of the one that it calls. Clients are on all of them.
 const REDEMPTIONS: usize = 4;
@@ -27,20 +29,46 @@
     // The control: each machine's lookup has a path of its own.
     let has_own_paths = std::env::var("OWN_PATHS").is_ok();
     let place = |index: usize| {
-        let service = if index < REDEMPTIONS { "redemptions" } else { "transfers" };
-        let zone = if index.is_multiple_of(2) { "dub-a" } else { "dub-b" };
+        let service = if index < REDEMPTIONS {
+            "redemptions"
+        } else {
+            "transfers"
+        };
+        let zone = if index.is_multiple_of(2) {
+            "dub-a"
+        } else {
+            "dub-b"
+        };
         (zone.to_owned(), service.to_owned())
     };
     let layout: Vec<_> = (0..REDEMPTIONS + TRANSFERS).map(place).collect();
     let fleet = Fleet::new(&layout, recorder, false);
-    fleet.store.put("keyed.op", "config", configuration(7).as_bytes());
+    fleet
+        .store
+        .put("keyed.op", "config", configuration(7).as_bytes());
     let mut workers = Vec::new();
     for machine in &fleet.machines {
-        let own = if has_own_paths { format!("{LOOKUP}/{}", machine.index) } else { LOOKUP.to_owned() };
+        let own = if has_own_paths {
+            format!("{LOOKUP}/{}", machine.index)
+        } else {
+            LOOKUP.to_owned()
+        };
         let work = if machine.service == "redemptions" {
-            Work { slots: 108, queue: 216, work_ms: 20, call: Some(("transfers.example".to_owned(), own)), calls: 1 }
+            Work {
+                slots: 108,
+                queue: 216,
+                work_ms: 20,
+                call: Some(("transfers.example".to_owned(), own)),
+                calls: 1,
+            }
         } else {
-            Work { slots: 10, queue: 20, work_ms: 300, call: None, calls: 0 }
+            Work {
+                slots: 10,
+                queue: 20,
+                work_ms: 300,
+                call: None,
+                calls: 0,
+            }
         };
         workers.push(Worker::start(machine, work, recorder));
     }
@@ -75,20 +103,27 @@
         }
     }
     wait_until(KILL_MS);
-    fleet.store.put("keyed.op", "config", configuration(8).as_bytes());
+    fleet
+        .store
+        .put("keyed.op", "config", configuration(8).as_bytes());
     recorder.line("version r8 is confirmed; it differs in nothing else");
     if has_trouble {
         recorder.say("final fault: SIGKILL for all relays");
         fleet.machines.iter().for_each(|machine| machine.kill());
         sleep_ms(DOWN_MS);
-        fleet.machines.iter().for_each(|machine| machine.start(recorder));
+        fleet
+            .machines
+            .iter()
+            .for_each(|machine| machine.start(recorder));
         recorder.line("all relays are started again");
     }
     let back_ms = recorder.now_ms();
     wait_until(END_MS + 5_500);
     let results: Vec<Served> = results.lock().unwrap().clone();
     let served_share = |from_ms: u64, to_ms: u64| {
-        let sent = results.iter().filter(|one| (from_ms..to_ms).contains(&one.sent_ms));
+        let sent = results
+            .iter()
+            .filter(|one| (from_ms..to_ms).contains(&one.sent_ms));
         let (mut all, mut served) = (0, 0);
         for one in sent {
             all += 1;
@@ -107,14 +142,27 @@
     recorder.say("sent later than recoveryS after the machines are back:");
     let after = served_share(back_ms + RECOVERY_MS, start_ms + END_MS);
     let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
-    for one in results.iter().filter(|one| one.sent_ms >= back_ms + RECOVERY_MS) {
-        *ends.entry(one.attempts.last().map_or("none", String::as_str)).or_default() += 1;
+    for one in results
+        .iter()
+        .filter(|one| one.sent_ms >= back_ms + RECOVERY_MS)
+    {
+        *ends
+            .entry(one.attempts.last().map_or("none", String::as_str))
+            .or_default() += 1;
     }
     recorder.say(&format!("how their last attempts ended: {ends:?}"));
-    let logs: Vec<String> = fleet.machines.iter().map(|machine| machine.log_text()).collect();
-    let held_back = |text: &&str| text.contains("held_back") || text.contains("have crashed during a request");
+    let logs: Vec<String> = fleet
+        .machines
+        .iter()
+        .map(|machine| machine.log_text())
+        .collect();
+    let held_back =
+        |text: &&str| text.contains("held_back") || text.contains("have crashed during a request");
     let lines = || logs.iter().flat_map(|log| log.lines()).filter(held_back);
-    recorder.say(&format!("log lines of relays about requests that are held back: {}", lines().count()));
+    recorder.say(&format!(
+        "log lines of relays about requests that are held back: {}",
+        lines().count()
+    ));
     for line in lines().rev().take(2) {
         recorder.say(line);
     }
@@ -126,7 +174,11 @@
     if before < 0.25 {
         return Verdict::NotRun("too little was served before the final fault");
     }
-    if after < 0.25 { Verdict::Broken } else { Verdict::Held }
+    if after < 0.25 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 fn configuration(version: u64) -> String {
@@ -141,8 +193,20 @@
         service: service.to_owned(),
     };
     let routes = [
-        route("voucher-read", "vouchers.example", "/voucher/", "redemptions", 4.0),
-        route("transfer-limit-read", "transfers.example", "/limits/", "transfers", 2.0),
+        route(
+            "voucher-read",
+            "vouchers.example",
+            "/voucher/",
+            "redemptions",
+            4.0,
+        ),
+        route(
+            "transfer-limit-read",
+            "transfers.example",
+            "/limits/",
+            "transfers",
+            2.0,
+        ),
     ];
     manifest(version, &routes, &["redemptions", "transfers"])
 }
--- a/review/standins-2/quota_restarts.rs
+++ b/review/standins-2/quota_restarts.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use crate::Verdict;
-use crate::kit::{Fleet, Load, Recorder, Route, Work, Worker, manifest, run_clients, sleep_ms, with_tenants};
+use crate::kit::{
+    Fleet, Load, Recorder, Route, Work, Worker, manifest, run_clients, sleep_ms, with_tenants,
+};
 
 /// Machines of one service in three availability zones.
 const MACHINES: usize = 9;
@@ -25,7 +27,12 @@
 const PAUSE_MS: u64 = 3_000;
 
 pub fn play(recorder: &Arc<Recorder>, has_trouble: bool) -> Verdict {
-    let place = |index: usize| (format!("dub-{}", ["a", "b", "c"][index % 3]), "balances".to_owned());
+    let place = |index: usize| {
+        (
+            format!("dub-{}", ["a", "b", "c"][index % 3]),
+            "balances".to_owned(),
+        )
+    };
     let layout: Vec<_> = (0..MACHINES).map(place).collect();
     let fleet = Fleet::new(&layout, recorder, false);
     let route = Route {
@@ -48,9 +55,18 @@
     let tenants = format!("[{}]", tenants.join(","));
     let config = with_tenants(&manifest(7, &[route], &["balances"]), &tenants);
     fleet.store.put("keyed.op", "config", config.as_bytes());
-    let work = Work { slots: 26, queue: 78, work_ms: 20, call: None, calls: 0 };
-    let workers: Vec<_> =
-        fleet.machines.iter().map(|machine| Worker::start(machine, work.clone(), recorder)).collect();
+    let work = Work {
+        slots: 26,
+        queue: 78,
+        work_ms: 20,
+        call: None,
+        calls: 0,
+    };
+    let workers: Vec<_> = fleet
+        .machines
+        .iter()
+        .map(|machine| Worker::start(machine, work.clone(), recorder))
+        .collect();
     if !fleet.start_all() {
         return Verdict::NotRun("the relays did not become ready");
     }
@@ -72,9 +88,15 @@
     sleep_ms(6_000);
     for round in 0..ROUNDS {
         if has_trouble {
-            let stopped: Vec<usize> = (0..AT_ONCE).map(|step| (round * AT_ONCE + step) % MACHINES).collect();
-            recorder.line(&format!("SIGTERM for the relays of the machines {stopped:?}"));
-            stopped.iter().for_each(|index| fleet.machines[*index].terminate());
+            let stopped: Vec<usize> = (0..AT_ONCE)
+                .map(|step| (round * AT_ONCE + step) % MACHINES)
+                .collect();
+            recorder.line(&format!(
+                "SIGTERM for the relays of the machines {stopped:?}"
+            ));
+            stopped
+                .iter()
+                .for_each(|index| fleet.machines[*index].terminate());
             sleep_ms(GRACE_MS);
             for index in &stopped {
                 fleet.machines[*index].kill();
@@ -92,7 +114,9 @@
     for number in 0..TENANTS {
         let tenant = format!("provider-{number}");
         let mut seen: HashSet<String> = HashSet::new();
-        let runs = workers.iter().flat_map(|worker| worker.runs.lock().unwrap().clone());
+        let runs = workers
+            .iter()
+            .flat_map(|worker| worker.runs.lock().unwrap().clone());
         let mut runs_ms: Vec<u64> = runs
             .filter(|run| run.tenant == tenant && seen.insert(run.request_id.clone()))
             .map(|run| run.at_ms)
@@ -101,7 +125,10 @@
         let (mut most, mut most_at_ms) = (0, 0);
         for (first, at_ms) in runs_ms.iter().enumerate() {
             // A run begins a moment after its request was sent; the margin keeps all sent within 5 s.
-            let count = runs_ms[first..].iter().take_while(|later| **later < at_ms + WINDOW_MS - 200).count();
+            let count = runs_ms[first..]
+                .iter()
+                .take_while(|later| **later < at_ms + WINDOW_MS - 200)
+                .count();
             if count > most {
                 (most, most_at_ms) = (count, *at_ms);
             }
@@ -116,5 +143,9 @@
         }
         is_broken |= most as f64 > allowed;
     }
-    if is_broken { Verdict::Broken } else { Verdict::Held }
+    if is_broken {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
--- a/review/standins-2/reply_size.rs
+++ b/review/standins-2/reply_size.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 
 use crate::Verdict;
-use crate::kit::{Fleet, Load, Recorder, Route, Served, Work, Worker, manifest, run_clients, sleep_ms};
+use crate::kit::{
+    Fleet, Load, Recorder, Route, Served, Work, Worker, manifest, run_clients, sleep_ms,
+};
 
 /// Machines by service: the one that clients call, the one that it calls, and one without load.
 const FRONTS: usize = 2;
@@ -29,7 +31,9 @@
 
 pub fn play(recorder: &Arc<Recorder>, has_trouble: bool) -> Verdict {
     // The control: fewer routes, and all else the same.
-    let routes = std::env::var("ROUTES").ok().and_then(|count| count.parse().ok());
+    let routes = std::env::var("ROUTES")
+        .ok()
+        .and_then(|count| count.parse().ok());
     let routes: u64 = routes.unwrap_or(ROUTES);
     let place = |index: usize| {
         let service = match index {
@@ -37,23 +41,42 @@
             index if index < FRONTS + BACKS => "ledger",
             _ => "portal",
         };
-        let zone = if index.is_multiple_of(2) { "dub-a" } else { "dub-b" };
+        let zone = if index.is_multiple_of(2) {
+            "dub-a"
+        } else {
+            "dub-b"
+        };
         (zone.to_owned(), service.to_owned())
     };
     let layout: Vec<_> = (0..FRONTS + BACKS + OTHERS).map(place).collect();
     let fleet = Fleet::new(&layout, recorder, false);
     let configuration = |version| configuration(version, routes);
     let config = configuration(7);
-    recorder.say(&format!("{routes} routes lead to balances; the manifest has {} bytes", config.len()));
+    recorder.say(&format!(
+        "{routes} routes lead to balances; the manifest has {} bytes",
+        config.len()
+    ));
     fleet.store.put("keyed.op", "config", config.as_bytes());
     let mut workers = Vec::new();
     for machine in &fleet.machines {
         let work = match machine.service.as_str() {
             "balances" => {
                 let call = ("ledger.example".to_owned(), "/rows/1".to_owned());
-                Work { slots: 108, queue: 216, work_ms: 5, call: Some(call), calls: CALLS }
+                Work {
+                    slots: 108,
+                    queue: 216,
+                    work_ms: 5,
+                    call: Some(call),
+                    calls: CALLS,
+                }
             }
-            _ => Work { slots: 6, queue: 12, work_ms: 50, call: None, calls: 0 },
+            _ => Work {
+                slots: 6,
+                queue: 12,
+                work_ms: 50,
+                call: None,
+                calls: 0,
+            },
         };
         workers.push(Worker::start(machine, work, recorder));
     }
@@ -80,25 +103,35 @@
     let results = run_clients(&fleet, load(REQUESTS_PER_S, 101), &all, start_ms + END_MS);
     wait_until(BURST_MS);
     if has_trouble {
-        recorder.say(&format!("burst: {BURST_X} times the traffic for {} s", BURST_FOR_MS / 1_000));
+        recorder.say(&format!(
+            "burst: {BURST_X} times the traffic for {} s",
+            BURST_FOR_MS / 1_000
+        ));
         let more = load(REQUESTS_PER_S * (BURST_X - 1.0), 103);
         run_clients(&fleet, more, &all, start_ms + BURST_MS + BURST_FOR_MS);
     }
     wait_until(KILL_MS);
-    fleet.store.put("keyed.op", "config", configuration(8).as_bytes());
+    fleet
+        .store
+        .put("keyed.op", "config", configuration(8).as_bytes());
     recorder.line("version r8 is confirmed; it differs in nothing else");
     if has_trouble {
         recorder.say("final fault: SIGKILL for all relays");
         fleet.machines.iter().for_each(|machine| machine.kill());
         sleep_ms(DOWN_MS);
-        fleet.machines.iter().for_each(|machine| machine.start(recorder));
+        fleet
+            .machines
+            .iter()
+            .for_each(|machine| machine.start(recorder));
         recorder.line("all relays are started again");
     }
     let back_ms = recorder.now_ms();
     wait_until(END_MS + 5_500);
     let results: Vec<Served> = results.lock().unwrap().clone();
     let served_share = |from_ms: u64, to_ms: u64| {
-        let sent = results.iter().filter(|one| (from_ms..to_ms).contains(&one.sent_ms));
+        let sent = results
+            .iter()
+            .filter(|one| (from_ms..to_ms).contains(&one.sent_ms));
         let (mut all, mut served) = (0, 0);
         for one in sent {
             all += 1;
@@ -118,29 +151,51 @@
     }
     recorder.say("sent later than recoveryS after the machines are back:");
     let after = served_share(back_ms + RECOVERY_MS, start_ms + END_MS);
-    let late = || results.iter().filter(|one| one.sent_ms >= back_ms + RECOVERY_MS);
+    let late = || {
+        results
+            .iter()
+            .filter(|one| one.sent_ms >= back_ms + RECOVERY_MS)
+    };
     let mut ends: BTreeMap<&str, usize> = BTreeMap::new();
     for one in late() {
-        *ends.entry(one.attempts.last().map_or("none", String::as_str)).or_default() += 1;
+        *ends
+            .entry(one.attempts.last().map_or("none", String::as_str))
+            .or_default() += 1;
     }
     recorder.say(&format!("how their last attempts ended: {ends:?}"));
-    let runs = workers.iter().flat_map(|worker| worker.runs.lock().unwrap().clone());
+    let runs = workers
+        .iter()
+        .flat_map(|worker| worker.runs.lock().unwrap().clone());
     let run: HashSet<String> = runs.map(|run| run.request_id).collect();
     let lost = late().filter(|one| {
         one.attempts.first().is_some_and(|end| end == "502") && run.contains(&one.first_id)
     });
-    recorder.say(&format!("their first attempts that a worker ran and the relay answered 502: {}", lost.count()));
-    let logs: Vec<String> = fleet.machines.iter().map(|machine| machine.log_text()).collect();
+    recorder.say(&format!(
+        "their first attempts that a worker ran and the relay answered 502: {}",
+        lost.count()
+    ));
+    let logs: Vec<String> = fleet
+        .machines
+        .iter()
+        .map(|machine| machine.log_text())
+        .collect();
     let too_large = |text: &&str| text.contains("message head is too large");
     let lines = || logs.iter().flat_map(|log| log.lines()).filter(too_large);
-    recorder.say(&format!("log lines of relays with \"message head is too large\": {}", lines().count()));
+    recorder.say(&format!(
+        "log lines of relays with \"message head is too large\": {}",
+        lines().count()
+    ));
     if let Some(line) = lines().last() {
         recorder.say(line);
     }
     if before < 0.25 {
         return Verdict::NotRun("too little was served before the final fault");
     }
-    if after < 0.25 { Verdict::Broken } else { Verdict::Held }
+    if after < 0.25 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    }
 }
 
 fn configuration(version: u64, count: u64) -> String {
