--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -100,9 +100,10 @@
         worker
     }
 
-    /// Records that another daemon knows no newer state of the backend server.
-    pub fn confirm(&mut self) {
-        self.is_unconfirmed = false;
+    /// Records that another daemon knows no newer state of the backend server; true if that was not
+    /// known.
+    pub fn confirm(&mut self) -> bool {
+        std::mem::take(&mut self.is_unconfirmed)
     }
 
     /// Applies the state that an earlier daemon process published for the same backend process.
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -5,7 +5,7 @@
 use super::log_limiter::LineKind;
 use super::state::{Relay, Stage, Tables};
 use crate::decide::relay::{
-    AnsweredRate, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
+    AnsweredRate, CrashWitness, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
     MemberState, RelayedRate, RequestDigest, StatedRate,
 };
 use crate::model::TimeMs;
@@ -164,7 +164,7 @@
                 .collect();
             if tables.directory.merge(now, member) {
                 newer += 1;
-                log_held_back(&tables.directory, &free);
+                log_held_back(&tables.directory, &tables.witness, &free);
                 if is_other {
                     tables.load_balancer.forget(address);
                 }
@@ -212,8 +212,8 @@
             let known = &worker.heartbeat;
             if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
                 worker.restore_state(member.state);
-                if source != LOG_SOURCE {
-                    worker.confirm();
+                if source != LOG_SOURCE && worker.confirm() {
+                    log_confirmed(worker, "a copy of its record", source);
                 }
             }
             let state = worker.state;
@@ -243,8 +243,8 @@
         };
         tables.admission.set_slots(heartbeat.slots);
         let mut worker = LocalWorker::restored(now, heartbeat, member.state);
-        if source != LOG_SOURCE {
-            worker.confirm();
+        if source != LOG_SOURCE && worker.confirm() {
+            log_confirmed(&worker, "a copy of its record", source);
         }
         tables.worker = Some(worker);
         self.update_capacity(tables, now);
@@ -259,8 +259,10 @@
 
     /// Records that another daemon holds the same member records as this one.
     pub(super) fn confirm_worker(&self) {
-        if let Some(worker) = &mut self.tables().worker {
-            worker.confirm();
+        if let Some(worker) = &mut self.tables().worker
+            && worker.confirm()
+        {
+            log_confirmed(worker, "the same records", "peer");
         }
     }
 
@@ -316,7 +318,7 @@
         witness.process_ended(now, process, is_held_back);
         self.announce(tables, now);
         if !was_held_back {
-            log_held_back(&tables.directory, &[digest]);
+            log_held_back(&tables.directory, &tables.witness, &[digest]);
         }
     }
 
@@ -421,16 +423,25 @@
     false
 }
 
-/// Logs those of the requests that are held back.
-fn log_held_back(directory: &Directory, digests: &[RequestDigest]) {
+/// Logs those of the requests that are held back, and whether this daemon has seen them end well lately.
+fn log_held_back(directory: &Directory, witness: &CrashWitness, digests: &[RequestDigest]) {
     let held_back = digests
         .iter()
         .filter(|digest| directory.is_held_back(**digest));
     for digest in held_back {
         let crashes = directory.crashes(*digest);
         let (crashes, of_all_callers) = (crashes.of_caller, crashes.of_all_callers);
+        let has_ended_well = witness.has_ended_well(*digest);
         spdlog::warn!("backend servers have crashed during a request", kv: {
-            digest:, crashes, of_all_callers
+            digest:, crashes, of_all_callers, has_ended_well:
         });
     }
 }
+
+/// Logs what has confirmed the state of a backend server that was restored after a restart.
+fn log_confirmed(worker: &LocalWorker, by: &str, source: &str) {
+    let (instance, state) = (worker.heartbeat.instance.as_str(), <&str>::from(worker.state));
+    spdlog::info!("the restored state of the backend server was confirmed", kv: {
+        instance, state, by, source
+    });
+}
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -98,6 +98,7 @@
     /// The settlement of a key; fences the key if it was never received.
     fn find_or_fence(&self, now: TimeMs, key: &str) -> Settlement {
         if let Some(settlement) = self.start(now, key) {
+            spdlog::info!("a hop that is not known here was fenced", kv: { key });
             settlement.finished.send_replace(Some(StoredOutcome {
                 outcome: HopOutcome::NotRun {
                     reason: NotRunReason::Fenced,
@@ -121,8 +122,15 @@
 
     /// Removes entries whose retention time has passed; no entry daemon queries them any more.
     pub fn sweep(&self, now: TimeMs) {
-        self.lock()
-            .retain(|_, settlement| now.since_ms(settlement.since) < RETENTION_MS);
+        self.lock().retain(|key, settlement| {
+            let age_ms = now.since_ms(settlement.since);
+            let is_expired = age_ms >= RETENTION_MS;
+            if is_expired && settlement.finished.borrow().is_none() {
+                let key = key.as_str();
+                spdlog::warn!("a run was forgotten before it had ended", kv: { key, age_ms });
+            }
+            !is_expired
+        });
     }
 }
 
