--- a/src/decide/relay/crash_witness.rs
+++ b/src/decide/relay/crash_witness.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::crash_review::{CrashReviews, SuspectReview};
 use super::request_digest::RequestDigest;
 use crate::model::TimeMs;
 
@@ -22,7 +23,7 @@
 /// Most suspects of one daemon.
 const MAX_SUSPECTS: usize = 32;
 /// How long a suspect is remembered after its last crash, in milliseconds.
-const MEMORY_MS: u64 = 30 * 60 * 1_000;
+pub const MEMORY_MS: u64 = 30 * 60 * 1_000;
 /// How long a request counts as ended well, at least, in milliseconds.
 const ENDED_WELL_MS: u64 = 60_000;
 /// How long after its caller has left a run may still be to blame for a crash, in milliseconds. Covers a
@@ -42,6 +43,20 @@
     /// Crashes of the member's backend server while it ran there.
     #[serde(rename = "c")]
     pub crashes: u32,
+    /// Last of them, in milliseconds since the Unix epoch, and later than the good ends that this daemon
+    /// knew of; 0 if it is not stated.
+    #[serde(rename = "a", default)]
+    pub at_unix_ms: u64,
+}
+
+impl CrashSuspect {
+    /// Whether its crashes count, if good ends have cleared those until one time, and those until another
+    /// are forgotten.
+    pub fn is_counted(&self, cleared_unix_ms: u64, forgotten_unix_ms: u64) -> bool {
+        let is_cleared = cleared_unix_ms > 0 && self.at_unix_ms <= cleared_unix_ms;
+        let is_forgotten = self.at_unix_ms > 0 && self.at_unix_ms <= forgotten_unix_ms;
+        !is_cleared && !is_forgotten
+    }
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -62,16 +77,60 @@
     pub of_all_callers: u32,
     /// Callers for whom it is suspected.
     pub callers: u32,
+    /// Whether published good ends have cleared it for its caller.
+    pub is_cleared: bool,
 }
 
-/// Whether a request with these crashes is held back.
-pub fn is_held_back(crashes: CrashCounts, has_ended_well: bool) -> bool {
+/// What crashes during a request allow it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// May run on any backend server.
+    Free,
+    /// Has crashed backend servers for one other caller only: may run on one backend server at a time.
+    OnProbation,
+    /// May not run, except on trial.
+    HeldBack,
+}
+
+/// What a request with these crashes may do.
+pub fn standing(crashes: CrashCounts, has_ended_well: bool) -> Standing {
+    let CrashCounts {
+        of_caller,
+        of_all_callers,
+        callers,
+        is_cleared,
+    } = crashes;
     if has_ended_well {
-        return crashes.of_caller >= MAX_CRASHES_OF_POPULAR;
+        return match of_caller >= MAX_CRASHES_OF_POPULAR {
+            true => Standing::HeldBack,
+            false => Standing::Free,
+        };
+    }
+    if of_caller >= MAX_CRASHES {
+        return Standing::HeldBack;
+    }
+    let is_sound_here = of_caller == 0 && is_cleared;
+    if of_all_callers < MAX_CRASHES_OF_ALL_CALLERS || is_sound_here {
+        return Standing::Free;
     }
-    let fails_for_several =
-        crashes.callers > 1 && crashes.of_all_callers >= MAX_CRASHES_OF_ALL_CALLERS;
-    crashes.of_caller >= MAX_CRASHES || fails_for_several
+    match callers > 1 {
+        true => Standing::HeldBack,
+        false => Standing::OnProbation,
+    }
+}
+
+/// Whether a request with these crashes is held back.
+pub fn is_held_back(crashes: CrashCounts, has_ended_well: bool) -> bool {
+    standing(crashes, has_ended_well) == Standing::HeldBack
+}
+
+/// What this daemon's member record of before a restart states.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RestoredEvidence<'a> {
+    /// Requests that were running when its backend server ended.
+    pub suspects: &'a [CrashSuspect],
+    /// What it had found out about suspected requests.
+    pub reviews: &'a [SuspectReview],
 }
 
 /// A run whose answer nobody waits for any more. It may go on at the backend server.
@@ -92,6 +151,7 @@
     /// Two generations, of which the younger one is filled.
     ended_well: [HashSet<RequestDigest>; 2],
     generation_at: TimeMs,
+    reviews: CrashReviews,
     /// First revision of this daemon's record that this process has published.
     first_revision: Option<u64>,
     /// Newest revision of an earlier process whose suspects were restored.
@@ -100,7 +160,8 @@
 
 impl CrashWitness {
     /// Records that this process of the backend server ended without notice during a run that began
-    /// at `began_at`. However often a request ran on it, it counts once.
+    /// at `began_at`. However often a request ran on it, it counts once. `at_unix_ms` is the time of day,
+    /// or later: after the good ends that this daemon knows of.
     /// Of too many suspects, those that are held back and those that began last are kept: a request
     /// that crashes its backend server does so soon.
     pub fn crashed(
@@ -108,23 +169,32 @@
         digest: RequestDigest,
         process: u64,
         began_at: TimeMs,
+        at_unix_ms: u64,
         is_held_back: impl Fn(RequestDigest) -> bool,
     ) {
+        self.reviews.crashed(digest);
         let mut known = self.suspects.iter_mut();
         match known.find(|suspect| suspect.published.digest == digest) {
             Some(suspect) => {
                 suspect.published.crashes += u32::from(suspect.process != Some(process));
+                suspect.published.at_unix_ms = suspect.published.at_unix_ms.max(at_unix_ms);
                 suspect.process = Some(process);
                 suspect.began_at = suspect.began_at.max(began_at);
             }
             None => self.suspects.push(Suspect {
-                published: CrashSuspect { digest, crashes: 1 },
+                published: CrashSuspect {
+                    digest,
+                    crashes: 1,
+                    at_unix_ms,
+                },
                 process: Some(process),
                 began_at,
             }),
         }
         self.suspects.sort_by_key(|suspect| {
-            let CrashSuspect { digest, crashes } = suspect.published;
+            let CrashSuspect {
+                digest, crashes, ..
+            } = suspect.published;
             let rank = (is_held_back(digest), crashes, suspect.began_at);
             std::cmp::Reverse(rank)
         });
@@ -157,17 +227,20 @@
     }
 
     /// Records that this process of the backend server ended without notice: its abandoned runs may have
-    /// crashed it. Returns how many there were.
+    /// crashed it. Returns how many there were. `at_unix_ms` is as for [`CrashWitness::crashed`], for each
+    /// of them.
     pub fn process_ended(
         &mut self,
         now: TimeMs,
         process: u64,
+        at_unix_ms: impl Fn(RequestDigest) -> u64,
         is_held_back: impl Fn(RequestDigest) -> bool,
     ) -> usize {
         let mut abandoned = std::mem::take(&mut self.abandoned);
         abandoned.retain(|run| run.process == process && now.since_ms(run.left_at) < ABANDONED_MS);
         for run in &abandoned {
-            self.crashed(run.digest, process, run.began_at, &is_held_back);
+            let at_unix_ms = at_unix_ms(run.digest);
+            self.crashed(run.digest, process, run.began_at, at_unix_ms, &is_held_back);
         }
         abandoned.len()
     }
@@ -190,21 +263,31 @@
         self.retain(|suspect| suspect.published.digest != digest)
     }
 
-    /// Forgets suspects whose last crash is long ago. Returns whether there were any.
-    pub fn expire(&mut self, now: TimeMs) -> bool {
-        self.retain(|suspect| now.since_ms(suspect.began_at) < MEMORY_MS)
+    /// Forgets suspects whose last crash is long ago, or was cleared until the time that `cleared_unix_ms`
+    /// returns. Returns whether there were any.
+    pub fn expire(&mut self, now: TimeMs, cleared_unix_ms: impl Fn(RequestDigest) -> u64) -> bool {
+        self.retain(|suspect| {
+            let published = suspect.published;
+            now.since_ms(suspect.began_at) < MEMORY_MS
+                && published.is_counted(cleared_unix_ms(published.digest), 0)
+        })
+    }
+
+    /// Reviews of suspected requests, by this daemon.
+    pub fn reviews(&mut self) -> &mut CrashReviews {
+        &mut self.reviews
     }
 
-    /// Adds the suspects of this daemon's record from before a restart, once: copies of it go on
+    /// Adds the suspects and reviews of this daemon's record from before a restart, once: copies of it go on
     /// arriving after a suspect was cleared. Returns whether any was missing.
-    pub fn restore(&mut self, now: TimeMs, revision: u64, suspects: &[CrashSuspect]) -> bool {
+    pub fn restore(&mut self, now: TimeMs, revision: u64, record: &RestoredEvidence<'_>) -> bool {
         let is_own = self.first_revision.is_some_and(|first| revision >= first);
         if is_own || revision <= self.restored_revision {
             return false;
         }
         self.restored_revision = revision;
         let before = self.suspects.len();
-        for published in suspects {
+        for published in record.suspects {
             let is_known = |known: &Suspect| known.published.digest == published.digest;
             if !self.suspects.iter().any(is_known) && self.suspects.len() < MAX_SUSPECTS {
                 self.suspects.push(Suspect {
@@ -214,7 +297,8 @@
                 });
             }
         }
-        self.suspects.len() > before
+        let has_review = self.reviews.restore(now, record.reviews);
+        has_review || self.suspects.len() > before
     }
 
     /// The suspects, for this revision of the daemon's member record.
--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -1,6 +1,5 @@
 //! Membership directory: the daemons of the deployment, each with its backend server.
 
-use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::ops::Bound;
@@ -9,7 +8,9 @@
 use strum::{Display, IntoStaticStr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::crash_witness::{CrashCounts, CrashSuspect, is_held_back};
+use super::crash_evidence::{CrashEvidence, Suspicion};
+use super::crash_review::{HeldBack, SuspectReview, trial_order};
+use super::crash_witness::{CrashCounts, CrashSuspect, Standing, is_held_back, standing};
 use super::request_digest::RequestDigest;
 use crate::model::{Distance, Place, ServiceName, TimeMs};
 
@@ -50,6 +51,9 @@
     /// Requests that were running when its backend server ended without notice.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub suspects: Vec<CrashSuspect>,
+    /// What the daemon has found out about suspected requests.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub reviews: Vec<SuspectReview>,
 }
 
 impl Member {
@@ -82,8 +86,7 @@
     ready: HashMap<ServiceName, BTreeSet<SocketAddr>>,
     active: BTreeMap<Place, BTreeSet<SocketAddr>>,
     active_count: usize,
-    /// Crashes by suspected request, over all members.
-    crashes: BTreeMap<RequestDigest, u32>,
+    evidence: CrashEvidence,
     changes: BTreeMap<u64, SocketAddr>,
     last_change: u64,
     digest: u64,
@@ -99,7 +102,7 @@
             ready: HashMap::new(),
             active: BTreeMap::new(),
             active_count: 0,
-            crashes: BTreeMap::new(),
+            evidence: CrashEvidence::default(),
             changes: BTreeMap::new(),
             last_change: 0,
             digest: 0,
@@ -176,17 +179,15 @@
         self.own_address
     }
 
-    /// Crashes of backend servers while this request ran, over all members.
+    /// What all members state of suspected requests.
+    pub fn evidence(&self) -> &CrashEvidence {
+        &self.evidence
+    }
+
+    /// Crashes of backend servers while this request ran, over all members, less those that a good end
+    /// has cleared.
     pub fn crashes(&self, digest: RequestDigest) -> CrashCounts {
-        let of_content = self.crashes.range(digest.of_all_callers());
-        of_content.fold(CrashCounts::default(), |counts, (suspect, crashes)| {
-            let of_caller = if *suspect == digest { *crashes } else { 0 };
-            CrashCounts {
-                of_caller: counts.of_caller + of_caller,
-                of_all_callers: counts.of_all_callers + crashes,
-                callers: counts.callers + 1,
-            }
-        })
+        self.evidence.crashes(digest)
     }
 
     /// Whether a request that has not ended well lately is held back.
@@ -194,12 +195,68 @@
         is_held_back(self.crashes(digest), false)
     }
 
+    /// What a request that has not ended well lately may do.
+    pub fn standing(&self, digest: RequestDigest) -> Standing {
+        standing(self.crashes(digest), false)
+    }
+
+    /// What is known of a suspected request.
+    pub fn suspicion(&self, digest: RequestDigest) -> Suspicion {
+        self.evidence.suspicion(digest)
+    }
+
     /// Number of requests with so many crashes that they are held back where none has ended well.
     pub fn held_back_count(&self) -> usize {
-        let suspects = self.crashes.keys();
-        suspects
-            .filter(|digest| self.is_held_back(**digest))
-            .count()
+        self.evidence.held_back().count()
+    }
+
+    /// Requests to `service` that are held back, as this daemon sees them in this turn; none while its own
+    /// backend server is not ready.
+    pub fn held_back_at(&self, service: &ServiceName, turn: u64) -> Vec<HeldBack> {
+        let Some(ready) = self.ready.get(service) else {
+            return Vec::new();
+        };
+        if !ready.contains(&self.own_address) {
+            return Vec::new();
+        }
+        let is_of_service = |digest: &RequestDigest| {
+            let mut witnesses = self.evidence.witnesses(*digest);
+            witnesses.any(|address| {
+                let witness = self.members.get(&address);
+                witness.is_some_and(|witness| witness.member.service == *service)
+            })
+        };
+        let held_back = self.evidence.held_back().filter(is_of_service);
+        held_back
+            .map(|digest| {
+                let order = |address: &&SocketAddr| trial_order(digest, turn, **address);
+                HeldBack {
+                    digest,
+                    suspicion: self.suspicion(digest),
+                    is_own_turn: ready.iter().min_by_key(order) == Some(&self.own_address),
+                }
+            })
+            .collect()
+    }
+
+    /// The member of `service` that has reserved the newest trial of a request, with its time in
+    /// milliseconds since the Unix epoch.
+    pub fn trial_at(
+        &self,
+        service: &ServiceName,
+        digest: RequestDigest,
+    ) -> Option<(SocketAddr, u64)> {
+        let trials = self.evidence.trials(digest);
+        let at_ready = trials.filter(|(address, _)| {
+            let ready = self.ready.get(service);
+            ready.is_some_and(|addresses| addresses.contains(address))
+        });
+        at_ready.max_by_key(|(_, at_unix_ms)| *at_unix_ms)
+    }
+
+    /// Forgets crashes and trials until this time of day.
+    pub fn forget_crashes_until(&mut self, unix_ms: u64) {
+        self.evidence.forget_until(unix_ms);
     }
 
     /// Number of the newest change; increases with each record that was merged.
@@ -231,9 +288,7 @@
             let addresses = self.active.entry(member.place.clone()).or_default();
             self.active_count += usize::from(addresses.insert(address));
         }
-        for suspect in &member.suspects {
-            *self.crashes.entry(suspect.digest).or_default() += suspect.crashes;
-        }
+        self.evidence.put_in(member);
         self.digest ^= record_hash(member);
         self.changes.insert(entry.change, address);
         self.members.insert(address, entry);
@@ -244,14 +299,7 @@
         self.changes.remove(&entry.change);
         let member = &entry.member;
         self.digest ^= record_hash(member);
-        for suspect in &member.suspects {
-            if let Entry::Occupied(mut crashes) = self.crashes.entry(suspect.digest) {
-                *crashes.get_mut() = crashes.get().saturating_sub(suspect.crashes);
-                if *crashes.get() == 0 {
-                    crashes.remove();
-                }
-            }
-        }
+        self.evidence.take_out(member);
         if let Some(addresses) = self.ready.get_mut(&member.service) {
             addresses.remove(&address);
         }
--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -163,6 +163,11 @@
         self.state == MemberState::Ready && now.since_ms(self.last_heard) >= SILENT_MS
     }
 
+    /// Whether it accepts requests and its heartbeats arrive.
+    pub fn is_sound(&self, now: TimeMs) -> bool {
+        self.state == MemberState::Ready && !self.is_unheard && !self.is_silent(now)
+    }
+
     /// Whether a heartbeat may be confirmed: one that reports draining only if that is kept.
     pub fn confirms(&self, heartbeat_drains: bool) -> bool {
         !heartbeat_drains || self.state != MemberState::Ready
--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -7,6 +7,8 @@
 pub mod admission;
 pub mod capacity;
 pub mod connection_phase;
+pub mod crash_evidence;
+pub mod crash_review;
 pub mod crash_witness;
 pub mod departures;
 pub mod directory;
@@ -32,12 +34,18 @@
 pub mod silent_peers;
 pub mod speed;
 pub mod stated_rate;
+pub mod trial_offers;
 mod wait_queue;
 
 pub use admission::{Admission, AdmissionDecision, AdmissionRequest, WaiterId};
 pub use capacity::{CapacityEstimator, CapacityState, RunEnd};
 pub use connection_phase::{ConnectionPhase, MAX_BLOCKED_MS};
-pub use crash_witness::{CrashCounts, CrashSuspect, CrashWitness, MAX_CRASHES, is_held_back};
+pub use crash_evidence::Suspicion;
+pub use crash_review::{HeldBack, SuspectReview, trial_order, turn_at};
+pub use crash_witness::{
+    CrashCounts, CrashSuspect, CrashWitness, MAX_CRASHES, RestoredEvidence, Standing, is_held_back,
+    standing,
+};
 pub use departures::{Departure, Departures};
 pub use directory::{Directory, Member, MemberState};
 pub use ended_requests::EndedRequests;
@@ -61,3 +69,4 @@
 pub use shutdown::Shutdown;
 pub use speed::SpeedMeter;
 pub use stated_rate::{AnsweredRate, RateStatements, RelayedRate, StatedRate};
+pub use trial_offers::TrialOffers;
--- a/src/decide/relay/plausible.rs
+++ b/src/decide/relay/plausible.rs
@@ -14,7 +14,7 @@
 const MAX_AHEAD_MS: u64 = 24 * 60 * 60 * 1_000;
 /// Most slots of a backend server.
 const MAX_SLOTS: u32 = 1_000_000;
-/// Most crashes of one backend server during one request.
+/// Most crashes of one backend server during one request, and most trials.
 const MAX_STATED_CRASHES: u32 = 1_000_000;
 
 /// The field that is out of its range.
@@ -31,8 +31,10 @@
     Born,
     /// None or too many.
     Slots,
-    /// Too many crashes of one suspect.
+    /// Too many crashes of one suspect, or one in the future.
     Crashes,
+    /// Too many trials of a suspected request, or a time in the future.
+    Reviews,
 }
 
 impl Member {
@@ -46,10 +48,21 @@
             return Err(Implausible::Revision);
         }
         check_process(self.born_unix_ms, self.slots, now_unix_ms)?;
+        let latest_unix_ms = now_unix_ms.saturating_add(MAX_AHEAD_MS);
         let mut suspects = self.suspects.iter();
-        if suspects.any(|suspect| suspect.crashes > MAX_STATED_CRASHES) {
+        if suspects.any(|suspect| {
+            suspect.crashes > MAX_STATED_CRASHES || suspect.at_unix_ms > latest_unix_ms
+        }) {
             return Err(Implausible::Crashes);
         }
+        let mut reviews = self.reviews.iter();
+        if reviews.any(|review| {
+            review.trials > MAX_STATED_CRASHES
+                || review.cleared_unix_ms > latest_unix_ms
+                || review.trial_unix_ms > latest_unix_ms
+        }) {
+            return Err(Implausible::Reviews);
+        }
         Ok(())
     }
 }
--- a/src/decide/relay/request_digest.rs
+++ b/src/decide/relay/request_digest.rs
@@ -41,9 +41,14 @@
         RequestDigest(content & !CALLER_MASK | caller & CALLER_MASK)
     }
 
+    /// The content alone; the lowest of the digests that share it.
+    pub fn content(self) -> RequestDigest {
+        RequestDigest(self.0 & !CALLER_MASK)
+    }
+
     /// The digests of the same content for all callers.
     pub fn of_all_callers(self) -> RangeInclusive<RequestDigest> {
-        RequestDigest(self.0 & !CALLER_MASK)..=RequestDigest(self.0 | CALLER_MASK)
+        self.content()..=RequestDigest(self.0 | CALLER_MASK)
     }
 }
 
--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -147,7 +147,7 @@
         }
         match end {
             AnswerEnd::Complete if !self.ends_with_connection => {
-                relay.record_ended_well(self.suspect.digest);
+                relay.record_run_ended_well(self.suspect.digest);
             }
             AnswerEnd::Complete | AnswerEnd::Broken => {
                 tokio::spawn(self.probe(end));
@@ -163,7 +163,7 @@
         let has_crashed = self.suspect.record_if_crashed(&self.slot).await;
         if !has_crashed && end == AnswerEnd::Complete {
             let relay = &self.slot.relay;
-            relay.record_ended_well(self.suspect.digest);
+            relay.record_run_ended_well(self.suspect.digest);
         }
     }
 }
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -16,8 +16,10 @@
 use super::log_limiter::LineKind;
 use super::offer::offer;
 use super::state::Relay;
+use super::suspects::Permission;
 use crate::decide::relay::{
-    Candidate, PlaceKey, Placement, PlacementRequest, RelayedRate, RetryRequest,
+    Candidate, PlaceKey, Placement, PlacementRequest, RelayedRate, RequestDigest, RetryRequest,
+    trial_order,
 };
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
 
@@ -69,7 +71,8 @@
         if left_ms <= HOP_MARGIN_MS {
             break;
         }
-        if relay.tables().is_held_back(call.digest) {
+        let permission = relay.tables().permission(now, call.service, call.digest);
+        if permission == Permission::HeldBack {
             if let Failure::NotRun { .. } = failure {
                 failure = Failure::NotRun {
                     reason: NotRunReason::HeldBack,
@@ -82,7 +85,7 @@
         if is_retry && !may_retry(relay, call, now, possible_runs, left_ms) {
             break;
         }
-        let Some(chosen) = choose_worker(relay, call, body_bytes, &tried, now) else {
+        let Some(chosen) = choose_worker(relay, call, body_bytes, &tried, permission, now) else {
             break;
         };
         let Some(sent_body) = next_body(&mut body) else {
@@ -278,6 +281,7 @@
     call: &Call<'_>,
     body_bytes: u64,
     tried: &[SocketAddr],
+    permission: Permission,
     now: TimeMs,
 ) -> Option<Chosen> {
     let own = relay.own_address();
@@ -286,6 +290,7 @@
     let candidates: Vec<Candidate> = tables
         .directory
         .ready(call.service)
+        .filter(|known| permission.covers(known.member.address))
         .filter(|known| !tables.peer_statements.is_leaving(&known.member))
         .map(|known| Candidate {
             address: known.member.address,
@@ -295,6 +300,10 @@
             is_own: known.member.address == own,
         })
         .collect();
+    let candidates = match permission {
+        Permission::OnProbation => first_in_trial_order(candidates, tried, call.digest),
+        Permission::Anywhere | Permission::OnTrial(_) | Permission::HeldBack => candidates,
+    };
     let request = PlacementRequest {
         route: &call.route.name,
         objective_left_ms: call.objective_left_ms(now),
@@ -320,6 +329,20 @@
     })
 }
 
+/// The one candidate for a request on probation. Each entry chooses the same, so that not two of them run
+/// it on different backend servers; the next one only follows if the first takes no requests.
+fn first_in_trial_order(
+    candidates: Vec<Candidate>,
+    tried: &[SocketAddr],
+    digest: RequestDigest,
+) -> Vec<Candidate> {
+    let untried = candidates
+        .into_iter()
+        .filter(|candidate| !tried.contains(&candidate.address));
+    let first = untried.min_by_key(|candidate| trial_order(digest, 0, candidate.address));
+    first.into_iter().collect()
+}
+
 /// Logs a request of which no attempt has succeeded and builds the answer to the caller.
 fn failure_response(
     relay: &Relay,
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -271,6 +271,7 @@
                 Ok(era) => {
                     relay.observe_era(era);
                     written_era = written_era.max(Some(era));
+                    relay.record_acknowledged(revision);
                     record_log_recovery(&relay, MEMBERS_TOPIC);
                     let is_newest = relay
                         .own_member()
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -4,9 +4,10 @@
 
 use super::log_limiter::LineKind;
 use super::state::{Relay, Stage, Tables};
+use super::suspects::log_held_back;
 use crate::decide::relay::{
-    AnsweredRate, CrashWitness, Departure, Directory, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
-    MemberState, RelayedRate, RequestDigest, StatedRate,
+    AnsweredRate, Departure, Heartbeat, HeartbeatOutcome, LocalWorker, Member, MemberState,
+    RelayedRate, RequestDigest, RestoredEvidence, StatedRate,
 };
 use crate::model::TimeMs;
 
@@ -205,9 +206,14 @@
         source: &'static str,
     ) {
         tables.revision = tables.revision.max(member.revision);
-        let is_suspect_new = tables
-            .witness
-            .restore(now, member.revision, &member.suspects);
+        let is_suspect_new = tables.witness.restore(
+            now,
+            member.revision,
+            &RestoredEvidence {
+                suspects: &member.suspects,
+                reviews: &member.reviews,
+            },
+        );
         if let Some(worker) = &mut tables.worker {
             let known = &worker.heartbeat;
             if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
@@ -267,7 +273,7 @@
     }
 
     /// Creates a new revision of this daemon's member record and has it published.
-    fn announce(&self, tables: &mut Tables, now: TimeMs) {
+    pub(super) fn announce(&self, tables: &mut Tables, now: TimeMs) {
         let Some(worker) = &tables.worker else { return };
         let settings = self.settings.load();
         let heartbeat = &worker.heartbeat;
@@ -286,6 +292,7 @@
                 state => state,
             },
             suspects: tables.witness.publish(revision),
+            reviews: tables.witness.reviews().publish(revision),
         };
         let (service, instance) = (member.service.as_str(), member.instance.as_str());
         let state = <&str>::from(member.state);
@@ -296,100 +303,6 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Records that the backend server beside this daemon ended while a request ran on it, unless
-    /// that was planned.
-    pub fn record_crash(&self, instance: &str, digest: RequestDigest, began_at: TimeMs) {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        let tables = &mut *tables;
-        let Some(worker) = tables.worker_of(instance) else {
-            return;
-        };
-        let process = worker.process();
-        let is_planned = worker.state != MemberState::Ready;
-        let directory = &tables.directory;
-        let is_held_back = |digest| directory.is_held_back(digest);
-        if is_planned {
-            return;
-        }
-        let was_held_back = is_held_back(digest);
-        let witness = &mut tables.witness;
-        witness.crashed(digest, process, began_at, is_held_back);
-        witness.process_ended(now, process, is_held_back);
-        self.announce(tables, now);
-        if !was_held_back {
-            log_held_back(&tables.directory, &tables.witness, &[digest]);
-        }
-    }
-
-    /// Records that nobody waits any more for the answer of a run on the backend server beside this
-    /// daemon.
-    pub fn record_abandoned(&self, instance: &str, digest: RequestDigest, began_at: TimeMs) {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        let tables = &mut *tables;
-        if let Some(worker) = tables.worker_of(instance)
-            && worker.state == MemberState::Ready
-        {
-            let process = worker.process();
-            tables.witness.abandoned(now, digest, process, began_at);
-        }
-    }
-
-    /// Records that a process of the backend server beside this daemon has ended without notice. Requests
-    /// whose callers had left by then may have crashed it.
-    fn record_process_end(&self, tables: &mut Tables, now: TimeMs, process: u64) {
-        let directory = &tables.directory;
-        let is_held_back = |digest| directory.is_held_back(digest);
-        let runs = tables.witness.process_ended(now, process, is_held_back);
-        if runs > 0 {
-            let runs = runs as u64;
-            spdlog::warn!("the backend server has ended after callers had left", kv: { runs });
-            self.announce(tables, now);
-        }
-    }
-
-    /// Records that nothing listens at the address of the backend server beside this daemon.
-    pub fn record_unreachable(&self, instance: &str) {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        if let Some(worker) = tables.worker_of(instance)
-            && worker.state == MemberState::Ready
-        {
-            let process = worker.process();
-            self.record_process_end(&mut tables, now, process);
-        }
-    }
-
-    /// Whether a run on this instance beside this daemon was abandoned lately.
-    pub fn has_abandoned(&self, instance: &str) -> bool {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        let process = tables.worker_of(instance).map(|worker| worker.process());
-        process.is_some_and(|process| tables.witness.has_abandoned(now, process))
-    }
-
-    /// Records that a backend server has answered a request.
-    pub fn record_ended_well(&self, digest: RequestDigest) {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        if tables.witness.ended_well(now, digest) {
-            spdlog::info!("a request is no longer suspected", kv: { digest: });
-            self.announce(&mut tables, now);
-        }
-    }
-
-    /// Forgets suspected requests whose last crash is long ago.
-    pub fn expire_suspects(&self) {
-        let now = self.clock.now();
-        let mut tables = self.tables();
-        if tables.witness.expire(now) {
-            self.announce(&mut tables, now);
-        }
-        let held_back = tables.directory.held_back_count();
-        self.metrics.requests_held_back(held_back);
-    }
-
     /// Publishes that this daemon is stopping.
     pub fn announce_stop(&self) {
         let now = self.clock.now();
@@ -423,24 +336,12 @@
     false
 }
 
-/// Logs those of the requests that are held back, and whether this daemon has seen them end well lately.
-fn log_held_back(directory: &Directory, witness: &CrashWitness, digests: &[RequestDigest]) {
-    let held_back = digests
-        .iter()
-        .filter(|digest| directory.is_held_back(**digest));
-    for digest in held_back {
-        let crashes = directory.crashes(*digest);
-        let (crashes, of_all_callers) = (crashes.of_caller, crashes.of_all_callers);
-        let has_ended_well = witness.has_ended_well(*digest);
-        spdlog::warn!("backend servers have crashed during a request", kv: {
-            digest:, crashes, of_all_callers, has_ended_well:
-        });
-    }
-}
-
 /// Logs what has confirmed the state of a backend server that was restored after a restart.
 fn log_confirmed(worker: &LocalWorker, by: &str, source: &str) {
-    let (instance, state) = (worker.heartbeat.instance.as_str(), <&str>::from(worker.state));
+    let (instance, state) = (
+        worker.heartbeat.instance.as_str(),
+        <&str>::from(worker.state),
+    );
     spdlog::info!("the restored state of the backend server was confirmed", kv: {
         instance, state, by, source
     });
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -34,6 +34,7 @@
 mod slot;
 pub mod state;
 pub mod stop;
+mod suspects;
 
 pub use body::RelayBody;
 pub use header_names::HeaderNames;
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -9,7 +9,7 @@
 use super::executor::{ExecutionOutcome, HELD_BACK_RETRY_MS, LocalRequest, UNREACHABLE_MS};
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
-use crate::decide::relay::{AdmissionDecision, AdmissionRequest, RunEnd, WaiterId};
+use crate::decide::relay::{AdmissionDecision, AdmissionRequest, RequestDigest, RunEnd, WaiterId};
 use crate::model::{NotRunReason, ServiceName, TimeMs};
 
 /// Fraction of the drain time for which a draining backend server still gets requests that were
@@ -27,6 +27,7 @@
     pub(super) relay: Arc<Relay>,
     route: ServiceName,
     pub(super) request_id: String,
+    digest: RequestDigest,
     /// When it was occupied.
     pub(super) started: TimeMs,
     /// Time until the head of the answer, in milliseconds; `None` until it has arrived.
@@ -40,6 +41,8 @@
 impl Slot {
     fn new(relay: &Arc<Relay>, local_request: &LocalRequest, tables: &mut Tables) -> Slot {
         let request_id = local_request.request_id(relay).to_owned();
+        let digest = local_request.hop.digest;
+        tables.begin_run(digest);
         let running = RunningRequest {
             root: local_request.hop.root.clone(),
             is_retry: local_request.hop.is_retry,
@@ -52,6 +55,7 @@
             relay: Arc::clone(relay),
             route: local_request.hop.route.clone(),
             request_id,
+            digest,
             started,
             head_ms: None,
             usual_ms: local_request.hop.usual_ms,
@@ -63,6 +67,7 @@
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut tables = self.relay.tables();
+        tables.witness.reviews().end_probation(self.digest);
         let ended = tables.running.remove(&self.request_id);
         if let Some(ended) = ended
             && self.relay.names_organisations()
@@ -201,12 +206,12 @@
         Ok(Ok(QueueDecision::Start(_))) => {
             let mut tables = relay.tables();
             let now = relay.clock.now();
-            // Created before the check, so that dropping it releases the slot if the worker no
-            // longer takes requests.
+            // Created also if the worker no longer takes requests, so that dropping it releases the
+            // slot.
+            let may_run = check_worker(relay, &mut tables, local_request, now);
             let slot = Slot::new(relay, local_request, &mut tables);
-            let checked = check_worker(relay, &mut tables, local_request, now);
             drop(tables);
-            checked.map(|()| slot)
+            may_run.map(|()| slot)
         }
         Ok(Ok(QueueDecision::Refuse { retry_after_ms, .. })) => Err(ExecutionOutcome::not_run(
             NotRunReason::QueueTimeout,
@@ -229,7 +234,8 @@
     if *relay.stage.borrow() > Stage::Serving {
         return refuse(NotRunReason::Leaving);
     }
-    if tables.is_held_back(local_request.hop.digest) {
+    let digest = local_request.hop.digest;
+    if !tables.may_run_here(digest) {
         return Err(ExecutionOutcome::not_run(
             NotRunReason::HeldBack,
             HELD_BACK_RETRY_MS,
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -24,12 +24,11 @@
 use super::settle::Settlements;
 use crate::config::RelaySettings;
 use crate::decide::relay::admission::QueueDecision;
-use crate::decide::relay::crash_witness;
 use crate::decide::relay::{
     Admission, CrashWitness, Departures, Directory, EndedRequests, EntryShares, Limits,
     LoadBalancer, LocalWorker, OrganisationTable, PauseDetector, PeerStatements, Readers,
     ReadingPlan, RequestDigest, RetryBudget, RetryWindow, RootKind, RootRequest, RouteTable,
-    Shutdown, WaiterId, WorkerShares,
+    Shutdown, Standing, TrialOffers, WaiterId, WorkerShares, standing,
 };
 use crate::model::{Clock, ServiceName, TimeMs};
 
@@ -112,6 +111,8 @@
     pub capacity: Option<LocalCapacity>,
     /// Requests suspected of having crashed the backend server beside this daemon.
     pub witness: CrashWitness,
+    /// Offers of requests that are held back to the daemons that let them run on trial.
+    pub trial_offers: TrialOffers,
     /// Whether a task waits for the rate limit to let the head of the queue start.
     pub is_pacing: bool,
     /// What backend servers beside other daemons have stated in their answers.
@@ -152,10 +153,10 @@
         self.entry_shares.share(now, kind, workers_of)
     }
 
-    /// Whether a request is held back because backend servers have crashed while it ran.
-    pub fn is_held_back(&self, digest: RequestDigest) -> bool {
+    /// What a request may do after backend servers have crashed while it ran.
+    pub fn standing(&self, digest: RequestDigest) -> Standing {
         let crashes = self.directory.crashes(digest);
-        crash_witness::is_held_back(crashes, self.witness.has_ended_well(digest))
+        standing(crashes, self.witness.has_ended_well(digest))
     }
 
     /// The backend server beside this daemon if it is this instance.
@@ -327,6 +328,7 @@
                 admission: Admission::new(1),
                 capacity: None,
                 witness: CrashWitness::default(),
+                trial_offers: TrialOffers::default(),
                 is_pacing: false,
                 peer_statements: PeerStatements::default(),
                 worker_shares: WorkerShares::default(),
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -61,7 +61,7 @@
         interval.tick().await;
         relay.observe_pauses();
         relay.pool.sweep();
-        relay.expire_suspects();
+        relay.review_suspects();
         relay.observe_limited();
         relay.tables().ended.expire(relay.clock.now());
         relay.settlements.sweep(relay.clock.now());
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -133,6 +133,11 @@
         *lock(&self.shared.stated) = lines.collect();
     }
 
+    /// Ends it for good, as a process ends: its connections and its listener are closed.
+    pub fn end(&self) {
+        self.task.abort();
+    }
+
     /// Number of times that a request has crashed it.
     pub fn crashes(&self) -> u64 {
         self.shared.crashes.load(Ordering::Relaxed)
--- a/tests/crash_random.rs
+++ b/tests/crash_random.rs
@@ -1,6 +1,6 @@
-//! Crashes of backend servers on a virtual clock, by seed: the real suspects and directories under
-//! restarts of daemons, cuts and slow spreading, with requests at fault, with none and with popular
-//! ones.
+//! Crashes of backend servers on a virtual clock, by seed: the real suspects, reviews and directories
+//! under restarts of one and of all daemons, cuts, losses for good and slow spreading, with requests at
+//! fault, with none and with popular ones.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -8,7 +8,7 @@
 
 use burdockhall::decide::relay::{
     CrashSuspect, CrashWitness, Directory, MAX_CRASHES, Member, MemberState, RequestDigest,
-    is_held_back,
+    RestoredEvidence, Standing, TrialOffers, standing, trial_order, turn_at,
 };
 use burdockhall::model::Place;
 use burdockhall::prelude::*;
@@ -29,18 +29,51 @@
 const POPULAR: RequestDigest = digest_of(1, 0);
 /// Most callers for whom the same request is at fault.
 const CALLERS_AT_FAULT: u64 = 4;
+/// Port of the first daemon.
+const FIRST_PORT: usize = 1_000;
+/// Most backend servers that are lost for good, with their daemons.
+const MAX_LOST: usize = 2;
+/// Time between two looks of a daemon at its suspects.
+const REVIEW_MS: u64 = 1_000;
 /// A caller for whom no request is at fault.
 const SOUND_CALLER: u64 = 9;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
-    Call { digest: u64 },
-    End { run: usize },
-    Crash { worker: usize },
+    Call {
+        digest: u64,
+    },
+    End {
+        run: usize,
+    },
+    Crash {
+        worker: usize,
+    },
     Herd,
-    Merge { daemon: usize, record: usize },
-    RestartDaemon { daemon: usize },
-    Cut { daemon: usize },
+    Merge {
+        daemon: usize,
+        record: usize,
+    },
+    RestartDaemon {
+        daemon: usize,
+    },
+    RestartAll,
+    /// A backend server and its daemon are gone for good.
+    Lose {
+        worker: usize,
+    },
+    /// The log service has acknowledged a record.
+    Acknowledge {
+        worker: usize,
+        revision: u64,
+    },
+    /// A daemon looks at its suspects.
+    Review {
+        worker: usize,
+    },
+    Cut {
+        daemon: usize,
+    },
 }
 
 struct Run {
@@ -53,6 +86,7 @@
 }
 
 struct Worker {
+    is_lost: bool,
     process: u32,
     down_until: TimeMs,
     running: Vec<usize>,
@@ -67,6 +101,7 @@
     workers: Vec<Worker>,
     witnesses: Vec<CrashWitness>,
     directories: Vec<Directory>,
+    offers: Vec<TrialOffers>,
     cut_until: Vec<TimeMs>,
     records: Vec<Member>,
     /// Newest record of each worker's daemon, as the log keeps it.
@@ -81,7 +116,7 @@
 }
 
 fn address(daemon: usize) -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 1_000 + daemon as u16))
+    SocketAddr::from(([127, 0, 0, 1], (FIRST_PORT + daemon) as u16))
 }
 
 /// A request of this content and caller.
@@ -109,6 +144,7 @@
             at_fault.extend((0..callers).map(|caller| digest_of(content, caller)));
         }
         let worker = || Worker {
+            is_lost: false,
             process: 0,
             down_until: TimeMs(0),
             running: Vec::new(),
@@ -122,6 +158,7 @@
             workers: (0..WORKERS).map(|_| worker()).collect(),
             witnesses: (0..DAEMONS).map(|_| CrashWitness::default()).collect(),
             directories: (0..DAEMONS).map(new_directory).collect(),
+            offers: (0..DAEMONS).map(|_| TrialOffers::default()).collect(),
             cut_until: vec![TimeMs(0); DAEMONS],
             records: Vec::new(),
             logged: vec![None; WORKERS],
@@ -162,6 +199,19 @@
                 at = at.plus_ms(self.rng.random_range(20..200));
             }
         }
+        for worker in 0..WORKERS {
+            self.publish(worker);
+            let at = TimeMs(self.rng.random_range(0..REVIEW_MS));
+            self.at(at, Event::Review { worker });
+        }
+        for worker in 0..self.rng.random_range(0..=MAX_LOST) {
+            let at = self.random_time();
+            self.at(at, Event::Lose { worker });
+        }
+        if self.rng.random_bool(0.3) {
+            let at = self.random_time();
+            self.at(at, Event::RestartAll);
+        }
         for _ in 0..self.rng.random_range(0..3) {
             let at = self.random_time();
             self.at(at, Event::Herd);
@@ -197,6 +247,20 @@
                 self.directories[daemon].merge(self.now, self.records[record].clone());
             }
             Event::RestartDaemon { daemon } => self.restart(daemon),
+            Event::RestartAll => (0..DAEMONS).for_each(|daemon| self.restart(daemon)),
+            Event::Lose { worker } => {
+                self.crash(worker);
+                self.workers[worker].is_lost = true;
+                self.workers[worker].down_until = TimeMs(u64::MAX);
+            }
+            Event::Acknowledge { worker, .. } if self.now < self.cut_until[worker] => {
+                self.at(self.cut_until[worker], event);
+            }
+            Event::Acknowledge { worker, revision } => {
+                let reviews = self.witnesses[worker].reviews();
+                reviews.acknowledged(self.now, revision);
+            }
+            Event::Review { worker } => self.review(worker),
             Event::Cut { daemon } => {
                 let span_ms = self.rng.random_range(500..6_000);
                 self.cut_until[daemon] = self.now.plus_ms(span_ms);
@@ -204,9 +268,36 @@
         }
     }
 
-    fn is_held_back(&self, daemon: usize, digest: RequestDigest) -> bool {
+    fn standing(&self, daemon: usize, digest: RequestDigest) -> Standing {
         let crashes = self.directories[daemon].crashes(digest);
-        is_held_back(crashes, self.witnesses[daemon].has_ended_well(digest))
+        standing(crashes, self.witnesses[daemon].has_ended_well(digest))
+    }
+
+    /// The worker whose daemon has reserved a trial, if the entry may offer the request to it.
+    fn worker_on_trial(&mut self, entry: usize, digest: RequestDigest) -> Option<usize> {
+        let (address, at) = self.directories[entry].trial_at(&"a".into(), digest)?;
+        let may_offer = self.offers[entry].take(self.now, digest, at);
+        may_offer.then(|| usize::from(address.port()) - FIRST_PORT)
+    }
+
+    /// The first worker in the order of trials, but for those whose daemons say that they are not there.
+    fn worker_on_probation(&mut self, digest: RequestDigest) -> Option<usize> {
+        let mut workers: Vec<usize> = (0..WORKERS).collect();
+        workers.sort_by_key(|worker| trial_order(digest, 0, address(*worker)));
+        workers.into_iter().find(|worker| {
+            let is_up = self.now >= self.workers[*worker].down_until;
+            is_up || (!self.workers[*worker].is_lost && !self.may_run(*worker, digest))
+        })
+    }
+
+    fn may_run(&mut self, worker: usize, digest: RequestDigest) -> bool {
+        let standing = self.standing(worker, digest);
+        let reviews = self.witnesses[worker].reviews();
+        match standing {
+            Standing::Free => true,
+            Standing::OnProbation => reviews.has_free_probation(digest),
+            Standing::HeldBack => reviews.has_open_trial(digest),
+        }
     }
 
     /// Whether a request is at fault for its caller, or the same request for several others.
@@ -224,8 +315,17 @@
         if up.is_empty() {
             return;
         }
-        let worker = up[self.rng.random_range(0..up.len())];
-        if self.is_held_back(entry, digest) || self.is_held_back(worker, digest) {
+        let random = up[self.rng.random_range(0..up.len())];
+        let chosen = match self.standing(entry, digest) {
+            Standing::Free => Some(random),
+            Standing::OnProbation => self
+                .worker_on_trial(entry, digest)
+                .or_else(|| self.worker_on_probation(digest)),
+            Standing::HeldBack => self.worker_on_trial(entry, digest),
+        };
+        let chosen = chosen.filter(|worker| up.contains(worker));
+        let worker = chosen.unwrap_or(random);
+        if chosen.is_none() || !self.may_run(worker, digest) {
             self.refused += usize::from(!self.is_suspicious(digest));
             let is_settled = self.now > self.last_crash_at.plus_ms(DOWN_MS + STABLE_MS);
             let is_cut = self.now < self.cut_until[entry] || self.now < self.cut_until[worker];
@@ -233,6 +333,11 @@
             return;
         }
         let run = self.runs.len();
+        match self.standing(worker, digest) {
+            Standing::Free => {}
+            Standing::OnProbation => self.witnesses[worker].reviews().begin_probation(digest),
+            Standing::HeldBack => self.witnesses[worker].reviews().begin_trial(digest),
+        }
         let process = self.workers[worker].process;
         self.runs.push(Run {
             digest,
@@ -258,6 +363,14 @@
             return;
         }
         self.workers[worker].running.retain(|other| *other != run);
+        self.witnesses[worker].reviews().end_probation(digest);
+        if self.directories[worker].standing(digest) != Standing::Free {
+            let suspicion = self.directories[worker].suspicion(digest);
+            let reviews = self.witnesses[worker].reviews();
+            if reviews.ended_well(self.now, digest, suspicion) {
+                self.publish(worker);
+            }
+        }
         for daemon in [worker, self.runs[run].entry] {
             if self.witnesses[daemon].ended_well(self.now, digest) && daemon < WORKERS {
                 self.publish(daemon);
@@ -265,6 +378,31 @@
         }
     }
 
+    /// What a daemon does once a second.
+    fn review(&mut self, worker: usize) {
+        let again = self.now.plus_ms(REVIEW_MS);
+        if again.0 < SPAN_MS {
+            self.at(again, Event::Review { worker });
+        }
+        if self.workers[worker].is_lost {
+            return;
+        }
+        let (directory, witness) = (&self.directories[worker], &mut self.witnesses[worker]);
+        let evidence = directory.evidence();
+        let mut has_changed = witness.expire(self.now, |digest| evidence.cleared_unix_ms(digest));
+        let is_suspected = |digest| evidence.is_suspected(digest);
+        has_changed |= witness.reviews().expire(self.now, is_suspected);
+        let is_up = self.now >= self.workers[worker].down_until;
+        if is_up && self.now >= self.cut_until[worker] {
+            let held_back = directory.held_back_at(&"a".into(), turn_at(self.now.0));
+            let reserved = witness.reviews().reserve(self.now, self.now.0, &held_back);
+            has_changed |= !reserved.is_empty();
+        }
+        if has_changed {
+            self.publish(worker);
+        }
+    }
+
     fn crash(&mut self, worker: usize) {
         let now = self.now;
         if now < self.workers[worker].down_until {
@@ -281,8 +419,10 @@
             } = self.runs[*run];
             let directory = &self.directories[worker];
             let is_held_back = |digest| directory.is_held_back(digest);
+            let at_unix_ms = now.0.max(directory.evidence().cleared_unix_ms(digest) + 1);
             let witness = &mut self.witnesses[worker];
-            witness.crashed(digest, process, began_at, is_held_back);
+            witness.reviews().end_probation(digest);
+            witness.crashed(digest, process, began_at, at_unix_ms, is_held_back);
             if self.at_fault.contains(&digest) {
                 let crashed_at = self.crashed_at.entry(*digest.of_all_callers().start());
                 crashed_at.or_default().push(now);
@@ -318,7 +458,10 @@
             slots: 8,
             state: MemberState::Ready,
             suspects: self.witnesses[worker].publish(revision),
+            reviews: self.witnesses[worker].reviews().publish(revision),
         });
+        let acknowledged = self.now.plus_ms(self.rng.random_range(4..50));
+        self.at(acknowledged, Event::Acknowledge { worker, revision });
         self.logged[worker] = Some(record);
         let own = self.records[record].clone();
         self.directories[worker].merge(self.now, own);
@@ -331,6 +474,7 @@
 
     /// A daemon starts again and reads the newest records, its own among them.
     fn restart(&mut self, daemon: usize) {
+        self.offers[daemon] = TrialOffers::default();
         self.directories[daemon] = new_directory(daemon);
         for record in self.logged.clone().into_iter().flatten() {
             self.directories[daemon].merge(self.now, self.records[record].clone());
@@ -338,7 +482,11 @@
         let mut witness = CrashWitness::default();
         if let Some(Some(own)) = self.logged.get(daemon) {
             let own = &self.records[*own];
-            witness.restore(self.now, own.revision, &own.suspects);
+            let stated = RestoredEvidence {
+                suspects: &own.suspects,
+                reviews: &own.reviews,
+            };
+            witness.restore(self.now, own.revision, &stated);
         }
         self.witnesses[daemon] = witness;
     }
@@ -438,20 +586,22 @@
             match step {
                 Crash(digest) => {
                     let began_at = now.plus_ms(number as u64);
-                    witness.crashed(RequestDigest(*digest), process, began_at, |_| false);
+                    let at_unix_ms = now.0;
+                    let digest = RequestDigest(*digest);
+                    witness.crashed(digest, process, began_at, at_unix_ms, |_| false);
                 }
                 EndWell(digest) => {
                     witness.ended_well(now, RequestDigest(*digest));
                 }
                 Leave(digest) => witness.abandoned(now, RequestDigest(*digest), process, now),
                 End => {
-                    witness.process_ended(now, process, |_| false);
+                    witness.process_ended(now, process, |_| now.0, |_| false);
                 }
                 Start => process += 1,
                 Pass(ms) => now = now.plus_ms(*ms + 10),
             }
         }
-        witness.expire(now);
+        witness.expire(now, |_| 0);
         let suspects: Vec<(u64, u32)> = witness
             .publish(1)
             .iter()
@@ -467,7 +617,8 @@
     let held_back = RequestDigest(0);
     for number in 0..1_000 {
         let digest = RequestDigest(number);
-        witness.crashed(digest, number, TimeMs(number), |digest| digest == held_back);
+        let began_at = TimeMs(number);
+        witness.crashed(digest, number, began_at, 1, |digest| digest == held_back);
     }
     let suspects = witness.publish(1);
     assert_eq!(suspects.len(), 32);
@@ -480,6 +631,7 @@
     let suspect = CrashSuspect {
         digest: RequestDigest(1),
         crashes: 1,
+        at_unix_ms: 1,
     };
     struct Case {
         name: &'static str,
@@ -522,7 +674,11 @@
         }
         for (revision, restored) in case.copies.iter().zip(case.restored) {
             let now = TimeMs(1_000);
-            let is_new = witness.restore(now, *revision, &[suspect]);
+            let stated = RestoredEvidence {
+                suspects: &[suspect],
+                reviews: &[],
+            };
+            let is_new = witness.restore(now, *revision, &stated);
             assert_eq!(is_new, *restored, "{}: {revision}", case.name);
             witness.ended_well(now, suspect.digest);
         }
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -24,6 +24,7 @@
 use hyper_util::rt::TokioExecutor;
 use proxy::Proxy;
 use serde_json::{Value, json};
+use tokio::task::JoinHandle;
 
 /// Timeout for a condition to become true.
 const WAIT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -197,6 +198,12 @@
         send(address, "calls.example", path, Some(id), body).await
     }
 
+    /// Sends a request to a host's relay at once, in a task.
+    pub fn call_later(&self, host: usize, path: &'static str, id: String) -> JoinHandle<Answer> {
+        let address = self.hosts[host].settings.callers_address;
+        tokio::spawn(async move { send(address, "calls.example", path, Some(&id), b"").await })
+    }
+
     /// Sends a request to a host's relay with an API key, if one is given, and further headers.
     pub async fn call_as(
         &self,
--- a/tests/limit_random.rs
+++ b/tests/limit_random.rs
@@ -100,6 +100,7 @@
                 born_unix_ms: BORN,
                 slots: 100,
                 suspects: Vec::new(),
+                reviews: Vec::new(),
                 state: MemberState::Ready,
             },
             entries: (0..ENTRIES).map(|_| PeerStatements::default()).collect(),
--- a/tests/relay_crash.rs
+++ b/tests/relay_crash.rs
@@ -5,7 +5,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use deployment::Deployment;
+use burdockhall::decide::relay::{CrashSuspect, Member, RequestCaller, RequestDigest};
+use burdockhall::net::daemon::unix_ms;
+use burdockhall::net::relay::follow::MEMBERS_TOPIC;
+use deployment::{Deployment, free_address};
 
 /// Time after the third crash within which all daemons must know of it.
 const STABLE: Duration = Duration::from_secs(3);
@@ -143,6 +146,99 @@
     assert_held_back(cases).await;
 }
 
+/// Time within which a request that is wrongly held back must be served again, as after a final fault.
+const RECOVERY: Duration = Duration::from_secs(15);
+
+/// Guards against RECOVER: a request that ran on two lost backend servers was held back by every daemon that had not
+/// seen it end well itself, and so by all of them after a restart.
+#[tokio::test]
+async fn a_request_that_ends_well_is_served_by_daemons_that_start_after_crashes_beside_it() {
+    const POPULAR: &str = "/safe/work.100";
+    /// Numbers of the calls before which a backend server is lost for good.
+    const LOST_BEFORE: [usize; 2] = [100, 250];
+    // Callers are beside another service, so the daemons of lost backend servers see no good end.
+    let mut deployment = Deployment::start(&["a", "a", "a", "a", "b"]).await;
+    let caller = deployment.hosts.len() - 1;
+    let mut calls = Vec::new();
+    for number in 0..650 {
+        if let Some(lost) = LOST_BEFORE.iter().position(|before| *before == number) {
+            deployment.hosts[lost].worker.end();
+        }
+        let id = format!("popular-{number}");
+        calls.push(deployment.call_later(caller, POPULAR, id));
+        tokio::time::sleep(Duration::from_millis(8)).await;
+    }
+    for call in calls {
+        // Those on a lost backend server fail.
+        let _ = call.await;
+    }
+    deployment.add_host("b", "region").await;
+    let (new, known) = (caller + 1, caller + 2);
+    deployment
+        .wait("the new daemon knows the others", |deployment| {
+            let relay = &deployment.hosts[new].relay;
+            let directory = &relay.tables().directory;
+            relay.config_version() == 1 && directory.all().count() == known
+        })
+        .await;
+    for number in 0..20 {
+        let id = format!("after-{number}");
+        let answer = deployment.call(new, POPULAR, &id, b"").await;
+        assert!(answer.status.is_success(), "{}", answer.status);
+    }
+}
+
+/// Guards against RECOVER: a request that is held back never runs, so it had no way back, also where the daemons
+/// that suspected it were gone for good.
+#[tokio::test]
+async fn a_request_that_is_held_back_runs_on_trial_and_is_served_again() {
+    let deployment = Arc::new(Deployment::start(&["a", "a", "a", "b"]).await);
+    let caller = RequestCaller {
+        service: "b",
+        organisation: None,
+    };
+    let suspect = CrashSuspect {
+        digest: RequestDigest::new("POST", "/safe/echo", b"the same", caller),
+        crashes: 1,
+        at_unix_ms: unix_ms(),
+    };
+    for number in 0..2 {
+        let own = deployment.hosts[0].relay.own_member().expect("a record");
+        let gone = Member {
+            address: free_address(),
+            instance: format!("i-gone-{number}"),
+            suspects: vec![suspect],
+            ..own
+        };
+        let record = serde_json::to_vec(&gone).expect("JSON");
+        let key = gone.address.to_string();
+        deployment.store.put(MEMBERS_TOPIC, &key, &record);
+    }
+    deployment
+        .wait("the request is held back", |deployment| {
+            let mut hosts = deployment.hosts.iter();
+            hosts.all(|host| host.relay.tables().directory.is_held_back(suspect.digest))
+        })
+        .await;
+    let mut tasks = tokio::task::JoinSet::new();
+    for host in 0..deployment.hosts.len() {
+        tasks.spawn(send_heartbeats(Arc::clone(&deployment), host));
+    }
+    let until = Instant::now() + RECOVERY;
+    let (mut served, mut number) = (0, 0);
+    while served < 20 {
+        assert!(
+            Instant::now() < until,
+            "{served} served within {RECOVERY:?}"
+        );
+        let id = format!("again-{number}");
+        let answer = deployment.call(3, "/safe/echo", &id, b"the same").await;
+        served += usize::from(answer.status.is_success());
+        number += 1;
+        tokio::time::sleep(CALL_GAP).await;
+    }
+}
+
 /// Sends the request of each case again and again, and panics if it reaches backend servers in more than
 /// [`MAX_LATE_RUNS`] after they must know of it, or if another request does not reach one.
 async fn assert_held_back<const N: usize>(cases: [Case; N]) {
--- a/tests/relay_path.rs
+++ b/tests/relay_path.rs
@@ -584,6 +584,7 @@
             born_unix_ms: 1,
             slots: 8,
             suspects: Vec::new(),
+            reviews: Vec::new(),
             state: MemberState::Ready,
         };
         deployment.hosts[0]
--- a/tests/relay_readers.rs
+++ b/tests/relay_readers.rs
@@ -30,6 +30,7 @@
         born_unix_ms: 1,
         slots: 4,
         suspects: Vec::new(),
+        reviews: Vec::new(),
         state,
     }
 }
