Keep the outcome of a request that may run once while it runs

Cause: outcomes were dropped 60 s after the request was received, also of runs that had not ended. A key that is not known counted as one whose request has not run, if only the daemon had been up since the request was sent. With an answer to a query the daemon states for how long its knowledge is complete, in place of its uptime. Why it works: a query proves that a request has not run only if nothing of its age has been dropped.

--- a/src/decide/relay/mod.rs
+++ b/src/decide/relay/mod.rs
@@ -17,6 +17,7 @@
 pub mod load_curve;
 pub mod local_worker;
 pub mod organisations;
+pub mod outcome_table;
 pub mod pause;
 pub mod peer_statements;
 pub mod plausible;
@@ -54,6 +55,7 @@
 };
 pub use local_worker::{Heartbeat, HeartbeatOutcome, LocalWorker};
 pub use organisations::{KeyDigest, Organisation, OrganisationTable, Quota};
+pub use outcome_table::{HasEnded, OutcomeTable};
 pub use pause::PauseDetector;
 pub use peer_statements::PeerStatements;
 pub use proof::is_proof_of_absence;
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -142,10 +142,11 @@
     /// follows.
     #[serde(rename = "n", default)]
     pub members_read: LogPosition,
-    /// Uptime of the answering daemon, in milliseconds; only in answers to outcome queries, where
-    /// it shows whether the daemon was already running when the request was sent.
+    /// For how long the answering daemon has kept the outcome of each request, in milliseconds; its uptime
+    /// at most. Only in answers to outcome queries, where it shows whether the outcome of the request
+    /// would be known if it had run.
     #[serde(rename = "u", default, skip_serializing_if = "Option::is_none")]
-    pub up_ms: Option<u64>,
+    pub complete_ms: Option<u64>,
     /// Whether the body ends with the backend server's connection, so that it does not show whether the
     /// backend server has crashed.
     #[serde(rename = "b", default, skip_serializing_if = "std::ops::Not::not")]
@@ -291,7 +292,7 @@
             shares,
             config,
             members_read: self.members_read.own(),
-            up_ms: None,
+            complete_ms: None,
             ends_with_connection: false,
             member,
         }
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -195,8 +195,9 @@
     executed: ExecutionOutcome,
     /// Load that it reports; `None` if its answer is incomplete.
     load: Option<WorkerLoad>,
-    /// Uptime of that daemon, in milliseconds, if its answer includes it.
-    up_ms: Option<u64>,
+    /// For how long that daemon has kept the outcome of each request, in milliseconds, if its answer says
+    /// so.
+    complete_ms: Option<u64>,
 }
 
 async fn read_reply(
@@ -222,7 +223,7 @@
         return Ok(HopAnswer {
             executed: ExecutionOutcome::Unknown { reason },
             load: None,
-            up_ms: None,
+            complete_ms: None,
         });
     };
     apply_reply(relay, address, &reply);
@@ -254,7 +255,7 @@
     Ok(HopAnswer {
         executed,
         load: Some(worker_load(&reply)),
-        up_ms: reply.up_ms,
+        complete_ms: reply.complete_ms,
     })
 }
 
@@ -282,10 +283,12 @@
         let exchange = relay.pool.exchange(address, request, 0);
         read_reply(relay, address, exchange.await?).await
     };
-    let (executed, up_ms) = match tokio::time::timeout(timeout, reply).await {
+    let (executed, complete_ms) = match tokio::time::timeout(timeout, reply).await {
         Ok(Ok(HopAnswer {
-            executed, up_ms, ..
-        })) => (executed, up_ms),
+            executed,
+            complete_ms,
+            ..
+        })) => (executed, complete_ms),
         Ok(Err(_)) | Err(_) => (unknown(), None),
     };
     let since_sent_ms = relay.clock.now().since_ms(sent);
@@ -296,15 +299,16 @@
             ..
         }
     );
-    let executed = if is_fenced && !is_proof_of_absence(up_ms, since_sent_ms) {
+    let executed = if is_fenced && !is_proof_of_absence(complete_ms, since_sent_ms) {
         unknown()
     } else {
         executed
     };
     let (request_id, outcome) = (call.id, <&str>::from(HopOutcome::from(&executed)));
-    let up_ms = up_ms.map_or("unknown".to_owned(), |up_ms| up_ms.to_string());
+    let complete_ms =
+        complete_ms.map_or("unknown".to_owned(), |complete_ms| complete_ms.to_string());
     spdlog::info!("the outcome of a broken hop was asked for", kv: {
-        request_id, address:, outcome, since_sent_ms, up_ms
+        request_id, address:, outcome, since_sent_ms, complete_ms
     });
     executed
 }
--- a/src/net/relay/settle.rs
+++ b/src/net/relay/settle.rs
@@ -4,7 +4,6 @@
 //! connection. If the connection breaks, the entry queries the outcome over a new one. A key that
 //! was never received is fenced, so that a late copy of the request cannot run.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -20,6 +19,7 @@
 use super::executor::{self, Done, ExecutionOutcome, LocalRequest};
 use super::hop::{HopOutcome, attach_reply, empty_response};
 use super::state::Relay;
+use crate::decide::relay::{HasEnded, OutcomeTable};
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
 
 /// Path of the outcome query on the listener for hops.
@@ -27,15 +27,8 @@
 /// How long a request keeps running without a waiting connection, in milliseconds. After that no
 /// query is expected, and the caller has most likely left.
 const ABANDON_MS: u64 = 400;
-/// How long outcomes and fences are kept, in milliseconds. Longer than the deadline of any
-/// request.
-const RETENTION_MS: u64 = 60_000;
 /// Largest answer that is kept for an outcome query, in bytes.
 const MAX_STORED_BODY_BYTES: u64 = 128 * 1024;
-/// Number of entries from which a new key first evicts finished entries that are older than
-/// [`RETENTION_MS`]. Unfinished and younger entries stay, so it is not a hard limit.
-const EVICTION_THRESHOLD: usize = 4_096;
-
 /// Largest outcome query, in bytes.
 const MAX_QUERY_BYTES: usize = 4 * 1024;
 
@@ -57,80 +50,78 @@
 
 #[derive(Debug, Clone)]
 struct Settlement {
-    since: TimeMs,
     /// Number of connections that wait for the outcome.
     waiters: watch::Sender<usize>,
     finished: watch::Sender<Option<StoredOutcome>>,
 }
 
+impl Settlement {
+    fn new(finished: Option<StoredOutcome>) -> Settlement {
+        Settlement {
+            waiters: watch::Sender::new(0),
+            finished: watch::Sender::new(finished),
+        }
+    }
+}
+
+impl HasEnded for Settlement {
+    fn has_ended(&self) -> bool {
+        self.finished.borrow().is_some()
+    }
+}
+
 /// Non-idempotent requests by the key of their hop.
 #[derive(Debug, Default)]
 pub struct Settlements {
-    by_key: Mutex<HashMap<String, Settlement>>,
+    by_key: Mutex<OutcomeTable<Settlement>>,
 }
 
 impl Settlements {
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Settlement>> {
+    fn lock(&self) -> MutexGuard<'_, OutcomeTable<Settlement>> {
         self.by_key.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Registers a key as running; `None` if it was started or fenced before.
-    fn start(&self, now: TimeMs, key: &str) -> Option<Settlement> {
+    /// Registers a key as running, whose entry waits for `left_ms` milliseconds; `None` if it was started
+    /// or fenced before.
+    fn start(&self, now: TimeMs, key: &str, left_ms: u64) -> Option<Settlement> {
         let mut by_key = self.lock();
-        if by_key.contains_key(key) {
+        if by_key.get(key).is_some() {
             return None;
         }
-        if by_key.len() >= EVICTION_THRESHOLD {
-            by_key.retain(|_, settlement| {
-                now.since_ms(settlement.since) < RETENTION_MS
-                    || settlement.finished.borrow().is_none()
-            });
-        }
-        let settlement = Settlement {
-            since: now,
-            waiters: watch::Sender::new(0),
-            finished: watch::Sender::new(None),
-        };
-        by_key.insert(key.to_owned(), settlement.clone());
+        let settlement = Settlement::new(None);
+        by_key.insert(now, key, left_ms, settlement.clone());
         Some(settlement)
     }
 
-    /// The settlement of a key; fences the key if it was never received.
-    fn find_or_fence(&self, now: TimeMs, key: &str) -> Settlement {
-        if let Some(settlement) = self.start(now, key) {
-            spdlog::info!("a hop that is not known here was fenced", kv: { key });
-            settlement.finished.send_replace(Some(StoredOutcome {
-                outcome: HopOutcome::NotRun {
-                    reason: NotRunReason::Fenced,
-                    retry_after_ms: 0,
-                    arrived: false,
-                },
-                answer: None,
-            }));
-            return settlement;
+    /// The settlement of a key; fences the key if it is not known.
+    fn find_or_fence(&self, now: TimeMs, query: &SettleRequest) -> Settlement {
+        let key = query.key.as_str();
+        let mut by_key = self.lock();
+        if let Some(known) = by_key.get(key) {
+            return known.clone();
         }
-        let by_key = self.lock();
-        by_key.get(key).cloned().unwrap_or_else(|| Settlement {
-            since: now,
-            waiters: watch::Sender::new(0),
-            finished: watch::Sender::new(Some(StoredOutcome {
-                outcome: HopOutcome::Unknown,
-                answer: None,
-            })),
-        })
+        spdlog::info!("a hop that is not known here was fenced", kv: { key });
+        let fenced = Settlement::new(Some(StoredOutcome {
+            outcome: HopOutcome::NotRun {
+                reason: NotRunReason::Fenced,
+                retry_after_ms: 0,
+                arrived: false,
+            },
+            answer: None,
+        }));
+        by_key.insert(now, key, query.left_ms, fenced.clone());
+        fenced
     }
 
-    /// Removes entries whose retention time has passed; no entry daemon queries them any more.
+    /// Removes outcomes that no entry daemon asks for any more. Runs that have not ended stay.
     pub fn sweep(&self, now: TimeMs) {
-        self.lock().retain(|key, settlement| {
-            let age_ms = now.since_ms(settlement.since);
-            let is_expired = age_ms >= RETENTION_MS;
-            if is_expired && settlement.finished.borrow().is_none() {
-                let key = key.as_str();
-                spdlog::warn!("a run was forgotten before it had ended", kv: { key, age_ms });
-            }
-            !is_expired
-        });
+        self.lock().expire(now);
+    }
+
+    /// For how long a daemon that started at `started` has kept the outcome of each request, in
+    /// milliseconds.
+    fn complete_ms(&self, now: TimeMs, started: TimeMs) -> u64 {
+        self.lock().complete_ms(now, started)
     }
 }
 
@@ -158,7 +149,8 @@
     key: &str,
 ) -> ExecutionOutcome {
     let now = relay.clock.now();
-    let Some(settlement) = relay.settlements.start(now, key) else {
+    let left_ms = local_request.deadline.since_ms(now);
+    let Some(settlement) = relay.settlements.start(now, key, left_ms) else {
         return ExecutionOutcome::not_run(NotRunReason::Fenced, 0);
     };
     let waiter = Waiter::new(&settlement.waiters);
@@ -263,9 +255,7 @@
     let Some(query) = query else {
         return empty_response(StatusCode::BAD_REQUEST);
     };
-    let settlement = relay
-        .settlements
-        .find_or_fence(relay.clock.now(), &query.key);
+    let settlement = relay.settlements.find_or_fence(relay.clock.now(), &query);
     let waiter = Waiter::new(&settlement.waiters);
     let mut finished = settlement.finished.subscribe();
     let waited = tokio::time::timeout(
@@ -289,7 +279,10 @@
         None => empty_response(StatusCode::ACCEPTED),
     };
     let mut reply = relay.reply(stored.outcome, 0);
-    reply.up_ms = Some(relay.clock.now().since_ms(relay.started));
+    let complete_ms = relay
+        .settlements
+        .complete_ms(relay.clock.now(), relay.started);
+    reply.complete_ms = Some(complete_ms);
     attach_reply(&mut response, &reply);
     response
 }
