Use a restored backend server only on its own word

The daemon that had confirmed it was killed while the store gave no answer. Cause: a daemon that has been started again took copies of its record at other daemons for a sign that its backend server had not left, though they were as old as its own record. And it told nobody of a leaving until the call to the store had failed, after 2 s. Change: only a heartbeat, or the health check of its service answered by the instance of the record, shows that a restored backend server is ready; the health check counts for 4 s. A leaving that the store does not acknowledge within 100 ms is sent to other daemons. Until then the daemon refuses with a retry-after time of 100 ms. Why it works: the backend server is the only one that knows of a leaving that its daemon has forgotten. A case of relay_decisions that had another daemon confirm the state now asserts that no work is taken before a heartbeat, whatever copies say.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -62,11 +62,13 @@
     pub leaving_since: Option<TimeMs>,
     /// Rate limit that this process has stated.
     pub rate: RateStatements,
-    /// Whether its state comes from a record of before a restart that may be outdated: a drain that
-    /// was acknowledged while the log service was away is not in the log.
-    is_unconfirmed: bool,
-    /// Whether it comes from such a record and no heartbeat has arrived since the restart.
+    /// Whether its state comes from a record of before a restart, and no heartbeat has arrived since. The
+    /// record may be outdated: the process before the restart may have confirmed a leaving that nobody
+    /// else knows of.
     is_unheard: bool,
+    /// When it last answered a health check as ready. That counts like a heartbeat for as long as a process
+    /// in use may be silent: it may lag behind a leaving.
+    healthy_at: Option<TimeMs>,
 }
 
 impl LocalWorker {
@@ -85,27 +87,20 @@
             state,
             last_heard: now,
             rate: RateStatements::default(),
-            is_unconfirmed: false,
             is_unheard: false,
+            healthy_at: None,
         }
     }
 
-    /// Creates the state from the record that the log holds of this daemon. Until a heartbeat or
-    /// another daemon confirms it, the backend server gets no requests.
+    /// Creates the state from this daemon's record of before a restart. The backend server gets no requests
+    /// until a heartbeat of its own shows that it is not leaving; other copies of the record are no newer.
     pub fn restored(now: TimeMs, heartbeat: Heartbeat, state: MemberState) -> LocalWorker {
         let mut worker = LocalWorker::new(now, heartbeat);
         worker.restore_state(state);
-        worker.is_unconfirmed = true;
         worker.is_unheard = true;
         worker
     }
 
-    /// Records that another daemon knows no newer state of the backend server; true if that was not
-    /// known.
-    pub fn confirm(&mut self) -> bool {
-        std::mem::take(&mut self.is_unconfirmed)
-    }
-
     /// Applies the state that an earlier daemon process published for the same backend process.
     pub fn restore_state(&mut self, state: MemberState) {
         let has_left = matches!(state, MemberState::Draining | MemberState::Gone);
@@ -134,7 +129,6 @@
             return HeartbeatOutcome::Stale;
         }
         let before = (self.state, known.slots, known.service.clone());
-        self.confirm();
         self.heartbeat = heartbeat;
         self.last_heard = now;
         let is_first = std::mem::take(&mut self.is_unheard);
@@ -163,6 +157,16 @@
         self.state == MemberState::Ready && now.since_ms(self.last_heard) >= SILENT_MS
     }
 
+    /// Records that this instance has answered a health check as ready.
+    pub fn record_health(&mut self, now: TimeMs) {
+        self.healthy_at = Some(now);
+    }
+
+    /// Whether no heartbeat has arrived since this daemon was started again.
+    pub fn is_unheard(&self) -> bool {
+        self.is_unheard
+    }
+
     /// Whether it accepts requests and its heartbeats arrive.
     pub fn is_sound(&self, now: TimeMs) -> bool {
         self.state == MemberState::Ready && !self.is_unheard && !self.is_silent(now)
@@ -211,11 +215,19 @@
         true
     }
 
+    /// Whether the backend server itself has said that it is ready, since this daemon was started.
+    fn is_known_ready(&self, now: TimeMs) -> bool {
+        let is_healthy = self
+            .healthy_at
+            .is_some_and(|at| now.since_ms(at) < SILENT_MS);
+        !self.is_unheard || is_healthy
+    }
+
     /// Whether the backend server may get new requests: while it is known to be ready, and for
     /// `window_ms` after it started to leave.
     pub fn takes_work(&self, now: TimeMs, window_ms: u64) -> bool {
         match self.leaving_since {
-            None => self.state == MemberState::Ready && !self.is_unconfirmed,
+            None => self.state == MemberState::Ready && self.is_known_ready(now),
             Some(since) => now.since_ms(since) < window_ms,
         }
     }
--- a/src/decide/relay/routes.rs
+++ b/src/decide/relay/routes.rs
@@ -99,6 +99,8 @@
     pub name: ServiceName,
     /// Maximum number of connections that one worker accepts, from all callers together.
     pub max_connections: u32,
+    /// Path of the backend servers' health check, if they have one.
+    pub health_path: Option<String>,
 }
 
 /// Limits for callers' connections and requests.
@@ -143,6 +145,13 @@
 }
 
 impl RouteTable {
+    /// Path of the health check of a service's backend servers, if it is known.
+    pub fn health_path(&self, service: &ServiceName) -> Option<&str> {
+        let mut services = self.services.iter();
+        let service = services.find(|config| config.name == *service)?;
+        service.health_path.as_deref()
+    }
+
     /// Builds the table and its index by host and path prefix.
     pub fn new(
         version: u64,
--- a/src/net/relay/follow.rs
+++ b/src/net/relay/follow.rs
@@ -13,12 +13,15 @@
 use super::members::LOG_SOURCE;
 use super::record_log::{KeyedRecord, RecordLog, RecordLogError, Tail};
 use super::state::Relay;
-use crate::decide::relay::{Member, Readers, RouteTable};
+use crate::decide::relay::{Member, MemberState, Readers, RouteTable};
 
 /// Topic of the member records, one per daemon, keyed by its address.
 pub const MEMBERS_TOPIC: &str = "keyed.burdockhall-members";
 /// First and longest backoff after a record could not be written, in milliseconds.
 const WRITE_BACKOFF_MS: (u64, u64) = (100, 1_000);
+/// How long the log service may take to acknowledge that the backend server is leaving, in milliseconds,
+/// before other daemons are told.
+const PUSH_AFTER_MS: u64 = 100;
 /// Long-poll timeout of the first read after a failed one, in milliseconds.
 const RETRY_WAIT_MS: u64 = 500;
 /// Pause after the first read of the configuration, in milliseconds: most daemons have found a
@@ -267,7 +270,8 @@
                 break;
             };
             let key = member.address.to_string();
-            match log.put(MEMBERS_TOPIC, &key, Some(&value)).await {
+            let put = log.put(MEMBERS_TOPIC, &key, Some(&value));
+            match push_if_slow(&relay, &member, put).await {
                 Ok(era) => {
                     relay.observe_era(era);
                     written_era = written_era.max(Some(era));
@@ -295,6 +299,21 @@
     }
 }
 
+/// Waits until the log service has acknowledged this daemon's record. If the backend server is leaving and
+/// that takes long, other daemons are told meanwhile: this one may end before it does.
+async fn push_if_slow<T>(relay: &Arc<Relay>, member: &Member, put: impl Future<Output = T>) -> T {
+    tokio::pin!(put);
+    let is_leaving = matches!(member.state, MemberState::Draining | MemberState::Gone);
+    if is_leaving {
+        let patience = Duration::from_millis(PUSH_AFTER_MS);
+        if let Ok(acknowledged) = tokio::time::timeout(patience, &mut put).await {
+            return acknowledged;
+        }
+        super::peers::push_record(relay, member).await;
+    }
+    put.await
+}
+
 /// Waits for an era of the log service later than `known`.
 async fn next_era(log_era: &mut watch::Receiver<Option<u64>>, known: Option<u64>) -> u64 {
     let newer = log_era.wait_for(|era| *era > known).await;
--- a/src/net/relay/header_names.rs
+++ b/src/net/relay/header_names.rs
@@ -12,6 +12,8 @@
     pub time_left_ms: HeaderName,
     /// The instance of the backend server that the request is for; any other must refuse it.
     pub expected_instance: HeaderName,
+    /// Names the instance of a backend server in the answer to a health check.
+    pub instance: HeaderName,
     /// Service of the VM from which the request was made.
     pub caller_service: HeaderName,
     /// Signature by which the backend server proves that the answer is its own.
--- a/src/net/relay/hop.rs
+++ b/src/net/relay/hop.rs
@@ -15,7 +15,7 @@
 use super::body::RelayBody;
 use super::capacity::LocalCapacity;
 use super::connection_timeout::Answering;
-use super::executor::{self, ExecutionOutcome, LocalRequest};
+use super::executor::{self, ExecutionOutcome, LocalRequest, UNREACHABLE_MS};
 use super::log_progress::LogPosition;
 use super::state::{Relay, Tables};
 use super::{peers, quotas, settle};
@@ -29,6 +29,8 @@
 /// Carries [`HopReply`] as JSON.
 pub const REPLY_HEADER: HeaderName = HeaderName::from_static("burdockhall-reply");
 pub(super) const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// How long a worker that reports that it takes no requests is skipped, in milliseconds.
+const NO_REQUESTS_MS: u64 = 700;
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
 /// Metadata of a request, from the entry daemon to the daemon beside the backend server.
@@ -205,16 +207,34 @@
 impl HopOutcome {
     /// Whether the instance that was addressed takes no requests.
     pub fn takes_no_requests(self) -> bool {
-        let HopOutcome::NotRun { reason, .. } = self else {
-            return false;
+        self.avoid_ms().is_some()
+    }
+
+    /// How long the worker is skipped, in milliseconds, if the instance that was addressed takes no
+    /// requests: less if it says that it may soon take some.
+    pub fn avoid_ms(self) -> Option<u64> {
+        let HopOutcome::NotRun {
+            reason,
+            retry_after_ms,
+            ..
+        } = self
+        else {
+            return None;
         };
-        matches!(
+        let takes_none = matches!(
             reason,
             NotRunReason::Leaving
                 | NotRunReason::NoWorker
                 | NotRunReason::WrongIncarnation
                 | NotRunReason::BackendUnreachable
-        )
+        );
+        let is_soon = (1..UNREACHABLE_MS).contains(&retry_after_ms);
+        let avoid_ms = if is_soon {
+            retry_after_ms
+        } else {
+            NO_REQUESTS_MS
+        };
+        takes_none.then_some(avoid_ms)
     }
 }
 
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -25,6 +25,7 @@
         let worker = tables.worker.as_ref();
         let worker = worker.filter(|worker| worker.state == MemberState::Ready);
         let process_before = worker.map(LocalWorker::process);
+        let was_unheard = tables.worker.as_ref().is_some_and(LocalWorker::is_unheard);
         let outcome = match &mut tables.worker {
             Some(worker) => worker.apply_heartbeat(now, heartbeat),
             None => {
@@ -54,12 +55,33 @@
             self.announce(&mut tables, now);
         }
         let worker = tables.worker.as_ref();
+        if was_unheard
+            && let Some(worker) = worker
+            && !worker.is_unheard()
+        {
+            let (instance, state) = (
+                worker.heartbeat.instance.as_str(),
+                <&str>::from(worker.state),
+            );
+            let up_ms = now.since_ms(self.started);
+            spdlog::info!("the backend server was heard for the first time since the start", kv: {
+                instance, state, up_ms
+            });
+        }
         (
             outcome,
             worker.is_some_and(|worker| worker.confirms(drains)),
         )
     }
 
+    /// Records that this instance beside this daemon has answered a health check as ready.
+    pub(super) fn record_health(&self, instance: &str) {
+        let now = self.clock.now();
+        if let Some(worker) = self.tables().worker_of(instance) {
+            worker.record_health(now);
+        }
+    }
+
     /// Records what an answer of the backend server beside this daemon states about its rate limit.
     pub fn record_stated_rate(&self, instance: &str, answer: AnsweredRate) {
         let mut tables = self.tables();
@@ -218,9 +240,6 @@
             let known = &worker.heartbeat;
             if known.instance == member.instance && known.born_unix_ms == member.born_unix_ms {
                 worker.restore_state(member.state);
-                if source != LOG_SOURCE && worker.confirm() {
-                    log_confirmed(worker, "a copy of its record", source);
-                }
             }
             let state = worker.state;
             let published = tables.directory.get(member.address);
@@ -248,11 +267,7 @@
             cold_ms: 0,
         };
         tables.admission.set_slots(heartbeat.slots);
-        let mut worker = LocalWorker::restored(now, heartbeat, member.state);
-        if source != LOG_SOURCE && worker.confirm() {
-            log_confirmed(&worker, "a copy of its record", source);
-        }
-        tables.worker = Some(worker);
+        tables.worker = Some(LocalWorker::restored(now, heartbeat, member.state));
         self.update_capacity(tables, now);
         tables.directory.merge(now, member.clone());
         // The log already holds this record, so nothing is published unless it is outdated.
@@ -260,16 +275,9 @@
             self.announce(tables, now);
         }
         let instance = member.instance.as_str();
-        spdlog::info!("restored the backend server from the record of before the restart", kv: { instance });
-    }
-
-    /// Records that another daemon holds the same member records as this one.
-    pub(super) fn confirm_worker(&self) {
-        if let Some(worker) = &mut self.tables().worker
-            && worker.confirm()
-        {
-            log_confirmed(worker, "the same records", "peer");
-        }
+        spdlog::info!("restored the backend server from the record of before the restart", kv: {
+            instance, source
+        });
     }
 
     /// Creates a new revision of this daemon's member record and has it published.
@@ -335,14 +343,3 @@
     }
     false
 }
-
-/// Logs what has confirmed the state of a backend server that was restored after a restart.
-fn log_confirmed(worker: &LocalWorker, by: &str, source: &str) {
-    let (instance, state) = (
-        worker.heartbeat.instance.as_str(),
-        <&str>::from(worker.state),
-    );
-    spdlog::info!("the restored state of the backend server was confirmed", kv: {
-        instance, state, by, source
-    });
-}
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -16,6 +16,7 @@
 pub mod follow;
 pub mod head_limit;
 pub mod header_names;
+pub mod health;
 pub mod hop;
 pub mod identify;
 pub mod listen;
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -27,8 +27,6 @@
 /// Longest idle time after which a connection to another daemon is reused, in milliseconds. Kept
 /// short because idle connections hold most of a daemon's memory after a surge.
 const HOP_IDLE_MS: u64 = 1_500;
-/// How long a worker that reports that it takes no requests is skipped, in milliseconds.
-const NO_REQUESTS_MS: u64 = 700;
 
 /// Offers the request to one worker and returns the outcome.
 pub(super) async fn offer(
@@ -173,8 +171,8 @@
     for report in &reply.shares {
         tables.entry_shares.record_report(now, report);
     }
-    if reply.outcome.takes_no_requests() {
-        tables.load_balancer.avoid_for(now, address, NO_REQUESTS_MS);
+    if let Some(avoid_ms) = reply.outcome.avoid_ms() {
+        tables.load_balancer.avoid_for(now, address, avoid_ms);
     }
 }
 
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -314,16 +314,11 @@
     };
     let sent = relay.clock.now();
     let mut state = query_state(relay, peer, &query).await?;
-    // The whole directory was asked for, and nothing differs.
-    let is_same = query.change == 0 && state.members.is_empty();
     take_over(relay, peer, source, &mut state);
     if state.reaches_log {
         let age_ms = state.config_age_ms.unwrap_or(0);
         relay.record_config_heard(sent, wait_ms, age_ms);
     }
-    if is_same {
-        relay.confirm_worker();
-    }
     Some(state)
 }
 
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -9,7 +9,9 @@
 use super::executor::{ExecutionOutcome, HELD_BACK_RETRY_MS, LocalRequest, UNREACHABLE_MS};
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
-use crate::decide::relay::{AdmissionDecision, AdmissionRequest, RequestDigest, RunEnd, WaiterId};
+use crate::decide::relay::{
+    AdmissionDecision, AdmissionRequest, MemberState, RequestDigest, RunEnd, WaiterId,
+};
 use crate::model::{NotRunReason, ServiceName, TimeMs};
 
 /// Fraction of the drain time for which a draining backend server still gets requests that were
@@ -20,6 +22,9 @@
 /// Retry-after time if the backend server beside this daemon is draining or gone, in
 /// milliseconds: about two heartbeats.
 pub(super) const LEAVING_RETRY_MS: u64 = 500;
+/// Retry-after time while the backend server has not been heard since this daemon was started, in
+/// milliseconds. Its next heartbeat may come at any moment.
+const UNHEARD_RETRY_MS: u64 = 100;
 
 /// An occupied slot of the backend server, released on drop.
 #[derive(Debug)]
@@ -248,6 +253,13 @@
         return refuse(NotRunReason::WrongIncarnation);
     }
     if !worker.takes_work(now, drain_ms) {
+        if worker.is_unheard() && worker.state == MemberState::Ready {
+            let retry_after_ms = UNHEARD_RETRY_MS;
+            return Err(ExecutionOutcome::not_run(
+                NotRunReason::Leaving,
+                retry_after_ms,
+            ));
+        }
         return refuse(NotRunReason::Leaving);
     }
     if tables
--- a/src/platform/header_names.rs
+++ b/src/platform/header_names.rs
@@ -19,6 +19,7 @@
         request_id: HeaderName::from_static("x-request-id"),
         time_left_ms: HeaderName::from_static("x-deadline-ms"),
         expected_instance: HeaderName::from_static("x-expect-instance"),
+        instance: HeaderName::from_static("x-instance-id"),
         caller_service: HeaderName::from_static("x-caller-service"),
         signature: HeaderName::from_static("x-response-signature"),
         not_run: HeaderName::from_static("x-not-executed"),
--- a/src/platform/routing.rs
+++ b/src/platform/routing.rs
@@ -69,6 +69,7 @@
 struct WireService {
     name: String,
     max_connections: u32,
+    health_path: Option<String>,
 }
 
 #[derive(Debug, Deserialize)]
@@ -174,6 +175,7 @@
     ServiceConfig {
         name: ServiceName::from(wire.name.as_str()),
         max_connections: wire.max_connections,
+        health_path: wire.health_path.clone(),
     }
 }
 
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -14,7 +14,7 @@
 use crate::net::relay::hop::empty_response;
 use crate::net::relay::listen::ClientKind;
 use crate::net::relay::log_limiter::Dropped;
-use crate::net::relay::{Relay, RelayBody, entry, follow, hop, listen, peers, quotas};
+use crate::net::relay::{Relay, RelayBody, entry, follow, health, hop, listen, peers, quotas};
 
 /// Interval between two sweeps of idle connections and expired settlements, in milliseconds.
 const SWEEP_MS: u64 = 1_000;
@@ -46,6 +46,7 @@
     tokio::spawn(peers::poll_peers(Arc::clone(relay), CONFIG));
     tokio::spawn(peers::watch_other_zone(Arc::clone(relay)));
     tokio::spawn(quotas::report(Arc::clone(relay)));
+    tokio::spawn(health::check_restored(Arc::clone(relay)));
     tokio::spawn(sweep(Arc::clone(relay)));
     let (zone, service) = (settings.place.zone.as_str(), settings.service.as_str());
     let callers = settings.callers_address;
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -30,6 +30,8 @@
 const DEFAULT_SLOTS: u32 = 8;
 /// How long a backend server that has crashed is away.
 const CRASH_RESTART: Duration = Duration::from_millis(300);
+/// Path of the health check, which is no run.
+const HEALTH_PATH: &str = "/healthz";
 /// Value of the signature header of a signed answer.
 const SIGNATURE: &str = "stand-in.1";
 
@@ -61,6 +63,10 @@
     /// Wakes the listener when a request crashes the backend server.
     crashed: Notify,
     crashes: AtomicU64,
+    /// Whether it has said that it is leaving.
+    is_leaving: AtomicBool,
+    /// Number of health checks.
+    health_checks: AtomicUsize,
     /// Header lines that all answers carry.
     stated: Mutex<String>,
     runs: Mutex<Vec<Run>>,
@@ -97,6 +103,8 @@
             instance: Mutex::new(instance.to_owned()),
             crashed: Notify::new(),
             crashes: AtomicU64::new(0),
+            is_leaving: AtomicBool::new(false),
+            health_checks: AtomicUsize::new(0),
             stated: Mutex::default(),
             runs: Mutex::default(),
             misdirected: Mutex::default(),
@@ -148,6 +156,11 @@
         lock(&self.shared.runs).clone()
     }
 
+    /// Number of health checks so far.
+    pub fn health_checks(&self) -> usize {
+        self.shared.health_checks.load(Ordering::Relaxed)
+    }
+
     /// Number of requests that expected another instance and got status 421.
     pub fn misdirected(&self) -> u32 {
         *lock(&self.shared.misdirected)
@@ -176,6 +189,8 @@
         state: &str,
         born: u64,
     ) -> u16 {
+        let is_leaving = state != "ready";
+        self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
         let body = serde_json::json!({
             "address": self.announced.to_string(),
             "born": born,
@@ -189,6 +204,7 @@
     /// Deregisters from the daemon, as the process of this start if one is given. Returns the status of
     /// the answer, or 0 without an answer.
     pub async fn deregister(&self, daemon: SocketAddr, born: Option<u64>) -> u16 {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
         let body = born.map(|born| serde_json::json!({ "born": born }).to_string());
         self.send_rpc(daemon, "instances.deregister", body.unwrap_or_default())
             .await
@@ -254,9 +270,12 @@
         self.run.headers.get(name).map_or("", String::as_str)
     }
 
+    fn path(&self) -> &str {
+        self.run.line.split(' ').nth(1).unwrap_or_default()
+    }
+
     fn segment(&self) -> &str {
-        let path = self.run.line.split(' ').nth(1).unwrap_or_default();
-        path.rsplit('/').next().unwrap_or_default()
+        self.path().rsplit('/').next().unwrap_or_default()
     }
 
     fn behaviour(&self) -> Behaviour {
@@ -293,6 +312,17 @@
             .write_all(std::mem::take(&mut late_answer).as_bytes())
             .await?;
         let instance = lock(&shared.instance).clone();
+        if received.path() == HEALTH_PATH {
+            shared.health_checks.fetch_add(1, Ordering::Relaxed);
+            let status = match shared.is_leaving.load(Ordering::Relaxed) {
+                true => "503 Service Unavailable",
+                false => "200 OK",
+            };
+            let head = format!("HTTP/1.1 {status}\r\nX-Instance-Id: {instance}\r\n");
+            let answer = format!("{head}content-length: 0\r\n\r\n");
+            stream.write_all(answer.as_bytes()).await?;
+            continue;
+        }
         let expected = received.header("x-expect-instance");
         if !expected.is_empty() && expected != instance {
             *lock(&shared.misdirected) += 1;
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 use burdockhall::config::RelaySettings;
-use burdockhall::decide::relay::{RequestDigest, RootRequest};
+use burdockhall::decide::relay::{Member, RequestDigest, RootRequest};
+use burdockhall::net::relay::follow::MEMBERS_TOPIC;
 use burdockhall::net::relay::hop::HopRequest;
 use burdockhall::net::relay::{Relay, stop};
 use burdockhall::platform;
@@ -157,6 +158,26 @@
 
     /// Starts one more relay with a backend server.
     pub async fn add_host(&mut self, service: &str, region: &str) {
+        self.add_silent_host(service, region, |_| None).await;
+        let Host {
+            settings, worker, ..
+        } = &self.hosts[self.hosts.len() - 1];
+        assert_eq!(
+            worker
+                .send_heartbeat(settings.local_address, 1, "ready", 100)
+                .await,
+            200
+        );
+    }
+
+    /// Starts one more relay beside a backend server that sends no heartbeat. The store holds the record that
+    /// `record_before` returns for its address, as after a kill.
+    pub async fn add_silent_host(
+        &mut self,
+        service: &str,
+        region: &str,
+        record_before: impl Fn(SocketAddr) -> Option<Member>,
+    ) {
         let instance = format!("i-{}", self.hosts.len());
         let worker = StandInWorker::start(free_address(), service, &instance);
         let worker = worker.await.expect("the worker starts");
@@ -164,14 +185,13 @@
         let store_proxy = Proxy::start(store_address, self.store.address).await;
         let mut settings = settings(service, store_address, worker.address);
         settings.place.region = region.into();
+        if let Some(member) = record_before(settings.hop_address) {
+            let record = serde_json::to_vec(&member).expect("JSON");
+            let key = member.address.to_string();
+            self.store.put(MEMBERS_TOPIC, &key, &record);
+        }
         let relay = Relay::new(settings.clone(), platform::header_names());
         platform::start(&relay).await.expect("the listeners open");
-        assert_eq!(
-            worker
-                .send_heartbeat(settings.local_address, 1, "ready", 100)
-                .await,
-            200
-        );
         self.hosts.push(Host {
             relay,
             settings,
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -321,27 +321,37 @@
 fn a_drain_acknowledged_before_a_restart_does_not_begin_anew() {
     struct Case {
         name: &'static str,
-        is_confirmed: bool,
+        /// State in copies of the record that other daemons hold.
+        copies: &'static [MemberState],
         first_draining: bool,
         takes_work: bool,
     }
-    let case = |name, is_confirmed, first_draining, takes_work| Case {
+    let case = |name, copies, first_draining, takes_work| Case {
         name,
-        is_confirmed,
+        copies,
         first_draining,
         takes_work,
     };
+    let ready = &[MemberState::Ready];
     let cases = [
-        case("draining at the first heartbeat", false, true, false),
-        case("confirmed as ready by another daemon", true, true, false),
-        case("draining at the second heartbeat", false, false, true),
+        case("draining at the first heartbeat", &[], true, false),
+        case("ready for another daemon", ready, true, false),
+        case("draining at the second heartbeat", &[], false, true),
+        case(
+            "draining for another daemon",
+            &[MemberState::Draining],
+            false,
+            false,
+        ),
     ];
     for case in cases {
         let mut worker =
             LocalWorker::restored(TimeMs(5_000), heartbeat("i-1", 100, 0), MemberState::Ready);
-        if case.is_confirmed {
-            worker.confirm();
+        for state in case.copies {
+            worker.restore_state(*state);
         }
+        let takes_work = worker.takes_work(TimeMs(5_050), 800);
+        assert!(!takes_work, "{}: before a heartbeat", case.name);
         for (sequence, draining) in [(7, case.first_draining), (8, true)] {
             let mut next = heartbeat("i-1", 100, sequence);
             next.draining = draining;
--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use burdockhall::decide::relay::MemberState;
+use burdockhall::decide::relay::{Member, MemberState};
 use burdockhall::net::daemon::unix_ms;
-use deployment::Deployment;
+use deployment::proxy::Direction;
+use deployment::{Deployment, Host};
 
 #[tokio::test]
 async fn a_backend_server_that_states_its_leaving_gets_no_request_after_the_drain_time() {
@@ -111,6 +112,182 @@
     assert_eq!(leaving.worker.runs().len(), 0);
 }
 
+/// Guards against DRAIN after a kill: a daemon had confirmed a leaving that nobody else knew of, was started again and
+/// took copies of its record from before, which other daemons held, for a sign that the server had not left.
+#[tokio::test]
+async fn copies_of_its_record_do_not_show_a_restarted_daemon_that_its_server_has_not_left() {
+    const BORN: u64 = 100;
+    struct Case {
+        name: &'static str,
+        /// State, sequence number and start of the process in the first heartbeat after the restart; none if the
+        /// server has deregistered.
+        heartbeat: Option<(&'static str, u64, u64)>,
+        is_used: bool,
+    }
+    let case = |name, heartbeat, is_used| Case {
+        name,
+        heartbeat,
+        is_used,
+    };
+    let cases = [
+        case("deregistered", None, false),
+        case("draining", Some(("draining", 7, BORN)), false),
+        case("sound", Some(("ready", 7, BORN)), true),
+        case("another process", Some(("ready", 1, BORN + 50)), true),
+    ];
+    let mut running = tokio::task::JoinSet::new();
+    for case in cases {
+        running.spawn(async move {
+            let deployment = Deployment::start(&["a", "a", "b"]).await;
+            let leaving = &deployment.hosts[0];
+            let before = leaving.relay.own_member().expect("a record");
+            // What the killed process knew is gone.
+            {
+                let mut tables = leaving.relay.tables();
+                tables.worker = None;
+                tables.directory.remove(before.address);
+                tables.heard_changes.clear();
+            }
+            for source in ["log", "peer", "reply"] {
+                leaving.relay.merge_members(vec![before.clone()], source);
+            }
+            // Other daemons hold the same records, and are asked meanwhile.
+            let faults = deployment.store.faults();
+            faults.down.store(true, Ordering::Relaxed);
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+            let call = async |number: usize| {
+                let id = format!("after-{number}");
+                let answer = deployment.call(0, "/safe/work.10", &id, b"").await;
+                assert!(
+                    answer.status.is_success(),
+                    "{}: {}",
+                    case.name,
+                    answer.status
+                );
+            };
+            for number in 0..20 {
+                call(number).await;
+            }
+            assert_eq!(leaving.worker.runs().len(), 0, "{}: too early", case.name);
+            let local = leaving.settings.local_address;
+            if let Some((state, sequence, born)) = case.heartbeat {
+                let heartbeat = leaving.worker.send_heartbeat(local, sequence, state, born);
+                assert_eq!(heartbeat.await, 200, "{}", case.name);
+            }
+            for number in 20..40 {
+                call(number).await;
+            }
+            let is_used = !leaving.worker.runs().is_empty();
+            assert_eq!(is_used, case.is_used, "{}", case.name);
+        });
+    }
+    running.join_all().await;
+}
+
+/// Guards against requests that are refused after a kill: a sound backend server waited for its next heartbeat. And
+/// against DRAIN: its health check is believed for as long only as a process in use may be silent.
+#[tokio::test]
+async fn a_restored_server_that_answers_its_health_check_is_used_until_its_heartbeat_is_due() {
+    struct Case {
+        name: &'static str,
+        /// Instance in the record of before the restart.
+        instance: &'static str,
+        state: MemberState,
+        is_used: bool,
+    }
+    let cases = [
+        Case {
+            name: "ready",
+            instance: "i-1",
+            state: MemberState::Ready,
+            is_used: true,
+        },
+        Case {
+            name: "another instance answers",
+            instance: "i-0",
+            state: MemberState::Ready,
+            is_used: false,
+        },
+        Case {
+            name: "known as gone",
+            instance: "i-1",
+            state: MemberState::Gone,
+            is_used: false,
+        },
+    ];
+    let mut running = tokio::task::JoinSet::new();
+    for case in cases {
+        running.spawn(async move {
+            let mut deployment = Deployment::start(&["b"]).await;
+            let known = deployment.hosts[0].relay.own_member().expect("a record");
+            let before = |address| {
+                Some(Member {
+                    address,
+                    service: "a".into(),
+                    instance: case.instance.to_owned(),
+                    state: case.state,
+                    ..known.clone()
+                })
+            };
+            deployment.add_silent_host("a", "region", before).await;
+            let started = Instant::now();
+            let call = async |number: usize| {
+                let id = format!("after-{number}");
+                deployment.call(0, "/safe/echo", &id, b"").await.status
+            };
+            let (mut is_used, mut number) = (false, 0);
+            while started.elapsed() < Duration::from_secs(1) {
+                is_used |= call(number).await.is_success();
+                number += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            assert_eq!(is_used, case.is_used, "{}", case.name);
+            tokio::time::sleep_until((started + Duration::from_millis(5_500)).into()).await;
+            let late = call(number).await;
+            assert!(!late.is_success(), "{}: without a heartbeat", case.name);
+        });
+    }
+    running.join_all().await;
+}
+
+/// Guards against DRAIN after a kill: a leaving that was confirmed while the log service gave no answer was told to
+/// other daemons only once the call had failed, seconds later.
+#[tokio::test]
+async fn other_daemons_hear_of_a_leaving_at_once_while_the_log_service_gives_no_answer() {
+    let deployment = Deployment::start(&["a", "a", "a", "a", "b"]).await;
+    let reads_log = |host: &Host| *host.relay.reads_log.borrow();
+    deployment
+        .wait("few daemons read the store", |deployment| {
+            let hosts = deployment.hosts.iter();
+            hosts.filter(|host| reads_log(host)).count() == 2
+        })
+        .await;
+    // Nobody follows a daemon that does not read the store, so nobody hears its changes by itself.
+    let leaving = deployment.hosts.iter().position(|host| !reads_log(host));
+    let leaving = leaving.expect("a daemon that follows another one");
+    let (leaving, others) = (&deployment.hosts[leaving], &deployment.hosts);
+    let address = leaving.settings.hop_address;
+    leaving.store_proxy.silence();
+    leaving.store_proxy.cut(Direction::FromTarget);
+    let local = leaving.settings.local_address;
+    assert_eq!(leaving.worker.deregister(local, Some(100)).await, 200);
+    let until = Instant::now() + Duration::from_millis(500);
+    deployment
+        .wait("another daemon knows of it", |_| {
+            let mut others = others.iter();
+            others.any(|host| {
+                if host.settings.hop_address == address {
+                    return false;
+                }
+                let tables = host.relay.tables();
+                let known = tables.directory.get(address);
+                known.is_some_and(|known| known.member.state == MemberState::Gone)
+            })
+        })
+        .await;
+    assert!(Instant::now() < until, "too late");
+}
+
 /// Guards against DRAIN after a restart: a daemon confirmed the deregistration of a backend server that it
 /// did not know, forgot it, and used the server again once its record or a late heartbeat had arrived.
 #[tokio::test]
