Take no status outside 200 to 599 for an answer

Callers saw: 600 to 999, and 101 that they had not asked for, as a backend server in trouble had sent them (MIXED). 000 itself was not passed on; the report of other systems led to the check. Cause: what the HTTP library reads as a status was taken for one of the protocol. The stand-in can answer with any status.

--- a/src/net/backend.rs
+++ b/src/net/backend.rs
@@ -81,6 +81,12 @@
         let request = self.run_request(run)?;
         let (status, headers, body) =
             http::exchange(&self.client, self.address, request, timeout_ms).await?;
+        if !http::is_final(status) {
+            return Err(BackendError::Net(NetError::Broken {
+                address: self.address,
+                message: format!("status {} is none of an answer", status.as_u16()),
+            }));
+        }
         if http::header(&headers, OUTCOME_HEADER) == Some("not-run") {
             let retry_after = http::header(&headers, RETRY_AFTER_HEADER);
             let retry_after_ms = retry_after.and_then(|text| text.parse().ok());
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -56,6 +56,12 @@
     path_bytes + headers_bytes.sum::<usize>()
 }
 
+/// Whether a status ends an exchange: one of the classes 2xx to 5xx (RFC 9110, section 15). The status 101
+/// counts as none, since no request here asks for another protocol.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Serves connections until the task is aborted, each on a task of its own.
 pub async fn serve<H, F, B>(listener: TcpListener, handler: H)
 where
--- a/src/net/relay/answers.rs
+++ b/src/net/relay/answers.rs
@@ -18,6 +18,7 @@
 use super::state::Relay;
 use crate::decide::relay::{AnsweredRate, StatedRate};
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
+use crate::net::http;
 
 /// How long an idle connection is kept if the backend server sends no keep-alive timeout, in
 /// milliseconds.
@@ -45,6 +46,10 @@
     let header_names = &relay.header_names;
     let headers = response.headers();
     let status = response.status();
+    if !http::is_final(status) {
+        let message = format!("status {} is none of an answer", status.as_u16());
+        return unknown_outcome(relay, request_id, UnknownReason::BackendBroke, &message);
+    }
     // The answer belongs to another request, for example a late or duplicate one, or does not say
     // to which it belongs. The answer to this request may still arrive, so its outcome is unknown.
     let echoed = headers
--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -21,6 +21,7 @@
 use super::state::Relay;
 use crate::decide::relay::{Candidate, WorkerLoad, is_proof_of_absence};
 use crate::model::{NotRunReason, TimeMs, UnknownReason};
+use crate::net::http;
 
 /// Time beyond the deadline in which an answer in transit may still arrive, in milliseconds.
 const REPLY_GRACE_MS: u64 = 150;
@@ -216,7 +217,8 @@
     };
     strip_connection_headers(&mut parts.headers);
     let body = RelayBody::answer(incoming, Some(connection));
-    let Some(reply) = reply else {
+    // A daemon of an older build may have passed on a status that ends no exchange.
+    let Some(reply) = reply.filter(|_| http::is_final(parts.status)) else {
         let reason = UnknownReason::ExecutorSilent;
         return Ok(HopAnswer {
             executed: ExecutionOutcome::Unknown { reason },
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -12,6 +12,8 @@
     Echo,
     /// Run and answer with status 500.
     Fail,
+    /// Run and answer with the status in the segment after its first dot, of whatever size.
+    Status,
     /// Refuse the request without running it.
     Shed,
     /// Run and close the connection without an answer.
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -289,12 +289,17 @@
 
     /// Whether the caller service is the one after the segment's first dot.
     fn is_named_caller(&self) -> bool {
-        self.segment().split('.').nth(1) == Some(self.header("x-caller-service"))
+        self.argument() == self.header("x-caller-service")
+    }
+
+    /// What follows the segment's first dot.
+    fn argument(&self) -> &str {
+        self.segment().split('.').nth(1).unwrap_or_default()
     }
 
     /// The number after the segment's first dot.
     fn number(&self) -> Option<u64> {
-        self.segment().split('.').nth(1)?.parse().ok()
+        self.argument().parse().ok()
     }
 
     /// Duration of a timed run: the milliseconds after the segment's first dot, else one second.
@@ -346,6 +351,7 @@
             lock(&shared.runs).push(run);
         }
         let run_duration = received.run_duration();
+        let received_status = received.argument().to_owned();
         let bytes = received.number().unwrap_or(1) as usize;
         let stated = lock(&shared.stated).clone();
         let signed = format!("X-Request-Id: {id}\r\nX-Response-Signature: {SIGNATURE}\r\n");
@@ -391,6 +397,10 @@
                 let length = format!("content-length: {bytes}\r\n\r\n");
                 (format!("{ok}{signed}{length}{body}"), Vec::new())
             }
+            Behaviour::Status => {
+                let status = received_status;
+                (format!("HTTP/1.1 {status} Odd\r\n{signed}{length}"), body)
+            }
             Behaviour::Fail => (format!("{error}{signed}{length}"), body),
             Behaviour::Shed | Behaviour::LateShed => {
                 let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
--- a/tests/relay_answers.rs
+++ b/tests/relay_answers.rs
@@ -44,3 +44,28 @@
         }
     }
 }
+
+/// Guards against MIXED: statuses that end no exchange reached callers as answers, 600 to 999 and a change of
+/// protocol that nobody had asked for.
+#[tokio::test]
+async fn a_status_that_ends_no_exchange_reaches_no_caller() {
+    let statuses = [
+        "000", "001", "20", "099", "101", "2x0", "600", "777", "999", "1000",
+    ];
+    let deployment = Deployment::start(&["a", "b"]).await;
+    for host in [0, 1] {
+        for status in statuses {
+            for kind in ["safe", "once"] {
+                let id = format!("{kind}-{host}-{status}");
+                let path = format!("/{kind}/status.{status}");
+                let answer = deployment.call(host, &path, &id, b"odd").await;
+                assert_eq!(answer.status, StatusCode::BAD_GATEWAY, "{host}: {path}");
+                assert_eq!(deployment.runs(&id), 1, "{host}: {path}");
+                let next = deployment
+                    .call(host, "/safe/echo", &format!("{id}-next"), b"")
+                    .await;
+                assert_eq!(next.status, StatusCode::OK, "{host}: after {path}");
+            }
+        }
+    }
+}
