End a probation with its own run only

Cause, found by reading the diff: the slot of any run of the same content ended the probation of another, so that two requests on probation could run side by side. And callers of a request that a trial may clear in some seconds were told to come back after a minute. Change: a slot remembers whether its run is on probation. The retry-after time is ten seconds before the first trial and one second on probation.

--- a/src/decide/relay/crash_review.rs
+++ b/src/decide/relay/crash_review.rs
@@ -240,7 +240,7 @@
         self.on_probation.insert(digest.content());
     }
 
-    /// Records that a run here has ended, whether it was on probation or not.
+    /// Records that the run of a request on probation has ended.
     pub fn end_probation(&mut self, digest: RequestDigest) {
         self.on_probation.remove(&digest.content());
     }
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -11,7 +11,7 @@
 
 use super::body::RelayBody;
 use super::entry::{Call, refusal};
-use super::executor::{ExecutionOutcome, HELD_BACK_RETRY_MS};
+use super::executor::ExecutionOutcome;
 use super::hop::{HopRequest, empty_response};
 use super::log_limiter::LineKind;
 use super::offer::offer;
@@ -76,7 +76,7 @@
             if let Failure::NotRun { .. } = failure {
                 failure = Failure::NotRun {
                     reason: NotRunReason::HeldBack,
-                    retry_after_ms: HELD_BACK_RETRY_MS,
+                    retry_after_ms: relay.tables().held_back_retry_ms(call.digest),
                 };
             }
             break;
--- a/src/net/relay/executor.rs
+++ b/src/net/relay/executor.rs
@@ -25,9 +25,6 @@
 /// How long an unreachable backend server is not tried again, in milliseconds. Also the
 /// retry-after time when it refuses a request.
 pub(super) const UNREACHABLE_MS: u64 = 400;
-/// Retry-after time of a request that is held back because it crashes backend servers, in
-/// milliseconds.
-pub(super) const HELD_BACK_RETRY_MS: u64 = 60_000;
 /// Longest idle time of a connection that is reused for a non-idempotent request, in
 /// milliseconds. The backend server may close an idle connection while the request is being sent,
 /// which would leave its outcome unknown.
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -6,11 +6,11 @@
 
 use tokio::sync::oneshot;
 
-use super::executor::{ExecutionOutcome, HELD_BACK_RETRY_MS, LocalRequest, UNREACHABLE_MS};
+use super::executor::{ExecutionOutcome, LocalRequest, UNREACHABLE_MS};
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::{
-    AdmissionDecision, AdmissionRequest, MemberState, RequestDigest, RunEnd, WaiterId,
+    AdmissionDecision, AdmissionRequest, MemberState, RequestDigest, RunEnd, Standing, WaiterId,
 };
 use crate::model::{NotRunReason, ServiceName, TimeMs};
 
@@ -33,6 +33,8 @@
     route: ServiceName,
     pub(super) request_id: String,
     digest: RequestDigest,
+    /// Whether the request runs on probation, which ends with the slot.
+    is_on_probation: bool,
     /// When it was occupied.
     pub(super) started: TimeMs,
     /// Time until the head of the answer, in milliseconds; `None` until it has arrived.
@@ -46,8 +48,6 @@
 impl Slot {
     fn new(relay: &Arc<Relay>, local_request: &LocalRequest, tables: &mut Tables) -> Slot {
         let request_id = local_request.request_id(relay).to_owned();
-        let digest = local_request.hop.digest;
-        tables.begin_run(digest);
         let running = RunningRequest {
             root: local_request.hop.root.clone(),
             is_retry: local_request.hop.is_retry,
@@ -60,7 +60,8 @@
             relay: Arc::clone(relay),
             route: local_request.hop.route.clone(),
             request_id,
-            digest,
+            digest: local_request.hop.digest,
+            is_on_probation: false,
             started,
             head_ms: None,
             usual_ms: local_request.hop.usual_ms,
@@ -69,10 +70,19 @@
     }
 }
 
+impl Slot {
+    /// Records that the request may run now; the caller has checked that.
+    fn begin_run(&mut self, tables: &mut Tables) {
+        self.is_on_probation = tables.begin_run(self.digest) == Standing::OnProbation;
+    }
+}
+
 impl Drop for Slot {
     fn drop(&mut self) {
         let mut tables = self.relay.tables();
-        tables.witness.reviews().end_probation(self.digest);
+        if self.is_on_probation {
+            tables.witness.reviews().end_probation(self.digest);
+        }
         let ended = tables.running.remove(&self.request_id);
         if let Some(ended) = ended
             && self.relay.names_organisations()
@@ -176,7 +186,11 @@
             deadline: local_request.deadline,
         };
         match tables.admission.admit(now, request) {
-            AdmissionDecision::Start => return Ok(Slot::new(relay, local_request, tables)),
+            AdmissionDecision::Start => {
+                let mut slot = Slot::new(relay, local_request, tables);
+                slot.begin_run(tables);
+                return Ok(slot);
+            }
             AdmissionDecision::TooLate => {
                 return Err(ExecutionOutcome::not_run(NotRunReason::DeadlineTooShort, 0));
             }
@@ -213,10 +227,13 @@
             let now = relay.clock.now();
             // Created also if the worker no longer takes requests, so that dropping it releases the
             // slot.
-            let may_run = check_worker(relay, &mut tables, local_request, now);
-            let slot = Slot::new(relay, local_request, &mut tables);
+            let checked = check_worker(relay, &mut tables, local_request, now);
+            let mut slot = Slot::new(relay, local_request, &mut tables);
+            if checked.is_ok() {
+                slot.begin_run(&mut tables);
+            }
             drop(tables);
-            may_run.map(|()| slot)
+            checked.map(|()| slot)
         }
         Ok(Ok(QueueDecision::Refuse { retry_after_ms, .. })) => Err(ExecutionOutcome::not_run(
             NotRunReason::QueueTimeout,
@@ -243,7 +260,7 @@
     if !tables.may_run_here(digest) {
         return Err(ExecutionOutcome::not_run(
             NotRunReason::HeldBack,
-            HELD_BACK_RETRY_MS,
+            tables.held_back_retry_ms(digest),
         ));
     }
     let Some(worker) = &tables.worker else {
--- a/src/net/relay/suspects.rs
+++ b/src/net/relay/suspects.rs
@@ -13,6 +13,14 @@
 use crate::model::{ServiceName, TimeMs};
 use crate::net::daemon::unix_ms;
 
+/// Retry-after time of a request that is held back because it crashes backend servers, in
+/// milliseconds.
+const HELD_BACK_RETRY_MS: u64 = 60_000;
+/// The same before its first trial, in milliseconds. A good end is known everywhere by then.
+const FIRST_TRIAL_RETRY_MS: u64 = 10_000;
+/// Retry-after time of a request on probation while another one runs, in milliseconds.
+const PROBATION_RETRY_MS: u64 = 1_000;
+
 impl Relay {
     /// Records that the backend server beside this daemon ended while a request ran on it, unless
     /// that was planned.
@@ -216,14 +224,32 @@
         }
     }
 
-    /// Records that a request begins to run on the backend server beside this daemon.
-    pub(super) fn begin_run(&mut self, digest: RequestDigest) {
+    /// When the caller of a request that may not run may retry, in milliseconds: after what may clear it.
+    pub(super) fn held_back_retry_ms(&self, digest: RequestDigest) -> u64 {
+        if self.standing(digest) == Standing::OnProbation {
+            return PROBATION_RETRY_MS;
+        }
+        match self.directory.suspicion(digest).trials {
+            0 => FIRST_TRIAL_RETRY_MS,
+            _ => HELD_BACK_RETRY_MS,
+        }
+    }
+
+    /// Records that a request begins to run on the backend server beside this daemon; returns how:
+    /// [`Standing::HeldBack`] stands for a trial.
+    pub(super) fn begin_run(&mut self, digest: RequestDigest) -> Standing {
         let standing = self.standing(digest);
         let reviews = self.witness.reviews();
         match standing {
-            Standing::Free => {}
-            Standing::OnProbation => reviews.begin_probation(digest),
-            Standing::HeldBack => reviews.begin_trial(digest),
+            Standing::Free => Standing::Free,
+            Standing::OnProbation if reviews.has_free_probation(digest) => {
+                reviews.begin_probation(digest);
+                Standing::OnProbation
+            }
+            Standing::OnProbation | Standing::HeldBack => {
+                reviews.begin_trial(digest);
+                Standing::HeldBack
+            }
         }
     }
 
--- a/tests/crash_random.rs
+++ b/tests/crash_random.rs
@@ -83,6 +83,7 @@
     began_at: TimeMs,
     process: u32,
     is_retry: bool,
+    is_on_probation: bool,
 }
 
 struct Worker {
@@ -333,7 +334,8 @@
             return;
         }
         let run = self.runs.len();
-        match self.standing(worker, digest) {
+        let standing = self.standing(worker, digest);
+        match standing {
             Standing::Free => {}
             Standing::OnProbation => self.witnesses[worker].reviews().begin_probation(digest),
             Standing::HeldBack => self.witnesses[worker].reviews().begin_trial(digest),
@@ -346,6 +348,7 @@
             began_at: self.now,
             process,
             is_retry,
+            is_on_probation: standing == Standing::OnProbation,
         });
         self.workers[worker].running.push(run);
         if self.at_fault.contains(&digest) {
@@ -363,7 +366,9 @@
             return;
         }
         self.workers[worker].running.retain(|other| *other != run);
-        self.witnesses[worker].reviews().end_probation(digest);
+        if self.runs[run].is_on_probation {
+            self.witnesses[worker].reviews().end_probation(digest);
+        }
         if self.directories[worker].standing(digest) != Standing::Free {
             let suspicion = self.directories[worker].suspicion(digest);
             let reviews = self.witnesses[worker].reviews();
@@ -421,7 +426,9 @@
             let is_held_back = |digest| directory.is_held_back(digest);
             let at_unix_ms = now.0.max(directory.evidence().cleared_unix_ms(digest) + 1);
             let witness = &mut self.witnesses[worker];
-            witness.reviews().end_probation(digest);
+            if self.runs[*run].is_on_probation {
+                witness.reviews().end_probation(digest);
+            }
             witness.crashed(digest, process, began_at, at_unix_ms, is_held_back);
             if self.at_fault.contains(&digest) {
                 let crashed_at = self.crashed_at.entry(*digest.of_all_callers().start());
