--- a/src/net/relay/config_age.rs
+++ b/src/net/relay/config_age.rs
@@ -6,8 +6,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{MutexGuard, PoisonError};
 
+use super::configuration::Configuration;
 use super::log_limiter::LineKind;
-use super::state::{Configuration, Relay, seconds_to_ms};
+use super::state::{Relay, seconds_to_ms};
 use crate::model::TimeMs;
 
 /// Age up to which a daemon that follows a reader counts as up to date, in milliseconds: the time in
--- a/src/net/relay/entry.rs
+++ b/src/net/relay/entry.rs
@@ -11,13 +11,14 @@
 use super::answer_end::OpenRequest;
 use super::attempt::attempt;
 use super::body::{BodyError, RelayBody};
+use super::configuration::Configuration;
 use super::connection_timeout::Answering;
 use super::hop::strip_connection_headers;
 use super::hop::{HOP_HEADER, REPLY_HEADER, empty_response};
 use super::identify::{self, Identity, identify};
 use super::log_limiter::LineKind;
 use super::slot::LEAVING_RETRY_MS;
-use super::state::{Configuration, Relay, Shed, Stage};
+use super::state::{Relay, Shed, Stage};
 use crate::decide::relay::quotas::QuotaRefusal;
 use crate::decide::relay::{
     Organisation, RequestCaller, RequestDigest, RootRequest, Route, RouteTable,
--- a/src/net/relay/mod.rs
+++ b/src/net/relay/mod.rs
@@ -8,6 +8,7 @@
 mod capacity;
 mod config_age;
 mod config_metrics;
+pub mod configuration;
 mod connection_timeout;
 mod crash_probe;
 pub mod entry;
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -1,7 +1,6 @@
 //! State shared by all parts of a relay.
 
 use std::collections::HashMap;
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -14,6 +13,7 @@
 
 use super::capacity::LocalCapacity;
 use super::config_age::{ConfigNews, ReportedConfig};
+use super::configuration::Configuration;
 use super::crash_probe::CrashProbe;
 use super::header_names::HeaderNames;
 use super::log_limiter::{LineKind, LogLimiter};
@@ -39,26 +39,6 @@
 const MAX_SHOWN_ORGANISATIONS: usize = 64;
 const MAX_NAMED_ORGANISATIONS: usize = 8;
 
-/// A configuration and its encoded record.
-pub struct Configuration {
-    /// Decoded routes, services and limits.
-    pub table: RouteTable,
-    /// The record as stored in the log, for sending to peers.
-    pub raw: Bytes,
-    /// Where it came from.
-    pub source: &'static str,
-    /// When it was put in force.
-    pub since: TimeMs,
-}
-
-impl fmt::Debug for Configuration {
-    /// Leaves out the record, which contains API keys.
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut shown = f.debug_struct("Configuration");
-        shown.field("table", &self.table).finish_non_exhaustive()
-    }
-}
-
 /// Serving and the stages of a shutdown, in order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use super::behaviour::Behaviour;
+use super::request::receive;
 use super::streams::{self, Framing};
 use crate::decide::sharded::lock;
 use crate::net::NetError;
@@ -22,8 +23,6 @@
 
 /// Timeout of a heartbeat or a deregistration sent to the daemon, in milliseconds.
 const ACK_TIMEOUT_MS: u64 = 1_000;
-/// Duration of a timed run if the path gives none.
-const DEFAULT_RUN_DURATION: Duration = Duration::from_secs(1);
 /// Bytes sent at a time by a behaviour without end.
 const ENDLESS_CHUNK_BYTES: usize = 16 * 1024;
 /// Concurrent requests that a backend server states.
@@ -260,55 +259,6 @@
     }
 }
 
-struct ReceivedRequest {
-    run: Run,
-    body: Vec<u8>,
-}
-
-impl ReceivedRequest {
-    fn header(&self, name: &str) -> &str {
-        self.run.headers.get(name).map_or("", String::as_str)
-    }
-
-    fn path(&self) -> &str {
-        self.run.line.split(' ').nth(1).unwrap_or_default()
-    }
-
-    fn segment(&self) -> &str {
-        self.path().rsplit('/').next().unwrap_or_default()
-    }
-
-    fn behaviour(&self) -> Behaviour {
-        let name = self.segment().split('.').next().unwrap_or_default();
-        match name.parse().unwrap_or(Behaviour::Echo) {
-            Behaviour::CrashFor if self.is_named_caller() => Behaviour::Crash,
-            Behaviour::CrashFor => Behaviour::Echo,
-            behaviour => behaviour,
-        }
-    }
-
-    /// Whether the caller service is the one after the segment's first dot.
-    fn is_named_caller(&self) -> bool {
-        self.argument() == self.header("x-caller-service")
-    }
-
-    /// What follows the segment's first dot.
-    fn argument(&self) -> &str {
-        self.segment().split('.').nth(1).unwrap_or_default()
-    }
-
-    /// The number after the segment's first dot.
-    fn number(&self) -> Option<u64> {
-        self.argument().parse().ok()
-    }
-
-    /// Duration of a timed run: the milliseconds after the segment's first dot, else one second.
-    fn run_duration(&self) -> Duration {
-        self.number()
-            .map_or(DEFAULT_RUN_DURATION, Duration::from_millis)
-    }
-}
-
 async fn serve(mut stream: TcpStream, shared: &Shared) -> std::io::Result<()> {
     let mut buffer = Vec::new();
     let mut late_answer = String::new();
@@ -539,46 +489,3 @@
         self.0.fetch_sub(1, Ordering::Relaxed);
     }
 }
-
-/// Reads one request, whose body needs a content length. Returns `None` at the end of the
-/// connection.
-async fn receive(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> std::io::Result<Option<ReceivedRequest>> {
-    let head_end = loop {
-        if let Some(at) = buffer.windows(4).position(|window| window == b"\r\n\r\n") {
-            break at + 4;
-        }
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8_lossy(&buffer[..head_end]).into_owned();
-    let mut lines = head.lines();
-    let line = lines.next().unwrap_or_default().to_owned();
-    let headers: HashMap<String, String> = lines
-        .filter_map(|line| line.split_once(':'))
-        .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
-        .collect();
-    let length = headers
-        .get("content-length")
-        .and_then(|length| length.parse().ok());
-    let end = head_end + length.unwrap_or(0);
-    while buffer.len() < end {
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    }
-    let body = buffer[head_end..end].to_vec();
-    buffer.drain(..end);
-    Ok(Some(ReceivedRequest {
-        run: Run {
-            line,
-            headers,
-            instance: String::new(),
-            began: Instant::now(),
-        },
-        body,
-    }))
-}
