Give the turns of trials to daemons whose servers have not crashed

Change: a daemon whose backend server has crashed during the request gets a turn only if there is no other.

--- a/src/decide/relay/crash_evidence.rs
+++ b/src/decide/relay/crash_evidence.rs
@@ -143,12 +143,10 @@
         suspected.filter(|digest| is_held_back(self.crashes(*digest), false))
     }
 
-    /// Daemons whose backend servers have crashed during a request.
+    /// Daemons whose backend servers have crashed during a request, for whichever caller.
     pub fn witnesses(&self, digest: RequestDigest) -> impl Iterator<Item = SocketAddr> {
-        let statements = self.by_request.get(&digest);
-        statements
-            .into_iter()
-            .flat_map(|statements| statements.suspects.keys().copied())
+        let of_content = self.by_request.range(digest.of_all_callers());
+        of_content.flat_map(|(_, statements)| statements.suspects.keys().copied())
     }
 
     /// Daemons that have reserved a trial of a request, with the time of the last one in milliseconds
--- a/src/decide/relay/directory.rs
+++ b/src/decide/relay/directory.rs
@@ -228,17 +228,31 @@
         };
         let held_back = self.evidence.held_back().filter(is_of_service);
         held_back
-            .map(|digest| {
-                let order = |address: &&SocketAddr| trial_order(digest, turn, **address);
-                HeldBack {
-                    digest,
-                    suspicion: self.suspicion(digest),
-                    is_own_turn: ready.iter().min_by_key(order) == Some(&self.own_address),
-                }
+            .map(|digest| HeldBack {
+                digest,
+                suspicion: self.suspicion(digest),
+                is_own_turn: self.trier(ready, digest, turn) == Some(self.own_address),
             })
             .collect()
     }
 
+    /// The daemon whose turn it is to try a request. One whose backend server has crashed during it may be
+    /// gone for good, and has a turn only if there is no other.
+    fn trier(
+        &self,
+        ready: &BTreeSet<SocketAddr>,
+        digest: RequestDigest,
+        turn: u64,
+    ) -> Option<SocketAddr> {
+        let witnesses: BTreeSet<SocketAddr> = self.evidence.witnesses(digest).collect();
+        let order = |address: &&SocketAddr| trial_order(digest, turn, **address);
+        let others = ready.difference(&witnesses);
+        others
+            .min_by_key(order)
+            .or(ready.iter().min_by_key(order))
+            .copied()
+    }
+
     /// The member of `service` that has reserved the newest trial of a request, with its time in
     /// milliseconds since the Unix epoch.
     pub fn trial_at(
--- a/tests/crash_reviews.rs
+++ b/tests/crash_reviews.rs
@@ -1,9 +1,13 @@
 //! How a request that is held back is cleared: good ends, and trials that are counted before they run.
 
 use burdockhall::decide::relay::crash_review::CrashReviews;
+use std::net::SocketAddr;
+
 use burdockhall::decide::relay::{
-    CrashCounts, HeldBack, RequestDigest, Standing, SuspectReview, Suspicion, standing,
+    CrashCounts, CrashSuspect, Directory, HeldBack, Member, MemberState, RequestDigest, Standing,
+    SuspectReview, Suspicion, standing,
 };
+use burdockhall::model::Place;
 use burdockhall::prelude::*;
 
 const REQUEST: RequestDigest = RequestDigest(1 << 16 | 7);
@@ -180,6 +184,75 @@
     }
 }
 
+/// Guards against RECOVER: turns went by at daemons that are gone for good, whose records say that they are ready.
+#[test]
+fn daemons_whose_servers_have_crashed_get_no_turn_while_there_are_others() {
+    struct Case {
+        name: &'static str,
+        /// Which of the members have seen a crash during the request; the first is this daemon.
+        witnesses: [bool; 4],
+        /// Turns of this daemon among a thousand.
+        turns: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case {
+            name: "alone without a crash",
+            witnesses: [false, true, true, true],
+            turns: 1_000..=1_000,
+        },
+        Case {
+            name: "with a crash, others without",
+            witnesses: [true, true, false, false],
+            turns: 0..=0,
+        },
+        Case {
+            name: "one of two without a crash",
+            witnesses: [false, true, true, false],
+            turns: 400..=600,
+        },
+        Case {
+            name: "all with a crash",
+            witnesses: [true; 4],
+            turns: 150..=350,
+        },
+    ];
+    let place = Place {
+        region: "r".into(),
+        zone: "z".into(),
+    };
+    let address = |number: usize| SocketAddr::from(([127, 0, 0, 1], 1_000 + number as u16));
+    let suspect = CrashSuspect {
+        digest: REQUEST,
+        crashes: 2,
+        at_unix_ms: 500,
+    };
+    for case in cases {
+        let mut directory = Directory::new(address(0), place.clone());
+        for (number, is_witness) in case.witnesses.into_iter().enumerate() {
+            let member = Member {
+                address: address(number),
+                revision: 1,
+                place: place.clone(),
+                service: "a".into(),
+                instance: format!("i-{number}"),
+                born_unix_ms: 1,
+                slots: 8,
+                state: MemberState::Ready,
+                suspects: is_witness.then_some(suspect).into_iter().collect(),
+                reviews: Vec::new(),
+            };
+            directory.merge(TimeMs(1), member);
+        }
+        let own = (0..1_000).filter(|turn| {
+            let held_back = directory.held_back_at(&"a".into(), *turn);
+            assert_eq!(held_back.len(), 1, "{}", case.name);
+            held_back[0].is_own_turn
+        });
+        let own = own.count();
+        assert!(case.turns.contains(&own), "{}: {own} turns", case.name);
+    }
+}
+
 /// Guards against BUDGET: a reservation that the log service does not hold is unknown to the daemon of the next
 /// turn, which reserves another one.
 #[test]
