--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::mpsc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -24,6 +25,7 @@
         "crashed-worker" => crashed_worker(has_trouble, record),
         "chunked-body" => chunked_body(has_trouble, record),
         "frozen-machine" => frozen_machine(has_trouble, record),
+        "late-report" => late_report(has_trouble, record),
         _ => Err(io::Error::other("no such case")),
     }
 }
@@ -128,8 +130,8 @@
     if has_trouble {
         let machine = &deployment.machines[1];
         record.add(&format!("the worker {} is killed", machine.instance));
-        if let Some(worker) = &machine.worker {
-            worker.kill();
+        if let Some(process) = &machine.process {
+            process.kill();
         }
     }
     let whole: String = (0..PARTS).map(part_text).collect();
@@ -319,6 +321,7 @@
 struct End {
     id: String,
     text: String,
+    sent: Instant,
     took_ms: u128,
     is_answered: bool,
 }
@@ -362,6 +365,7 @@
         let _ = ends.send(End {
             id,
             text: format!("{} {}", request.path, describe(answer.as_ref())),
+            sent: began,
             took_ms,
             is_answered,
         });
@@ -369,3 +373,168 @@
     }
     Ok(())
 }
+
+/// DRAIN: a liveness report arrives late, after its worker's leaving was confirmed.
+fn late_report(has_trouble: bool, record: &Record) -> io::Result<Verdict> {
+    const ROUNDS: usize = 3;
+    let routes = [Route {
+        name: "read",
+        kind: "safe",
+        timeout_s: 2.0,
+    }];
+    // One of eight workers leaves at a time.
+    let mut deployment = Deployment::start(9, false, &routes)?;
+    let (mut late, mut confirmed) = (0, 0);
+    for round in 0..ROUNDS {
+        let (stop, clients) = start_quiet_clients(&deployment, round);
+        let left = leave_with_late_report(&mut deployment, 1 + round, has_trouble, record)?;
+        drop(stop);
+        let ends: Vec<End> = clients.iter().collect();
+        let runs = runs_so_far(&deployment, record);
+        let Some(left) = left else {
+            record.add("the leaving was not confirmed");
+            continue;
+        };
+        confirmed += 1;
+        for end in ends.iter().filter(|end| !end.is_answered) {
+            record.add(&format!(
+                "{}: {} after {} ms",
+                end.id, end.text, end.took_ms
+            ));
+        }
+        for run in runs.iter().filter(|run| run.instance == left.instance) {
+            let sent = ends.iter().find(|end| end.id == run.id).map(|end| end.sent);
+            let Some(sent) = sent.filter(|sent| *sent > left.in_touch_from) else {
+                continue;
+            };
+            late += 1;
+            let after = sent.duration_since(left.confirmed).as_secs_f64();
+            record.add(&format!(
+                "{}: sent {after:.1} s after the leaving of {} was confirmed, and run by it",
+                run.id, run.instance
+            ));
+        }
+    }
+    record.add(&format!(
+        "{confirmed} leavings confirmed, {late} requests reached such a worker later than drainS, all machines in touch"
+    ));
+    Ok(match () {
+        () if late > 0 => Verdict::Broken,
+        () if confirmed < ROUNDS => Verdict::CouldNotRun,
+        () => Verdict::Held,
+    })
+}
+
+/// A worker whose leaving was confirmed.
+struct Left {
+    instance: String,
+    confirmed: Instant,
+    /// From when on all machines are in touch and `drainS` has passed.
+    in_touch_from: Instant,
+}
+
+/// Has a worker leave and end 12 s later; `None` if its leaving was not confirmed.
+fn leave_with_late_report(
+    deployment: &mut Deployment,
+    number: usize,
+    has_trouble: bool,
+    record: &Record,
+) -> io::Result<Option<Left>> {
+    /// `drainS` is 2 s and `stableWindowS` 3 s; with some room.
+    const UNTIL_IN_TOUCH: Duration = Duration::from_millis(3_300);
+    const SERVES: Duration = Duration::from_secs(12);
+    let pause = |ms: u64| thread::sleep(Duration::from_millis(ms));
+    let store = deployment.store.clone();
+    let machine = &mut deployment.machines[number];
+    let instance = machine.instance.clone();
+    let Some(worker) = machine.worker.clone() else {
+        return Ok(None);
+    };
+    pause(2_000);
+    if has_trouble {
+        record.add("the store gives no answer");
+        store.set_silent(true);
+    }
+    let silent_since = Instant::now();
+    pause(300);
+    let report = worker.make_report();
+    record.add(&format!(
+        "{instance}: makes a report that arrives late, then deregisters"
+    ));
+    let is_confirmed = worker.deregister();
+    let confirmed = Instant::now();
+    if has_trouble {
+        pause(50);
+        record.add(&format!("the relay beside {instance} is killed"));
+        machine.relay.kill();
+        pause(300);
+        machine.restart_relay()?;
+        record.add(&format!("the relay beside {instance} is started again"));
+    }
+    thread::sleep((confirmed + Duration::from_secs(2)).saturating_duration_since(Instant::now()));
+    let status = worker.send(&report);
+    record.add(&format!(
+        "{instance}: the late report arrives, status {status}"
+    ));
+    if has_trouble {
+        let until = silent_since + Duration::from_secs(3);
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+        record.add("the store answers again");
+        store.set_silent(false);
+    }
+    let in_touch_from = Instant::now() + UNTIL_IN_TOUCH;
+    thread::sleep((confirmed + SERVES).saturating_duration_since(Instant::now()));
+    worker.end();
+    record.add(&format!("{instance}: ends"));
+    pause(1_000);
+    Ok(is_confirmed.then_some(Left {
+        instance,
+        confirmed,
+        in_touch_from,
+    }))
+}
+
+/// Starts a client on each machine that sends a request now and then, until the first value is dropped.
+fn start_quiet_clients(
+    deployment: &Deployment,
+    round: usize,
+) -> (mpsc::Sender<()>, mpsc::Receiver<End>) {
+    const INTERVAL: Duration = Duration::from_millis(700);
+    let (stop, stopped) = mpsc::channel::<()>();
+    let stopped = Arc::new(Mutex::new(stopped));
+    let (sender, ends) = mpsc::channel();
+    for (client, machine) in deployment.machines.iter().enumerate() {
+        let (entry, sender, stopped) = (machine.outbound, sender.clone(), Arc::clone(&stopped));
+        thread::spawn(move || {
+            for number in 0_usize.. {
+                let is_stopped = {
+                    let stopped = stopped.lock().expect("not poisoned");
+                    stopped.try_recv() == Err(mpsc::TryRecvError::Disconnected)
+                };
+                if is_stopped {
+                    return;
+                }
+                let id = format!("d{round}-{client}-{number}");
+                let request = Request {
+                    method: "GET",
+                    path: format!("/read/echo/{client}-{number}"),
+                    body: Body::None,
+                };
+                let sent = Instant::now();
+                let connection = Connection::open(entry, PATIENCE);
+                let answer =
+                    connection.and_then(|mut connection| ask(&mut connection, &id, &request));
+                let answer = answer.unwrap_or(None);
+                let _ = sender.send(End {
+                    id,
+                    text: format!("{} {}", request.path, describe(answer.as_ref())),
+                    sent,
+                    took_ms: sent.elapsed().as_millis(),
+                    is_answered: answer.is_some_and(|answer| answer.is_complete),
+                });
+                thread::sleep(INTERVAL);
+            }
+        });
+    }
+    (stop, ends)
+}
--- a/review/standins-3/deployment.rs
+++ b/review/standins-3/deployment.rs
@@ -7,13 +7,14 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::mpsc::{self, Receiver, Sender};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http::status_of;
 use crate::store::Store;
-use crate::worker::{self, Identity, Run};
+use crate::worker::{self, Identity, Run, Worker};
 
 const TEMPLATE: &str = "deploy/settings.template";
 const RUN: [&str; 2] = ["target/release/burdockhall", "relay"];
@@ -77,18 +78,30 @@
 pub struct Machine {
     pub relay: Process,
     /// The worker, if it is a process of its own.
-    pub worker: Option<Process>,
+    pub process: Option<Process>,
+    /// The worker, if it is not.
+    pub worker: Option<Arc<Worker>>,
+    /// Settings of the relay.
+    settings: PathBuf,
     pub instance: String,
     /// Where clients send their requests.
     pub outbound: SocketAddr,
     ready: SocketAddr,
 }
 
+impl Machine {
+    /// Starts the relay again.
+    pub fn restart_relay(&mut self) -> io::Result<()> {
+        self.relay = start_relay(&self.settings)?;
+        Ok(())
+    }
+}
+
 /// The whole installation. The first machine is the one whose clients send requests.
 pub struct Deployment {
     pub machines: Vec<Machine>,
     pub runs: Receiver<Run>,
-    _store: Store,
+    pub store: Store,
     folder: PathBuf,
 }
 
@@ -125,7 +138,7 @@
         let deployment = Deployment {
             machines,
             runs,
-            _store: store,
+            store,
             folder,
         };
         deployment.wait_until_ready()?;
@@ -180,11 +193,10 @@
             listen: app,
             control,
         };
-        let worker = if is_process {
-            Some(start_worker(&identity, runs)?)
+        let (process, worker) = if is_process {
+            (Some(start_worker(&identity, runs)?), None)
         } else {
-            worker::start(&identity, runs.clone())?;
-            None
+            (None, Some(worker::start(&identity, runs.clone())?))
         };
         let text = |value: &str| format!("\"{value}\"");
         let address = |value: SocketAddr| format!("\"{value}\"");
@@ -209,13 +221,11 @@
         let settings = fill(&fs::read_to_string(TEMPLATE)?, &fields);
         let path = self.folder.join(format!("machine-{}.json", self.number));
         fs::write(&path, settings)?;
-        let log = File::create(self.folder.join(format!("machine-{}.log", self.number)))?;
-        let mut command = Command::new(RUN[0]);
-        command.arg(RUN[1]).arg("--settings").arg(&path);
-        command.stdin(Stdio::null()).stderr(log.try_clone()?);
         Ok(Machine {
-            relay: Process::start(command.stdout(log))?,
+            relay: start_relay(&path)?,
+            process,
             worker,
+            settings: path,
             instance: identity.instance,
             outbound,
             ready,
@@ -223,6 +233,16 @@
     }
 }
 
+/// Starts a relay with the command of the deploy file.
+fn start_relay(settings: &Path) -> io::Result<Process> {
+    let path = settings.with_extension("log");
+    let log = File::options().create(true).append(true).open(path)?;
+    let mut command = Command::new(RUN[0]);
+    command.arg(RUN[1]).arg("--settings").arg(settings);
+    command.stdin(Stdio::null()).stderr(log.try_clone()?);
+    Process::start(command.stdout(log))
+}
+
 fn start_worker(identity: &Identity, runs: &Sender<Run>) -> io::Result<Process> {
     let mut command = Command::new(std::env::current_exe()?);
     command
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -17,6 +18,8 @@
 struct Shared {
     topics: Mutex<HashMap<String, Vec<Record>>>,
     changed: Condvar,
+    /// Whether it does nothing and gives no answer.
+    is_silent: AtomicBool,
 }
 
 #[derive(Clone)]
@@ -42,6 +45,11 @@
         Ok(store)
     }
 
+    /// Has it do nothing and give no answer, or work again.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.shared.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
     /// Appends a record, as the operator does.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) -> usize {
         self.shared.put(topic, key, value)
@@ -49,6 +57,17 @@
 }
 
 impl Shared {
+    /// `None` for a call that gets no answer: its connection returns nothing further.
+    fn wait_while_silent(&self) -> Option<()> {
+        if !self.is_silent.load(Ordering::SeqCst) {
+            return Some(());
+        }
+        while self.is_silent.load(Ordering::SeqCst) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
     fn put(&self, topic: &str, key: &str, value: &[u8]) -> usize {
         let mut topics = self.topics.lock().expect("not poisoned");
         let records = topics.entry(topic.to_owned()).or_default();
@@ -124,6 +143,7 @@
         let head = connection.read_head().ok()??;
         let body = connection.read_request_body(&head).ok()??;
         thread::sleep(ANSWER_TIME);
+        shared.wait_while_silent()?;
         let (path, query) = head.word(1).split_once('?').unwrap_or((head.word(1), ""));
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let query: HashMap<&str, &str> = pairs.collect();
@@ -139,6 +159,7 @@
             }
             _ => (404, Vec::new()),
         };
+        shared.wait_while_silent()?;
         let length = answer.len();
         let head = format!("HTTP/1.1 {status} Answer\r\ncontent-length: {length}\r\n\r\n");
         connection.send(head.as_bytes()).ok()?;
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -3,6 +3,7 @@
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -39,25 +40,87 @@
     pub control: SocketAddr,
 }
 
+/// A worker in this process.
+pub struct Worker {
+    identity: Identity,
+    born: u64,
+    /// Number of the last liveness report.
+    number: AtomicU64,
+    is_leaving: AtomicBool,
+    has_ended: AtomicBool,
+}
+
+impl Worker {
+    /// Makes the next liveness report, which says `ready`; it is sent by [`Worker::send`].
+    pub fn make_report(&self) -> String {
+        let number = self.number.fetch_add(1, Ordering::SeqCst) + 1;
+        let Identity {
+            service,
+            instance,
+            listen,
+            ..
+        } = &self.identity;
+        let born = self.born;
+        let body = format!(
+            r#"{{"address":"{listen}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"zone-a","slots":100}},"status":{{"state":"ready","seq":{number},"coldRemainingS":0}}}}"#
+        );
+        self.call("instances.heartbeat", instance, &body)
+    }
+
+    /// Sends a call to its relay; returns the status of the answer, 0 without one.
+    pub fn send(&self, call: &str) -> u16 {
+        status_of(self.identity.control, call.as_bytes())
+    }
+
+    /// Says that it leaves, goes on serving and makes no further report. Returns whether that was
+    /// confirmed.
+    pub fn deregister(&self) -> bool {
+        self.is_leaving.store(true, Ordering::SeqCst);
+        let body = format!(r#"{{"born":{}}}"#, self.born);
+        let call = self.call("instances.deregister", &self.identity.instance, &body);
+        self.send(&call) == 200
+    }
+
+    /// Ends its process: open connections are closed, and no new ones are taken.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::SeqCst);
+    }
+
+    fn call(&self, name: &str, instance: &str, body: &str) -> String {
+        let (control, length) = (self.identity.control, body.len());
+        format!(
+            "POST /rpc?call={name}&of={instance} HTTP/1.1\r\nHost: {control}\r\n\
+             Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
+        )
+    }
+}
+
 /// Runs a worker in this process; each run is told to `runs`.
-pub fn start(identity: &Identity, runs: Sender<Run>) -> io::Result<()> {
+pub fn start(identity: &Identity, runs: Sender<Run>) -> io::Result<Arc<Worker>> {
     let listener = TcpListener::bind(identity.listen)?;
-    let shared = Arc::new(identity.clone());
+    let worker = Arc::new(Worker {
+        identity: identity.clone(),
+        born: unix_ms(),
+        number: AtomicU64::new(0),
+        is_leaving: AtomicBool::new(false),
+        has_ended: AtomicBool::new(false),
+    });
+    let shared = Arc::clone(&worker);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (shared, runs) = (Arc::clone(&shared), runs.clone());
             thread::spawn(move || serve(&mut Connection::new(stream), &shared, &runs));
         }
     });
-    let identity = identity.clone();
+    let reporting = Arc::clone(&worker);
     thread::spawn(move || {
-        let born = unix_ms();
-        for number in 1_u64.. {
-            report(&identity, born, number);
+        while !reporting.is_leaving.load(Ordering::SeqCst) {
+            // A report that is not confirmed is followed by the next one.
+            reporting.send(&reporting.make_report());
             thread::sleep(BEAT_INTERVAL);
         }
     });
-    Ok(())
+    Ok(worker)
 }
 
 /// Runs a worker as a process of its own, which prints its runs.
@@ -71,33 +134,18 @@
     Ok(())
 }
 
-fn report(identity: &Identity, born: u64, number: u64) {
-    let Identity {
-        service,
-        instance,
-        listen,
-        control,
-    } = identity;
-    let body = format!(
-        r#"{{"address":"{listen}","born":{born},"info":{{"service":"{service}","version":"v1","zone":"zone-a","slots":100}},"status":{{"state":"ready","seq":{number},"coldRemainingS":0}}}}"#
-    );
-    let length = body.len();
-    let request = format!(
-        "POST /rpc?call=instances.heartbeat&of={instance} HTTP/1.1\r\nHost: {control}\r\n\
-         Content-Type: application/json\r\nContent-Length: {length}\r\n\r\n{body}"
-    );
-    // A report that is not confirmed is followed by the next one.
-    status_of(*control, request.as_bytes());
-}
-
-fn serve(connection: &mut Connection, identity: &Identity, runs: &Sender<Run>) -> Option<()> {
-    loop {
+fn serve(connection: &mut Connection, worker: &Worker, runs: &Sender<Run>) -> Option<()> {
+    while !worker.has_ended.load(Ordering::SeqCst) {
         let head = connection.read_head().ok()??;
         let body = connection.read_request_body(&head).ok()??;
-        let instance = &identity.instance;
+        let instance = &worker.identity.instance;
         if head.word(1) == "/healthz" {
+            let status = match worker.is_leaving.load(Ordering::SeqCst) {
+                true => "503 Service Unavailable",
+                false => "200 OK",
+            };
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nX-Instance-Id: {instance}\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 {status}\r\nX-Instance-Id: {instance}\r\nContent-Length: 0\r\n\r\n"
             );
             connection.send(answer.as_bytes()).ok()?;
             continue;
@@ -125,6 +173,7 @@
             return None;
         }
     }
+    None
 }
 
 /// Answers a request; false if the connection ends with the answer.
