Log what a first heartbeat meets after a start

Change: the line for a heartbeat names what the server was known by before it, its state, its start and the uptime; it is also written for the first heartbeat of a restored server.

--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -20,7 +20,14 @@
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> (HeartbeatOutcome, bool) {
         let now = self.clock.now();
         let mut tables = self.tables();
+        let known_by = match &tables.worker {
+            None => "nothing",
+            Some(worker) if worker.is_unheard() => "its record",
+            Some(_) => "a heartbeat",
+        };
         let (slots, drains) = (heartbeat.slots, heartbeat.draining);
+        let (sequence, born_unix_ms) = (heartbeat.sequence, heartbeat.born_unix_ms);
+        let instance = heartbeat.instance.clone();
         let rate_before = tables.rate_per_s();
         let worker = tables.worker.as_ref();
         let worker = worker.filter(|worker| worker.state == MemberState::Ready);
@@ -54,6 +61,15 @@
         if outcome == HeartbeatOutcome::Changed {
             self.announce(&mut tables, now);
         }
+        if outcome != HeartbeatOutcome::Refreshed || known_by != "a heartbeat" {
+            let (instance, outcome) = (instance.as_str(), <&str>::from(outcome));
+            let up_ms = now.since_ms(self.started);
+            let state = tables.worker.as_ref();
+            let state = state.map_or("unknown", |worker| <&str>::from(worker.state));
+            spdlog::info!("a heartbeat was taken in", kv: {
+                instance, sequence, born_unix_ms, outcome, known_by, state, up_ms
+            });
+        }
         let worker = tables.worker.as_ref();
         if was_unheard
             && let Some(worker) = worker
--- a/src/platform/local.rs
+++ b/src/platform/local.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use serde::Deserialize;
 
-use crate::decide::relay::{Heartbeat, HeartbeatOutcome};
+use crate::decide::relay::Heartbeat;
 use crate::model::ServiceName;
 use crate::net::daemon::unix_ms;
 use crate::net::relay::RelayBody;
@@ -140,15 +140,12 @@
     if let Err(field) = heartbeat.check(unix_ms()) {
         return malformed(&instance, &format!("{field} is out of range"));
     }
-    let sequence = heartbeat.sequence;
-    let (outcome, is_confirmed) = relay.record_heartbeat(heartbeat);
-    if outcome != HeartbeatOutcome::Refreshed {
-        let (instance, outcome) = (instance.as_str(), <&str>::from(outcome));
-        spdlog::info!("a heartbeat was taken in", kv: { instance, sequence, outcome, is_confirmed: });
-    }
+    let (_, is_confirmed) = relay.record_heartbeat(heartbeat);
     if is_confirmed {
         acknowledged()
     } else {
+        let instance = instance.as_str();
+        spdlog::info!("a heartbeat was not confirmed", kv: { instance });
         empty_response(StatusCode::CONFLICT)
     }
 }
