Take no first heartbeat for a sign that a backend server has not left

Cause: a daemon that has been started again took the first heartbeat that reached it for news. It may have been made before a leaving that the daemon process before this one had confirmed and nobody else knows of.

Change: a backend server gets no requests, and is not published as ready, until something shows that it cannot have left before the start of the daemon: its health check, a later start of its own, a heartbeat that arrives later than any from before can, or the proof of the process that it follows. This works because each leaving that an earlier process of the daemon confirmed lies before the start of this one. The health check is now asked for every backend server that is not proven, and repeated, since it may lag behind. A draining that is heard before any proof counts as long ago.

Tests: relay_decisions states a daemon that has run for long, which is what its cases are about. In relay_leaving (copies of its record) the stand-in's health check denies readiness until the heartbeat, since it is asked now: it is still the copies alone that must not be believed.

--- a/src/decide/relay/local_worker.rs
+++ b/src/decide/relay/local_worker.rs
@@ -8,6 +8,7 @@
 use crate::model::{ServiceName, TimeMs};
 
 use super::directory::MemberState;
+use super::readiness::{Arrival, Readiness};
 use super::stated_rate::RateStatements;
 
 /// Leaving time of a backend server that was already leaving when this daemon first heard of it.
@@ -62,20 +63,30 @@
     pub leaving_since: Option<TimeMs>,
     /// Rate limit that this process has stated.
     pub rate: RateStatements,
-    /// Whether its state comes from a record of before a restart, and no heartbeat has arrived since. The
-    /// record may be outdated: the process before the restart may have confirmed a leaving that nobody
-    /// else knows of.
-    is_unheard: bool,
-    /// When it last answered a health check as ready. That counts like a heartbeat for as long as a process
-    /// in use may be silent: it may lag behind a leaving.
-    healthy_at: Option<TimeMs>,
+    /// What it has shown since the start of the daemon.
+    pub readiness: Readiness,
 }
 
 impl LocalWorker {
     /// Creates the state from the first heartbeat that this daemon receives. If the backend
     /// server is already draining, an earlier daemon process may have acknowledged that long
     /// ago, so it gets no new requests at all.
-    pub fn new(now: TimeMs, heartbeat: Heartbeat) -> LocalWorker {
+    pub fn new(now: TimeMs, heartbeat: Heartbeat, arrival: Arrival) -> LocalWorker {
+        let born_unix_ms = heartbeat.born_unix_ms;
+        let mut worker = LocalWorker::unheard(now, heartbeat);
+        worker.readiness.record_heartbeat(arrival, born_unix_ms);
+        worker
+    }
+
+    /// Creates the state from this daemon's record of before a restart. The backend server gets no requests
+    /// until it shows that it is not leaving; other copies of the record are no newer.
+    pub fn restored(now: TimeMs, heartbeat: Heartbeat, state: MemberState) -> LocalWorker {
+        let mut worker = LocalWorker::unheard(now, heartbeat);
+        worker.restore_state(state);
+        worker
+    }
+
+    fn unheard(now: TimeMs, heartbeat: Heartbeat) -> LocalWorker {
         let state = if heartbeat.draining {
             MemberState::Draining
         } else {
@@ -87,20 +98,10 @@
             state,
             last_heard: now,
             rate: RateStatements::default(),
-            is_unheard: false,
-            healthy_at: None,
+            readiness: Readiness::default(),
         }
     }
 
-    /// Creates the state from this daemon's record of before a restart. The backend server gets no requests
-    /// until a heartbeat of its own shows that it is not leaving; other copies of the record are no newer.
-    pub fn restored(now: TimeMs, heartbeat: Heartbeat, state: MemberState) -> LocalWorker {
-        let mut worker = LocalWorker::new(now, heartbeat);
-        worker.restore_state(state);
-        worker.is_unheard = true;
-        worker
-    }
-
     /// Applies the state that an earlier daemon process published for the same backend process.
     pub fn restore_state(&mut self, state: MemberState) {
         let has_left = matches!(state, MemberState::Draining | MemberState::Gone);
@@ -111,7 +112,12 @@
     }
 
     /// Applies a heartbeat unless it is stale.
-    pub fn apply_heartbeat(&mut self, now: TimeMs, heartbeat: Heartbeat) -> HeartbeatOutcome {
+    pub fn apply_heartbeat(
+        &mut self,
+        now: TimeMs,
+        heartbeat: Heartbeat,
+        arrival: Arrival,
+    ) -> HeartbeatOutcome {
         let known = &self.heartbeat;
         let is_same_process =
             known.instance == heartbeat.instance && known.born_unix_ms == heartbeat.born_unix_ms;
@@ -119,22 +125,32 @@
             if heartbeat.born_unix_ms < known.born_unix_ms && !self.is_silent(now) {
                 return HeartbeatOutcome::Stale;
             }
-            // No earlier daemon process has acknowledged draining to the new backend process.
-            let is_leaving = heartbeat.draining;
-            *self = LocalWorker::new(now, heartbeat);
-            self.leaving_since = is_leaving.then_some(now);
+            let mut readiness = if heartbeat.born_unix_ms > known.born_unix_ms {
+                self.readiness.of_successor()
+            } else {
+                Readiness::default()
+            };
+            readiness.record_heartbeat(arrival, heartbeat.born_unix_ms);
+            *self = LocalWorker::unheard(now, heartbeat);
+            self.readiness = readiness;
+            if readiness.is_proven() && self.leaving_since.is_some() {
+                // No earlier daemon process has acknowledged this.
+                self.leaving_since = Some(now);
+            }
             return HeartbeatOutcome::Changed;
         }
         if heartbeat.sequence <= known.sequence && self.last_heard > TimeMs(0) {
             return HeartbeatOutcome::Stale;
         }
         let before = (self.state, known.slots, known.service.clone());
+        let was_ready = self.readiness.holds(now);
         self.heartbeat = heartbeat;
         self.last_heard = now;
-        let is_first = std::mem::take(&mut self.is_unheard);
+        self.readiness
+            .record_heartbeat(arrival, self.heartbeat.born_unix_ms);
         if self.heartbeat.draining {
             // The process before the restart may have acknowledged this long ago.
-            if is_first {
+            if !was_ready {
                 self.restore_state(MemberState::Draining);
             }
             self.drain(now);
@@ -157,19 +173,15 @@
         self.state == MemberState::Ready && now.since_ms(self.last_heard) >= SILENT_MS
     }
 
-    /// Records that this instance has answered a health check as ready.
-    pub fn record_health(&mut self, now: TimeMs) {
-        self.healthy_at = Some(now);
-    }
-
-    /// Whether no heartbeat has arrived since this daemon was started again.
-    pub fn is_unheard(&self) -> bool {
-        self.is_unheard
-    }
-
     /// Whether it accepts requests and its heartbeats arrive.
     pub fn is_sound(&self, now: TimeMs) -> bool {
-        self.state == MemberState::Ready && !self.is_unheard && !self.is_silent(now)
+        let is_heard = self.readiness.is_heard() && !self.is_silent(now);
+        self.state == MemberState::Ready && self.readiness.holds(now) && is_heard
+    }
+
+    /// Whether it counts as ready but has not shown yet that it is not leaving.
+    pub fn is_unproven(&self, now: TimeMs) -> bool {
+        self.state == MemberState::Ready && !self.readiness.holds(now)
     }
 
     /// Whether a heartbeat may be confirmed: one that reports draining only if that is kept.
@@ -215,19 +227,11 @@
         true
     }
 
-    /// Whether the backend server itself has said that it is ready, since this daemon was started.
-    fn is_known_ready(&self, now: TimeMs) -> bool {
-        let is_healthy = self
-            .healthy_at
-            .is_some_and(|at| now.since_ms(at) < SILENT_MS);
-        !self.is_unheard || is_healthy
-    }
-
     /// Whether the backend server may get new requests: while it is known to be ready, and for
     /// `window_ms` after it started to leave.
     pub fn takes_work(&self, now: TimeMs, window_ms: u64) -> bool {
         match self.leaving_since {
-            None => self.state == MemberState::Ready && self.is_known_ready(now),
+            None => self.state == MemberState::Ready && self.readiness.holds(now),
             Some(since) => now.since_ms(since) < window_ms,
         }
     }
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -6,8 +6,8 @@
 use super::state::{Relay, Stage, Tables};
 use super::suspects::log_held_back;
 use crate::decide::relay::{
-    AnsweredRate, Departure, Heartbeat, HeartbeatOutcome, LocalWorker, Member, MemberState,
-    RelayedRate, RequestDigest, RestoredEvidence, StatedRate,
+    AnsweredRate, Arrival, Departure, Heartbeat, HeartbeatOutcome, LocalWorker, Member,
+    MemberState, RelayedRate, RequestDigest, RestoredEvidence, StatedRate,
 };
 use crate::model::TimeMs;
 
@@ -18,11 +18,19 @@
     /// Processes a heartbeat of the backend server beside this daemon, and returns its outcome and
     /// whether it may be confirmed.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> (HeartbeatOutcome, bool) {
+        let held_ms = self.observe_pauses();
         let now = self.clock.now();
+        let up_ms = now.since_ms(self.started);
+        let now_unix_ms = crate::net::daemon::unix_ms();
+        let arrival = Arrival {
+            up_ms: up_ms.saturating_sub(held_ms),
+            started_unix_ms: now_unix_ms.saturating_sub(up_ms),
+            now_unix_ms,
+        };
         let mut tables = self.tables();
         let known_by = match &tables.worker {
             None => "nothing",
-            Some(worker) if worker.is_unheard() => "its record",
+            Some(worker) if !worker.readiness.is_heard() => "its record",
             Some(_) => "a heartbeat",
         };
         let (slots, drains) = (heartbeat.slots, heartbeat.draining);
@@ -32,11 +40,11 @@
         let worker = tables.worker.as_ref();
         let worker = worker.filter(|worker| worker.state == MemberState::Ready);
         let process_before = worker.map(LocalWorker::process);
-        let was_unheard = tables.worker.as_ref().is_some_and(LocalWorker::is_unheard);
+        let was_proven = worker.is_some_and(|worker| worker.readiness.is_proven());
         let outcome = match &mut tables.worker {
-            Some(worker) => worker.apply_heartbeat(now, heartbeat),
+            Some(worker) => worker.apply_heartbeat(now, heartbeat, arrival),
             None => {
-                tables.worker = Some(LocalWorker::new(now, heartbeat));
+                tables.worker = Some(LocalWorker::new(now, heartbeat, arrival));
                 HeartbeatOutcome::Changed
             }
         };
@@ -58,44 +66,34 @@
         if tables.rate_per_s() != rate_before {
             self.enforce_rate(&mut tables);
         }
-        if outcome == HeartbeatOutcome::Changed {
-            self.announce(&mut tables, now);
-        }
-        if outcome != HeartbeatOutcome::Refreshed || known_by != "a heartbeat" {
+        self.announce_if_changed(&mut tables, now);
+        self.readiness_check_needed.notify_one();
+        let Some(worker) = &tables.worker else {
+            return (outcome, false);
+        };
+        let is_proven = worker.readiness.is_proven();
+        if outcome != HeartbeatOutcome::Refreshed
+            || known_by != "a heartbeat"
+            || is_proven != was_proven
+        {
             let (instance, outcome) = (instance.as_str(), <&str>::from(outcome));
-            let up_ms = now.since_ms(self.started);
-            let state = tables.worker.as_ref();
-            let state = state.map_or("unknown", |worker| <&str>::from(worker.state));
+            let (state, up_ms) = (<&str>::from(worker.state), arrival.up_ms);
             spdlog::info!("a heartbeat was taken in", kv: {
-                instance, sequence, born_unix_ms, outcome, known_by, state, up_ms
-            });
-        }
-        let worker = tables.worker.as_ref();
-        if was_unheard
-            && let Some(worker) = worker
-            && !worker.is_unheard()
-        {
-            let (instance, state) = (
-                worker.heartbeat.instance.as_str(),
-                <&str>::from(worker.state),
-            );
-            let up_ms = now.since_ms(self.started);
-            spdlog::info!("the backend server was heard for the first time since the start", kv: {
-                instance, state, up_ms
+                instance, sequence, born_unix_ms, outcome, known_by, state, is_proven:, up_ms
             });
         }
-        (
-            outcome,
-            worker.is_some_and(|worker| worker.confirms(drains)),
-        )
+        (outcome, worker.confirms(drains))
     }
 
-    /// Records that this instance beside this daemon has answered a health check as ready.
-    pub(super) fn record_health(&self, instance: &str) {
+    /// Records the answer of this instance beside this daemon to the health check sent at `asked`.
+    pub(super) fn record_health(&self, instance: &str, asked: TimeMs, is_ready: bool) {
         let now = self.clock.now();
-        if let Some(worker) = self.tables().worker_of(instance) {
-            worker.record_health(now);
+        let mut tables = self.tables();
+        if let Some(worker) = tables.worker_of(instance) {
+            let readiness = &mut worker.readiness;
+            readiness.record_health(self.started, asked, is_ready);
         }
+        self.announce_if_changed(&mut tables, now);
     }
 
     /// Records what an answer of the backend server beside this daemon states about its rate limit.
@@ -284,6 +282,7 @@
         };
         tables.admission.set_slots(heartbeat.slots);
         tables.worker = Some(LocalWorker::restored(now, heartbeat, member.state));
+        self.readiness_check_needed.notify_one();
         self.update_capacity(tables, now);
         tables.directory.merge(now, member.clone());
         // The log already holds this record, so nothing is published unless it is outdated.
@@ -296,14 +295,30 @@
         });
     }
 
-    /// Creates a new revision of this daemon's member record and has it published.
-    pub(super) fn announce(&self, tables: &mut Tables, now: TimeMs) {
+    /// Has the backend server published if its record is outdated, unless it counts as ready without having
+    /// shown that it is: other daemons may know that it is leaving.
+    fn announce_if_changed(&self, tables: &mut Tables, now: TimeMs) {
         let Some(worker) = &tables.worker else { return };
+        let known = tables.directory.get(self.own_address());
+        let is_published = known.is_some_and(|known| {
+            let member = &known.member;
+            let next = self.own_record(worker, member.revision);
+            member.state == next.state
+                && member.instance == next.instance
+                && member.born_unix_ms == next.born_unix_ms
+                && member.service == next.service
+                && member.slots == next.slots
+        });
+        if !is_published && !worker.is_unproven(now) {
+            self.announce(tables, now);
+        }
+    }
+
+    /// This daemon's member record as it is now, without suspected requests.
+    fn own_record(&self, worker: &LocalWorker, revision: u64) -> Member {
         let settings = self.settings.load();
         let heartbeat = &worker.heartbeat;
-        // The Unix time as a lower bound keeps the revision above those from before a restart.
-        let revision = (tables.revision + 1).max(crate::net::daemon::unix_ms());
-        let member = Member {
+        Member {
             address: settings.hop_address,
             revision,
             place: settings.place.clone(),
@@ -315,8 +330,20 @@
                 MemberState::Ready if *self.stage.borrow() > Stage::Serving => MemberState::Stopped,
                 state => state,
             },
+            suspects: Vec::new(),
+            reviews: Vec::new(),
+        }
+    }
+
+    /// Creates a new revision of this daemon's member record and has it published.
+    pub(super) fn announce(&self, tables: &mut Tables, now: TimeMs) {
+        let Some(worker) = &tables.worker else { return };
+        // The Unix time as a lower bound keeps the revision above those from before a restart.
+        let revision = (tables.revision + 1).max(crate::net::daemon::unix_ms());
+        let member = Member {
             suspects: tables.witness.publish(revision),
             reviews: tables.witness.reviews().publish(revision),
+            ..self.own_record(worker, revision)
         };
         let (service, instance) = (member.service.as_str(), member.instance.as_str());
         let state = <&str>::from(member.state);
--- a/src/net/relay/slot.rs
+++ b/src/net/relay/slot.rs
@@ -10,7 +10,7 @@
 use super::state::{Relay, RunningRequest, Stage, Tables, seconds_to_ms};
 use crate::decide::relay::admission::QueueDecision;
 use crate::decide::relay::{
-    AdmissionDecision, AdmissionRequest, MemberState, RequestDigest, RunEnd, Standing, WaiterId,
+    AdmissionDecision, AdmissionRequest, RequestDigest, RunEnd, Standing, WaiterId,
 };
 use crate::model::{NotRunReason, ServiceName, TimeMs};
 
@@ -22,9 +22,9 @@
 /// Retry-after time if the backend server beside this daemon is draining or gone, in
 /// milliseconds: about two heartbeats.
 pub(super) const LEAVING_RETRY_MS: u64 = 500;
-/// Retry-after time while the backend server has not been heard since this daemon was started, in
-/// milliseconds. Its next heartbeat may come at any moment.
-const UNHEARD_RETRY_MS: u64 = 100;
+/// Retry-after time while the backend server has not shown since the start of this daemon that it is not
+/// leaving, in milliseconds. It may at any moment.
+const UNPROVEN_RETRY_MS: u64 = 100;
 
 /// An occupied slot of the backend server, released on drop.
 #[derive(Debug)]
@@ -270,14 +270,13 @@
         return refuse(NotRunReason::WrongIncarnation);
     }
     if !worker.takes_work(now, drain_ms) {
-        if worker.is_unheard() && worker.state == MemberState::Ready {
-            let retry_after_ms = UNHEARD_RETRY_MS;
-            return Err(ExecutionOutcome::not_run(
-                NotRunReason::Leaving,
-                retry_after_ms,
-            ));
-        }
-        return refuse(NotRunReason::Leaving);
+        let retry_after_ms = if worker.is_unproven(now) {
+            UNPROVEN_RETRY_MS
+        } else {
+            LEAVING_RETRY_MS
+        };
+        let refused = ExecutionOutcome::not_run(NotRunReason::Leaving, retry_after_ms);
+        return Err(refused);
     }
     if tables
         .worker_unreachable_since
--- a/src/net/relay/state.rs
+++ b/src/net/relay/state.rs
@@ -203,6 +203,8 @@
     pub record_changed: Notify,
     /// Wakes the task that polls peers, when one has a newer configuration or the log service fails.
     pub peer_poll_needed: Notify,
+    /// Wakes the task that asks the backend server for its health.
+    pub readiness_check_needed: Notify,
     /// Wakes the polls of other daemons that wait for changes of this daemon's state.
     pub state_changed: Notify,
     /// Whether this daemon reads the log service or follows a reader.
@@ -274,6 +276,7 @@
             shutdown: ArcSwapOption::empty(),
             record_changed: Notify::new(),
             peer_poll_needed: Notify::new(),
+            readiness_check_needed: Notify::new(),
             state_changed: Notify::new(),
             reads_log: watch::Sender::new(true),
             has_read_log: AtomicBool::new(false),
@@ -409,6 +412,7 @@
             from, to, routes, organisations, keys, source, reported_ms
         });
         self.sync_quotas();
+        self.readiness_check_needed.notify_one();
         self.state_changed.notify_waiters();
         true
     }
--- a/src/platform/start.rs
+++ b/src/platform/start.rs
@@ -46,7 +46,7 @@
     tokio::spawn(peers::poll_peers(Arc::clone(relay), CONFIG));
     tokio::spawn(peers::watch_other_zone(Arc::clone(relay)));
     tokio::spawn(quotas::report(Arc::clone(relay)));
-    tokio::spawn(health::check_restored(Arc::clone(relay)));
+    tokio::spawn(health::check_readiness(Arc::clone(relay)));
     tokio::spawn(sweep(Arc::clone(relay)));
     let (zone, service) = (settings.place.zone.as_str(), settings.service.as_str());
     let callers = settings.callers_address;
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -190,6 +190,19 @@
     ) -> u16 {
         let is_leaving = state != "ready";
         self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
+        self.send_late_heartbeat(daemon, sequence, state, born)
+            .await
+    }
+
+    /// Sends a heartbeat that was made earlier: whether the backend server is leaving does not follow from
+    /// it. Returns the status of the answer, or 0 without an answer.
+    pub async fn send_late_heartbeat(
+        &self,
+        daemon: SocketAddr,
+        sequence: u64,
+        state: &str,
+        born: u64,
+    ) -> u16 {
         let body = serde_json::json!({
             "address": self.announced.to_string(),
             "born": born,
@@ -200,10 +213,15 @@
             .await
     }
 
+    /// Has it leave: from now on its health check says so.
+    pub fn leave(&self) {
+        self.shared.is_leaving.store(true, Ordering::Relaxed);
+    }
+
     /// Deregisters from the daemon, as the process of this start if one is given. Returns the status of
     /// the answer, or 0 without an answer.
     pub async fn deregister(&self, daemon: SocketAddr, born: Option<u64>) -> u16 {
-        self.shared.is_leaving.store(true, Ordering::Relaxed);
+        self.leave();
         let body = born.map(|born| serde_json::json!({ "born": born }).to_string());
         self.send_rpc(daemon, "instances.deregister", body.unwrap_or_default())
             .await
--- a/tests/relay_decisions.rs
+++ b/tests/relay_decisions.rs
@@ -5,7 +5,7 @@
 
 use burdockhall::decide::relay::admission::QueueDecision;
 use burdockhall::decide::relay::{
-    Admission, AdmissionDecision, AdmissionRequest, Arrivals, Candidate, Heartbeat,
+    Admission, AdmissionDecision, AdmissionRequest, Arrival, Arrivals, Candidate, Heartbeat,
     HeartbeatOutcome, Limits, LoadBalancer, LocalWorker, MemberState, PlaceKey, RetryBudget,
     RetryRequest, RetryWindow, Route, RouteTable, WeightedService, WorkerLoad,
 };
@@ -20,6 +20,13 @@
     idle_ms: 15_000,
 };
 
+/// Arrival of a heartbeat at a daemon that has run for long, so that it was made after the start.
+const LONG_UP: Arrival = Arrival {
+    up_ms: 60_000,
+    started_unix_ms: 1_000_000,
+    now_unix_ms: 1_060_000,
+};
+
 fn table(routes: Vec<Route>) -> RouteTable {
     RouteTable::new(1, routes, Vec::new(), LIMITS)
 }
@@ -197,8 +204,8 @@
         },
     ];
     for case in cases {
-        let mut worker = LocalWorker::new(TimeMs(10), heartbeat("i-2", 200, 5));
-        let outcome = worker.apply_heartbeat(TimeMs(20), case.heartbeat);
+        let mut worker = LocalWorker::new(TimeMs(10), heartbeat("i-2", 200, 5), LONG_UP);
+        let outcome = worker.apply_heartbeat(TimeMs(20), case.heartbeat, LONG_UP);
         assert_eq!(outcome, case.outcome, "{}", case.name);
         assert_eq!(worker.heartbeat.instance, case.instance, "{}", case.name);
         let takes_work = worker.takes_work(TimeMs(1_500), 1_000);
@@ -239,14 +246,14 @@
     ];
     for case in cases {
         let known = || {
-            let mut known = LocalWorker::new(TimeMs(10), heartbeat("i-1", 200, 5));
+            let mut known = LocalWorker::new(TimeMs(10), heartbeat("i-1", 200, 5), LONG_UP);
             known.restore_state(case.known);
             known
         };
         let mut draining = heartbeat("i-1", 100, 1);
         draining.draining = true;
         let mut worker = known();
-        worker.apply_heartbeat(case.heard_at, draining);
+        worker.apply_heartbeat(case.heard_at, draining, LONG_UP);
         let drains = worker.heartbeat.born_unix_ms == 100;
         assert_eq!(drains, case.is_taken, "{}", case.name);
         let is_kept = worker.state != MemberState::Ready;
@@ -259,13 +266,13 @@
 
 #[test]
 fn a_leaving_worker_takes_work_for_the_window_and_does_not_return() {
-    let mut worker = LocalWorker::new(TimeMs(0), heartbeat("i-1", 100, 1));
+    let mut worker = LocalWorker::new(TimeMs(0), heartbeat("i-1", 100, 1), LONG_UP);
     assert!(!worker.leave(TimeMs(1_000), "i-0", None), "another process");
     assert!(worker.leave(TimeMs(1_000), "i-1", None));
     assert!(!worker.leave(TimeMs(1_100), "i-1", None), "already gone");
     assert!(worker.takes_work(TimeMs(1_500), 800));
     assert!(!worker.takes_work(TimeMs(1_800), 800));
-    worker.apply_heartbeat(TimeMs(1_900), heartbeat("i-1", 100, 2));
+    worker.apply_heartbeat(TimeMs(1_900), heartbeat("i-1", 100, 2), LONG_UP);
     assert_eq!(worker.state, MemberState::Gone);
     assert!(!worker.takes_work(TimeMs(2_000), 800));
 }
@@ -297,7 +304,7 @@
         let now = TimeMs(5_000);
         let mut first = heartbeat("i-1", 100, 3);
         first.draining = case.draining;
-        let mut worker = LocalWorker::new(now, first);
+        let mut worker = LocalWorker::new(now, first, LONG_UP);
         worker.restore_state(case.earlier_state);
         assert_eq!(
             worker.takes_work(now, 800),
@@ -305,10 +312,10 @@
             "{}",
             case.name
         );
-        worker.apply_heartbeat(TimeMs(5_300), heartbeat("i-1", 100, 4));
+        worker.apply_heartbeat(TimeMs(5_300), heartbeat("i-1", 100, 4), LONG_UP);
         let takes_work = worker.takes_work(TimeMs(5_300), 800);
         assert_eq!(takes_work, case.takes_work, "{}: next heartbeat", case.name);
-        worker.apply_heartbeat(TimeMs(5_600), heartbeat("i-2", 200, 1));
+        worker.apply_heartbeat(TimeMs(5_600), heartbeat("i-2", 200, 1), LONG_UP);
         assert!(
             worker.takes_work(TimeMs(5_600), 800),
             "{}: next process",
@@ -355,7 +362,7 @@
         for (sequence, draining) in [(7, case.first_draining), (8, true)] {
             let mut next = heartbeat("i-1", 100, sequence);
             next.draining = draining;
-            worker.apply_heartbeat(TimeMs(5_100), next);
+            worker.apply_heartbeat(TimeMs(5_100), next, LONG_UP);
         }
         let takes_work = worker.takes_work(TimeMs(5_200), 800);
         assert_eq!(takes_work, case.takes_work, "{}", case.name);
--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -141,6 +141,8 @@
             let deployment = Deployment::start(&["a", "a", "b"]).await;
             let leaving = &deployment.hosts[0];
             let before = leaving.relay.own_member().expect("a record");
+            // Its health check shows nothing else until a heartbeat says that it is ready.
+            leaving.worker.leave();
             // What the killed process knew is gone.
             {
                 let mut tables = leaving.relay.tables();
@@ -184,6 +186,104 @@
     running.join_all().await;
 }
 
+/// Guards against DRAIN after a kill: a daemon that was started again believed a heartbeat that its backend server
+/// had made before a confirmed leaving, and sent it requests until it ended.
+#[tokio::test]
+async fn a_heartbeat_from_before_a_leaving_does_not_bring_the_server_back_after_a_restart() {
+    const BORN: u64 = 100;
+    struct Case {
+        name: &'static str,
+        /// Whether the store holds the record of before the restart.
+        has_record: bool,
+        /// Times after the start at which the store answers again and the heartbeats arrive, in milliseconds.
+        store_back_ms: u64,
+        heartbeats_ms: &'static [u64],
+        is_sound: bool,
+    }
+    let case = |name, has_record, store_back_ms, heartbeats_ms| Case {
+        name,
+        has_record,
+        store_back_ms,
+        heartbeats_ms,
+        is_sound: false,
+    };
+    let cases = [
+        case("the store is away", true, 2_600, &[1_600]),
+        case("without a record", false, 0, &[1_600]),
+        case("with a record", true, 0, &[500]),
+        case("two in order", true, 2_600, &[1_100, 1_600]),
+        case("after the store is back", true, 2_600, &[4_000]),
+        Case {
+            is_sound: true,
+            ..case("sound", true, 0, &[500, 2_000, 3_500])
+        },
+        Case {
+            is_sound: true,
+            ..case("sound, without a record", false, 0, &[500, 2_000, 3_500])
+        },
+        Case {
+            is_sound: true,
+            ..case(
+                "sound, the store is away",
+                true,
+                2_600,
+                &[500, 2_000, 3_500],
+            )
+        },
+    ];
+    let mut running = tokio::task::JoinSet::new();
+    for case in cases {
+        running.spawn(async move {
+            let mut deployment = Deployment::start(&["b"]).await;
+            let known = deployment.hosts[0].relay.own_member().expect("a record");
+            let record_before = |address| {
+                case.has_record.then(|| Member {
+                    address,
+                    service: "a".into(),
+                    instance: "i-1".to_owned(),
+                    born_unix_ms: BORN,
+                    ..known.clone()
+                })
+            };
+            let started = Instant::now();
+            let set_down = |deployment: &Deployment, is_down| {
+                let faults = deployment.store.faults();
+                faults.down.store(is_down, Ordering::Relaxed);
+            };
+            set_down(&deployment, case.store_back_ms > 0);
+            deployment
+                .add_silent_host("a", "region", record_before)
+                .await;
+            let leaving = &deployment.hosts[1];
+            if !case.is_sound {
+                leaving.worker.leave();
+            }
+            let local = leaving.settings.local_address;
+            let mut heartbeats = case.heartbeats_ms.iter().zip(7..).peekable();
+            let is_due = |at_ms: u64| started.elapsed() >= Duration::from_millis(at_ms);
+            let mut number = 0;
+            while !is_due(5_500) {
+                if is_due(case.store_back_ms) {
+                    set_down(&deployment, false);
+                }
+                if let Some((_, sequence)) = heartbeats.next_if(|(at_ms, _)| is_due(**at_ms)) {
+                    let late = leaving
+                        .worker
+                        .send_late_heartbeat(local, sequence, "ready", BORN);
+                    assert_eq!(late.await, 200, "{}", case.name);
+                }
+                let id = format!("after-{number}");
+                deployment.call(0, "/safe/echo", &id, b"").await;
+                number += 1;
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+            let is_used = !leaving.worker.runs().is_empty();
+            assert_eq!(is_used, case.is_sound, "{}", case.name);
+        });
+    }
+    running.join_all().await;
+}
+
 /// Guards against requests that are refused after a kill: a sound backend server waited for its next heartbeat. And
 /// against DRAIN: its health check is believed for as long only as a process in use may be silent.
 #[tokio::test]
