Let a daemon that starts without the log service take its state from another

Callers were refused for seconds after kills while the log service gave no answer: a daemon that had been started again knew no configuration, so no health path, so nothing that shows that its backend server has not left.

Cause: it knows no other daemon that it could ask, though others send it requests within 0.1 s.

Change: a daemon whose request is refused by one without a configuration sends that one its member record. The started daemon then knows whom to ask, and the poll that runs while a newer configuration is known fetches configuration and member records, its own among them.

--- a/src/net/relay/offer.rs
+++ b/src/net/relay/offer.rs
@@ -16,6 +16,7 @@
 use super::hop::{
     HOP_HEADER, HopOutcome, HopReply, HopRequest, REPLY_HEADER, strip_connection_headers,
 };
+use super::peers;
 use super::pool::{ExchangeError, Exchanged};
 use super::settle::{self, SettleRequest};
 use super::state::Relay;
@@ -149,8 +150,11 @@
 }
 
 /// Applies the reply metadata of a daemon: load, shares, read offset and member record.
-fn apply_reply(relay: &Relay, address: SocketAddr, reply: &HopReply) {
+fn apply_reply(relay: &Arc<Relay>, address: SocketAddr, reply: &HopReply) {
     relay.observe_config(reply.config, Some(address));
+    if reply.config == 0 && reply.outcome.takes_no_requests() {
+        peers::introduce(relay, address);
+    }
     relay.members_read.advance_peer(reply.members_read);
     apply_load(relay, address, reply);
     if let Some(member) = &reply.member {
--- a/src/net/relay/peers.rs
+++ b/src/net/relay/peers.rs
@@ -229,6 +229,9 @@
     match member {
         Some(member) => {
             relay.merge_members(vec![member], "peer");
+            if relay.is_config_behind() {
+                relay.peer_poll_needed.notify_one();
+            }
             empty_response(StatusCode::OK)
         }
         None => empty_response(StatusCode::BAD_REQUEST),
@@ -409,14 +412,6 @@
 
 /// Pushes this daemon's changed record to readers of all zones while the log service is unavailable.
 pub async fn push_record(relay: &Arc<Relay>, member: &Member) {
-    let record = match serde_json::to_vec(member) {
-        Ok(record) => record,
-        Err(error) => {
-            let error = error.to_string();
-            spdlog::error!("cannot encode this daemon's member record", kv: { error });
-            return;
-        }
-    };
     let targets = {
         let tables = relay.tables();
         tables
@@ -424,16 +419,37 @@
             .spread_targets(relay.clock.now(), &tables.directory)
     };
     for (_, peer) in targets {
-        let (relay, record) = (Arc::clone(relay), record.clone());
-        tokio::spawn(async move {
-            let mut request = Request::new(RelayBody::Full(record.into()));
-            *request.method_mut() = Method::POST;
-            *request.uri_mut() = Uri::from_static(RECORD_PATH);
-            exchange(&relay, peer, request, TIMEOUT_MS).await;
-        });
+        push_to(relay, peer, member);
     }
 }
 
+/// Makes this daemon known to one that has refused a request and knows no configuration. That one may have
+/// been started again while the log service gives no answer, and can now ask this one for its state.
+pub(super) fn introduce(relay: &Arc<Relay>, peer: SocketAddr) {
+    if let Some(member) = relay.own_member() {
+        push_to(relay, peer, &member);
+    }
+}
+
+/// Sends a member record to a daemon, in a task.
+fn push_to(relay: &Arc<Relay>, peer: SocketAddr, member: &Member) {
+    let record = match serde_json::to_vec(member) {
+        Ok(record) => record,
+        Err(error) => {
+            let error = error.to_string();
+            spdlog::error!("cannot encode this daemon's member record", kv: { error });
+            return;
+        }
+    };
+    let relay = Arc::clone(relay);
+    tokio::spawn(async move {
+        let mut request = Request::new(RelayBody::Full(record.into()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = Uri::from_static(RECORD_PATH);
+        exchange(&relay, peer, request, TIMEOUT_MS).await;
+    });
+}
+
 /// The body of a peer's answer; `None` if the exchange fails or times out.
 pub(super) async fn exchange(
     relay: &Arc<Relay>,
--- a/tests/relay_members.rs
+++ b/tests/relay_members.rs
@@ -245,3 +245,42 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against requests that are refused after a kill: a daemon that was started again while the store gave no
+/// answer knew no configuration, so that it could not ask its backend server for its health.
+#[tokio::test]
+async fn a_daemon_started_while_the_store_is_away_learns_its_state_from_one_that_sends_it_a_request()
+ {
+    let mut deployment = settled(&["b", "b"]).await;
+    let known = deployment.hosts[0].relay.own_member().expect("a record");
+    deployment
+        .store
+        .faults()
+        .down
+        .store(true, Ordering::Relaxed);
+    deployment.add_silent_host("a", "region", |_| None).await;
+    let started = &deployment.hosts[2];
+    let before = Member {
+        address: started.settings.hop_address,
+        service: "a".into(),
+        instance: started.worker.instance(),
+        ..known
+    };
+    deployment.hosts[0].relay.merge_members(vec![before], "log");
+    let mut status = deployment.call(0, "/safe/echo", "first", b"").await.status;
+    for number in 0..100 {
+        if status.is_success() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let id = format!("again-{number}");
+        status = deployment.call(0, "/safe/echo", &id, b"").await.status;
+    }
+    assert!(
+        status.is_success(),
+        "{status}: no heartbeat has arrived yet"
+    );
+    assert_eq!(started.relay.config_version(), 1);
+    let known = started.relay.tables().directory.all().count();
+    assert_eq!(known, 3, "members known");
+}
