Keep the body of a GET or HEAD request that comes in chunks

Cause: such a body is streamed and its length is unknown. The relay removes the caller's Transfer-Encoding, and hyper sends no body of unknown length with GET or HEAD unless the request states its framing.

Evidence: relay_bodies sends six methods, five lengths and both framings, over a hop and without. Before the fix it fails at GET, 65537 bytes in chunks, on the VM of the backend server itself; the other methods and lengths arrive.

Change: the pool states the framing of each request whose body has no known length. All requests of the relay go through it. The stand-in reads bodies in chunks.

--- a/src/net/relay/pool.rs
+++ b/src/net/relay/pool.rs
@@ -5,9 +5,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::header::{HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
@@ -175,6 +176,7 @@
         max_idle_ms: u64,
         destination: Destination,
     ) -> Result<Exchanged, ExchangeError> {
+        frame_unknown_length(&mut request);
         while let Some(sender) = self.take(address, max_idle_ms, destination.request_id()) {
             match send(address, sender, request).await {
                 Err(ExchangeError::NotSent {
@@ -319,6 +321,14 @@
     })
 }
 
+/// States the framing of a body of unknown length. Otherwise hyper sends a GET or HEAD request without it.
+fn frame_unknown_length(request: &mut Request<RelayBody>) {
+    if request.body().size_hint().exact().is_none() {
+        let chunked = HeaderValue::from_static("chunked");
+        request.headers_mut().insert(TRANSFER_ENCODING, chunked);
+    }
+}
+
 fn id_hash(request_id: &str) -> u64 {
     xxh3_64(request_id.as_bytes())
 }
--- a/src/standin/platform/request.rs
+++ b/src/standin/platform/request.rs
@@ -83,24 +83,72 @@
         .filter_map(|line| line.split_once(':'))
         .map(|(name, value)| (name.to_ascii_lowercase(), value.trim().to_owned()))
         .collect();
-    let length = headers
-        .get("content-length")
-        .and_then(|length| length.parse().ok());
-    let end = head_end + length.unwrap_or(0);
-    while buffer.len() < end {
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    }
-    let body = buffer[head_end..end].to_vec();
-    buffer.drain(..end);
+    let is_chunked = headers
+        .get("transfer-encoding")
+        .is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+    buffer.drain(..head_end);
+    let body = if is_chunked {
+        receive_chunks(stream, buffer).await?
+    } else {
+        let length = headers.get("content-length");
+        let length = length.and_then(|length| length.parse().ok());
+        receive_bytes(stream, buffer, length.unwrap_or(0)).await?
+    };
+    let Some(body) = body else {
+        return Ok(None);
+    };
     Ok(Some(ReceivedRequest {
         run: Run {
             line,
             headers,
+            body_bytes: body.len(),
             instance: String::new(),
             began: Instant::now(),
         },
         body,
     }))
 }
+
+/// Takes so many bytes from the buffer, once they have arrived; `None` if the connection ends before.
+async fn receive_bytes(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+    length: usize,
+) -> std::io::Result<Option<Vec<u8>>> {
+    while buffer.len() < length {
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    }
+    Ok(Some(buffer.drain(..length).collect()))
+}
+
+/// Reads a body in chunks without trailers; `None` if the connection ends before it.
+async fn receive_chunks(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> std::io::Result<Option<Vec<u8>>> {
+    const LINE_END: &[u8] = b"\r\n";
+    let mut body = Vec::new();
+    loop {
+        let line_end = loop {
+            let mut windows = buffer.windows(LINE_END.len());
+            if let Some(at) = windows.position(|window| window == LINE_END) {
+                break at;
+            }
+            if stream.read_buf(buffer).await? == 0 {
+                return Ok(None);
+            }
+        };
+        let size = String::from_utf8_lossy(&buffer[..line_end]).into_owned();
+        buffer.drain(..line_end + LINE_END.len());
+        let size = usize::from_str_radix(size.trim(), 16).map_err(std::io::Error::other)?;
+        let Some(chunk) = receive_bytes(stream, buffer, size + LINE_END.len()).await? else {
+            return Ok(None);
+        };
+        body.extend_from_slice(&chunk[..size]);
+        if size == 0 {
+            return Ok(Some(body));
+        }
+    }
+}
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -41,6 +41,8 @@
     pub line: String,
     /// Header values by lower-case name.
     pub headers: HashMap<String, String>,
+    /// Length of the body, in bytes.
+    pub body_bytes: usize,
     /// Id of the backend server instance that ran it.
     pub instance: String,
     /// Time when the whole request had been received.
