Read a kept answer to its end while another attempt runs

Cause: the entry kept the failure of a first attempt as a stream with the request's deadline while the second attempt, at a frozen machine, waited until that same deadline. Passed on after it, the stream failed at its first poll, and hyper dropped the head with it.

Change: the kept answer is read, up to the usual 64 KiB, while the next attempt runs; complete, it has no deadline. If it breaks off, the outcome of that attempt is unknown.

--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -9,7 +9,7 @@
 use hyper::{Response, StatusCode};
 use rand::RngExt;
 
-use super::body::RelayBody;
+use super::body::{BodyError, RelayBody};
 use super::entry::{Call, refusal};
 use super::executor::ExecutionOutcome;
 use super::hop::{HopRequest, empty_response};
@@ -111,7 +111,8 @@
         tried.push(chosen.candidate.address);
         expected.extend(chosen.expected_ms);
         relay.metrics.placed(chosen.candidate.distance);
-        let executed = offer(relay, call, &chosen.candidate, hop, sent_body).await;
+        let offered = offer(relay, call, &chosen.candidate, hop, sent_body);
+        let executed = while_reading_ahead(call, &mut failure, offered).await;
         match executed {
             ExecutionOutcome::Done(done) => {
                 let failed = done.response.status().is_server_error();
@@ -200,6 +201,33 @@
     failure_response(relay, call, failure, &tried, &expected)
 }
 
+/// Awaits another attempt while the rest of the answer of an earlier one arrives. If that breaks off, its
+/// outcome is unknown.
+async fn while_reading_ahead(
+    call: &Call<'_>,
+    failure: &mut Failure,
+    offered: impl Future<Output = ExecutionOutcome>,
+) -> ExecutionOutcome {
+    let Failure::Answered(response) = failure else {
+        return offered.await;
+    };
+    tokio::pin!(offered);
+    let read = tokio::select! {
+        executed = &mut offered => return executed,
+        read = response.body_mut().read_ahead() => read,
+    };
+    if let Err(error) = read {
+        let (request_id, cause) = (call.id, error.to_string());
+        spdlog::info!("the answer of an earlier attempt is lost", kv: { request_id, cause });
+        let reason = match error {
+            BodyError::Overdue => UnknownReason::DeadlinePassed,
+            BodyError::Broken(_) | BodyError::TooLarge { .. } => UnknownReason::BackendBroke,
+        };
+        *failure = Failure::Unknown(reason);
+    }
+    offered.await
+}
+
 fn next_body(body: &mut Option<RelayBody>) -> Option<RelayBody> {
     match body.as_ref()?.try_clone() {
         Some(clone) => Some(clone),
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -145,6 +145,17 @@
         }
     }
 
+    /// Reads a body of an answer while something else is awaited, so that it can be passed on whole after its
+    /// deadline. Returns once it is complete or as much has arrived as is buffered; may be cancelled.
+    pub async fn read_ahead(&mut self) -> Result<(), BodyError> {
+        if let RelayBody::Streamed(streamed) = self
+            && streamed.read_ahead().await?
+        {
+            *self = RelayBody::Full(streamed.prefix.take().unwrap_or_default());
+        }
+        Ok(())
+    }
+
     /// The body of a request: buffered if it has at most `buffer_bytes`, otherwise streamed. A
     /// streamed body fails once it exceeds `limit_bytes`, and keeps `answering`.
     pub async fn request(
@@ -251,6 +262,33 @@
         if let Some(prefix) = self.prefix.take() {
             return Poll::Ready(Some(Ok(Frame::data(prefix))));
         }
+        self.poll_rest(context)
+    }
+
+    /// Extends the prefix up to what is buffered; true if it is the whole body.
+    async fn read_ahead(&mut self) -> Result<bool, BodyError> {
+        loop {
+            let read_bytes = self.prefix.as_ref().map_or(0, Bytes::len);
+            if read_bytes as u64 >= MAX_BUFFERED_BYTES {
+                return Ok(false);
+            }
+            let frame = std::future::poll_fn(|context| self.poll_rest(context)).await;
+            let Some(frame) = frame else {
+                return Ok(true);
+            };
+            if let Ok(data) = frame?.into_data() {
+                let mut read = BytesMut::from(self.prefix.take().unwrap_or_default());
+                read.extend_from_slice(&data);
+                self.prefix = Some(read.freeze());
+            }
+        }
+    }
+
+    /// Polls what follows the prefix.
+    fn poll_rest(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
         if let Poll::Ready(None) = polled {
             self.complete();
--- a/src/standin/platform/behaviour.rs
+++ b/src/standin/platform/behaviour.rs
@@ -12,6 +12,10 @@
     Echo,
     /// Run and answer with status 500.
     Fail,
+    /// Like `Fail`, with a body in chunks.
+    FailChunked,
+    /// Like `Fail`, without a content length; the body ends when the connection closes.
+    FailUnframed,
     /// Run and answer with the status in the segment after its first dot, of whatever size.
     Status,
     /// Refuse the request without running it.
--- a/src/standin/platform/mod.rs
+++ b/src/standin/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Stand-ins that speak the protocols of the users' platform: its store and its backend servers.
 
 mod behaviour;
+mod heartbeats;
 mod request;
 pub mod store;
 mod streams;
--- a/src/standin/platform/worker.rs
+++ b/src/standin/platform/worker.rs
@@ -6,9 +6,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::Request;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Notify;
@@ -21,8 +18,6 @@
 use crate::net::NetError;
 use crate::net::http;
 
-/// Timeout of a heartbeat or a deregistration sent to the daemon, in milliseconds.
-const ACK_TIMEOUT_MS: u64 = 1_000;
 /// Bytes sent at a time by a behaviour without end.
 const ENDLESS_CHUNK_BYTES: usize = 16 * 1024;
 /// Concurrent requests that a backend server states.
@@ -59,13 +54,13 @@
 }
 
 #[derive(Debug)]
-struct Shared {
+pub(super) struct Shared {
     instance: Mutex<String>,
     /// Wakes the listener when a request crashes the backend server.
     crashed: Notify,
     crashes: AtomicU64,
     /// Whether it has said that it is leaving.
-    is_leaving: AtomicBool,
+    pub(super) is_leaving: AtomicBool,
     /// Number of health checks.
     health_checks: AtomicUsize,
     /// Header lines that all answers carry.
@@ -86,8 +81,8 @@
     pub announced: SocketAddr,
     /// Concurrent requests that it states in heartbeats.
     pub slots: u32,
-    service: String,
-    shared: Arc<Shared>,
+    pub(super) service: String,
+    pub(super) shared: Arc<Shared>,
     task: JoinHandle<()>,
 }
 
@@ -181,64 +176,6 @@
     pub fn endless_bytes(&self) -> u64 {
         self.shared.endless_bytes.load(Ordering::Relaxed)
     }
-
-    /// Sends one heartbeat to the daemon. Returns the status of the answer, or 0 without an answer.
-    pub async fn send_heartbeat(
-        &self,
-        daemon: SocketAddr,
-        sequence: u64,
-        state: &str,
-        born: u64,
-    ) -> u16 {
-        let is_leaving = state != "ready";
-        self.shared.is_leaving.store(is_leaving, Ordering::Relaxed);
-        self.send_late_heartbeat(daemon, sequence, state, born)
-            .await
-    }
-
-    /// Sends a heartbeat that was made earlier: whether the backend server is leaving does not follow from
-    /// it. Returns the status of the answer, or 0 without an answer.
-    pub async fn send_late_heartbeat(
-        &self,
-        daemon: SocketAddr,
-        sequence: u64,
-        state: &str,
-        born: u64,
-    ) -> u16 {
-        let body = serde_json::json!({
-            "address": self.announced.to_string(),
-            "born": born,
-            "info": { "service": self.service, "version": "v1", "zone": "z", "slots": self.slots },
-            "status": { "state": state, "seq": sequence, "coldRemainingS": 0 },
-        });
-        self.send_rpc(daemon, "instances.heartbeat", body.to_string())
-            .await
-    }
-
-    /// Has it leave: from now on its health check says so.
-    pub fn leave(&self) {
-        self.shared.is_leaving.store(true, Ordering::Relaxed);
-    }
-
-    /// Deregisters from the daemon, as the process of this start if one is given. Returns the status of
-    /// the answer, or 0 without an answer.
-    pub async fn deregister(&self, daemon: SocketAddr, born: Option<u64>) -> u16 {
-        self.leave();
-        let body = born.map(|born| serde_json::json!({ "born": born }).to_string());
-        self.send_rpc(daemon, "instances.deregister", body.unwrap_or_default())
-            .await
-    }
-
-    async fn send_rpc(&self, daemon: SocketAddr, method: &str, body: String) -> u16 {
-        let instance = self.instance();
-        let uri = format!("http://{daemon}/rpc?call={method}&of={instance}");
-        let Ok(request) = Request::post(uri).body(Full::new(Bytes::from(body))) else {
-            return 0;
-        };
-        let client = http::client(0);
-        let sent = http::exchange(&client, daemon, request, ACK_TIMEOUT_MS).await;
-        sent.map_or(0, |(status, _, _)| status.as_u16())
-    }
 }
 
 impl Drop for StandInWorker {
@@ -372,6 +309,12 @@
                 (format!("HTTP/1.1 {status} Odd\r\n{signed}{length}"), body)
             }
             Behaviour::Fail => (format!("{error}{signed}{length}"), body),
+            Behaviour::FailChunked => {
+                let chunked = "transfer-encoding: chunked\r\n\r\n";
+                let chunk = format!("{:x}\r\n{}", body.len(), String::from_utf8_lossy(&body));
+                let answer = format!("{error}{signed}{chunked}{chunk}\r\n0\r\n\r\n");
+                (answer, Vec::new())
+            }
             Behaviour::Shed | Behaviour::LateShed => {
                 let head = format!("{unavailable}{echoed}X-Not-Executed: 1\r\n");
                 let refusal = format!("{head}content-length: 0\r\n\r\n");
@@ -454,8 +397,13 @@
                 stream.write_all(&body).await?;
                 return send_endlessly(&mut stream, "after the answer ", shared).await;
             }
-            Behaviour::Unframed => {
-                let head = format!("{ok}{signed}\r\n");
+            Behaviour::Unframed | Behaviour::FailUnframed => {
+                let status = if behaviour == Behaviour::Unframed {
+                    ok
+                } else {
+                    error
+                };
+                let head = format!("{status}{signed}\r\n");
                 stream.write_all(head.as_bytes()).await?;
                 stream.write_all(&body).await?;
                 return stream.shutdown().await;
