Cut an answer without a length whose backend server has crashed

Cause: the kernel ends the connection of a killed process in order. The relay passed that on as the last chunk, and probed whether the backend server had ended only afterwards.

Change: the end of such a body waits for the probe that was made anyway. If nothing listens any more, the body breaks off; not if the probe gets no answer or the backend server is leaving.

--- a/src/net/relay/answer_end.rs
+++ b/src/net/relay/answer_end.rs
@@ -6,12 +6,15 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
+use tokio::sync::oneshot;
+
+use super::crash_probe::ProbeResult;
 use super::entry::Call;
 use super::executor_log::log_crash;
 use super::log_limiter::LineKind;
 use super::slot::Slot;
 use super::state::Relay;
-use crate::decide::relay::RequestDigest;
+use crate::decide::relay::{MemberState, RequestDigest};
 use crate::model::TimeMs;
 
 /// How the body of an answer has ended.
@@ -51,6 +54,31 @@
             EndWatcher::Run(run) => run.ended(end),
         }
     }
+
+    /// Whether the end of the body may be that of the backend server instead.
+    pub(super) fn doubts_end(&self) -> bool {
+        match self {
+            EndWatcher::Attempt(_) => false,
+            EndWatcher::Run(run) => run.ends_with_connection,
+        }
+    }
+
+    /// Finds out how a body has ended whose connection has, in a task.
+    pub(super) fn check_end(self) -> oneshot::Receiver<AnswerEnd> {
+        let (sender, receiver) = oneshot::channel();
+        tokio::spawn(async move {
+            let end = match self {
+                EndWatcher::Attempt(attempt) => {
+                    attempt.ended(AnswerEnd::Complete);
+                    AnswerEnd::Complete
+                }
+                EndWatcher::Run(run) => run.check_end().await,
+            };
+            // The caller may have left meanwhile.
+            let _ = sender.send(end);
+        });
+        receiver
+    }
 }
 
 /// Counts a request of a caller, or of another daemon for a run here, as open until it is dropped.
@@ -139,18 +167,12 @@
 
 impl OpenRun {
     fn ended(self, end: AnswerEnd) {
+        self.log_end(end);
         let relay = &self.slot.relay;
-        relay.metrics.answer_ended(end);
-        if end.is_failure() && relay.may_log(LineKind::Failed) {
-            let (request_id, end) = (self.slot.request_id.as_str(), <&str>::from(end));
-            spdlog::warn!("the backend server did not end an answer", kv: { request_id, end });
-        }
         match end {
-            AnswerEnd::Complete if !self.ends_with_connection => {
-                relay.record_run_ended_well(self.suspect.digest);
-            }
-            AnswerEnd::Complete | AnswerEnd::Broken => {
-                tokio::spawn(self.probe(end));
+            AnswerEnd::Complete => relay.record_run_ended_well(self.suspect.digest),
+            AnswerEnd::Broken => {
+                tokio::spawn(async move { self.suspect.record_if_crashed(&self.slot).await });
             }
             AnswerEnd::Overdue | AnswerEnd::Dropped => {
                 self.suspect.abandoned(relay, self.slot.started);
@@ -158,13 +180,35 @@
         }
     }
 
-    /// Finds out whether the backend server has ended during the run.
-    async fn probe(self, end: AnswerEnd) {
-        let has_crashed = self.suspect.record_if_crashed(&self.slot).await;
-        if !has_crashed && end == AnswerEnd::Complete {
-            let relay = &self.slot.relay;
+    /// Finds out how a body has ended whose connection has: it is incomplete if the backend server has ended
+    /// too, unless that is leaving and may have ended after it.
+    async fn check_end(self) -> AnswerEnd {
+        let probed = self.suspect.record_if_crashed(&self.slot).await;
+        let relay = &self.slot.relay;
+        if !probed.has_ended() {
             relay.record_run_ended_well(self.suspect.digest);
         }
+        let mut tables = relay.tables();
+        let is_leaving = tables
+            .worker_of(&self.suspect.instance)
+            .is_some_and(|worker| worker.state != MemberState::Ready);
+        drop(tables);
+        let end = if probed == ProbeResult::Refused && !is_leaving {
+            AnswerEnd::Broken
+        } else {
+            AnswerEnd::Complete
+        };
+        self.log_end(end);
+        end
+    }
+
+    fn log_end(&self, end: AnswerEnd) {
+        let relay = &self.slot.relay;
+        relay.metrics.answer_ended(end);
+        if end.is_failure() && relay.may_log(LineKind::Failed) {
+            let (request_id, end) = (self.slot.request_id.as_str(), <&str>::from(end));
+            spdlog::warn!("the backend server did not end an answer", kv: { request_id, end });
+        }
     }
 }
 
@@ -179,26 +223,28 @@
 }
 
 impl RunSuspect {
-    /// Suspects the request of a run that broke off, if its backend server has ended; true if it has.
-    pub(super) async fn record_if_crashed(&self, slot: &Slot) -> bool {
+    /// Suspects the request of a run that broke off, if its backend server has ended.
+    pub(super) async fn record_if_crashed(&self, slot: &Slot) -> ProbeResult {
         let relay = &slot.relay;
         let address = relay.settings.load().backend_address;
-        let has_ended = relay.crash_probe.has_ended(&relay.clock, address).await;
-        if has_ended {
+        let probed = relay.crash_probe.probe(&relay.clock, address).await;
+        if probed.has_ended() {
             let (instance, digest) = (self.instance.as_str(), self.digest);
             log_crash(relay, &slot.request_id, instance, digest, &self.path);
             relay.record_crash(instance, digest, slot.started);
         }
-        has_ended
+        probed
     }
 
     /// Suspects the requests of abandoned runs, if their backend server has ended.
     pub(super) async fn record_abandoned_if_crashed(&self, slot: &Slot) {
         let relay = &slot.relay;
         let address = relay.settings.load().backend_address;
-        if relay.has_abandoned(&self.instance)
-            && relay.crash_probe.has_ended(&relay.clock, address).await
-        {
+        if !relay.has_abandoned(&self.instance) {
+            return;
+        }
+        let probed = relay.crash_probe.probe(&relay.clock, address).await;
+        if probed.has_ended() {
             relay.record_unreachable(&self.instance);
         }
     }
--- a/src/net/relay/attempt.rs
+++ b/src/net/relay/attempt.rs
@@ -221,7 +221,9 @@
         spdlog::info!("the answer of an earlier attempt is lost", kv: { request_id, cause });
         let reason = match error {
             BodyError::Overdue => UnknownReason::DeadlinePassed,
-            BodyError::Broken(_) | BodyError::TooLarge { .. } => UnknownReason::BackendBroke,
+            BodyError::Broken(_) | BodyError::TooLarge { .. } | BodyError::ServerEnded => {
+                UnknownReason::BackendBroke
+            }
         };
         *failure = Failure::Unknown(reason);
     }
--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -10,6 +10,7 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use thiserror::Error;
+use tokio::sync::oneshot;
 use tokio::time::{Instant, Sleep};
 
 use super::answer_end::{AnswerEnd, EndWatcher};
@@ -31,6 +32,9 @@
     /// The body has not ended by the deadline of its request.
     #[error("the body has not ended in time")]
     Overdue,
+    /// The body would end with its connection, and the backend server has ended with it.
+    #[error("the backend server has ended before the body")]
+    ServerEnded,
 }
 
 /// Largest answer that is buffered before it is forwarded, in bytes; larger ones are streamed. If
@@ -61,6 +65,8 @@
     /// Elapses when the body must have ended.
     deadline: Option<Pin<Box<Sleep>>>,
     watchers: Vec<EndWatcher>,
+    /// Tells how the body has ended, while that is found out after the end of its connection.
+    end_check: Option<oneshot::Receiver<AnswerEnd>>,
     _answering: Option<Answering>,
 }
 
@@ -101,6 +107,7 @@
             connection,
             deadline: None,
             watchers: Vec::new(),
+            end_check: None,
             _answering: None,
         })
     }
@@ -188,6 +195,7 @@
             connection: None,
             deadline: None,
             watchers: Vec::new(),
+            end_check: None,
             _answering: answering,
         }))
     }
@@ -289,10 +297,12 @@
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.end_check.is_some() {
+            return self.poll_end(context);
+        }
         let polled = Pin::new(&mut self.incoming).poll_frame(context);
         if let Poll::Ready(None) = polled {
-            self.complete();
-            return Poll::Ready(None);
+            return self.poll_end(context);
         }
         if let Poll::Ready(Some(Err(_))) = polled {
             self.end(AnswerEnd::Broken);
@@ -320,6 +330,28 @@
         Poll::Ready(Some(frame))
     }
 
+    /// Polls for how the body has ended, now that nothing more arrives.
+    fn poll_end(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.end_check.is_none()
+            && let Some(index) = self.watchers.iter().position(EndWatcher::doubts_end)
+        {
+            self.end_check = Some(self.watchers.swap_remove(index).check_end());
+        }
+        if let Some(check) = &mut self.end_check {
+            let end = ready!(Pin::new(check).poll(context));
+            self.end_check = None;
+            if end == Ok(AnswerEnd::Broken) {
+                self.end(AnswerEnd::Broken);
+                return Poll::Ready(Some(Err(BodyError::ServerEnded)));
+            }
+        }
+        self.complete();
+        Poll::Ready(None)
+    }
+
     fn is_overdue(&mut self, context: &mut Context<'_>) -> bool {
         let deadline = self.deadline.as_mut();
         deadline.is_some_and(|deadline| deadline.as_mut().poll(context).is_ready())
--- a/tests/relay_streams.rs
+++ b/tests/relay_streams.rs
@@ -120,3 +120,40 @@
         .await;
     calls.into()
 }
+
+/// Guards against MIXED: a backend server crashed while it sent an answer that ends with its connection, and callers
+/// got what had arrived as a whole success in chunks.
+#[tokio::test]
+async fn an_answer_without_a_length_is_not_whole_if_its_backend_server_crashes() {
+    struct Case {
+        path: &'static str,
+        is_whole: bool,
+    }
+    let cases = [
+        Case {
+            path: "/once/stream_unframed.300",
+            is_whole: true,
+        },
+        Case {
+            path: "/once/unframed",
+            is_whole: true,
+        },
+        Case {
+            path: "/once/crash_stream_unframed.300",
+            is_whole: false,
+        },
+        Case {
+            path: "/safe/crash_stream_unframed.300",
+            is_whole: false,
+        },
+    ];
+    for entry in [0, 1] {
+        for case in &cases {
+            let deployment = Deployment::start(&["a", "b"]).await;
+            let answer = deployment.call(entry, case.path, "r", b"text").await;
+            let name = format!("{}, entry {entry}", case.path);
+            assert!(answer.status.is_success(), "{name}: {}", answer.status);
+            assert_eq!(answer.body.is_some(), case.is_whole, "{name}");
+        }
+    }
+}
