--- a/src/net/relay/body.rs
+++ b/src/net/relay/body.rs
@@ -51,7 +51,7 @@
     /// A body that is completely buffered.
     Full(Bytes),
     /// A body that is still arriving.
-    Streamed(Streamed),
+    Streamed(Box<Streamed>),
 }
 
 /// A body that is still arriving, and the part of it that was already read.
@@ -99,7 +99,7 @@
             }
             return RelayBody::Empty;
         }
-        RelayBody::Streamed(Streamed {
+        RelayBody::Streamed(Box::new(Streamed {
             prefix: None,
             incoming,
             left_bytes: u64::MAX,
@@ -109,7 +109,7 @@
             watchers: Vec::new(),
             end_check: None,
             _answering: None,
-        })
+        }))
     }
 
     /// Lets the body fail if it is still arriving after `left`.
@@ -187,7 +187,7 @@
             }
         }
         let read_bytes = buffer.len() as u64;
-        Ok(RelayBody::Streamed(Streamed {
+        Ok(RelayBody::Streamed(Box::new(Streamed {
             prefix: (!buffer.is_empty()).then(|| buffer.freeze()),
             incoming,
             left_bytes: limit_bytes.saturating_sub(read_bytes),
@@ -197,7 +197,7 @@
             watchers: Vec::new(),
             end_check: None,
             _answering: answering,
-        }))
+        })))
     }
 
     /// The bytes of a body that is buffered; of one that is still arriving, those read so far.
