Name the result of a health check in its log line as the docs do

Cause: the field was health_name, docs/OPERATIONS.md says health. The arrival of a heartbeat gets a function of its own.

--- a/src/net/relay/health.rs
+++ b/src/net/relay/health.rs
@@ -13,7 +13,7 @@
 use crate::decide::relay::{MAX_HEARTBEAT_DELAY_MS, MemberState};
 use crate::net::http::{self, HttpClient};
 
-/// Interval at which it is looked whether a check is due, unless something changes, in milliseconds.
+/// Longest time until it is found that a check is due, in milliseconds.
 const POLL_MS: u64 = 250;
 /// Timeout of one health check, in milliseconds.
 const TIMEOUT_MS: u64 = 500;
@@ -32,7 +32,7 @@
         let (instance, uri) = match next_check(&relay) {
             NextCheck::Never => return,
             NextCheck::NotYet => {
-                wait(&relay, POLL_MS).await;
+                wait_for_change(&relay, POLL_MS).await;
                 continue;
             }
             NextCheck::Now { instance, uri } => (instance, uri),
@@ -55,12 +55,12 @@
             ..=QUICK_RETRIES => first_ms,
             _ => later_ms,
         };
-        wait(&relay, pause_ms).await;
+        wait_for_change(&relay, pause_ms).await;
     }
 }
 
 /// Waits until the backend server is heard of or its health path becomes known, for `longest_ms` at most.
-async fn wait(relay: &Relay, longest_ms: u64) {
+async fn wait_for_change(relay: &Relay, longest_ms: u64) {
     let changed = relay.readiness_check_needed.notified();
     let _ = tokio::time::timeout(Duration::from_millis(longest_ms), changed).await;
 }
@@ -145,9 +145,13 @@
         _ if headers.contains_key(&names.not_run) => Health::Unknown,
         _ => Health::NotReady,
     };
-    let (status, health_name) = (status.as_u16(), <&str>::from(health));
+    log_check(instance, status, is_same, health.into());
+    health
+}
+
+fn log_check(instance: &str, status: StatusCode, is_same: bool, health: &'static str) {
+    let status = status.as_u16();
     spdlog::info!("the backend server was asked for its health", kv: {
-        instance, status, is_same:, health_name
+        instance, status, is_same:, health
     });
-    health
 }
--- a/src/net/relay/members.rs
+++ b/src/net/relay/members.rs
@@ -18,15 +18,8 @@
     /// Processes a heartbeat of the backend server beside this daemon, and returns its outcome and
     /// whether it may be confirmed.
     pub fn record_heartbeat(&self, heartbeat: Heartbeat) -> (HeartbeatOutcome, bool) {
-        let held_ms = self.observe_pauses();
+        let arrival = self.arrival();
         let now = self.clock.now();
-        let up_ms = now.since_ms(self.started);
-        let now_unix_ms = crate::net::daemon::unix_ms();
-        let arrival = Arrival {
-            up_ms: up_ms.saturating_sub(held_ms),
-            started_unix_ms: now_unix_ms.saturating_sub(up_ms),
-            now_unix_ms,
-        };
         let mut tables = self.tables();
         let known_by = match &tables.worker {
             None => "nothing",
@@ -85,6 +78,18 @@
         (outcome, worker.confirms(drains))
     }
 
+    /// The arrival of a heartbeat that is read now.
+    fn arrival(&self) -> Arrival {
+        let held_ms = self.observe_pauses();
+        let up_ms = self.clock.now().since_ms(self.started);
+        let now_unix_ms = crate::net::daemon::unix_ms();
+        Arrival {
+            up_ms: up_ms.saturating_sub(held_ms),
+            started_unix_ms: now_unix_ms.saturating_sub(up_ms),
+            now_unix_ms,
+        }
+    }
+
     /// Records the answer of this instance beside this daemon to the health check sent at `asked`.
     pub(super) fn record_health(&self, instance: &str, asked: TimeMs, is_ready: bool) {
         let now = self.clock.now();
