--- a/tests/relay_leaving.rs
+++ b/tests/relay_leaving.rs
@@ -2,11 +2,13 @@
 
 mod deployment;
 
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use burdockhall::decide::relay::{Member, MemberState};
 use burdockhall::net::daemon::unix_ms;
+use burdockhall::net::relay::health;
 use deployment::proxy::Direction;
 use deployment::{Deployment, Host};
 
@@ -152,6 +154,7 @@
                 tables.directory.remove(before.address);
                 tables.heard_changes.clear();
             }
+            tokio::spawn(health::check_readiness(Arc::clone(&leaving.relay)));
             for source in ["log", "peer", "reply"] {
                 leaving.relay.merge_members(vec![before.clone()], source);
             }
